--- a/development/standins/platform.ts
+++ b/development/standins/platform.ts
@@ -192,7 +192,9 @@
 		}
 
 		const entry = this.objects.get(key);
-		sendJson(response, entry ? 200 : 404, entry ? {...entry, storeTime: Date.now()} : {});
+		sendJson(response, entry ? 200 : 404, {
+			version: 0, value: '', ...entry, storeTime: Date.now(),
+		});
 	}
 
 	private async waitFor(isDone: () => boolean, url: URL): Promise<boolean> {
--- a/src/base/event-catalogue.ts
+++ b/src/base/event-catalogue.ts
@@ -36,6 +36,7 @@
 	claimSettled: event(5001, 'info', 'The answer to a claim write was lost; reading back settled it.'),
 	claimUnsettled: event(5002, 'error', 'A claim could not be settled; the caller was told that the request may have run.'),
 	claimShardFull: event(5003, 'error', 'A claim shard is full; new claims on it are refused.'),
+	claimShardUnreadable: event(5004, 'error', 'A claim shard does not decode; claims on it are refused.'),
 	leaseAcquired: event(6001, 'info', 'This box holds a duty lease now.'),
 	leaseLost: event(6002, 'warn', 'This box holds a duty lease no longer.'),
 	summaryWritten: event(6101, 'info', 'The summary of the data centre was written for the first time by this holder.'),
--- a/src/base/http-client.ts
+++ b/src/base/http-client.ts
@@ -109,9 +109,12 @@
 		});
 	}
 
-	/** Closes the connections that are kept. */
+	/** Closes the connections that are kept; one with an answer in progress closes after it. */
 	close(): void {
-		this.agent.destroy();
+		this.agent.maxFreeSockets = 0;
+		for (const socket of Object.values(this.agent.freeSockets).flatMap(sockets => sockets ?? [])) {
+			socket.destroy();
+		}
 	}
 }
 
--- a/src/base/identifiers.ts
+++ b/src/base/identifiers.ts
@@ -4,7 +4,7 @@
 import * as Brand from 'effect/Brand';
 import * as Schema from 'effect/Schema';
 
-const namePattern = /^[a-z\d][a-z\d._-]{0,62}$/v;
+const namePattern = /^[a-z\d][a-z\d._\-]{0,62}$/v;
 const namePatternText = 'a lower-case name of letters, digits, ".", "_" and "-", 63 characters at most';
 
 const Name = Schema.String.check(Schema.isPattern(namePattern, {expected: namePatternText}));
--- /dev/null
+++ b/src/claims/claim-shard.ts
@@ -0,0 +1,312 @@
+/**
+ * One object of claims. Whatever waits goes in with one conditional write (group commit); that the write is
+ * conditional is all that safety rests on, so any box may claim through any shard.
+ */
+import * as Deferred from 'effect/Deferred';
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import * as Schema from 'effect/Schema';
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {Metrics} from '../base/metrics.js';
+import type {ObjectStore, ObjectVersion} from '../platform/object-store.js';
+import {ClaimEntry, ClaimUnavailable} from './claim.js';
+
+/** Milliseconds a claim is remembered, on the store's clock. */
+export const claimRetention = 24 * 3_600_000;
+/** Milliseconds after which what was read is read again, so that claims get a fresh time. */
+const longestCache = 60_000;
+/** Milliseconds an operation may take before it is given up. */
+const operationDeadline = 3000;
+/** Characters a shard may hold; the store takes a megabyte. */
+const largestShard = 900_000;
+/** Milliseconds of failures after which new operations are refused at once. */
+const outageDelay = 1000;
+const firstPause = 10;
+const longestPause = 500;
+
+/** The claims of a shard by request. */
+export type ClaimEntries = Readonly<Record<string, ClaimEntry>>;
+
+const Entries = Schema.Record(Schema.String, ClaimEntry);
+const decodeEntries = Schema.decodeUnknownResult(Schema.fromJsonString(Entries));
+
+/** What an operation wants of the entries it is shown. */
+export type ClaimDecision<T> = {
+	/** Entry to write; `undefined` where nothing changes. */
+	readonly write: ClaimEntry | undefined;
+	/** What the operation returns once that holds. */
+	readonly outcome: T;
+};
+
+type Operation = {
+	readonly name: string;
+	readonly decide: (entry: ClaimEntry | undefined, storeTime: number) => ClaimDecision<unknown>;
+	readonly done: Deferred.Deferred<unknown, ClaimUnavailable>;
+	readonly endsAt: number;
+	/** Whether a write that carried this operation was sent without a clear answer. */
+	mayBeRecorded: boolean;
+};
+
+type Snapshot = {
+	readonly version: ObjectVersion;
+	readonly entries: ClaimEntries;
+	readonly storeTime: number;
+	readonly readAt: number;
+};
+
+/** What a shard needs. */
+export type ClaimShardServices = {
+	readonly store: ObjectStore;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+};
+
+/** One shard, as this box sees it. */
+export class ClaimShard {
+	/**
+	 * @param key - Name of the object.
+	 * @param services - What it works with.
+	 * @returns The shard; it reads the object when first used.
+	 */
+	static create(key: string, services: ClaimShardServices): ClaimShard {
+		return new ClaimShard(key, services);
+	}
+
+	private waiting: Operation[] = [];
+	private isCommitting = false;
+	/** Monotonic milliseconds since which no write or read went through; `undefined` while they do. */
+	private failingSince: number | undefined;
+	private snapshot: Snapshot | undefined;
+
+	private constructor(private readonly key: string, private readonly services: ClaimShardServices) {}
+
+	/**
+	 * Runs an operation on one entry, together with all that wait.
+	 *
+	 * @param name - Which entry.
+	 * @param decide - What to write, given what stands there; called again when that has changed.
+	 * @returns The outcome, once what it rests on is durable.
+	 */
+	run<T>(
+		name: string,
+		decide: (entry: ClaimEntry | undefined, storeTime: number) => ClaimDecision<T>,
+	): Effect.Effect<T, ClaimUnavailable> {
+		return Effect.suspend(() => {
+			if (this.isOut()) {
+				return Effect.fail(new ClaimUnavailable({mayBeRecorded: false, detail: 'the Object API does not answer'}));
+			}
+
+			const operation: Operation = {
+				name,
+				decide,
+				done: Deferred.makeUnsafe<unknown, ClaimUnavailable>(),
+				endsAt: this.services.clock.monotonic() + operationDeadline,
+				mayBeRecorded: false,
+			};
+			this.waiting.push(operation);
+			this.startCommitting();
+			// The cast is sound: only decide() of this operation makes its outcome.
+			return Deferred.await(operation.done) as Effect.Effect<T, ClaimUnavailable>;
+		});
+	}
+
+	/** While the store fails, what waits already tries it; the rest is refused at once. */
+	private isOut(): boolean {
+		return this.isCommitting && this.failingSince !== undefined
+			&& this.services.clock.monotonic() - this.failingSince > outageDelay;
+	}
+
+	/** One committer a shard and box; it outlives the callers that wait, for others may wait with them. */
+	private startCommitting(): void {
+		if (this.isCommitting) {
+			return;
+		}
+
+		this.isCommitting = true;
+		Effect.runFork(this.commitAll());
+	}
+
+	private commitAll(): Effect.Effect<void> {
+		return Effect.gen({self: this}, function * () {
+			// What comes in the same turn goes into the same write.
+			yield * Effect.yieldNow;
+			let pause = firstPause;
+			while (this.waiting.length > 0) {
+				const batch = this.waiting;
+				this.waiting = [];
+				const isDone = yield * this.commit(batch);
+				if (isDone) {
+					pause = firstPause;
+					continue;
+				}
+
+				this.waiting = [...this.expire(batch), ...this.waiting];
+				yield * Effect.sleep(pause * (0.5 + Math.random()));
+				pause = Math.min(longestPause, pause * 2);
+			}
+
+			this.isCommitting = false;
+		});
+	}
+
+	/** @returns Whether every operation of the batch is done; otherwise it has to be tried again. */
+	private commit(batch: readonly Operation[]): Effect.Effect<boolean> {
+		return Effect.gen({self: this}, function * () {
+			const snapshot = yield * this.read();
+			if (!snapshot) {
+				return false;
+			}
+
+			const decisions = decideAll(batch, snapshot);
+			if (decisions.every(({decision}) => decision.write === undefined)) {
+				// An entry that is held may have been released since it was read.
+				if (snapshot.readAt < this.services.clock.monotonic() - 1) {
+					this.snapshot = undefined;
+					return yield * this.commit(batch);
+				}
+
+				return yield * finishAll(decisions);
+			}
+
+			const entries = mergeEntries(snapshot, decisions);
+			const value = JSON.stringify(entries);
+			if (value.length > largestShard) {
+				this.services.log.write('claimShardFull', {shard: this.key, characters: value.length});
+				return yield * refuseAll(batch, 'the claim shard is full');
+			}
+
+			return yield * this.write(snapshot, entries, value, decisions);
+		});
+	}
+
+	private write(
+		snapshot: Snapshot,
+		entries: ClaimEntries,
+		value: string,
+		decisions: readonly Decided[],
+	): Effect.Effect<boolean> {
+		const {store, metrics, log} = this.services;
+		return store.write(this.key, value, snapshot.version).pipe(
+			Effect.flatMap(version => {
+				metrics.claimWrites.inc({outcome: 'written'});
+				this.failingSince = undefined;
+				this.snapshot = {...snapshot, version, entries};
+				if (decisions.some(({operation}) => operation.mayBeRecorded)) {
+					log.write('claimSettled', {shard: this.key});
+				}
+
+				return finishAll(decisions);
+			}),
+			Effect.catch(error => Effect.sync(() => {
+				// What stands there now has to be read: it may be ours, if an answer was lost.
+				this.snapshot = undefined;
+				metrics.claimWrites.inc({outcome: error._tag === 'VersionConflict' ? 'conflict' : error.reason});
+				if (error._tag === 'StoreFailure') {
+					this.noteFailure();
+					markMayBeRecorded(error.mayHaveApplied ? decisions : []);
+				}
+
+				return false;
+			})),
+		);
+	}
+
+	private read(): Effect.Effect<Snapshot | undefined> {
+		const now = this.services.clock.monotonic();
+		if (this.snapshot && this.snapshot.readAt > now - longestCache) {
+			return Effect.succeed(this.snapshot);
+		}
+
+		return this.services.store.read(this.key).pipe(
+			Effect.map(object => {
+				const entries = object.version === 0 ? Result.succeed({}) : decodeEntries(object.value);
+				if (Result.isFailure(entries)) {
+					this.services.log.write('claimShardUnreadable', {shard: this.key, version: object.version});
+					this.noteFailure();
+					return undefined;
+				}
+
+				this.failingSince = undefined;
+				this.snapshot = {
+					version: object.version,
+					entries: entries.success,
+					storeTime: object.storeTime,
+					readAt: this.services.clock.monotonic(),
+				};
+				return this.snapshot;
+			}),
+			Effect.catch(() => Effect.sync(() => {
+				this.noteFailure();
+				return undefined;
+			})),
+		);
+	}
+
+	private noteFailure(): void {
+		this.failingSince ??= this.services.clock.monotonic();
+	}
+
+	/** Gives up what has waited too long. @returns What is left. */
+	private expire(batch: readonly Operation[]): readonly Operation[] {
+		const now = this.services.clock.monotonic();
+		for (const operation of batch.filter(({endsAt}) => endsAt <= now)) {
+			Deferred.doneUnsafe(operation.done, Effect.fail(new ClaimUnavailable({
+				mayBeRecorded: operation.mayBeRecorded, detail: 'the Object API did not take the claim in time',
+			})));
+		}
+
+		return batch.filter(({endsAt}) => endsAt > now);
+	}
+}
+
+type Decided = {readonly operation: Operation; readonly decision: ClaimDecision<unknown>};
+
+function markMayBeRecorded(decisions: readonly Decided[]): void {
+	for (const {operation} of decisions) {
+		operation.mayBeRecorded = true;
+	}
+}
+
+/** Operations see what those before them in the batch decided. */
+function decideAll(batch: readonly Operation[], snapshot: Snapshot): readonly Decided[] {
+	const written = new Map<string, ClaimEntry>();
+	return batch.map(operation => {
+		const entry = written.get(operation.name) ?? snapshot.entries[operation.name];
+		const decision = operation.decide(entry, snapshot.storeTime);
+		if (decision.write) {
+			written.set(operation.name, decision.write);
+		}
+
+		return {operation, decision};
+	});
+}
+
+/** What stands, less what is too old, and what is new. */
+function mergeEntries(snapshot: Snapshot, decisions: readonly Decided[]): ClaimEntries {
+	const oldest = snapshot.storeTime - claimRetention;
+	const kept = Object.entries(snapshot.entries).filter(([, entry]) => entry.claimedAt >= oldest);
+	const written = decisions.flatMap(({operation, decision}) => decision.write ? [[operation.name, decision.write] as const] : []);
+	return Object.fromEntries([...kept, ...written]);
+}
+
+function finishAll(decisions: readonly Decided[]): Effect.Effect<boolean> {
+	return Effect.sync(() => {
+		for (const {operation, decision} of decisions) {
+			Deferred.doneUnsafe(operation.done, Effect.succeed(decision.outcome));
+		}
+
+		return true;
+	});
+}
+
+function refuseAll(batch: readonly Operation[], detail: string): Effect.Effect<boolean> {
+	return Effect.sync(() => {
+		for (const operation of batch) {
+			Deferred.doneUnsafe(operation.done, Effect.fail(new ClaimUnavailable({mayBeRecorded: operation.mayBeRecorded, detail})));
+		}
+
+		return true;
+	});
+}
--- /dev/null
+++ b/src/claims/store-claim-ledger.ts
@@ -0,0 +1,97 @@
+/**
+ * Claims in shards of the Object API.
+ */
+import * as Effect from 'effect/Effect';
+import {hashText} from '../base/rendezvous.js';
+import {
+	ClaimEnd, ClaimLedger, ClaimOutcome, type ClaimEntry, type ClaimName, type ClaimRequest, type ClaimUnavailable,
+} from './claim.js';
+import {ClaimShard, type ClaimDecision, type ClaimShardServices} from './claim-shard.js';
+
+/** Shards of an installation. Changing it needs all claims to have run out first. */
+export const claimShards = 16;
+
+const entryName = ({account, key}: ClaimName) => `${account}/${key}`;
+
+/**
+ * @param request - What names a claim.
+ * @returns Number of the shard that holds it.
+ */
+export function shardOf(request: ClaimName): number {
+	return hashText(entryName(request)) % claimShards;
+}
+
+/** Records claims by conditional writes of shard objects. */
+export class StoreClaimLedger extends ClaimLedger {
+	/**
+	 * @param services - What the shards work with.
+	 * @returns The ledger.
+	 */
+	static create(services: ClaimShardServices): StoreClaimLedger {
+		return new StoreClaimLedger(services);
+	}
+
+	private readonly shards: readonly ClaimShard[];
+
+	private constructor(private readonly services: ClaimShardServices) {
+		super();
+		this.shards = Array.from({length: claimShards}, (_, index) => ClaimShard.create(`claims/${index}`, services));
+	}
+
+	override claim(request: ClaimRequest): Effect.Effect<ClaimOutcome, ClaimUnavailable> {
+		const startedAt = this.services.clock.monotonic();
+		return this.shardFor(request).run(entryName(request), (entry, storeTime) => decideClaim(request, entry, storeTime)).pipe(
+			Effect.tap(outcome => Effect.sync(() => {
+				this.services.metrics.claims.inc({outcome: outcome._tag});
+				this.services.metrics.claimSeconds.observe((this.services.clock.monotonic() - startedAt) / 1000);
+			})),
+			Effect.tapError(() => Effect.sync(() => {
+				this.services.metrics.claims.inc({outcome: 'Unavailable'});
+			})),
+		);
+	}
+
+	override lookUp(name: ClaimName): Effect.Effect<ClaimEntry | undefined, ClaimUnavailable> {
+		return this.shardFor(name).run(entryName(name), entry => ({write: undefined, outcome: entry}));
+	}
+
+	override settle(request: ClaimRequest, end: ClaimEnd): Effect.Effect<void, ClaimUnavailable> {
+		return this.shardFor(request).run(entryName(request), entry => decideEnd(request, end, entry));
+	}
+
+	private shardFor(request: ClaimName): ClaimShard {
+		return this.shards[shardOf(request)]!;
+	}
+}
+
+/** Free or released: take it. Ours already: a lost answer, or a second try of the same write. */
+function decideClaim(request: ClaimRequest, entry: ClaimEntry | undefined, storeTime: number): ClaimDecision<ClaimOutcome> {
+	if (entry?.attempt === request.attempt && entry.state === 'claimed') {
+		return {write: undefined, outcome: ClaimOutcome.Claimed()};
+	}
+
+	if (entry && entry.state !== 'released') {
+		return {write: undefined, outcome: ClaimOutcome.Held({entry})};
+	}
+
+	return {
+		write: {
+			attempt: request.attempt, fingerprint: request.fingerprint, state: 'claimed', claimedAt: storeTime,
+		},
+		outcome: ClaimOutcome.Claimed(),
+	};
+}
+
+function decideEnd(request: ClaimRequest, end: ClaimEnd, entry: ClaimEntry | undefined): ClaimDecision<void> {
+	if (entry?.attempt !== request.attempt || entry.state !== 'claimed') {
+		return {write: undefined, outcome: undefined};
+	}
+
+	return {
+		write: ClaimEnd.$match(end, {
+			Released: (): ClaimEntry => ({...entry, state: 'released'}),
+			Ran: ({answer}): ClaimEntry => ({...entry, state: 'ran', ...(answer ? {answer} : {})}),
+		}),
+		outcome: undefined,
+	};
+}
--- /dev/null
+++ b/src/command/serve-command.ts
@@ -0,0 +1,63 @@
+/**
+ * `waydrift serve`: the daemon of an entry box.
+ */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import {BunyanEventLog} from '../base/event-log.js';
+import {describeFault} from '../base/faults.js';
+import {HttpClient} from '../base/http-client.js';
+import {EntryBox, type EntryBoxPlatform} from '../daemon/entry-box.js';
+import {HttpUpstreamConnector} from '../dispatch/upstream-connector.js';
+import {HttpBoxList} from '../platform/http-box-list.js';
+import {HttpObjectStore} from '../platform/http-object-store.js';
+import {decodeSettings, type Settings} from '../settings/settings.js';
+import {exitCode, type ExitCode} from './exit-code.js';
+
+/** Ends when the process is asked to stop. */
+const stopAsked: Effect.Effect<void> = Effect.callback<void>(resume => {
+	const listener = () => {
+		resume(Effect.void);
+	};
+
+	process.once('SIGTERM', listener);
+	process.once('SIGINT', listener);
+	return Effect.sync(() => {
+		process.off('SIGTERM', listener);
+		process.off('SIGINT', listener);
+	});
+});
+
+function reach(settings: Settings): EntryBoxPlatform {
+	const {host, port} = settings.platform;
+	return {
+		store: HttpObjectStore.create(HttpClient.create(host, port)),
+		list: HttpBoxList.create(HttpClient.create(host, port)),
+		connector: HttpUpstreamConnector.create(),
+	};
+}
+
+/**
+ * Serves until the process is asked to stop or the platform takes the box back.
+ *
+ * @param file - Settings file.
+ * @returns The exit code.
+ */
+export async function serve(file: string): Promise<ExitCode> {
+	const decoded = decodeSettings(readFileSync(file, 'utf8'));
+	if (Result.isFailure(decoded)) {
+		process.stderr.write(`${decoded.failure.map(fault => describeFault(file, fault)).join('\n')}\n`);
+		return exitCode.invalid;
+	}
+
+	const settings = decoded.success;
+	const log = BunyanEventLog.create(settings.box);
+	const serving = Effect.gen(function * () {
+		const box = yield * EntryBox.start(settings, reach(settings), log);
+		const stopped = stopAsked.pipe(Effect.andThen(Effect.suspend(() => box.stop())));
+		yield * Effect.raceFirst(stopped, box.untilReclaimed());
+	});
+	await Effect.runPromise(Effect.scoped(serving));
+	return exitCode.done;
+}
--- /dev/null
+++ b/src/daemon/entry-box.ts
@@ -0,0 +1,322 @@
+/**
+ * An entry box: the supervisor tree of its roles, and how it stops.
+ */
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import type * as Scope from 'effect/Scope';
+import {SystemClock, type Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import {Metrics} from '../base/metrics.js';
+import {BoxDirectory, type Leaving} from '../boxes/box-directory.js';
+import {BoxWatch} from '../boxes/box-watch.js';
+import {StoreClaimLedger} from '../claims/store-claim-ledger.js';
+import type {DispatchServices} from '../dispatch/dispatch-services.js';
+import {PoolGates} from '../dispatch/pool-gates.js';
+import {RunRegistry} from '../dispatch/run-registry.js';
+import type {UpstreamConnector} from '../dispatch/upstream-connector.js';
+import {UpstreamLinks} from '../dispatch/upstream-links.js';
+import {CallersDoor} from '../door/callers-door.js';
+import {ChatDoor} from '../door/chat-door.js';
+import {openOperatorsDoor, type Readiness} from '../door/operators-door.js';
+import {RequestDoor} from '../door/request-door.js';
+import {ServiceDoor} from '../door/service-door.js';
+import {Lease} from '../lease/lease.js';
+import {CeilingOwner, type CeilingFacts} from '../limits/ceiling-owner.js';
+import {Ceilings} from '../limits/ceilings.js';
+import {PeerLinks, reportOf} from '../peers/peer-links.js';
+import type {PeerState, StoredTable} from '../peers/peer-messages.js';
+import {listenForPeers} from '../peers/peer-server.js';
+import type {BoxList} from '../platform/box-list.js';
+import type {ObjectStore} from '../platform/object-store.js';
+import {RecordBook} from '../records/record-book.js';
+import {ExpectedCostPolicy} from '../routing/routing-policy.js';
+import type {Settings} from '../settings/settings.js';
+import {SummaryDuty} from '../status/summary-duty.js';
+import {TableView} from '../table/table-view.js';
+import {TableWatch} from '../table/table-watch.js';
+import {decodeVersionedTable} from '../table/versioned-table.js';
+import {LocalPeer} from './local-peer.js';
+import {PeerRecordFinder} from './peer-record-finder.js';
+import {RecordHandOver} from './record-hand-over.js';
+import {superviseRoles, type Role} from './role.js';
+
+/** Milliseconds between two sweeps of records. */
+const sweepInterval = 1000;
+/** Part of a reclaim notice that is left for handing requests over. */
+const handOverPart = 0.3;
+/** Milliseconds at least that are left for it. */
+const shortestHandOver = 1500;
+
+/** What a box reaches outside of itself. */
+export type EntryBoxPlatform = {
+	readonly store: ObjectStore;
+	readonly list: BoxList;
+	readonly connector: UpstreamConnector;
+};
+
+/** Everything that stands on one box, wired once. */
+type Parts = {
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+	readonly table: TableView;
+	readonly directory: BoxDirectory;
+	readonly dispatch: DispatchServices;
+	readonly peers: PeerLinks;
+	readonly owner: CeilingOwner;
+	readonly handOver: RecordHandOver;
+};
+
+/** An entry box that serves. */
+export class EntryBox {
+	/**
+	 * Starts a box. It runs until the scope closes.
+	 *
+	 * @param settings - Checked settings.
+	 * @param platform - What it reaches outside of itself.
+	 * @param log - Where events go.
+	 * @returns The box, listening.
+	 */
+	static start(settings: Settings, platform: EntryBoxPlatform, log: EventLog): Effect.Effect<EntryBox, never, Scope.Scope> {
+		return Effect.gen(function * () {
+			const box = new EntryBox(settings, platform, log);
+			yield * box.open();
+			return box;
+		});
+	}
+
+	/** TCP ports it listens on. */
+	readonly ports = {callers: 0, peers: 0, operators: 0};
+	private readonly parts: Parts;
+	private door: CallersDoor | undefined;
+	private isStopping = false;
+
+	private constructor(
+		private readonly settings: Settings,
+		private readonly platform: EntryBoxPlatform,
+		private readonly log: EventLog,
+	) {
+		this.parts = this.wire();
+	}
+
+	/** Whether this box should get callers. */
+	get readiness(): Readiness {
+		if (this.isStopping) {
+			return {isReady: false, detail: 'stopping'};
+		}
+
+		return this.parts.table.inForce
+			? {isReady: true, detail: 'ready'}
+			: {isReady: false, detail: 'no table yet'};
+	}
+
+	/** Requests in progress. */
+	get inProgress(): number {
+		return this.parts.dispatch.runs.inProgress;
+	}
+
+	/**
+	 * Stops without cutting a request off: the balancer is told, then what is in progress ends by itself.
+	 *
+	 * @returns Ends when nothing is in progress any more.
+	 */
+	stop(): Effect.Effect<void> {
+		return Effect.gen({self: this}, function * () {
+			this.beginStopping();
+			yield * Effect.sleep(this.settings.stopping.balancerDelay);
+			yield * this.drain();
+		});
+	}
+
+	/** @returns Ends when the platform takes this box back and its requests have been moved. */
+	untilReclaimed(): Effect.Effect<void> {
+		const {directory} = this.parts;
+		const reclaimed = Effect.callback<Leaving & {readonly endsAt: number}>(resume => {
+			const check = (leaving: Leaving | undefined) => {
+				if (leaving?.box === this.settings.box && leaving.endsAt !== undefined) {
+					resume(Effect.succeed({...leaving, endsAt: leaving.endsAt}));
+				}
+			};
+
+			check(directory.leavingOf(this.settings.box));
+			const stop = directory.onDidLeave(check);
+			return Effect.sync(stop);
+		});
+		return reclaimed.pipe(Effect.flatMap(({endsAt}) => this.leaveBy(endsAt)));
+	}
+
+	/** Lets short requests end, then hands the others over while there is time. */
+	private leaveBy(endsAt: number): Effect.Effect<void> {
+		return Effect.gen({self: this}, function * () {
+			const {clock, dispatch, handOver} = this.parts;
+			const left = endsAt - clock.monotonic();
+			this.log.write('boxReclaimed', {remaining: Math.round(left)});
+			this.beginStopping();
+			const patience = Math.max(0, left - Math.max(shortestHandOver, left * handOverPart));
+			yield * Effect.raceFirst(dispatch.runs.whenIdle(), Effect.sleep(patience));
+			yield * handOver.moveActive();
+			yield * Effect.raceFirst(this.drain(), Effect.sleep(Math.max(0, endsAt - clock.monotonic())));
+		});
+	}
+
+	private beginStopping(): void {
+		if (!this.isStopping) {
+			this.log.write('boxStopping', {inProgress: this.inProgress});
+		}
+
+		this.isStopping = true;
+		this.door?.beginStopping();
+	}
+
+	private drain(): Effect.Effect<void> {
+		return Effect.gen({self: this}, function * () {
+			yield * this.door?.stopListening() ?? Effect.void;
+			yield * this.parts.dispatch.runs.whenIdle();
+			yield * this.parts.handOver.copyFinished();
+			this.log.write('boxStopped');
+		});
+	}
+
+	private wire(): Parts {
+		const {box, dataCentre, records: retention} = this.settings;
+		const {log} = this;
+		const clock = SystemClock.create();
+		const metrics = Metrics.create();
+		const table = TableView.create(log);
+		table.onDidApply(({version}) => {
+			metrics.tableVersion.set(version);
+		});
+		const directory = BoxDirectory.create(box, clock, log);
+		const facts = ceilingFacts(table, directory);
+		const links = UpstreamLinks.create({
+			directory, connector: this.platform.connector, clock, log,
+		});
+		const ceilings = Ceilings.create(box, facts, clock);
+		const owner = CeilingOwner.create(facts, clock);
+		const dispatch: DispatchServices = {
+			clock,
+			log,
+			metrics,
+			directory,
+			links,
+			ceilings,
+			gates: PoolGates.create(links, clock, metrics),
+			ledger: StoreClaimLedger.create({
+				store: this.platform.store, clock, log, metrics,
+			}),
+			policy: ExpectedCostPolicy.create(),
+			records: RecordBook.create(retention, clock),
+			runs: RunRegistry.create(metrics),
+		};
+		const peers = PeerLinks.create({
+			self: box,
+			directory,
+			ceilings,
+			owner,
+			clock,
+			log,
+			metrics,
+			state: () => this.state(),
+			takeTable: stored => {
+				this.takeTable(stored);
+			},
+		});
+		const handOver = RecordHandOver.create({
+			dataCentre, directory, log, records: dispatch.records, runs: dispatch.runs, peers: () => peers.reachable,
+		});
+		return {
+			clock, metrics, table, directory, dispatch, peers, owner, handOver,
+		};
+	}
+
+	private open(): Effect.Effect<void, never, Scope.Scope> {
+		return Effect.gen({self: this}, function * () {
+			const {settings, log} = this;
+			const {table, dispatch, metrics} = this.parts;
+			const finder = PeerRecordFinder.create(() => this.parts.peers.reachable);
+			this.ports.peers = yield * listenForPeers(this.localPeer(), settings.peers.host, settings.peers.port);
+			yield * superviseRoles(this.roles(), log);
+			this.ports.operators = yield * openOperatorsDoor({
+				metrics, readiness: () => this.readiness, status: () => this.state(),
+			}, settings.operators.host, settings.operators.port);
+			this.door = yield * CallersDoor.open({
+				settings: settings.callers,
+				table,
+				log,
+				metrics,
+				chat: ChatDoor.create(dispatch, table, finder),
+				plainServices: ServiceDoor.create(dispatch, table),
+				requests: RequestDoor.create(dispatch, finder),
+			});
+			this.ports.callers = this.door.port;
+			log.write('boxStarted', {...this.ports});
+		});
+	}
+
+	private localPeer(): LocalPeer {
+		const {clock, directory, owner, table, dispatch} = this.parts;
+		return LocalPeer.create({
+			clock, directory, owner, table, dispatch, state: () => this.state(),
+		});
+	}
+
+	private roles(): readonly Role[] {
+		const {store, list} = this.platform;
+		const {clock, table, directory, dispatch, peers} = this.parts;
+		const {log, settings} = this;
+		const boxWatch = BoxWatch.create(list, directory, clock, log);
+		const summary = SummaryDuty.create({
+			dataCentre: settings.dataCentre,
+			store,
+			log,
+			own: () => this.state(),
+			others: () => peers.reachable.map(({state}) => state).filter(({dataCentre}) => dataCentre === settings.dataCentre),
+		});
+		const lease = Lease.create(`summary-${settings.dataCentre}`, {
+			self: settings.box, store, clock, log,
+		});
+		return [
+			{name: 'table-watch', run: TableWatch.create(store, table, log).run()},
+			{name: 'box-list', run: boxWatch.followList()},
+			{name: 'reclaim-notices', run: boxWatch.followNotices()},
+			{name: 'upstreams', run: dispatch.links.run()},
+			{name: 'gates', run: dispatch.gates.run()},
+			{name: 'peers', run: peers.run()},
+			{name: 'summary', run: summary.run(lease)},
+			{
+				name: 'records', run: Effect.forever(Effect.sleep(sweepInterval).pipe(Effect.map(() => {
+					dispatch.records.sweep();
+				}))),
+			},
+		];
+	}
+
+	private state(): PeerState {
+		const {table, directory, clock} = this.parts;
+		const now = clock.monotonic();
+		return {
+			box: this.settings.box,
+			dataCentre: this.settings.dataCentre,
+			tableVersion: table.version,
+			inProgress: this.inProgress,
+			isStopping: this.isStopping,
+			leaving: directory.leavingBoxes.map(({box, endsAt}) => reportOf(box, endsAt, now)),
+		};
+	}
+
+	/** A peer's table counts like the store's own: both are the same bytes under the same version. */
+	private takeTable({version, value}: StoredTable): void {
+		const decoded = decodeVersionedTable(version, value);
+		if (Result.isSuccess(decoded)) {
+			this.parts.table.apply(decoded.success);
+		}
+	}
+}
+
+function ceilingFacts(table: TableView, directory: BoxDirectory): CeilingFacts {
+	return {
+		ceiling: row => table.ceiling(row),
+		rows: () => table.rowNames,
+		entryBoxes: () => directory.entryBoxes,
+	};
+}
+
--- /dev/null
+++ b/src/dispatch/chat-run.ts
@@ -0,0 +1,252 @@
+/**
+ * Runs a chat request to its end, over as many engines as it takes.
+ */
+import * as Effect from 'effect/Effect';
+import {AttemptId} from '../base/identifiers.js';
+import {Refusal} from '../base/verdict.js';
+import type {RequestRecord} from '../records/request-record.js';
+import type {Prompt} from '../routing/prefix-belief.js';
+import {rowName, type Row, type Service} from '../table/table.js';
+import type {UpstreamFailure} from '../upstream/upstream-failure.js';
+import {ChatAttempt, type AttemptOutcome} from './chat-attempt.js';
+import {runClaimed} from './claimed-run.js';
+import {backoff, judgeFailure, passCeiling} from './dispatch-outcome.js';
+import type {DispatchServices} from './dispatch-services.js';
+import type {EngineLink} from './upstream-links.js';
+
+/** Milliseconds between two looks for an engine, when a stream in progress finds none. */
+const engineWait = 100;
+
+/** Why a stream goes on at another engine. */
+type MoveCause = 'leaving' | 'failure' | 'caller-resumed' | 'box-left';
+
+/** What is to run, and under which limits. */
+export type ChatPlan = {
+	readonly row: Row;
+	readonly service: Service;
+	readonly prompt: Prompt;
+	/** Tokens of the answer at most. */
+	readonly maximumTokens: number;
+	/** Monotonic milliseconds. */
+	readonly deadlineAt: number;
+	/** `new`: admitted and claimed first. Otherwise it was already, and goes on. */
+	readonly origin: 'new' | 'caller-resumed' | 'box-left';
+};
+
+/** One chat request on its way. */
+export class ChatRun {
+	/**
+	 * @param services - What it works with.
+	 * @param record - Takes the answer.
+	 * @param plan - What is to run.
+	 * @returns The run; run it to begin.
+	 */
+	static create(services: DispatchServices, record: RequestRecord, plan: ChatPlan): ChatRun {
+		return new ChatRun(services, record, plan);
+	}
+
+	private tries = 0;
+	private moveCause: MoveCause | undefined;
+	/** The engine that computed what the caller has. */
+	private source: EngineLink | undefined;
+
+	private constructor(
+		private readonly services: DispatchServices,
+		private readonly record: RequestRecord,
+		private readonly plan: ChatPlan,
+	) {
+		this.moveCause = plan.origin === 'new' ? undefined : plan.origin;
+	}
+
+	/** @returns Ends when the record has ended; interruption cancels the request at the engine. */
+	run(): Effect.Effect<void> {
+		const {records} = this.services;
+		return this.admitted().pipe(
+			Effect.map(() => {
+				this.noteFinished();
+			}),
+			Effect.catchTag('Refusal', refusal => Effect.sync(() => {
+				this.record.refuse(refusal);
+			})),
+			Effect.catchDefect(defect => Effect.sync(() => {
+				this.services.log.write('requestFailed', {detail: String(defect)});
+				this.record.refuse(Refusal.create('internal', 'The program failed; its log says how.'));
+			})),
+			Effect.ensuring(Effect.sync(() => {
+				records.retire(this.record);
+			})),
+		);
+	}
+
+	private admitted(): Effect.Effect<void, Refusal> {
+		const {row, service} = this.plan;
+		if (this.plan.origin !== 'new') {
+			return this.serve();
+		}
+
+		const cost = this.plan.prompt.tokens + this.plan.maximumTokens;
+		const passed = this.services.gates.gate(service.pool).pass(row, cost, this.claimed()).pipe(Effect.ensuring(Effect.sync(() => {
+			this.services.ceilings.giveBack(rowName(row), this.plan.maximumTokens - this.record.position);
+		})));
+		return passCeiling(this.services, row, cost).pipe(Effect.andThen(passed));
+	}
+
+	private claimed(): Effect.Effect<void, Refusal> {
+		const {account, key, fingerprint, requestId} = this.record.origin;
+		if (this.plan.row.repeatable) {
+			return this.serve();
+		}
+
+		const claim = {
+			account, key, fingerprint, attempt: AttemptId(requestId),
+		};
+		const ran = Refusal.create('claim-held', 'This request has run.', {verdict: 'ran'});
+		return runClaimed(this.services.ledger, claim, this.serve(), () => undefined)
+			.pipe(Effect.catchTag('KeptAnswerFound', () => Effect.fail(ran)));
+	}
+
+	/** One try after another, until the answer is whole or nothing more may be tried. */
+	private serve(): Effect.Effect<void, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			for (;;) {
+				const link = yield * this.chooseEngine();
+				yield * this.bringCache(link);
+				this.tries++;
+				const outcome = yield * this.attempt(link);
+				if (outcome._tag === 'Finished') {
+					return;
+				}
+
+				yield * this.prepareNext(link, outcome);
+			}
+		});
+	}
+
+	private chooseEngine(): Effect.Effect<EngineLink, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			for (;;) {
+				const links = this.services.links.engines(this.plan.service.pool);
+				const others = links.filter(link => link !== this.source);
+				const candidates = others.length > 0 ? others : links;
+				if (candidates.length > 0) {
+					return this.choose(candidates);
+				}
+
+				if (this.record.position === 0 && this.plan.origin === 'new') {
+					return yield * Effect.fail(Refusal.create('no-upstream', `No upstream of pool ${this.plan.service.pool} can take the request. It was not run.`));
+				}
+
+				yield * this.checkDeadline();
+				yield * Effect.sleep(engineWait);
+			}
+		});
+	}
+
+	private choose(candidates: readonly EngineLink[]): EngineLink {
+		const {prompt, service} = this.plan;
+		const state = this.services.policy.choose(candidates.map(link => link.state), {prompt, latencyWeight: service.latencyWeight});
+		return candidates.find(link => link.state === state)!;
+	}
+
+	/** Moves the KV cache to the next engine if the last one can still give it. */
+	private bringCache(link: EngineLink): Effect.Effect<void> {
+		const {source} = this;
+		if (!source || source === link || this.moveCause !== 'leaving') {
+			return Effect.void;
+		}
+
+		const {host, port} = source.state.box;
+		// Without the cache the tokens are computed again; that costs, but loses nothing.
+		return Effect.ignore(link.engine.importCache({requestId: this.record.origin.requestId, host, port}));
+	}
+
+	private attempt(link: EngineLink): Effect.Effect<AttemptOutcome> {
+		const {record, plan} = this;
+		const believed = link.state.prefixes.cachedTokens(plan.prompt);
+		link.state.prefixes.note(plan.prompt);
+		const offset = record.position;
+		const attempt = ChatAttempt.create(this.services, link, record, {
+			request: {
+				requestId: record.origin.requestId,
+				body: record.origin.body,
+				priority: plan.row.priority,
+				offset,
+				textSoFar: offset === 0 ? '' : record.text(),
+			},
+			maximumTokens: plan.maximumTokens,
+			deadlineAt: plan.deadlineAt,
+		});
+		return attempt.run().pipe(Effect.tap(outcome => Effect.sync(() => {
+			if (outcome._tag === 'Finished' && offset === 0 && record.usage) {
+				link.state.prefixes.correct(believed, record.usage.cachedTokens);
+			}
+		})));
+	}
+
+	/** Notes how a try ended, and ends the run where nothing more may be tried. */
+	private prepareNext(link: EngineLink, outcome: Exclude<AttemptOutcome, {readonly _tag: 'Finished'}>): Effect.Effect<void, Refusal> {
+		this.source = link;
+		switch (outcome._tag) {
+			case 'DeadlinePassed': {
+				return this.checkDeadline();
+			}
+
+			case 'Leaving': {
+				this.noteMove('leaving', link);
+				return Effect.void;
+			}
+
+			case 'Failed': {
+				return this.afterFailure(link, outcome.failure);
+			}
+		}
+	}
+
+	private afterFailure(link: EngineLink, failure: UpstreamFailure): Effect.Effect<void, Refusal> {
+		const refusal = judgeFailure(this.services, {
+			failure,
+			upstream: link.state,
+			isRepeatable: this.plan.row.repeatable,
+			hasBegun: this.record.position > 0,
+			tries: this.tries,
+			pool: this.plan.service.pool,
+		});
+		if (refusal) {
+			return Effect.fail(refusal);
+		}
+
+		if (this.record.position > 0) {
+			this.noteMove('failure', link);
+		}
+
+		return this.checkDeadline().pipe(Effect.andThen(failure.reason === 'leaving' ? Effect.void : Effect.sleep(backoff(this.tries))));
+	}
+
+	private noteMove(cause: MoveCause, link: EngineLink): void {
+		this.moveCause = cause;
+		if (this.record.position > 0) {
+			this.services.metrics.moves.inc({cause});
+			this.services.log.write('streamMoved', {from: link.state.box.id, cause, position: this.record.position});
+		}
+	}
+
+	private checkDeadline(): Effect.Effect<void, Refusal> {
+		return this.services.clock.monotonic() < this.plan.deadlineAt
+			? Effect.void
+			: Effect.fail(Refusal.create('deadline-passed', 'The answer was not whole at the deadline. It is given up.'));
+	}
+
+	private noteFinished(): void {
+		const {metrics, gates} = this.services;
+		gates.budget(this.plan.service.pool).deposit();
+		const {usage} = this.record;
+		if (usage) {
+			metrics.promptTokens.inc({cached: 'yes'}, usage.cachedTokens);
+			metrics.promptTokens.inc({cached: 'no'}, Math.max(0, usage.promptTokens - usage.cachedTokens));
+			metrics.recomputedTokens.inc({cause: this.moveCause ?? 'none'}, usage.recomputedTokens);
+		}
+
+		metrics.tokens.inc(this.record.position);
+		this.record.finish();
+	}
+}
--- /dev/null
+++ b/src/dispatch/dispatch-services.ts
@@ -0,0 +1,29 @@
+/**
+ * What running a request needs, got through constructors.
+ */
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {Metrics} from '../base/metrics.js';
+import type {BoxDirectory} from '../boxes/box-directory.js';
+import type {ClaimLedger} from '../claims/claim.js';
+import type {Ceilings} from '../limits/ceilings.js';
+import type {RecordBook} from '../records/record-book.js';
+import type {RoutingPolicy} from '../routing/routing-policy.js';
+import type {PoolGates} from './pool-gates.js';
+import type {RunRegistry} from './run-registry.js';
+import type {UpstreamLinks} from './upstream-links.js';
+
+/** The services of one box that run requests. */
+export type DispatchServices = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+	readonly directory: BoxDirectory;
+	readonly links: UpstreamLinks;
+	readonly gates: PoolGates;
+	readonly ceilings: Ceilings;
+	readonly ledger: ClaimLedger;
+	readonly policy: RoutingPolicy;
+	readonly records: RecordBook;
+	readonly runs: RunRegistry;
+};
--- /dev/null
+++ b/src/dispatch/pool-gates.ts
@@ -0,0 +1,74 @@
+/**
+ * A gate and a retry budget for each pool.
+ */
+import * as Effect from 'effect/Effect';
+import type {Clock} from '../base/clock.js';
+import type {PoolName} from '../base/identifiers.js';
+import type {Metrics} from '../base/metrics.js';
+import {PoolGate} from '../limits/pool-gate.js';
+import {RetryBudget} from '../retries/retry-budget.js';
+import type {UpstreamLinks} from './upstream-links.js';
+
+const tickInterval = 250;
+
+/** Holds the gates and the budgets of this box. */
+export class PoolGates {
+	/**
+	 * @param links - To ask how full a pool is.
+	 * @param clock - For waiting times.
+	 * @param metrics - Where waiting requests are shown.
+	 * @returns Gates; run them to begin.
+	 */
+	static create(links: UpstreamLinks, clock: Clock, metrics: Metrics): PoolGates {
+		return new PoolGates(links, clock, metrics);
+	}
+
+	private readonly gates = new Map<PoolName, PoolGate>();
+	private readonly budgets = new Map<PoolName, RetryBudget>();
+
+	private constructor(
+		private readonly links: UpstreamLinks,
+		private readonly clock: Clock,
+		private readonly metrics: Metrics,
+	) {}
+
+	/** @returns Ticks all gates until interrupted. */
+	run(): Effect.Effect<never> {
+		return Effect.forever(Effect.sleep(tickInterval).pipe(Effect.map(() => {
+			for (const [pool, gate] of this.gates) {
+				gate.tick();
+				this.metrics.waiting.set({pool}, gate.waitingCount);
+			}
+		})));
+	}
+
+	/**
+	 * @param pool - Which pool.
+	 * @returns Its gate.
+	 */
+	gate(pool: PoolName): PoolGate {
+		const known = this.gates.get(pool);
+		if (known) {
+			return known;
+		}
+
+		const gate = PoolGate.create(() => this.links.load(pool), this.clock);
+		this.gates.set(pool, gate);
+		return gate;
+	}
+
+	/**
+	 * @param pool - Which pool.
+	 * @returns Its retry budget.
+	 */
+	budget(pool: PoolName): RetryBudget {
+		const known = this.budgets.get(pool);
+		if (known) {
+			return known;
+		}
+
+		const budget = RetryBudget.create(this.clock);
+		this.budgets.set(pool, budget);
+		return budget;
+	}
+}
--- /dev/null
+++ b/src/dispatch/service-run.ts
@@ -0,0 +1,158 @@
+/**
+ * Runs a call of a plain service to its end.
+ */
+import {Buffer} from 'node:buffer';
+import * as Effect from 'effect/Effect';
+import type {
+	AttemptId, ClientAccountName, RequestKey,
+} from '../base/identifiers.js';
+import {Refusal} from '../base/verdict.js';
+import type {ClaimRequest, KeptAnswer} from '../claims/claim.js';
+import {rowName, type Row, type Service} from '../table/table.js';
+import type {PlainAnswer} from '../upstream/plain-service.js';
+import type {UpstreamFailure} from '../upstream/upstream-failure.js';
+import {runClaimed} from './claimed-run.js';
+import type {DispatchServices} from './dispatch-services.js';
+import {backoff, judgeFailure, passCeiling} from './dispatch-outcome.js';
+import type {ServiceLink} from './upstream-links.js';
+
+/** Bytes of an answer that are kept with its claim. */
+const largestKeptAnswer = 1024;
+
+/** A call to run. */
+export type ServicePlan = {
+	readonly account: ClientAccountName;
+	readonly key: RequestKey | undefined;
+	readonly attempt: AttemptId;
+	readonly fingerprint: string;
+	readonly row: Row;
+	readonly service: Service;
+	readonly path: string;
+	readonly contentType: string;
+	readonly body: Uint8Array;
+	/** Monotonic milliseconds. */
+	readonly deadlineAt: number;
+};
+
+/** An answer, and whether it was kept from an earlier run. */
+export type ServiceAnswer = PlainAnswer & {readonly isReplayed: boolean};
+
+const keep = (answer: PlainAnswer): KeptAnswer | undefined => answer.body.length > largestKeptAnswer
+	? undefined
+	: {status: answer.status, contentType: answer.contentType, body: Buffer.from(answer.body).toString('base64')};
+
+const replay = (answer: KeptAnswer): ServiceAnswer => ({
+	status: answer.status, contentType: answer.contentType, body: Buffer.from(answer.body, 'base64'), isReplayed: true,
+});
+
+/** One call on its way. */
+export class ServiceRun {
+	/**
+	 * @param services - What it works with.
+	 * @param plan - The call.
+	 * @returns The run; run it to begin.
+	 */
+	static create(services: DispatchServices, plan: ServicePlan): ServiceRun {
+		return new ServiceRun(services, plan);
+	}
+
+	private tries = 0;
+
+	private constructor(private readonly services: DispatchServices, private readonly plan: ServicePlan) {}
+
+	/** @returns The answer; a refusal says whether the call may have run. */
+	run(): Effect.Effect<ServiceAnswer, Refusal> {
+		const {row, service} = this.plan;
+		const passed = this.services.gates.gate(service.pool).pass(row, 1, this.claimed());
+		return passCeiling(this.services, row, 1).pipe(Effect.andThen(passed));
+	}
+
+	private claimed(): Effect.Effect<ServiceAnswer, Refusal> {
+		const {account, key, fingerprint, attempt, row} = this.plan;
+		if (row.repeatable || key === undefined) {
+			return this.serve();
+		}
+
+		const claim: ClaimRequest = {
+			account, key, fingerprint, attempt,
+		};
+		return runClaimed(this.services.ledger, claim, this.serve(), keep)
+			.pipe(Effect.catchTag('KeptAnswerFound', ({answer}) => Effect.succeed(replay(answer))));
+	}
+
+	private serve(): Effect.Effect<ServiceAnswer, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			let avoided: ServiceLink | undefined;
+			for (;;) {
+				const link = yield * this.chooseService(avoided);
+				this.tries++;
+				const answer = yield * this.attempt(link).pipe(Effect.catch(error => this.afterFailure(link, error)));
+				if (answer) {
+					return answer;
+				}
+
+				avoided = link;
+			}
+		});
+	}
+
+	private chooseService(avoided: ServiceLink | undefined): Effect.Effect<ServiceLink, Refusal> {
+		const {service} = this.plan;
+		const links = this.services.links.plainServices(service.pool);
+		const others = links.filter(link => link !== avoided);
+		const candidates = others.length > 0 ? others : links;
+		if (candidates.length === 0) {
+			return Effect.fail(Refusal.create('no-upstream', `No upstream of pool ${service.pool} can take the call. It was not run.`));
+		}
+
+		const state = this.services.policy.choose(candidates.map(link => link.state), {
+			prompt: {tokens: 0, blocks: []}, latencyWeight: service.latencyWeight,
+		});
+		return Effect.succeed(candidates.find(link => link.state === state)!);
+	}
+
+	private attempt(link: ServiceLink): Effect.Effect<ServiceAnswer, UpstreamFailure> {
+		const {state} = link;
+		const {clock} = this.services;
+		return Effect.suspend(() => {
+			const startedAt = clock.monotonic();
+			state.begin();
+			return link.service.call({
+				path: this.plan.path,
+				contentType: this.plan.contentType,
+				body: this.plan.body,
+				key: this.plan.key,
+				timeout: Math.max(1, this.plan.deadlineAt - startedAt),
+			}).pipe(Effect.map(answer => {
+				const took = clock.monotonic() - startedAt;
+				state.noteFirstToken(took);
+				state.noteSuccess(took);
+				this.services.gates.budget(this.plan.service.pool).deposit();
+				return {...answer, isReplayed: false};
+			}));
+		}).pipe(Effect.ensuring(Effect.sync(() => {
+			state.end();
+		})));
+	}
+
+	/** @returns Nothing, to try again. */
+	private afterFailure(link: ServiceLink, failure: UpstreamFailure): Effect.Effect<undefined, Refusal> {
+		const refusal = judgeFailure(this.services, {
+			failure,
+			upstream: link.state,
+			isRepeatable: this.plan.row.repeatable,
+			hasBegun: false,
+			tries: this.tries,
+			pool: this.plan.service.pool,
+		});
+		if (refusal) {
+			return Effect.fail(refusal);
+		}
+
+		if (this.services.clock.monotonic() >= this.plan.deadlineAt) {
+			return Effect.fail(Refusal.create('deadline-passed', 'No answer came before the deadline.', {verdict: failure.verdict}));
+		}
+
+		return Effect.as(Effect.sleep(backoff(this.tries)), undefined);
+	}
+}
--- /dev/null
+++ b/src/dispatch/upstream-links.ts
@@ -0,0 +1,196 @@
+/**
+ * The links of this box to upstreams: one task for each upstream of the box list.
+ */
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import type {BoxDirectory} from '../boxes/box-directory.js';
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {BoxId, PoolName} from '../base/identifiers.js';
+import type {PoolLoad} from '../limits/pool-gate.js';
+import type {Box} from '../platform/box-list.js';
+import {UpstreamState} from '../routing/upstream-state.js';
+import type {LoadReport} from '../upstream/load-report.js';
+import type {ModelEngine} from '../upstream/model-engine.js';
+import type {PlainService} from '../upstream/plain-service.js';
+import type {UpstreamFailure} from '../upstream/upstream-failure.js';
+import type {UpstreamConnector} from './upstream-connector.js';
+
+/** Milliseconds between two load reports. */
+const reportInterval = 500;
+
+/** A link to a model engine. */
+export type EngineLink = {
+	readonly state: UpstreamState;
+	readonly engine: ModelEngine;
+};
+
+/** A link to a plain service. */
+export type ServiceLink = {
+	readonly state: UpstreamState;
+	readonly service: PlainService;
+};
+
+/** Either, as far as its task is concerned. */
+type Upstream = {
+	readonly load: () => Effect.Effect<LoadReport, UpstreamFailure>;
+	readonly close: () => void;
+};
+
+/** A link and the task that serves it. */
+type Task = {
+	readonly upstream: Upstream;
+	readonly fiber: Fiber.Fiber<unknown>;
+};
+
+/** What the links need. */
+export type UpstreamLinksServices = {
+	readonly directory: BoxDirectory;
+	readonly connector: UpstreamConnector;
+	readonly clock: Clock;
+	readonly log: EventLog;
+};
+
+/** Holds a link to each upstream. */
+export class UpstreamLinks {
+	/**
+	 * @param services - What the links need.
+	 * @returns No links yet; run them to begin.
+	 */
+	static create(services: UpstreamLinksServices): UpstreamLinks {
+		return new UpstreamLinks(services);
+	}
+
+	private readonly engineLinks = new Map<BoxId, EngineLink>();
+	private readonly serviceLinks = new Map<BoxId, ServiceLink>();
+	private readonly tasks = new Map<BoxId, Task>();
+
+	private constructor(private readonly services: UpstreamLinksServices) {}
+
+	/** @returns Keeps a task for each upstream of the box list until interrupted; then closes all. */
+	run(): Effect.Effect<void> {
+		const {directory} = this.services;
+		const follow = Effect.callback<never>(() => {
+			this.reconcile();
+			const stop = directory.onDidChange(() => {
+				this.reconcile();
+			});
+			return Effect.sync(stop);
+		});
+		return follow.pipe(Effect.ensuring(Effect.sync(() => {
+			this.closeAll();
+		})));
+	}
+
+	/**
+	 * @param pool - Which pool.
+	 * @returns Links to its engines that may get new work now.
+	 */
+	engines(pool: PoolName): readonly EngineLink[] {
+		return this.usable(pool, this.engineLinks);
+	}
+
+	/**
+	 * @param pool - Which pool.
+	 * @returns Links to its plain services that may get new work now.
+	 */
+	plainServices(pool: PoolName): readonly ServiceLink[] {
+		return this.usable(pool, this.serviceLinks);
+	}
+
+	/**
+	 * @param pool - Which pool.
+	 * @returns How full it is, as far as can be told.
+	 */
+	load(pool: PoolName): PoolLoad {
+		const states = [...this.engines(pool), ...this.plainServices(pool)].map(({state}) => state);
+		const queued = states.map(({queued}) => queued);
+		return {
+			upstreams: states.length,
+			// The least loaded one tells whether there is room.
+			queued: queued.length === 0 ? 0 : Math.min(...queued),
+		};
+	}
+
+	private usable<Link extends {readonly state: UpstreamState}>(pool: PoolName, links: ReadonlyMap<BoxId, Link>): readonly Link[] {
+		return this.services.directory.upstreams(pool).flatMap(box => {
+			const link = links.get(box.id);
+			return link?.state.isUsable ? [link] : [];
+		});
+	}
+
+	private reconcile(): void {
+		const {directory} = this.services;
+		const listed = new Map(directory.boxes.filter(({role}) => role !== 'entry').map(box => [box.id, box]));
+		for (const box of [...listed.values()].filter(({id}) => !this.tasks.has(id))) {
+			this.open(box);
+		}
+
+		for (const id of [...this.tasks.keys()].filter(known => !listed.has(known))) {
+			this.close(id);
+		}
+	}
+
+	private open(box: Box): void {
+		const {connector, clock} = this.services;
+		const state = UpstreamState.create(box, clock);
+		const upstream = box.role === 'model-engine'
+			? this.openEngine(box, state, connector)
+			: this.openService(box, state, connector);
+		const fiber = Effect.runFork(Effect.forever(this.report(box, state, upstream)));
+		this.tasks.set(box.id, {upstream, fiber});
+	}
+
+	private openEngine(box: Box, state: UpstreamState, connector: UpstreamConnector): Upstream {
+		const engine = connector.engine(box);
+		this.engineLinks.set(box.id, {state, engine});
+		return {
+			load: () => engine.load(),
+			close() {
+				engine.close();
+			},
+		};
+	}
+
+	private openService(box: Box, state: UpstreamState, connector: UpstreamConnector): Upstream {
+		const service = connector.service(box);
+		this.serviceLinks.set(box.id, {state, service});
+		return {
+			load: () => service.load(),
+			close() {
+				service.close();
+			},
+		};
+	}
+
+	/** A report that fails says nothing about requests: those find out themselves. */
+	private report(box: Box, state: UpstreamState, upstream: Upstream): Effect.Effect<void> {
+		return upstream.load().pipe(
+			Effect.map(report => {
+				state.takeReport(report);
+				if (report.isLeaving) {
+					this.services.directory.markLeaving(box.id, 'upstream', undefined);
+				}
+			}),
+			Effect.catch(() => Effect.void),
+			Effect.andThen(Effect.sleep(reportInterval)),
+		);
+	}
+
+	private close(id: BoxId): void {
+		const task = this.tasks.get(id);
+		this.tasks.delete(id);
+		this.engineLinks.delete(id);
+		this.serviceLinks.delete(id);
+		task?.upstream.close();
+		if (task) {
+			Effect.runFork(Fiber.interrupt(task.fiber));
+		}
+	}
+
+	private closeAll(): void {
+		for (const id of this.tasks.keys()) {
+			this.close(id);
+		}
+	}
+}
--- /dev/null
+++ b/src/door/authentication.ts
@@ -0,0 +1,43 @@
+/**
+ * Finds out who calls.
+ */
+import {createHash} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import * as Effect from 'effect/Effect';
+import {Refusal} from '../base/verdict.js';
+import type {ClientAccount} from '../table/table.js';
+import type {TableView} from '../table/table-view.js';
+
+const scheme = /^Bearer (?<key>\S{1,512})$/v;
+
+/**
+ * @param key - An API key.
+ * @returns Its hash as the table holds it.
+ */
+export function hashKey(key: string): string {
+	return `sha256:${createHash('sha256').update(key).digest('hex')}`;
+}
+
+/**
+ * Finds the client account of a request by its API key. Keys are long and random, so that looking up their
+ * hash tells nothing by its time.
+ *
+ * @param incoming - The request.
+ * @param table - The table in force.
+ * @returns The client account.
+ */
+export function authenticate(incoming: IncomingMessage, table: TableView): Effect.Effect<ClientAccount, Refusal> {
+	if (!table.inForce) {
+		return Effect.fail(Refusal.create('not-ready', 'This box has not read its configuration yet.'));
+	}
+
+	const key = scheme.exec(incoming.headers.authorization ?? '')?.groups?.key;
+	if (key === undefined) {
+		return Effect.fail(Refusal.create('key-missing', 'Send your API key as "Authorization: Bearer KEY".'));
+	}
+
+	const account = table.accountOf(hashKey(key));
+	return account
+		? Effect.succeed(account)
+		: Effect.fail(Refusal.create('key-unknown', 'This API key is not valid, or no longer.'));
+}
--- /dev/null
+++ b/src/door/body-reader.ts
@@ -0,0 +1,44 @@
+/**
+ * Reads the body of a caller's request within limits.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import * as Effect from 'effect/Effect';
+import {Refusal} from '../base/verdict.js';
+
+const tooLarge = (limit: number) => Refusal.create('body-too-large', `A body may have ${limit} bytes at most.`);
+
+/**
+ * Reads a body. Node's own server ends senders that are too slow.
+ *
+ * @param incoming - The request.
+ * @param limit - Bytes.
+ * @returns The body; refused as soon as it is over the limit, without reading the rest.
+ */
+export function readBody(incoming: IncomingMessage, limit: number): Effect.Effect<Uint8Array, Refusal> {
+	return Effect.callback<Uint8Array, Refusal>(resume => {
+		if (Number(incoming.headers['content-length'] ?? 0) > limit) {
+			resume(Effect.fail(tooLarge(limit)));
+			return;
+		}
+
+		const chunks: Uint8Array[] = [];
+		let size = 0;
+		incoming.on('data', (chunk: Uint8Array) => {
+			size += chunk.length;
+			if (size > limit) {
+				incoming.pause();
+				resume(Effect.fail(tooLarge(limit)));
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		incoming.once('end', () => {
+			resume(Effect.succeed(Buffer.concat(chunks)));
+		});
+		incoming.once('error', error => {
+			resume(Effect.fail(Refusal.create('malformed', `The body was cut short: ${error.message}.`)));
+		});
+	});
+}
--- /dev/null
+++ b/src/door/callers-door.ts
@@ -0,0 +1,236 @@
+/**
+ * The door for callers: HTTP on Node's own server, hardened, one task for each request of a connection.
+ */
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import type * as Scope from 'effect/Scope';
+import type {EventLog} from '../base/event-log.js';
+import type {ClientAccountName} from '../base/identifiers.js';
+import type {Metrics} from '../base/metrics.js';
+import {Refusal} from '../base/verdict.js';
+import type {Settings} from '../settings/settings.js';
+import type {TableView} from '../table/table-view.js';
+import {authenticate} from './authentication.js';
+import {readBody} from './body-reader.js';
+import type {CallerExchange} from './caller-exchange.js';
+import type {ChatDoor} from './chat-door.js';
+import {problemOf, sendProblem} from './problem.js';
+import type {RequestDoor} from './request-door.js';
+import type {ServiceDoor} from './service-door.js';
+
+/** Milliseconds between two looks for senders that are too slow. */
+const slowSenderCheck = 1000;
+const keepAlive = 65_000;
+/** Milliseconds between two looks for idle connections while stopping. */
+const idleCheck = 100;
+const longestPath = 2048;
+/** Header fields of one request at most. */
+const mostHeaders = 100;
+
+/** What the door needs. */
+export type CallersDoorServices = {
+	readonly settings: Settings['callers'];
+	readonly table: TableView;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+	readonly chat: ChatDoor;
+	readonly plainServices: ServiceDoor;
+	readonly requests: RequestDoor;
+};
+
+/** Where a path leads. */
+type Route = {
+	readonly method: 'GET' | 'POST';
+	readonly matches: (path: string) => boolean;
+	readonly answer: (exchange: CallerExchange) => Effect.Effect<void, Refusal>;
+};
+
+/** Listens for callers. */
+export class CallersDoor {
+	/**
+	 * Opens the door until its scope closes.
+	 *
+	 * @param services - What it needs.
+	 * @returns The door, listening.
+	 */
+	static open(services: CallersDoorServices): Effect.Effect<CallersDoor, never, Scope.Scope> {
+		const listen = Effect.promise(async () => {
+			const door = new CallersDoor(services);
+			door.server.listen(services.settings.port, services.settings.host);
+			await once(door.server, 'listening');
+			return door;
+		});
+		return Effect.acquireRelease(listen, door => Effect.sync(() => {
+			door.server.close();
+			door.server.closeAllConnections();
+		}));
+	}
+
+	private readonly server: Server;
+	private readonly routes: readonly Route[];
+	private readonly requestsByAccount = new Map<ClientAccountName, number>();
+	/** Requests in progress on a connection. */
+	private readonly busySockets = new WeakMap<Socket, number>();
+	private isStopping = false;
+
+	private constructor(private readonly services: CallersDoorServices) {
+		const {settings, chat, plainServices, requests} = services;
+		this.server = createServer({
+			maxHeaderSize: settings.maximumHeaders,
+			requestTimeout: settings.receiveTimeout,
+			headersTimeout: settings.receiveTimeout,
+			connectionsCheckingInterval: slowSenderCheck,
+			keepAliveTimeout: keepAlive,
+			noDelay: true,
+		}, (incoming, response) => {
+			this.serve(incoming, response);
+		});
+		this.server.maxHeadersCount = mostHeaders;
+		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			this.refuseGarbage(error, socket as Socket);
+		});
+		this.routes = [
+			{method: 'POST', matches: path => path === '/v1/chat/completions', answer: exchange => chat.answer(exchange)},
+			{method: 'POST', matches: path => path.startsWith('/v1/services/'), answer: exchange => plainServices.answer(exchange)},
+			{method: 'GET', matches: path => path.startsWith('/v1/requests/'), answer: exchange => requests.answer(exchange)},
+		];
+	}
+
+	/** TCP port it listens on. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
+	/** Goes on answering, but asks each caller to come by a new connection: the balancer then finds another box. */
+	beginStopping(): void {
+		this.isStopping = true;
+	}
+
+	/** @returns Takes no new connections; ends when those that are open have got their answers and closed. */
+	stopListening(): Effect.Effect<void> {
+		return Effect.callback<void>(resume => {
+			const timer = setInterval(() => {
+				this.server.closeIdleConnections();
+			}, idleCheck);
+			this.server.close(() => {
+				clearInterval(timer);
+				resume(Effect.void);
+			});
+			this.server.closeIdleConnections();
+		});
+	}
+
+	private serve(incoming: IncomingMessage, response: ServerResponse): void {
+		const {socket} = incoming;
+		this.busySockets.set(socket, (this.busySockets.get(socket) ?? 0) + 1);
+		if (this.isStopping) {
+			response.shouldKeepAlive = false;
+		}
+
+		const fiber = Effect.runFork(this.answer(incoming, response));
+		response.once('close', () => {
+			this.busySockets.set(socket, (this.busySockets.get(socket) ?? 1) - 1);
+			if (!response.writableFinished) {
+				Effect.runFork(Fiber.interrupt(fiber));
+			}
+		});
+	}
+
+	private answer(incoming: IncomingMessage, response: ServerResponse): Effect.Effect<void> {
+		return this.route(incoming, response).pipe(
+			Effect.catch(error => Effect.sync(() => {
+				this.refuse(response, error, incoming);
+			})),
+			Effect.catchDefect(defect => Effect.sync(() => {
+				this.services.log.write('requestFailed', {detail: String(defect)});
+				this.refuse(response, Refusal.create('internal', 'The program failed; its log says how.'), incoming);
+			})),
+		);
+	}
+
+	private route(incoming: IncomingMessage, response: ServerResponse): Effect.Effect<void, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const path = (incoming.url ?? '/').slice(0, longestPath).split('?', 1)[0]!;
+			const route = this.routes.find(({matches}) => matches(path));
+			const account = yield * authenticate(incoming, this.services.table);
+			if (!route) {
+				return yield * Effect.fail(Refusal.create('no-such-path', 'There is nothing at this path.'));
+			}
+
+			if (route.method !== incoming.method) {
+				return yield * Effect.fail(Refusal.create('method-not-allowed', `Use ${route.method} here.`));
+			}
+
+			const body = yield * readBody(incoming, this.services.settings.maximumBody);
+			yield * this.limited(account.name, route.answer({
+				incoming, response, account, path, body,
+			}));
+		});
+	}
+
+	/** Keeps one client account from taking all connections of a box. */
+	private limited(account: ClientAccountName, answer: Effect.Effect<void, Refusal>): Effect.Effect<void, Refusal> {
+		return Effect.suspend(() => {
+			const open = this.requestsByAccount.get(account) ?? 0;
+			if (open >= this.services.settings.maximumRequestsPerAccount) {
+				return Effect.fail(Refusal.create('too-many-connections', `This client account has ${open} requests in progress on this box.`));
+			}
+
+			this.requestsByAccount.set(account, open + 1);
+			return answer.pipe(Effect.ensuring(Effect.sync(() => {
+				this.requestsByAccount.set(account, this.requestsByAccount.get(account)! - 1);
+			})));
+		});
+	}
+
+	private refuse(response: ServerResponse, refusal: Refusal, incoming: IncomingMessage): void {
+		this.services.metrics.refusals.inc({reason: refusal.reason, verdict: refusal.verdict});
+		if (response.headersSent) {
+			response.destroy();
+			return;
+		}
+
+		if (!incoming.complete) {
+			// The rest of the body is not read: the connection cannot be used again.
+			response.shouldKeepAlive = false;
+			response.once('finish', () => {
+				incoming.socket.destroySoon();
+			});
+		}
+
+		sendProblem(response, refusal);
+	}
+
+	/** What is not HTTP gets a refusal, unless an answer is on its way: that one is sent whole first. */
+	private refuseGarbage(error: NodeJS.ErrnoException, socket: Socket): void {
+		const refusal = garbageRefusal(error.code);
+		this.services.metrics.refusals.inc({reason: refusal.reason, verdict: refusal.verdict});
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		if ((this.busySockets.get(socket) ?? 0) > 0) {
+			return;
+		}
+
+		const problem = problemOf(refusal);
+		const body = JSON.stringify(problem);
+		socket.end(`HTTP/1.1 ${problem.status} ${problem.title}\r\nContent-Type: application/problem+json\r\nContent-Length: ${body.length}\r\nConnection: close\r\n\r\n${body}`);
+	}
+}
+
+function garbageRefusal(code: string | undefined): Refusal {
+	if (code === 'HPE_HEADER_OVERFLOW') {
+		return Refusal.create('headers-too-large', 'The request head is too large.');
+	}
+
+	return code === 'ERR_HTTP_REQUEST_TIMEOUT'
+		? Refusal.create('sender-too-slow', 'The request did not arrive in time.')
+		: Refusal.create('malformed', 'This is not valid HTTP.');
+}
--- /dev/null
+++ b/src/door/chat-door.ts
@@ -0,0 +1,250 @@
+/**
+ * Chat completions, as callers ask for them.
+ */
+import {createHash, randomUUID} from 'node:crypto';
+import * as Effect from 'effect/Effect';
+import type {RequestKey} from '../base/identifiers.js';
+import {Refusal} from '../base/verdict.js';
+import {ChatRun, type ChatPlan} from '../dispatch/chat-run.js';
+import type {DispatchServices} from '../dispatch/dispatch-services.js';
+import type {RecordSnapshot} from '../peers/peer-messages.js';
+import {completionOf} from '../records/completion.js';
+import {RequestRecord, type RecordListener, type RecordName} from '../records/request-record.js';
+import type {TableView} from '../table/table-view.js';
+import {
+	govern, readRequestKey, readRequestKind, readTimeout, type CallerExchange, type Governed,
+} from './caller-exchange.js';
+import {decodeChatRequest, type ChatRequest} from './chat-request.js';
+import {EventStream} from './event-stream.js';
+import {sendProblem} from './problem.js';
+import type {RecordFinder} from './record-finder.js';
+
+/** A chat request that may be answered. */
+type Call = {
+	readonly exchange: CallerExchange;
+	readonly request: ChatRequest;
+	readonly governed: Governed;
+	readonly key: RequestKey | undefined;
+	readonly fingerprint: string;
+	/** Events that the caller has already. */
+	readonly from: number;
+	/** Monotonic milliseconds. */
+	readonly deadlineAt: number;
+};
+
+const digits = /^\d{1,9}$/v;
+
+/** Answers chat completions. */
+export class ChatDoor {
+	/**
+	 * @param services - What runs requests.
+	 * @param table - The table in force.
+	 * @param finder - Finds records at other boxes.
+	 * @returns The door.
+	 */
+	static create(services: DispatchServices, table: TableView, finder: RecordFinder): ChatDoor {
+		return new ChatDoor(services, table, finder);
+	}
+
+	private constructor(
+		private readonly services: DispatchServices,
+		private readonly table: TableView,
+		private readonly finder: RecordFinder,
+	) {}
+
+	/**
+	 * Answers one request.
+	 *
+	 * @param exchange - The request.
+	 * @returns Ends when the answer is sent. Interruption means that the caller hung up.
+	 */
+	answer(exchange: CallerExchange): Effect.Effect<void, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const call = yield * this.admit(exchange);
+			const record = yield * this.recordFor(call);
+			yield * this.send(record, call).pipe(Effect.onInterrupt(() => this.afterHangUp(record, call)));
+		});
+	}
+
+	private admit(exchange: CallerExchange): Effect.Effect<Call, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const request = yield * decodeChatRequest(exchange.body);
+			const kind = request.kind ?? (yield * readRequestKind(exchange.incoming));
+			const governed = yield * govern(this.table, exchange.account, {service: request.service, type: 'model', kind});
+			const key = yield * readRequestKey(exchange.incoming);
+			if (key === undefined && !governed.row.repeatable) {
+				return yield * Effect.fail(Refusal.create(
+					'request-key-missing',
+					'Requests of this kind are not repeatable: name each with an Idempotency-Key.',
+				));
+			}
+
+			const timeout = yield * readTimeout(exchange.incoming, governed.service);
+			const from = yield * readPosition(exchange, key);
+			return {
+				exchange,
+				request,
+				governed,
+				key,
+				from,
+				fingerprint: createHash('sha256').update(exchange.body).digest('base64url'),
+				deadlineAt: this.services.clock.monotonic() + timeout,
+			};
+		});
+	}
+
+	/** A record that is known is gone on with; otherwise the request is new. */
+	private recordFor(call: Call): Effect.Effect<RequestRecord, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const {key} = call;
+			if (key === undefined) {
+				return this.startNew(call, {account: call.exchange.account.name, key: randomUUID() as RequestKey});
+			}
+
+			const name = {account: call.exchange.account.name, key};
+			const known = this.services.records.lookUp(name) ?? (call.from > 0 ? yield * this.fetch(name, call) : undefined);
+			if (!known) {
+				return call.from > 0
+					? yield * Effect.fail(Refusal.create('record-lost', 'No box has this stream any more. Ask again without Last-Event-ID.'))
+					: this.startNew(call, name);
+			}
+
+			if (known.origin.fingerprint !== call.fingerprint) {
+				return yield * Effect.fail(Refusal.create('request-key-reused', 'This Idempotency-Key was used for a request with another content. Take a new key.'));
+			}
+
+			return this.goOn(known, call);
+		});
+	}
+
+	private startNew(call: Call, name: RecordName): RequestRecord {
+		const {request, governed, fingerprint} = call;
+		const record = RequestRecord.create({
+			...name,
+			fingerprint,
+			service: governed.service.name,
+			kind: governed.row.kind,
+			body: request.body,
+			requestId: randomUUID(),
+			isNamed: call.key !== undefined,
+		});
+		this.services.records.add(record);
+		this.run(record, call, 'new');
+		return record;
+	}
+
+	private goOn(known: RequestRecord, call: Call): RequestRecord {
+		if (known.state === 'paused') {
+			known.restart();
+			this.run(known, call, 'caller-resumed');
+			return known;
+		}
+
+		// What was refused without having run may be asked for again under its key.
+		return known.state === 'refused' && known.refusal?.verdict === 'not-run'
+			? this.startNew(call, {account: known.origin.account, key: known.origin.key})
+			: known;
+	}
+
+	/** Takes a record over from a peer, so that the stream goes on here. */
+	private fetch(name: RecordName, call: Call): Effect.Effect<RequestRecord | undefined> {
+		return this.finder.lookUp(name, true).pipe(Effect.map(snapshot => snapshot && this.adopt(snapshot, call)));
+	}
+
+	private adopt(snapshot: RecordSnapshot, call: Call): RequestRecord | undefined {
+		if (snapshot.events.length < call.from) {
+			return undefined;
+		}
+
+		const record = RequestRecord.create(snapshot.origin, snapshot.events);
+		record.usageEvent = snapshot.usageEvent;
+		this.services.records.add(record);
+		this.services.log.write('recordAdopted', {position: record.position, state: snapshot.state});
+		if (snapshot.state === 'finished') {
+			record.finish();
+			this.services.records.retire(record);
+		} else {
+			record.pause();
+		}
+
+		return record;
+	}
+
+	private run(record: RequestRecord, {request, governed, deadlineAt}: Call, origin: ChatPlan['origin']): void {
+		const run = ChatRun.create(this.services, record, {
+			...governed, prompt: request.prompt, maximumTokens: request.maximumTokens, deadlineAt, origin,
+		});
+		this.services.runs.start(record, run.run());
+	}
+
+	private send(record: RequestRecord, call: Call): Effect.Effect<void> {
+		return Effect.callback<void>(resume => {
+			const onEnd = () => {
+				this.count(record);
+				resume(Effect.void);
+			};
+
+			const {response} = call.exchange;
+			const listener: RecordListener = call.request.isStreamed
+				? EventStream.create(response, {
+					record, from: call.from, wantsUsage: call.request.wantsUsage, onEnd,
+				})
+				: wholeAnswer(record, call, onEnd);
+			const stop = record.listen(listener);
+			return Effect.sync(stop);
+		});
+	}
+
+	private count({origin, refusal}: RequestRecord): void {
+		const {metrics} = this.services;
+		metrics.requests.inc({service: origin.service, outcome: refusal ? 'refused' : 'answered'});
+		if (refusal) {
+			metrics.refusals.inc({reason: refusal.reason, verdict: refusal.verdict});
+		}
+	}
+
+	/** Work that may be repeated is cancelled when nobody reads it any more; its caller may come back for the rest. */
+	private afterHangUp(record: RequestRecord, {governed}: Call): Effect.Effect<void> {
+		return record.isRead || !governed.row.repeatable || record.state !== 'running'
+			? Effect.void
+			: this.services.runs.stop(record);
+	}
+}
+
+/** Reads how many events the caller has: only a named request can be resumed. */
+function readPosition({incoming}: CallerExchange, key: RequestKey | undefined): Effect.Effect<number, Refusal> {
+	const header = incoming.headers['last-event-id'];
+	if (header === undefined) {
+		return Effect.succeed(0);
+	}
+
+	if (key === undefined) {
+		return Effect.fail(Refusal.create('malformed', 'Last-Event-ID: expected the Idempotency-Key of the stream with it.'));
+	}
+
+	return typeof header === 'string' && digits.test(header)
+		? Effect.succeed(Number(header))
+		: Effect.fail(Refusal.create('malformed', 'Last-Event-ID: expected the id of an event of the stream.'));
+}
+
+/** Waits for the end and sends all at once. */
+function wholeAnswer(record: RequestRecord, {exchange: {response}}: Call, onEnd: () => void): RecordListener {
+	const listener: RecordListener = {
+		onEvents: () => true,
+		onEnd() {
+			if (record.refusal) {
+				sendProblem(response, record.refusal);
+			} else {
+				const body = JSON.stringify(completionOf(record));
+				response.writeHead(200, {'Content-Type': 'application/json', 'Waydrift-Request': record.origin.key}).end(body);
+			}
+
+			onEnd();
+		},
+	};
+	if (record.state === 'finished' || record.state === 'refused') {
+		listener.onEnd();
+	}
+
+	return listener;
+}
--- /dev/null
+++ b/src/door/event-stream.ts
@@ -0,0 +1,95 @@
+/**
+ * Writes a record to its caller as server-sent events, each with its position as id.
+ */
+import type {ServerResponse} from 'node:http';
+import type {RecordListener, RequestRecord} from '../records/request-record.js';
+import {problemOf, sendProblem} from './problem.js';
+
+const doneEvent = 'data: [DONE]\n\n';
+
+/** What to write. */
+export type EventStreamPlan = {
+	readonly record: RequestRecord;
+	/** Events the caller has already. */
+	readonly from: number;
+	/** Whether the caller asked for the usage at the end. */
+	readonly wantsUsage: boolean;
+	/** Called when all is written. */
+	readonly onEnd: () => void;
+};
+
+/** Writes one record to one caller. */
+export class EventStream implements RecordListener {
+	/**
+	 * @param response - Where to; its head must not have been sent.
+	 * @param plan - What to write.
+	 * @returns The stream; it has written what the record holds already.
+	 */
+	static create(response: ServerResponse, plan: EventStreamPlan): EventStream {
+		const stream = new EventStream(response, plan);
+		stream.begin();
+		return stream;
+	}
+
+	private constructor(private readonly response: ServerResponse, private readonly plan: EventStreamPlan) {}
+
+	onEvents(events: readonly string[], firstIndex: number): boolean {
+		this.sendHead();
+		const isReady = this.response.write(events.length === 1
+			? `id: ${firstIndex + 1}\n${events[0]!}`
+			: events.map((event, index) => `id: ${firstIndex + index + 1}\n${event}`).join(''));
+		if (!isReady) {
+			this.response.once('drain', () => {
+				this.plan.record.drained();
+			});
+		}
+
+		return isReady;
+	}
+
+	onEnd(): void {
+		const {record, wantsUsage, onEnd} = this.plan;
+		if (record.refusal) {
+			this.sendRefusal();
+		} else {
+			this.sendHead();
+			this.response.end(wantsUsage && record.usageEvent !== undefined ? record.usageEvent + doneEvent : doneEvent);
+		}
+
+		onEnd();
+	}
+
+	private begin(): void {
+		const {record, from} = this.plan;
+		const missed = record.events.slice(from);
+		if (missed.length > 0) {
+			this.onEvents(missed, from);
+		}
+
+		if (record.state === 'finished' || record.state === 'refused') {
+			this.onEnd();
+		}
+	}
+
+	private sendHead(): void {
+		if (this.response.headersSent) {
+			return;
+		}
+
+		this.response.writeHead(200, {
+			'Content-Type': 'text/event-stream; charset=utf-8',
+			'Cache-Control': 'no-store',
+			'X-Accel-Buffering': 'no',
+			'Waydrift-Request': this.plan.record.origin.key,
+		});
+	}
+
+	private sendRefusal(): void {
+		const refusal = this.plan.record.refusal!;
+		if (this.response.headersSent) {
+			this.response.end(`event: error\ndata: ${JSON.stringify({...problemOf(refusal), location: refusal.location, retryAfter: refusal.retryAfter})}\n\n`);
+		} else {
+			sendProblem(this.response, refusal);
+		}
+	}
+}
--- /dev/null
+++ b/src/door/operators-door.ts
@@ -0,0 +1,81 @@
+/**
+ * The port for operators and the balancer: metrics and health.
+ */
+import {once} from 'node:events';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import * as Effect from 'effect/Effect';
+import type * as Scope from 'effect/Scope';
+import type {Metrics} from '../base/metrics.js';
+
+/** Whether this box should get callers, and why not. */
+export type Readiness = {
+	readonly isReady: boolean;
+	readonly detail: string;
+};
+
+/** What the port shows. */
+export type OperatorsDoorServices = {
+	readonly metrics: Metrics;
+	readonly readiness: () => Readiness;
+	/** @returns What `/status` shows, as JSON. */
+	readonly status: () => unknown;
+};
+
+function send(response: ServerResponse, status: number, type: string, body: string): void {
+	response.writeHead(status, {'Content-Type': type}).end(body);
+}
+
+function answer(path: string, response: ServerResponse, {metrics, readiness, status}: OperatorsDoorServices): void {
+	switch (path) {
+		case '/healthz': {
+			send(response, 200, 'text/plain', 'alive\n');
+			break;
+		}
+
+		case '/readyz': {
+			const {isReady, detail} = readiness();
+			send(response, isReady ? 200 : 503, 'text/plain', `${detail}\n`);
+			break;
+		}
+
+		case '/status': {
+			send(response, 200, 'application/json', JSON.stringify(status()));
+			break;
+		}
+
+		case '/metrics': {
+			Effect.runFork(Effect.promise(async () => {
+				send(response, 200, metrics.registry.contentType, await metrics.registry.metrics());
+			}));
+			break;
+		}
+
+		default: {
+			send(response, 404, 'text/plain', 'Paths: /metrics, /healthz, /readyz, /status.\n');
+		}
+	}
+}
+
+/**
+ * Listens for operators until its scope closes.
+ *
+ * @param services - What to show.
+ * @param host - IP number.
+ * @param port - TCP port; zero for any.
+ * @returns The TCP port.
+ */
+export function openOperatorsDoor(services: OperatorsDoorServices, host: string, port: number): Effect.Effect<number, never, Scope.Scope> {
+	const open = Effect.promise(async (): Promise<Server> => {
+		const server = createServer((incoming, response) => {
+			answer(incoming.url ?? '/', response, services);
+		});
+		server.listen(port, host);
+		await once(server, 'listening');
+		return server;
+	});
+	return Effect.acquireRelease(open, server => Effect.sync(() => {
+		server.close();
+		server.closeAllConnections();
+	})).pipe(Effect.map(server => (server.address() as AddressInfo).port));
+}
--- /dev/null
+++ b/src/door/problem.ts
@@ -0,0 +1,55 @@
+/**
+ * Refusals as callers see them: problem documents.
+ *
+ * @remarks Source: RFC 9457.
+ */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {refusalReasons} from '../base/refusal-reason.js';
+import type {Refusal} from '../base/verdict.js';
+
+/** A problem document. The member `error` is what callers' libraries for chat completions look for. */
+export type Problem = {
+	readonly type: string;
+	readonly title: string;
+	readonly status: number;
+	readonly detail: string;
+	readonly verdict: Refusal['verdict'];
+	readonly reason: Refusal['reason'];
+	readonly error: {readonly message: string; readonly type: string; readonly code: string};
+};
+
+/**
+ * @param refusal - Why there is no answer.
+ * @returns The document.
+ */
+export function problemOf(refusal: Refusal): Problem {
+	const {status, title} = refusalReasons[refusal.reason];
+	return {
+		type: `urn:waydrift:refusal:${refusal.reason}`,
+		title,
+		status,
+		detail: refusal.detail,
+		verdict: refusal.verdict,
+		reason: refusal.reason,
+		error: {message: refusal.detail, type: refusal.verdict, code: refusal.reason},
+	};
+}
+
+/**
+ * Sends a refusal as a whole answer.
+ *
+ * @param response - Where to; its head must not have been sent.
+ * @param refusal - Why.
+ */
+export function sendProblem(response: ServerResponse, refusal: Refusal): void {
+	const problem = problemOf(refusal);
+	const body = JSON.stringify(problem);
+	response.writeHead(problem.status, {
+		'Content-Type': 'application/problem+json',
+		'Content-Length': Buffer.byteLength(body),
+		...(refusal.retryAfter === undefined ? {} : {'Retry-After': String(refusal.retryAfter)}),
+		...(refusal.location === undefined ? {} : {Location: refusal.location}),
+		...(problem.status === 401 ? {'WWW-Authenticate': 'Bearer'} : {}),
+	}).end(body);
+}
--- /dev/null
+++ b/src/door/service-door.ts
@@ -0,0 +1,97 @@
+/**
+ * Calls of plain services, as callers make them.
+ */
+import {createHash, randomUUID} from 'node:crypto';
+import * as Effect from 'effect/Effect';
+import {AttemptId} from '../base/identifiers.js';
+import {Refusal} from '../base/verdict.js';
+import type {DispatchServices} from '../dispatch/dispatch-services.js';
+import {ServiceRun, type ServiceAnswer, type ServicePlan} from '../dispatch/service-run.js';
+import type {TableView} from '../table/table-view.js';
+import {
+	govern, readRequestKey, readRequestKind, readTimeout, type CallerExchange,
+} from './caller-exchange.js';
+
+const pathPattern = /^\/v1\/services\/(?<service>[^\/?]{1,63})(?<rest>\/[^?#]*)?$/v;
+
+/** Answers calls of plain services. */
+export class ServiceDoor {
+	/**
+	 * @param services - What runs requests.
+	 * @param table - The table in force.
+	 * @returns The door.
+	 */
+	static create(services: DispatchServices, table: TableView): ServiceDoor {
+		return new ServiceDoor(services, table);
+	}
+
+	private constructor(private readonly services: DispatchServices, private readonly table: TableView) {}
+
+	/**
+	 * Answers one call.
+	 *
+	 * @param exchange - The call.
+	 * @returns Ends when the answer is sent. Interruption means that the caller hung up: a call that may not
+	 * be repeated goes on all the same, for nobody can call it back.
+	 */
+	answer(exchange: CallerExchange): Effect.Effect<void, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const plan = yield * this.admit(exchange);
+			const run = this.services.runs.track(ServiceRun.create(this.services, plan).run());
+			const answer = plan.row.repeatable ? yield * run : yield * detached(run);
+			this.services.metrics.requests.inc({service: plan.service.name, outcome: 'answered'});
+			send(exchange, answer);
+		});
+	}
+
+	private admit(exchange: CallerExchange): Effect.Effect<ServicePlan, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const {incoming, account, body} = exchange;
+			const path = pathPattern.exec(exchange.path)?.groups;
+			if (!path) {
+				return yield * Effect.fail(Refusal.create('no-such-path', 'Call a plain service as /v1/services/{service}/{path}.'));
+			}
+
+			const kind = yield * readRequestKind(incoming);
+			const {service, row} = yield * govern(this.table, account, {service: path.service!, type: 'plain', kind});
+			const key = yield * readRequestKey(incoming);
+			if (key === undefined && !row.repeatable) {
+				return yield * Effect.fail(Refusal.create(
+					'request-key-missing',
+					'Calls of this kind are not repeatable: name each with an Idempotency-Key.',
+				));
+			}
+
+			const timeout = yield * readTimeout(incoming, service);
+			return {
+				account: account.name,
+				key,
+				attempt: AttemptId(randomUUID()),
+				fingerprint: createHash('sha256').update(exchange.path).update('\n').update(body).digest('base64url'),
+				row,
+				service,
+				path: path.rest ?? '/',
+				contentType: incoming.headers['content-type'] ?? 'application/octet-stream',
+				body,
+				deadlineAt: this.services.clock.monotonic() + timeout,
+			};
+		});
+	}
+}
+
+/** Runs on when its caller is gone. */
+function detached<Answer, Failure>(run: Effect.Effect<Answer, Failure>): Effect.Effect<Answer, Failure> {
+	return Effect.callback<Answer, Failure>(resume => {
+		Effect.runFork(run).addObserver(exit => {
+			resume(exit);
+		});
+	});
+}
+
+function send({response}: CallerExchange, answer: ServiceAnswer): void {
+	response.writeHead(answer.status, {
+		'Content-Type': answer.contentType,
+		'Content-Length': answer.body.length,
+		...(answer.isReplayed ? {'Idempotent-Replayed': 'true'} : {}),
+	}).end(answer.body);
+}
--- /dev/null
+++ b/src/limits/ceiling-owner.ts
@@ -0,0 +1,119 @@
+/**
+ * The side of a ceiling that grants: one box for each row, by rendezvous hash. It keeps nothing that would
+ * be missed: what it does not know it reserves.
+ */
+import type {Clock} from '../base/clock.js';
+import type {BoxId} from '../base/identifiers.js';
+import {
+	fallbackDelay, fallbackMargin, grantLifetime, type CeilingDemand, type CeilingGrant,
+} from './ceiling-grant.js';
+import {divideByDemand} from './ceiling-division.js';
+
+/** What a box that asked was granted last. */
+type Member = {
+	readonly demand: number;
+	readonly rate: number;
+	readonly seenAt: number;
+};
+
+/** What the owner must know besides: from the table and the box list. */
+export type CeilingFacts = {
+	/** @returns Units a second of a row; `undefined` where there is no such row. */
+	readonly ceiling: (row: string) => number | undefined;
+	/** @returns Names of all rows. */
+	readonly rows: () => readonly string[];
+	/** @returns All entry boxes that are listed, this one too. */
+	readonly entryBoxes: () => readonly BoxId[];
+};
+
+/** Grants parts of the ceilings that this box owns. */
+export class CeilingOwner {
+	/**
+	 * @param facts - From the table and the box list.
+	 * @param clock - For the age of grants.
+	 * @returns An owner that has granted nothing.
+	 */
+	static create(facts: CeilingFacts, clock: Clock): CeilingOwner {
+		return new CeilingOwner(facts, clock);
+	}
+
+	private readonly members = new Map<string, Map<BoxId, Member>>();
+	private readonly startedAt: number;
+
+	private constructor(private readonly facts: CeilingFacts, private readonly clock: Clock) {
+		this.startedAt = clock.monotonic();
+	}
+
+	/**
+	 * Grants a box its parts.
+	 *
+	 * @param box - Who asks.
+	 * @param demands - For which rows, and how much.
+	 * @returns A grant for each row that exists.
+	 */
+	grant(box: BoxId, demands: readonly CeilingDemand[]): readonly CeilingGrant[] {
+		return demands.flatMap(demand => {
+			const ceiling = this.facts.ceiling(demand.row);
+			return ceiling === undefined ? [] : [{row: demand.row, rate: this.grantRow(box, demand, ceiling)}];
+		});
+	}
+
+	private grantRow(box: BoxId, {row, rate: demand}: CeilingDemand, ceiling: number): number {
+		const now = this.clock.monotonic();
+		const members = this.members.get(row) ?? new Map<BoxId, Member>();
+		this.members.set(row, members);
+		const listed = this.facts.entryBoxes();
+		const everyone = [...new Set([...listed, ...members.keys(), box])];
+		const fairPart = ceiling / Math.max(1, new Set([...listed, box]).size);
+		members.set(box, {demand, rate: members.get(box)?.rate ?? 0, seenAt: now});
+
+		const isActive = (other: BoxId) => now - (members.get(other)?.seenAt ?? Number.NEGATIVE_INFINITY) <= grantLifetime;
+		const others = everyone.filter(other => other !== box);
+		const reserve = (other: BoxId) => reserveFor(members.get(other), listed.includes(other) ? fairPart : 0, now);
+		const budget = ceiling - sum(others.filter(other => !isActive(other)).map(other => reserve(other)));
+		const active = [box, ...others.filter(other => isActive(other))];
+		const parts = divideByDemand(budget, active.map(key => ({key, rate: members.get(key)!.demand})));
+		const wanted = parts.find(({key}) => key === box)!.rate;
+		const unreserved = ceiling - sum(others.map(other => reserve(other)));
+		const rate = Math.max(0, Math.min(this.isNew(now) ? fairPart : wanted, unreserved));
+		members.set(box, {demand, rate, seenAt: now});
+		this.forget(members, listed, now);
+		return rate;
+	}
+
+	/** An owner before this one may have granted what this one does not know of. */
+	private isNew(now: number): boolean {
+		return now - this.startedAt < fallbackDelay;
+	}
+
+	private forget(members: Map<BoxId, Member>, listed: readonly BoxId[], now: number): void {
+		for (const [box, {seenAt}] of members) {
+			if (!listed.includes(box) && now - seenAt > fallbackDelay + fallbackMargin) {
+				members.delete(box);
+			}
+		}
+	}
+}
+
+/** What a box may be using: its grant while that can live, then the lesser of both, then its fair part. */
+function reserveFor(member: Member | undefined, fairPart: number, now: number): number {
+	if (!member) {
+		return fairPart;
+	}
+
+	const age = now - member.seenAt;
+	if (age <= grantLifetime) {
+		return member.rate;
+	}
+
+	return age <= fallbackDelay + fallbackMargin ? Math.max(member.rate, fairPart) : fairPart;
+}
+
+const sum = (numbers: readonly number[]): number => {
+	let total = 0;
+	for (const number of numbers) {
+		total += number;
+	}
+
+	return total;
+};
--- /dev/null
+++ b/src/peers/peer-links.ts
@@ -0,0 +1,235 @@
+/**
+ * The links of this box to its peers: one task for each entry box of the box list.
+ */
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {BoxId} from '../base/identifiers.js';
+import type {Metrics} from '../base/metrics.js';
+import type {BoxDirectory, Leaving} from '../boxes/box-directory.js';
+import {grantLifetime} from '../limits/ceiling-grant.js';
+import type {CeilingOwner} from '../limits/ceiling-owner.js';
+import type {Ceilings} from '../limits/ceilings.js';
+import type {Box} from '../platform/box-list.js';
+import type {Peer, PeerFailure} from './peer.js';
+import type {LeavingReport, PeerState, StoredTable} from './peer-messages.js';
+import {RemotePeer} from './remote-peer.js';
+
+/** Milliseconds between two exchanges on a link. */
+const exchangeInterval = 500;
+const pauseAfterFailure = 500;
+
+/** What the links need. */
+export type PeerLinksServices = {
+	readonly self: BoxId;
+	readonly directory: BoxDirectory;
+	readonly ceilings: Ceilings;
+	readonly owner: CeilingOwner;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+	/** @returns How this box stands. */
+	readonly state: () => PeerState;
+	/** Takes a table that a peer has in force. */
+	readonly takeTable: (table: StoredTable) => void;
+};
+
+/** A link. */
+type Link = {
+	readonly box: Box;
+	readonly peer: RemotePeer;
+	/** Set once the link is held. */
+	fiber: Fiber.Fiber<unknown> | undefined;
+	/** What the peer said last. */
+	state: PeerState | undefined;
+	/** When an exchange that it answered began. */
+	answeredAt: number;
+};
+
+/** A peer that answers. */
+export type ReachablePeer = {
+	readonly box: Box;
+	readonly peer: Peer;
+	readonly state: PeerState;
+};
+
+/** Holds a link to each peer. */
+export class PeerLinks {
+	/**
+	 * @param services - What the links need.
+	 * @returns No links yet; run them to begin.
+	 */
+	static create(services: PeerLinksServices): PeerLinks {
+		return new PeerLinks(services);
+	}
+
+	private readonly links = new Map<BoxId, Link>();
+
+	private constructor(private readonly services: PeerLinksServices) {}
+
+	/** Peers that answered lately. */
+	get reachable(): readonly ReachablePeer[] {
+		const oldest = this.services.clock.monotonic() - grantLifetime;
+		return [...this.links.values()].flatMap(({box, peer, state, answeredAt}) => state && answeredAt >= oldest ? [{box, peer, state}] : []);
+	}
+
+	/** @returns Keeps a task for each peer until interrupted; then closes all. */
+	run(): Effect.Effect<void> {
+		const {directory} = this.services;
+		const follow = Effect.callback<never>(() => {
+			this.reconcile();
+			const stopChanges = directory.onDidChange(() => {
+				this.reconcile();
+			});
+			const stopLeaving = directory.onDidLeave(leaving => {
+				this.announce(leaving);
+			});
+			return Effect.sync(() => {
+				stopChanges();
+				stopLeaving();
+			});
+		});
+		return Effect.raceFirst(follow, this.grantSelf()).pipe(Effect.ensuring(Effect.sync(() => {
+			for (const id of this.links.keys()) {
+				this.close(id);
+			}
+		})));
+	}
+
+	private reconcile(): void {
+		const listed = new Map(this.services.directory.peers.flatMap(box => box.peerPort === undefined ? [] : [[box.id, box] as const]));
+		for (const box of [...listed.values()].filter(({id}) => !this.links.has(id))) {
+			this.open(box);
+		}
+
+		for (const id of [...this.links.keys()].filter(known => !listed.has(known))) {
+			this.close(id);
+		}
+
+		this.services.metrics.peersReachable.set(this.reachable.length);
+	}
+
+	private open(box: Box): void {
+		const peer = RemotePeer.create(box.host, box.peerPort!);
+		const link: Link = {
+			box,
+			peer,
+			fiber: undefined,
+			state: undefined,
+			answeredAt: Number.NEGATIVE_INFINITY,
+		};
+		this.links.set(box.id, link);
+		link.fiber = Effect.runFork(this.serve(link));
+	}
+
+	private close(id: BoxId): void {
+		const link = this.links.get(id);
+		this.links.delete(id);
+		if (link?.fiber) {
+			Effect.runFork(Fiber.interrupt(link.fiber));
+		}
+
+		link?.peer.close();
+	}
+
+	/** The task of one link: exchanges without end. */
+	private serve(link: Link): Effect.Effect<never> {
+		return Effect.forever(this.exchange(link).pipe(
+			Effect.andThen(Effect.sleep(exchangeInterval * (0.9 + (Math.random() / 5)))),
+			Effect.catch(error => Effect.suspend(() => {
+				this.noteLost(link, error);
+				return Effect.sleep(pauseAfterFailure);
+			})),
+		));
+	}
+
+	private exchange(link: Link): Effect.Effect<void, PeerFailure> {
+		const {clock, ceilings, directory} = this.services;
+		return Effect.gen({self: this}, function * () {
+			const askedAt = clock.monotonic();
+			const demands = ceilings.demandsFor(link.box.id, this.reachableIds());
+			const answer = yield * link.peer.exchange({state: this.services.state(), demands});
+			this.noteAnswered(link, askedAt);
+			link.state = answer.state;
+			ceilings.takeGrants(link.box.id, answer.grants, askedAt);
+			for (const report of answer.state.leaving) {
+				directory.markLeaving(report.box, 'peer', endOf(report, askedAt));
+			}
+
+			if (answer.state.tableVersion > this.services.state().tableVersion) {
+				yield * this.fetchTable(link);
+			}
+		});
+	}
+
+	private fetchTable(link: Link): Effect.Effect<void, PeerFailure> {
+		return link.peer.fetchTable().pipe(Effect.map(table => {
+			if (table) {
+				this.services.takeTable(table);
+			}
+		}));
+	}
+
+	private noteAnswered(link: Link, askedAt: number): void {
+		if (!link.state) {
+			this.services.log.write('peerConnected', {peer: link.box.id});
+		}
+
+		link.answeredAt = askedAt;
+		this.services.metrics.peersReachable.set(this.reachable.length);
+	}
+
+	private noteLost(link: Link, failure: PeerFailure): void {
+		if (link.state) {
+			this.services.log.write('peerLost', {peer: link.box.id, detail: failure.detail});
+		}
+
+		link.state = undefined;
+		this.services.metrics.peersReachable.set(this.reachable.length);
+	}
+
+	private reachableIds(): readonly BoxId[] {
+		return [this.services.self, ...this.reachable.map(({box}) => box.id)];
+	}
+
+	/** Asks this box itself for the rows that it owns. */
+	private grantSelf(): Effect.Effect<never> {
+		const {self, ceilings, owner, clock} = this.services;
+		return Effect.forever(Effect.sleep(exchangeInterval).pipe(Effect.map(() => {
+			const askedAt = clock.monotonic();
+			ceilings.takeGrants(self, owner.grant(self, ceilings.demandsFor(self, this.reachableIds())), askedAt);
+		})));
+	}
+
+	/** Tells all peers at once; those that miss it hear it with the next exchange. */
+	private announce({box, source, endsAt}: Leaving): void {
+		if (source === 'peer') {
+			return;
+		}
+
+		const report = reportOf(box, endsAt, this.services.clock.monotonic());
+		for (const {peer} of this.links.values()) {
+			Effect.runFork(Effect.ignore(peer.announceLeaving([report])));
+		}
+	}
+}
+
+/**
+ * @param box - A box that is leaving.
+ * @param endsAt - When it goes, on the monotonic clock of this box.
+ * @param now - The same clock.
+ * @returns What to tell a peer.
+ */
+export function reportOf(box: BoxId, endsAt: number | undefined, now: number): LeavingReport {
+	return endsAt === undefined ? {box} : {box, remaining: Math.max(0, endsAt - now)};
+}
+
+/**
+ * @param report - From a peer.
+ * @param heardAt - Monotonic milliseconds of this box.
+ * @returns When the box goes, on the monotonic clock of this box.
+ */
+export function endOf(report: LeavingReport, heardAt: number): number | undefined {
+	return report.remaining === undefined ? undefined : heardAt + report.remaining;
+}
--- a/src/platform/http-object-store.ts
+++ b/src/platform/http-object-store.ts
@@ -37,9 +37,9 @@
 		super();
 	}
 
-	override read(key: string): Effect.Effect<StoredObject | undefined, StoreFailure> {
+	override read(key: string): Effect.Effect<StoredObject, StoreFailure> {
 		return this.call({method: 'GET', path: pathOf(key), timeout: callTimeout}, [ok, notFound])
-			.pipe(Effect.map(answer => answer.status === ok ? parse<StoredObject>(answer) : undefined));
+			.pipe(Effect.map(answer => parse<StoredObject>(answer)));
 	}
 
 	override write(key: string, value: string, expected: ObjectVersion): Effect.Effect<ObjectVersion, StoreFailure | VersionConflict> {
--- a/src/platform/object-store.ts
+++ b/src/platform/object-store.ts
@@ -7,7 +7,7 @@
 /** Grows with every write to any object. Zero stands for "does not exist". */
 export type ObjectVersion = number;
 
-/** An object as read. */
+/** An object as read. One that does not exist is at version zero, with an empty value. */
 export type StoredObject = {
 	readonly version: ObjectVersion;
 	readonly value: string;
@@ -32,9 +32,9 @@
 export abstract class ObjectStore {
 	/**
 	 * @param key - Name of the object.
-	 * @returns The object, or `undefined` where there is none.
+	 * @returns The object; at version zero where there is none.
 	 */
-	abstract read(key: string): Effect.Effect<StoredObject | undefined, StoreFailure>;
+	abstract read(key: string): Effect.Effect<StoredObject, StoreFailure>;
 
 	/**
 	 * Writes an object if it still is at the expected version.
--- /dev/null
+++ b/src/table/table-watch.ts
@@ -0,0 +1,89 @@
+/**
+ * Follows the table in the Object API.
+ */
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import type {EventLog} from '../base/event-log.js';
+import type {ObjectStore, StoredObject} from '../platform/object-store.js';
+import type {TableView} from './table-view.js';
+import {decodeVersionedTable, tableKey} from './versioned-table.js';
+
+/** Milliseconds a watch waits; the platform counts each as one call. */
+const watchWait = 30_000;
+const firstRetry = 200;
+const longestRetry = 10_000;
+
+/** Keeps a {@link TableView} up with the store. */
+export class TableWatch {
+	/**
+	 * @param store - Where the table stands.
+	 * @param view - What to keep up.
+	 * @param log - Where faults are told.
+	 * @returns The watch; run it to begin.
+	 */
+	static create(store: ObjectStore, view: TableView, log: EventLog): TableWatch {
+		return new TableWatch(store, view, log);
+	}
+
+	private failures = 0;
+	/** Highest version read, also of a table that was rejected, so that it is not read again and again. */
+	private seen = 0;
+
+	private constructor(
+		private readonly store: ObjectStore,
+		private readonly view: TableView,
+		private readonly log: EventLog,
+	) {}
+
+	/** @returns Runs until interrupted. An outage of the store changes nothing that is in force. */
+	run(): Effect.Effect<never> {
+		return Effect.forever(this.follow());
+	}
+
+	private follow(): Effect.Effect<void> {
+		return this.store.watch(tableKey, Math.max(this.seen, this.view.version), watchWait).pipe(
+			Effect.map(object => {
+				this.noteAvailable();
+				if (object) {
+					this.take(object);
+				}
+			}),
+			Effect.catch(error => Effect.suspend(() => {
+				this.noteFailure(error.detail);
+				return Effect.sleep(this.pause());
+			})),
+		);
+	}
+
+	private take(object: StoredObject): void {
+		this.seen = Math.max(this.seen, object.version);
+		const decoded = decodeVersionedTable(object.version, object.value);
+		if (Result.isSuccess(decoded)) {
+			this.view.apply(decoded.success);
+			return;
+		}
+
+		const [fault] = decoded.failure;
+		this.log.write('tableRejected', {version: object.version, path: fault?.path, expected: fault?.expected});
+	}
+
+	private noteAvailable(): void {
+		if (this.failures > 0) {
+			this.log.write('storeAvailable', {failures: this.failures});
+		}
+
+		this.failures = 0;
+	}
+
+	private noteFailure(detail: string): void {
+		this.failures++;
+		if (this.failures === 1) {
+			this.log.write('storeUnavailable', {detail});
+		}
+	}
+
+	/** Grows with each failure and is jittered, so that boxes do not come back together. */
+	private pause(): number {
+		return Math.min(longestRetry, firstRetry * (2 ** this.failures)) * (0.5 + (Math.random() / 2));
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -29,6 +29,9 @@
 			'@typescript-eslint/naming-convention': 'off',
 			// A schema and the type it describes bear one name, as the library's own pages do.
 			'@typescript-eslint/no-redeclare': 'off',
+			// Both rules take Effect.map and Effect.catch for those of arrays and promises.
+			'array-callback-return': 'off',
+			'promise/prefer-await-to-then': 'off',
 			// Resumes after an interruption are written straight down, one attempt after another.
 			'no-await-in-loop': 'off',
 			curly: ['error', 'all'],
