--- /dev/null
+++ b/development/harness/caller.ts
@@ -0,0 +1,344 @@
+/**
+ * A caller that behaves as docs/CALLERS.md asks: it names its requests, resumes streams, comes back when told
+ * to, and checks every answer against what the stand-ins must have said.
+ */
+import {
+	Agent, request, type IncomingMessage,
+} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expectedAnswer, type ChatMessage} from '../standins/tokens.js';
+
+/** How a request ended, as its caller judges. */
+export type Judgement =
+	| {readonly kind: 'answered'}
+	| {readonly kind: 'refused'; readonly reason: string; readonly verdict: string}
+	/** Accepted, and then without an answer. */
+	| {readonly kind: 'lost'; readonly detail: string}
+	/** Another request's answer, or parts missing or twice. */
+	| {readonly kind: 'misdelivered'; readonly detail: string};
+
+/** What was measured on the way. */
+export type Timing = {
+	/** Milliseconds to the first token. */
+	readonly firstToken: number;
+	/** Milliseconds between tokens. */
+	readonly between: readonly number[];
+};
+
+/** An answer and how it was judged. */
+export type Result = {
+	readonly judgement: Judgement;
+	readonly timing: Timing;
+	/** Tries it took. */
+	readonly tries: number;
+};
+
+/** A chat to ask for. */
+export type Chat = {
+	readonly model: string;
+	readonly messages: readonly ChatMessage[];
+	readonly maximumTokens: number;
+	readonly isStreamed: boolean;
+	readonly key: string;
+};
+
+/** A call to make. */
+export type Call = {
+	readonly service: string;
+	readonly path: string;
+	readonly key: string;
+	readonly body: string;
+};
+
+type Problem = {readonly reason: string; readonly verdict: string; readonly retryAfter?: number};
+
+type Head = {readonly incoming: IncomingMessage};
+
+const agent = new Agent({keepAlive: true, maxSockets: Infinity});
+const mostTries = 30;
+/** Looks for an answer that is being made at another box. */
+const mostLooks = 100;
+const pauseAfterCut = 100;
+const longestPause = 2000;
+
+/** Calls through whatever entry boxes a balancer would choose. */
+export class Caller {
+	/**
+	 * @param apiKey - Of its client account.
+	 * @param ports - Callers' ports of the boxes that are ready; asked anew for each try.
+	 * @returns The caller.
+	 */
+	static create(apiKey: string, ports: () => readonly number[]): Caller {
+		return new Caller(apiKey, ports);
+	}
+
+	private turn = 0;
+
+	private constructor(private readonly apiKey: string, private readonly ports: () => readonly number[]) {}
+
+	/**
+	 * Asks for a chat completion until it is answered or refused for good.
+	 *
+	 * @param chat - What to ask for.
+	 * @returns How it ended.
+	 */
+	async chat(chat: Chat): Promise<Result> {
+		const receiver = new StreamReceiver(chat);
+		for (let tries = 1; tries <= mostTries; tries++) {
+			const ended = await this.tryChat(chat, receiver);
+			if (ended) {
+				return {judgement: ended, timing: receiver.timing, tries};
+			}
+		}
+
+		return {judgement: {kind: 'lost', detail: `no end after ${mostTries} tries`}, timing: receiver.timing, tries: mostTries};
+	}
+
+	/**
+	 * Calls a plain service; asks again only where it was told that the call did not run.
+	 *
+	 * @param call - What to call.
+	 * @returns How it ended.
+	 */
+	async call(call: Call): Promise<Result> {
+		const startedAt = performance.now();
+		const result = (judgement: Judgement, tries: number): Result => ({
+			judgement, tries, timing: {firstToken: performance.now() - startedAt, between: []},
+		});
+		for (let tries = 1; tries <= mostTries; tries++) {
+			const answer = await this.send(`/v1/services/${call.service}${call.path}`, call.body, {'Idempotency-Key': call.key});
+			if (!answer) {
+				await delay(pauseAfterCut);
+				continue;
+			}
+
+			const text = await readText(answer.incoming);
+			if (text === undefined) {
+				continue;
+			}
+
+			if (answer.incoming.statusCode === 200) {
+				return result(judgeCall(call, text), tries);
+			}
+
+			const problem = JSON.parse(text) as Problem;
+			if (!await comeBack(problem, answer.incoming)) {
+				return result({kind: 'refused', reason: problem.reason, verdict: problem.verdict}, tries);
+			}
+		}
+
+		return result({kind: 'lost', detail: `no end after ${mostTries} tries`}, mostTries);
+	}
+
+	/** @returns How it ended, or nothing to try again. */
+	private async tryChat(chat: Chat, receiver: StreamReceiver): Promise<Judgement | undefined> {
+		const body = JSON.stringify({
+			model: chat.model, messages: chat.messages, max_tokens: chat.maximumTokens, stream: chat.isStreamed,
+		});
+		const answer = await this.send('/v1/chat/completions', body, {
+			'Idempotency-Key': chat.key,
+			...(receiver.position > 0 ? {'Last-Event-ID': String(receiver.position)} : {}),
+		});
+		if (!answer) {
+			await delay(pauseAfterCut);
+			return undefined;
+		}
+
+		const {incoming} = answer;
+		if (incoming.statusCode !== 200) {
+			const text = await readText(incoming);
+			return text === undefined ? undefined : this.afterRefusal(JSON.parse(text) as Problem, incoming, chat, receiver);
+		}
+
+		if (!chat.isStreamed) {
+			const text = await readText(incoming);
+			return text === undefined ? undefined : judgeWhole(chat, text);
+		}
+
+		const ended = await receiver.receive(incoming);
+		if (ended === 'error' || ended === 'cut') {
+			await delay(pauseAfterCut);
+			return undefined;
+		}
+
+		return receiver.judge();
+	}
+
+	private async afterRefusal(problem: Problem, incoming: IncomingMessage, chat: Chat, receiver: StreamReceiver): Promise<Judgement | undefined> {
+		if (problem.reason === 'record-lost') {
+			// The answer so far is dropped and asked for anew; nothing was promised without a notice.
+			receiver.restart();
+			return undefined;
+		}
+
+		if (!await comeBack(problem, incoming)) {
+			return {kind: 'refused', reason: problem.reason, verdict: problem.verdict};
+		}
+
+		return problem.reason === 'moved-to-peer' && !chat.isStreamed ? this.collect(chat) : undefined;
+	}
+
+	/** Fetches an answer that is being made at another box. */
+	private async collect(chat: Chat): Promise<Judgement | undefined> {
+		for (let looks = 0; looks < mostLooks; looks++) {
+			const answer = await this.send(`/v1/requests/${chat.key}`, undefined, {});
+			const text = answer && await readText(answer.incoming);
+			if (text !== undefined && answer?.incoming.statusCode === 200) {
+				const status = JSON.parse(text) as {readonly state: string; readonly answer?: unknown};
+				if (status.state === 'finished') {
+					return judgeWhole(chat, JSON.stringify(status.answer));
+				}
+			}
+
+			await delay(pauseAfterCut);
+		}
+
+		return undefined;
+	}
+
+	private async send(path: string, body: string | undefined, headers: Readonly<Record<string, string>>): Promise<Head | undefined> {
+		const ports = this.ports();
+		this.turn++;
+		const port = ports[this.turn % Math.max(1, ports.length)];
+		if (port === undefined) {
+			return undefined;
+		}
+
+		return new Promise(resolve => {
+			request({
+				host: '127.0.0.1',
+				port,
+				path,
+				method: body === undefined ? 'GET' : 'POST',
+				agent,
+				headers: {...headers, Authorization: `Bearer ${this.apiKey}`, 'Content-Type': 'application/json'},
+			}, incoming => {
+				resolve({incoming});
+			}).once('error', () => {
+				resolve(undefined);
+			}).end(body);
+		});
+	}
+}
+
+/** Puts a stream together over as many connections as it takes. */
+class StreamReceiver {
+	position = 0;
+	readonly timing: {firstToken: number; readonly between: number[]} = {firstToken: Number.NaN, between: []};
+	private text = '';
+	private fault: string | undefined;
+	private readonly startedAt = performance.now();
+	private lastAt = 0;
+
+	constructor(private readonly chat: Chat) {}
+
+	restart(): void {
+		this.position = 0;
+		this.text = '';
+	}
+
+	async receive(incoming: IncomingMessage): Promise<'done' | 'error' | 'cut'> {
+		let rest = '';
+		let ended: 'done' | 'error' | 'cut' = 'cut';
+		incoming.setEncoding('utf8');
+		return new Promise(resolve => {
+			incoming.on('data', (chunk: string) => {
+				const parts = (rest + chunk).split('\n\n');
+				rest = parts.pop()!;
+				for (const part of parts) {
+					ended = this.take(part) ?? ended;
+				}
+			});
+			incoming.once('close', () => {
+				resolve(ended);
+			});
+			incoming.once('error', () => {
+				resolve('cut');
+			});
+		});
+	}
+
+	judge(): Judgement {
+		if (this.fault !== undefined) {
+			return {kind: 'misdelivered', detail: this.fault};
+		}
+
+		return this.text === expectedAnswer(this.chat.messages, this.chat.maximumTokens)
+			? {kind: 'answered'}
+			: {kind: 'misdelivered', detail: `expected ${this.chat.maximumTokens} tokens of its own, got "${this.text.slice(0, 60)}" at ${this.position}`};
+	}
+
+	private take(event: string): 'done' | 'error' | undefined {
+		const fields = new Map(event.split('\n').map(line => [line.slice(0, line.indexOf(':')), line.slice(line.indexOf(':') + 2)]));
+		const data = fields.get('data') ?? '';
+		if (data === '[DONE]') {
+			return 'done';
+		}
+
+		if (fields.get('event') === 'error') {
+			return 'error';
+		}
+
+		const id = Number(fields.get('id'));
+		if (id !== this.position + 1) {
+			this.fault ??= `event ${id} came after event ${this.position}`;
+		}
+
+		this.position = id;
+		this.text += (JSON.parse(data) as {readonly choices: ReadonlyArray<{readonly delta: {readonly content: string}}>}).choices[0]!.delta.content;
+		this.clock();
+		return undefined;
+	}
+
+	private clock(): void {
+		const now = performance.now();
+		if (this.lastAt === 0) {
+			this.timing.firstToken = now - this.startedAt;
+		} else {
+			this.timing.between.push(now - this.lastAt);
+		}
+
+		this.lastAt = now;
+	}
+}
+
+async function readText(incoming: IncomingMessage): Promise<string | undefined> {
+	try {
+		const chunks: string[] = [];
+		incoming.setEncoding('utf8');
+		for await (const chunk of incoming) {
+			chunks.push(chunk as string);
+		}
+
+		return chunks.join('');
+	} catch {
+		return undefined;
+	}
+}
+
+/** Waits as long as it was told to. @returns Whether to ask again. */
+async function comeBack(problem: Problem, incoming: IncomingMessage): Promise<boolean> {
+	const seconds = Number(incoming.headers['retry-after'] ?? Number.NaN);
+	const isWorthwhile = problem.verdict === 'not-run' || problem.reason === 'claim-held' || problem.reason === 'moved-to-peer';
+	if (!isWorthwhile || Number.isNaN(seconds)) {
+		return false;
+	}
+
+	await delay(Math.min(longestPause, seconds * 1000) * (0.5 + (Math.random() / 2)));
+	return true;
+}
+
+function judgeWhole(chat: Chat, text: string): Judgement {
+	const {choices} = JSON.parse(text) as {readonly choices: ReadonlyArray<{readonly message: {readonly content: string}}>};
+	const {content} = choices[0]!.message;
+	return content === expectedAnswer(chat.messages, chat.maximumTokens)
+		? {kind: 'answered'}
+		: {kind: 'misdelivered', detail: `got "${content.slice(0, 60)}"`};
+}
+
+function judgeCall(call: Call, text: string): Judgement {
+	const {key, body} = JSON.parse(text) as {readonly key: string; readonly body: string};
+	return key === call.key && body === call.body
+		? {kind: 'answered'}
+		: {kind: 'misdelivered', detail: `asked as ${call.key}, answered as ${key}`};
+}
--- /dev/null
+++ b/development/harness/installation.ts
@@ -0,0 +1,251 @@
+/**
+ * A whole installation as real processes on loopback: platform, upstreams and entry boxes.
+ */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import type {Box} from '../../src/platform/box-list.js';
+import type {BoxId, DataCentre, PoolName} from '../../src/base/identifiers.js';
+import type {Table} from '../../src/table/table.js';
+import {encodeVersionedTable} from '../../src/table/versioned-table.js';
+import type {EngineTraits} from '../standins/model-engine.js';
+import {Child} from './child.js';
+
+const standinProgram = 'development/standins/main.js';
+const daemonProgram = 'src/command/main.js';
+
+/** A process that is in the box list. */
+export type Member = {
+	readonly box: Box;
+	readonly child: Child;
+	/** TCP port for operators, of an entry box. */
+	readonly operatorsPort: number;
+};
+
+/** What an entry box is started with, besides its name. */
+export type EntryOptions = {
+	readonly dataCentre: string;
+	/** Port of the platform as this box sees it: a proxy's, say. */
+	readonly platformPort?: number;
+	/** Milliseconds of {@link Settings} `stopping.balancerDelay`. */
+	readonly balancerDelay?: number;
+	/** Port of its peers' door as the others see it: a proxy's, say. */
+	readonly proxyPeers?: (port: number) => Promise<number>;
+};
+
+/** What an upstream is started with, besides its name. */
+export type UpstreamOptions = {
+	readonly dataCentre: string;
+	readonly pool: string;
+	readonly price?: number;
+	readonly traits?: Partial<EngineTraits>;
+	/** Port of the upstream as the boxes see it: a proxy's, say. */
+	readonly proxy?: (port: number) => Promise<number>;
+};
+
+/** Calls one of the stand-ins' control paths. */
+export async function control(port: number, name: string, value: unknown): Promise<unknown> {
+	const answer = await fetch(`http://127.0.0.1:${port}/control/${name}`, {method: 'POST', body: JSON.stringify(value)});
+	return answer.json();
+}
+
+/** A whole installation. */
+export class Installation {
+	/** @returns An installation of a platform alone. */
+	static async create(): Promise<Installation> {
+		const platform = Child.start(standinProgram, ['platform', '0']);
+		const {port} = await platform.line(line => 'port' in line);
+		return new Installation(platform, port as number);
+	}
+
+	readonly members = new Map<string, Member>();
+	/** Ports of upstreams without the proxy before them. */
+	readonly directPorts = new Map<string, number>();
+	private readonly folder = mkdtempSync(path.join(tmpdir(), 'waydrift-'));
+	private edits = 0;
+
+	private constructor(readonly platform: Child, readonly platformPort: number) {}
+
+	/** Entry boxes whose process runs. */
+	get entries(): readonly Member[] {
+		return [...this.members.values()].filter(({box, child}) => box.role === 'entry' && !child.isEnded);
+	}
+
+	/**
+	 * Starts an entry box and lists it.
+	 *
+	 * @param name - Its name.
+	 * @param options - How it is started.
+	 * @returns The box.
+	 */
+	async addEntry(name: string, options: EntryOptions): Promise<Member> {
+		const file = path.join(this.folder, `${name}.yaml`);
+		const listener = {host: '127.0.0.1', port: 0};
+		writeFileSync(file, JSON.stringify({
+			box: name,
+			dataCentre: options.dataCentre,
+			callers: listener,
+			peers: listener,
+			operators: listener,
+			platform: {host: '127.0.0.1', port: options.platformPort ?? this.platformPort},
+			stopping: {balancerDelay: options.balancerDelay ?? 500},
+		}));
+		const child = Child.start(daemonProgram, ['serve', '--settings', file]);
+		const started = await child.line(line => line.eventName === 'boxStarted');
+		const peerPort = started.peers as number;
+		return this.list({
+			...this.describe(name, options.dataCentre, started.callers as number),
+			role: 'entry',
+			peerPort: await options.proxyPeers?.(peerPort) ?? peerPort,
+		}, child, started.operators as number);
+	}
+
+	/**
+	 * Starts a model engine and lists it.
+	 *
+	 * @param name - Its name.
+	 * @param options - How it is started.
+	 * @returns The engine.
+	 */
+	async addEngine(name: string, options: UpstreamOptions): Promise<Member> {
+		return this.addUpstream(name, 'model-engine', options);
+	}
+
+	/**
+	 * Starts a plain service and lists it.
+	 *
+	 * @param name - Its name.
+	 * @param options - How it is started.
+	 * @returns The service.
+	 */
+	async addService(name: string, options: UpstreamOptions): Promise<Member> {
+		return this.addUpstream(name, 'plain-service', options);
+	}
+
+	/**
+	 * Puts a table in force, as an operator would.
+	 *
+	 * @param table - The table.
+	 * @returns Its version.
+	 */
+	async applyTable(table: Table): Promise<number> {
+		const url = `http://127.0.0.1:${this.platformPort}/objects/table`;
+		const current = await fetch(url);
+		const {version} = await current.json() as {readonly version: number};
+		this.edits++;
+		const value = encodeVersionedTable({
+			id: `edit-${this.edits}`, author: 'harness', comment: '', at: 0, base: version, previous: '',
+		}, table);
+		const answer = await fetch(`${url}?expected=${version}`, {method: 'PUT', body: value});
+		const written = await answer.json() as {readonly version: number};
+		return written.version;
+	}
+
+	/** Waits until every entry box is ready and sees all its peers. */
+	async untilReady(): Promise<void> {
+		await Promise.all(this.entries.map(async ({operatorsPort}) => until(async () => {
+			const answer = await fetch(`http://127.0.0.1:${operatorsPort}/readyz`);
+			return answer.ok && await readMetric(operatorsPort, 'waydrift_peers_reachable') === this.entries.length - 1;
+		})));
+	}
+
+	/**
+	 * Has the platform take a box back.
+	 *
+	 * @param name - Which.
+	 * @param notice - Milliseconds of notice; then the process is ended.
+	 */
+	async reclaim(name: string, notice: number): Promise<void> {
+		const {child, box} = this.members.get(name)!;
+		await control(this.platformPort, 'reclaim', {box: name, notice});
+		if (box.role !== 'entry') {
+			await control(this.directPorts.get(name)!, 'leave', {notice});
+		}
+
+		setTimeout(() => {
+			child.signal('SIGKILL');
+			void control(this.platformPort, 'remove', {box: name}).catch(() => undefined);
+		}, notice);
+	}
+
+	/** Ends all that was started. */
+	async close(): Promise<void> {
+		await Promise.all([...this.members.values()].map(async ({child}) => child.kill()));
+		await this.platform.kill();
+		rmSync(this.folder, {recursive: true});
+	}
+
+	private async addUpstream(name: string, role: 'model-engine' | 'plain-service', options: UpstreamOptions): Promise<Member> {
+		const child = Child.start(standinProgram, [role, '0', JSON.stringify(options.traits ?? {})]);
+		const {port} = await child.line(line => 'port' in line);
+		this.directPorts.set(name, port as number);
+		const seenPort = await options.proxy?.(port as number) ?? port as number;
+		return this.list({
+			...this.describe(name, options.dataCentre, seenPort),
+			role,
+			pool: options.pool as PoolName,
+			price: options.price ?? 1,
+		}, child, 0);
+	}
+
+	private describe(name: string, dataCentre: string, port: number) {
+		return {
+			id: name as BoxId,
+			dataCentre: dataCentre as DataCentre,
+			host: '127.0.0.1',
+			port,
+			machineClass: 'standard',
+			reclaimable: true,
+			price: 1,
+			state: 'live' as const,
+		};
+	}
+
+	private async list(box: Box, child: Child, operatorsPort: number): Promise<Member> {
+		const member: Member = {box, child, operatorsPort};
+		this.members.set(box.id, member);
+		await control(this.platformPort, 'boxes', box);
+		return member;
+	}
+}
+
+/** Milliseconds between two looks at a condition. */
+const lookInterval = 25;
+/** Milliseconds after which a condition counts as never met: far above what any machine needs. */
+const longestWait = 60_000;
+
+/**
+ * Waits for a condition, not for a time.
+ *
+ * @param isMet - The condition; one that throws is not met.
+ */
+export async function until(isMet: () => Promise<boolean> | boolean): Promise<void> {
+	const endsAt = performance.now() + longestWait;
+	while (performance.now() < endsAt) {
+		try {
+			if (await isMet()) {
+				return;
+			}
+		} catch {
+			// Not met yet.
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, lookInterval);
+		});
+	}
+
+	throw new Error(`not met within ${longestWait} ms: ${String(isMet)}`);
+}
+
+/**
+ * @param operatorsPort - Of an entry box.
+ * @param name - Name of a metric, with its labels as printed.
+ * @returns Its value; zero where it is not printed.
+ */
+export async function readMetric(operatorsPort: number, name: string): Promise<number> {
+	const answer = await fetch(`http://127.0.0.1:${operatorsPort}/metrics`);
+	const text = await answer.text();
+	const line = text.split('\n').find(candidate => candidate.startsWith(`${name} `));
+	return Number(line?.split(' ').at(-1) ?? 0);
+}
--- a/src/base/faults.ts
+++ b/src/base/faults.ts
@@ -18,6 +18,8 @@
 };
 
 const longestShownValue = 60;
+/** What the schema library says of a key that is not there. */
+const missingKey = 'Missing key';
 const formatIssue = SchemaIssue.makeFormatterStandardSchemaV1();
 
 /**
@@ -60,7 +62,7 @@
 		return {
 			path: path.map(String).join('.'),
 			value: show(valueAt(input, path)),
-			expected: issue.message.replace(/^Expected /v, ''),
+			expected: issue.message === missingKey ? 'a value, which must be given' : issue.message.replace(/^Expected /v, ''),
 		};
 	}));
 }
--- /dev/null
+++ b/src/command/force-watch.ts
@@ -0,0 +1,62 @@
+/**
+ * Waits until a version of the table is in force on every live entry box, as the summaries tell.
+ */
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import type {BoxId} from '../base/identifiers.js';
+import type {ObjectVersion} from '../platform/object-store.js';
+import {decodeSummary, summaryPrefix, type DataCentreSummary} from '../status/data-centre-summary.js';
+import {CommandFailure} from './command-failure.js';
+import {exitCode} from './exit-code.js';
+import {readBoxes, unavailable, type Operator} from './operator.js';
+
+const lookInterval = 1000;
+
+/**
+ * @param operator - The platform.
+ * @returns The summaries of all data centres.
+ */
+export function readSummaries({store}: Operator): Effect.Effect<readonly DataCentreSummary[], CommandFailure> {
+	return store.list(summaryPrefix).pipe(
+		Effect.flatMap(keys => Effect.all(keys.map(key => store.read(key)))),
+		Effect.map(objects => objects.flatMap(({value}) => {
+			const decoded = decodeSummary(value);
+			return Result.isSuccess(decoded) ? [decoded.success] : [];
+		})),
+		Effect.mapError(failure => unavailable(failure)),
+	);
+}
+
+/** @returns Live entry boxes that have not told that the version is in force. */
+function laggards(operator: Operator, version: ObjectVersion): Effect.Effect<readonly BoxId[], CommandFailure> {
+	return Effect.gen(function * () {
+		const {boxes} = yield * readBoxes(operator);
+		const summaries = yield * readSummaries(operator);
+		const upToDate = new Set(summaries.flatMap(summary => summary.boxes).filter(box => box.tableVersion >= version).map(({box}) => box));
+		return boxes.filter(({role, state, id}) => role === 'entry' && state === 'live' && !upToDate.has(id)).map(({id}) => id);
+	});
+}
+
+/**
+ * @param operator - The platform.
+ * @param version - The version that was accepted.
+ * @param seconds - How long to wait.
+ * @returns Ends when it is in force everywhere; fails with the boxes that do not tell so.
+ */
+export function waitInForce(operator: Operator, version: ObjectVersion, seconds: number): Effect.Effect<void, CommandFailure> {
+	return Effect.gen(function * () {
+		const endsAt = performance.now() + (seconds * 1000);
+		let late = yield * laggards(operator, version);
+		while (late.length > 0 && performance.now() < endsAt) {
+			yield * Effect.sleep(lookInterval);
+			late = yield * laggards(operator, version);
+		}
+
+		if (late.length > 0) {
+			return yield * Effect.fail(new CommandFailure({
+				exitCode: exitCode.notInForce,
+				lines: [`Version ${version} was accepted, but these boxes do not tell that it is in force: ${late.join(', ')}`],
+			}));
+		}
+	});
+}
--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -1,7 +1,13 @@
 /**
- * The command line.
+ * Entry point of the program.
  */
 import process from 'node:process';
-import {serve} from './serve-command.js';
+import {runCommandLine} from './command-line.js';
+import {version} from './version.js';
 
-process.exitCode = await serve(process.argv[3]!);
+const start = async (): Promise<void> => {
+	// What is left open (an idle connection, a watch) must not keep a finished command alive.
+	process.exit(await runCommandLine(process.argv.slice(2), version));
+};
+
+void start();
--- /dev/null
+++ b/src/command/operator.ts
@@ -0,0 +1,178 @@
+/**
+ * What operators' commands reach: the platform, and nothing else. No command talks to a box.
+ */
+import process from 'node:process';
+import {userInfo} from 'node:os';
+import * as Effect from 'effect/Effect';
+import {describeFault, type Fault} from '../base/faults.js';
+import {HttpClient} from '../base/http-client.js';
+import type {BoxList, BoxListing} from '../platform/box-list.js';
+import {HttpBoxList} from '../platform/http-box-list.js';
+import {HttpObjectStore} from '../platform/http-object-store.js';
+import type {ObjectStore, StoreFailure} from '../platform/object-store.js';
+import {collisionsOf, describeChange, differenceOf} from '../table/table-difference.js';
+import {
+	TableEditor, type EditUnsettled, type TableConflict, type TableUnreadable,
+} from '../table/table-editor.js';
+import type {Table} from '../table/table.js';
+import type {VersionedTable} from '../table/versioned-table.js';
+import {CommandFailure} from './command-failure.js';
+import {exitCode} from './exit-code.js';
+
+/** Variable that names the platform when no option does. */
+const platformVariable = 'WAYDRIFT_PLATFORM';
+const defaultPort = 80;
+/** Races after which a change that is made anew each time is given up. */
+const racesTried = 5;
+
+/** The platform, as commands reach it. */
+export type Operator = {
+	readonly store: ObjectStore;
+	readonly list: BoxList;
+	readonly editor: TableEditor;
+	/** Who is at the keyboard; kept with each change. */
+	readonly author: string;
+	readonly close: () => void;
+};
+
+/**
+ * @param address - `host:port`, or `undefined` to take it from the environment.
+ * @returns The platform; fails where nothing names it.
+ */
+export function connectOperator(address: string | undefined): Effect.Effect<Operator, CommandFailure> {
+	const named = address ?? process.env[platformVariable];
+	if (named === undefined || named === '') {
+		return Effect.fail(new CommandFailure({
+			exitCode: exitCode.invalid, lines: [`Name the platform: --platform HOST:PORT, or the variable ${platformVariable}.`],
+		}));
+	}
+
+	const {hostname, port} = new URL(`http://${named}`);
+	const client = HttpClient.create(hostname, port === '' ? defaultPort : Number(port));
+	const store = HttpObjectStore.create(client);
+	return Effect.succeed({
+		store,
+		list: HttpBoxList.create(client),
+		editor: TableEditor.create(store),
+		author: userInfo().username,
+		close() {
+			client.close();
+		},
+	});
+}
+
+/**
+ * @param operator - The platform.
+ * @returns The box list.
+ */
+export function readBoxes({list}: Operator): Effect.Effect<BoxListing, CommandFailure> {
+	return list.boxes(0, 0).pipe(
+		Effect.map(listing => listing ?? {version: 0, boxes: []}),
+		Effect.mapError(failure => unavailable(failure)),
+	);
+}
+
+/** @returns What to tell when the platform does not answer. */
+export function unavailable(failure: StoreFailure): CommandFailure {
+	return new CommandFailure({exitCode: exitCode.unavailable, lines: [`The platform does not answer (${failure.detail}). Nothing was changed by this command.`]});
+}
+
+/** @returns What to tell of faults in a file. */
+export function invalidFile(file: string, faults: readonly Fault[]): CommandFailure {
+	return new CommandFailure({
+		exitCode: exitCode.invalid,
+		lines: [...faults.map(fault => describeFault(file, fault)), `${faults.length} fault(s); nothing was changed.`],
+	});
+}
+
+/**
+ * @param operator - The platform.
+ * @returns The table in force.
+ */
+export function readTable({editor}: Operator): Effect.Effect<VersionedTable, CommandFailure> {
+	return editor.read().pipe(Effect.mapError(failure => describeEditFailure(failure)));
+}
+
+/**
+ * Changes the table by a function of what is in force; tries again after a race, since the change is made anew.
+ *
+ * @param operator - The platform.
+ * @param comment - Kept with the change.
+ * @param change - Makes the new table, or says why it cannot.
+ * @returns The table in force because of it.
+ */
+export function changeTable(
+	operator: Operator,
+	comment: string,
+	change: (table: Table) => Effect.Effect<Table, CommandFailure>,
+): Effect.Effect<VersionedTable, CommandFailure> {
+	const {editor, author} = operator;
+	const once = Effect.gen(function * () {
+		const current = yield * readTable(operator);
+		const table = yield * change(current.table);
+		return yield * editor.apply({
+			base: current.version, table, author, comment,
+		});
+	});
+	const again = (left: number): Effect.Effect<VersionedTable, CommandFailure> => once.pipe(Effect.catch(error => {
+		if (error._tag === 'CommandFailure') {
+			return Effect.fail(error);
+		}
+
+		return error._tag === 'TableConflict' && left > 0 ? again(left - 1) : Effect.fail(describeEditFailure(error));
+	}));
+	return again(racesTried);
+}
+
+/**
+ * @param failure - Why a change was not made.
+ * @param mine - The table that was to be; shows what collides.
+ * @returns What to tell the operator.
+ */
+export function describeEditFailure(
+	failure: StoreFailure | TableUnreadable | TableConflict | EditUnsettled,
+	mine?: Table,
+): CommandFailure {
+	switch (failure._tag) {
+		case 'StoreFailure': {
+			return unavailable(failure);
+		}
+
+		case 'TableUnreadable': {
+			return new CommandFailure({exitCode: exitCode.failed, lines: [`The table in force does not decode: ${failure.detail}`]});
+		}
+
+		case 'EditUnsettled': {
+			return new CommandFailure({
+				exitCode: exitCode.unavailable,
+				lines: [`The platform did not answer (${failure.detail}). The change ${failure.edit} may have taken effect: see "waydrift table history".`],
+			});
+		}
+
+		case 'TableConflict': {
+			return new CommandFailure({exitCode: exitCode.conflict, lines: describeConflict(failure, mine)});
+		}
+	}
+}
+
+/** A three-way difference: what they changed, what you change, and where both meet. */
+function describeConflict({base, current}: TableConflict, mine: Table | undefined): readonly string[] {
+	const head = `The table is at version ${current.version} by now, by ${current.edit.author} (${current.edit.comment || 'no comment'}). Nothing was changed.`;
+	if (!base || !mine) {
+		return [head];
+	}
+
+	const theirs = differenceOf(base.table, current.table);
+	const yours = differenceOf(base.table, mine);
+	const collisions = collisionsOf(yours, theirs);
+	return [
+		head,
+		`Changed since version ${base.version}:`,
+		...theirs.map(change => `  ${describeChange(change)}`),
+		'Your changes:',
+		...yours.map(change => `  ${describeChange(change)}`),
+		collisions.length === 0
+			? 'They do not touch the same parts: get the table again, and make your changes anew.'
+			: `Both changed: ${collisions.join(', ')}`,
+	];
+}
--- /dev/null
+++ b/src/command/table-commands.ts
@@ -0,0 +1,219 @@
+/**
+ * `waydrift table`: the one thing that operators edit.
+ */
+import {readFileSync} from 'node:fs';
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import {
+	checkTable, decodeTable, rowName, type Table,
+} from '../table/table.js';
+import {describeChange, differenceOf} from '../table/table-difference.js';
+import {
+	fromCsv, readVersion, toCsv, toYaml,
+} from '../table/table-text.js';
+import type {VersionedTable} from '../table/versioned-table.js';
+import {CommandFailure} from './command-failure.js';
+import {exitCode} from './exit-code.js';
+import {waitInForce} from './force-watch.js';
+import {
+	changeTable, describeEditFailure, invalidFile, readTable, type Operator,
+} from './operator.js';
+import {print, printValue, type OutputFormat} from './output.js';
+
+const longestHistory = 1000;
+
+const invalid = (...lines: readonly string[]) => new CommandFailure({exitCode: exitCode.invalid, lines});
+
+function render(format: OutputFormat, {version, table}: VersionedTable): string {
+	switch (format) {
+		case 'json': {
+			return JSON.stringify({version, table}, undefined, 2);
+		}
+
+		case 'csv': {
+			return toCsv(version, table);
+		}
+
+		default: {
+			return toYaml(version, table);
+		}
+	}
+}
+
+/** Reads a file as a table; CSV gives rows alone, and keeps services and accounts. */
+function readFile(file: string, current: Table): Effect.Effect<{readonly table: Table; readonly version: number | undefined}, CommandFailure> {
+	return Effect.suspend(() => {
+		const text = readFileSync(file === '-' ? 0 : file, 'utf8');
+		const decoded = file.endsWith('.csv') ? fromCsv(text, current) : decodeTable(text);
+		return Result.isSuccess(decoded)
+			? Effect.succeed({table: decoded.success, version: readVersion(text)})
+			: Effect.fail(invalidFile(file, decoded.failure));
+	});
+}
+
+/**
+ * `table get`.
+ *
+ * @param operator - The platform.
+ * @param format - How to print; YAML unless told otherwise.
+ * @param edit - Id of an earlier edit to print in place of what is in force.
+ */
+export function getTable(operator: Operator, format: OutputFormat, edit: string | undefined): Effect.Effect<void, CommandFailure> {
+	return Effect.gen(function * () {
+		const current = yield * readTable(operator);
+		if (edit === undefined) {
+			print(render(format, current));
+			return;
+		}
+
+		const tables = yield * operator.editor.history(longestHistory).pipe(Effect.mapError(failure => describeEditFailure(failure)));
+		const found = tables.find(table => table.edit.id.startsWith(edit));
+		if (!found) {
+			return yield * Effect.fail(invalid(`No edit in the history begins with "${edit}".`));
+		}
+
+		// With the version in force, so that it can be applied again as it is.
+		print(render(format, {...found, version: current.version}));
+	});
+}
+
+/**
+ * `table diff`.
+ *
+ * @param operator - The platform.
+ * @param file - The file to compare with what is in force.
+ * @param format - How to print.
+ */
+export function diffTable(operator: Operator, file: string, format: OutputFormat): Effect.Effect<void, CommandFailure> {
+	return Effect.gen(function * () {
+		const current = yield * readTable(operator);
+		const {table} = yield * readFile(file, current.table);
+		const changes = differenceOf(current.table, table);
+		if (format === 'json') {
+			print(JSON.stringify(changes, undefined, 2));
+		} else {
+			print(changes.length === 0 ? 'No difference.' : changes.map(change => describeChange(change)).join('\n'));
+		}
+	});
+}
+
+/** How to apply a change. */
+export type ApplyOptions = {
+	readonly comment: string;
+	/** Version the file was edited from, where its first line does not say. */
+	readonly base: number | undefined;
+	/** Seconds to wait until it is in force everywhere; zero not to wait. */
+	readonly wait: number;
+	readonly format: OutputFormat;
+};
+
+/**
+ * `table apply`.
+ *
+ * @param operator - The platform.
+ * @param file - The new table.
+ * @param options - How.
+ */
+export function applyTable(operator: Operator, file: string, options: ApplyOptions): Effect.Effect<void, CommandFailure> {
+	return Effect.gen(function * () {
+		const current = yield * readTable(operator);
+		const {table, version} = yield * readFile(file, current.table);
+		const base = options.base ?? version;
+		if (base === undefined) {
+			return yield * Effect.fail(invalid(
+				`${file} does not say which version it was edited from.`,
+				'Begin with "waydrift table get", which writes it into the first line, or give --base VERSION.',
+			));
+		}
+
+		const applied = yield * operator.editor.apply({
+			base, table, author: operator.author, comment: options.comment,
+		}).pipe(Effect.mapError(failure => describeEditFailure(failure, table)));
+		yield * report(operator, current.table, applied, options);
+	});
+}
+
+/**
+ * `table edit`: changes fields of one row in place. No editor is opened: the program starts no other program.
+ *
+ * @param operator - The platform.
+ * @param row - `account/service/kind`.
+ * @param assignments - For example `ceiling=500`; `remove` takes the row away.
+ * @param options - How.
+ */
+export function editTable(operator: Operator, row: string, assignments: readonly string[], options: ApplyOptions): Effect.Effect<void, CommandFailure> {
+	return Effect.gen(function * () {
+		const before = yield * readTable(operator);
+		const applied = yield * changeTable(operator, options.comment, table => changeRow(table, row, assignments));
+		yield * report(operator, before.table, applied, options);
+	});
+}
+
+function changeRow(table: Table, name: string, assignments: readonly string[]): Effect.Effect<Table, CommandFailure> {
+	const known = table.rows.find(row => rowName(row) === name);
+	if (assignments.length === 1 && assignments[0] === 'remove') {
+		return known
+			? Effect.succeed({...table, rows: table.rows.filter(row => row !== known)})
+			: Effect.fail(invalid(`There is no row ${name}.`));
+	}
+
+	const [account, service, kind] = name.split('/');
+	const fields = Object.fromEntries(assignments.map(assignment => {
+		const [field = '', ...value] = assignment.split('=');
+		return [field, valueOf(value.join('='))];
+	}));
+	const row = {...known ?? {account, service, kind}, ...fields};
+	const rows = known ? table.rows.map(other => other === known ? row : other) : [...table.rows, row];
+	const checked = checkTable({...table, rows});
+	return Result.isSuccess(checked) ? Effect.succeed(checked.success) : Effect.fail(invalidFile(name, checked.failure));
+}
+
+function valueOf(text: string): unknown {
+	try {
+		return JSON.parse(text) as unknown;
+	} catch {
+		return text;
+	}
+}
+
+function report(operator: Operator, before: Table, applied: VersionedTable, {wait, format}: ApplyOptions): Effect.Effect<void, CommandFailure> {
+	return Effect.gen(function * () {
+		const changes = differenceOf(before, applied.table);
+		if (format === 'json') {
+			print(JSON.stringify({version: applied.version, edit: applied.edit.id, changes}));
+		} else {
+			print([`Accepted as version ${applied.version}, edit ${applied.edit.id}.`, ...changes.map(change => describeChange(change))].join('\n'));
+		}
+
+		if (wait > 0) {
+			yield * waitInForce(operator, applied.version, wait);
+			print(format === 'json' ? JSON.stringify({inForce: true}) : 'In force on every live box.');
+		}
+	});
+}
+
+/**
+ * `table history`.
+ *
+ * @param operator - The platform.
+ * @param most - How many to print.
+ * @param format - How to print.
+ */
+export function printHistory(operator: Operator, most: number, format: OutputFormat): Effect.Effect<void, CommandFailure> {
+	return operator.editor.history(most).pipe(
+		Effect.mapError(failure => describeEditFailure(failure)),
+		Effect.map(tables => {
+			printValue(format, tables.map(({version, edit}) => ({version, ...edit})), () => ({
+				head: ['VERSION', 'EDIT', 'WHEN', 'WHO', 'COMMENT', 'CHANGES'],
+				rows: tables.map(({version, edit, table}, index) => [
+					String(version),
+					edit.id.slice(0, 8),
+					new Date(edit.at).toISOString(),
+					edit.author,
+					edit.comment,
+					tables[index + 1] ? String(differenceOf(tables[index + 1]!.table, table).length) : '',
+				]),
+			}));
+		}),
+	);
+}
--- /dev/null
+++ b/src/table/table-editor.ts
@@ -0,0 +1,172 @@
+/**
+ * Changes the table in the Object API. A change carries the version it was made from; a race is a conflict,
+ * and a lost answer is settled by reading back the edit's id.
+ */
+import {randomUUID} from 'node:crypto';
+import * as Data from 'effect/Data';
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import type {ObjectStore, ObjectVersion, StoreFailure} from '../platform/object-store.js';
+import {emptyTable, type Table} from './table.js';
+import {
+	decodeVersionedTable, encodeVersionedTable, historyKey, tableKey, type TableEdit, type VersionedTable,
+} from './versioned-table.js';
+
+/** Somebody else changed the table meanwhile. Nothing was changed. */
+export class TableConflict extends Data.TaggedError('TableConflict')<{
+	/** The table that the change was made from; `undefined` where it is no longer kept. */
+	readonly base: VersionedTable | undefined;
+	/** The table in force. */
+	readonly current: VersionedTable;
+}> {}
+
+/** What the store holds does not decode as a table. */
+export class TableUnreadable extends Data.TaggedError('TableUnreadable')<{
+	readonly detail: string;
+}> {}
+
+/** The store did not answer; the change may have taken effect. */
+export class EditUnsettled extends Data.TaggedError('EditUnsettled')<{
+	readonly edit: string;
+	readonly detail: string;
+}> {}
+
+/** A change to make. */
+export type TableProposal = {
+	readonly base: ObjectVersion;
+	readonly table: Table;
+	readonly author: string;
+	readonly comment: string;
+};
+
+const settleTries = 10;
+const settlePause = 300;
+/** Steps back through the history to find the table that a change was made from. */
+const longestWalk = 200;
+
+const noEdit: TableEdit = {
+	id: '', author: '', comment: '', at: 0, base: 0, previous: '',
+};
+
+/** Reads and changes the table. */
+export class TableEditor {
+	/**
+	 * @param store - Where the table stands.
+	 * @returns The editor.
+	 */
+	static create(store: ObjectStore): TableEditor {
+		return new TableEditor(store);
+	}
+
+	private constructor(private readonly store: ObjectStore) {}
+
+	/** @returns The table in force; an empty one at version zero where there is none. */
+	read(): Effect.Effect<VersionedTable, StoreFailure | TableUnreadable> {
+		return this.store.read(tableKey).pipe(Effect.flatMap(({version, value}) => version === 0
+			? Effect.succeed({version, edit: noEdit, table: emptyTable})
+			: decode(version, value)));
+	}
+
+	/**
+	 * Changes the table.
+	 *
+	 * @param proposal - The change.
+	 * @returns The table in force because of it.
+	 */
+	apply(proposal: TableProposal): Effect.Effect<VersionedTable, StoreFailure | TableUnreadable | TableConflict | EditUnsettled> {
+		return Effect.gen({self: this}, function * () {
+			const current = yield * this.read();
+			if (current.version !== proposal.base) {
+				return yield * this.conflict(proposal.base, current);
+			}
+
+			const edit: TableEdit = {
+				id: randomUUID(),
+				author: proposal.author,
+				comment: proposal.comment,
+				at: Date.now(),
+				base: proposal.base,
+				previous: current.edit.id,
+			};
+			const value = encodeVersionedTable(edit, proposal.table);
+			// Written first: what is in force can always be found in the history.
+			yield * this.store.write(historyKey(edit.id), value, 0).pipe(Effect.catchTag('VersionConflict', () => Effect.void));
+			const version = yield * this.settle(edit, value);
+			return {version, edit, table: proposal.table};
+		});
+	}
+
+	/**
+	 * @param most - How many to read at most.
+	 * @returns The tables that were in force, newest first.
+	 */
+	history(most: number): Effect.Effect<readonly VersionedTable[], StoreFailure | TableUnreadable> {
+		return Effect.gen({self: this}, function * () {
+			const tables: VersionedTable[] = [];
+			let table: VersionedTable | undefined = yield * this.read();
+			while (table !== undefined && table.version > 0 && tables.length < most) {
+				tables.push(table);
+				table = yield * this.before(table);
+			}
+
+			return tables;
+		});
+	}
+
+	/** Writes until it is known whether the edit took effect. */
+	private settle(edit: TableEdit, value: string): Effect.Effect<ObjectVersion, StoreFailure | TableUnreadable | TableConflict | EditUnsettled> {
+		return Effect.gen({self: this}, function * () {
+			let detail = '';
+			for (let tries = 0; tries < settleTries; tries++) {
+				const written = yield * Effect.result(this.store.write(tableKey, value, edit.base));
+				if (Result.isSuccess(written)) {
+					return written.success;
+				}
+
+				detail = written.failure._tag === 'StoreFailure' ? written.failure.detail : '';
+				const now = yield * Effect.result(this.read());
+				if (Result.isSuccess(now) && now.success.edit.id === edit.id) {
+					return now.success.version;
+				}
+
+				if (Result.isSuccess(now) && now.success.version !== edit.base) {
+					return yield * this.acceptedBefore(edit, now.success);
+				}
+
+				yield * Effect.sleep(settlePause);
+			}
+
+			return yield * Effect.fail(new EditUnsettled({edit: edit.id, detail}));
+		});
+	}
+
+	/** Another edit stands there now; it may have been made on top of this one. */
+	private acceptedBefore(edit: TableEdit, current: VersionedTable): Effect.Effect<ObjectVersion, StoreFailure | TableUnreadable | TableConflict> {
+		return this.history(longestWalk).pipe(Effect.flatMap(tables => {
+			const own = tables.find(table => table.edit.id === edit.id);
+			return own ? Effect.succeed(own.version) : this.conflict(edit.base, current);
+		}));
+	}
+
+	private conflict(base: ObjectVersion, current: VersionedTable): Effect.Effect<never, StoreFailure | TableUnreadable | TableConflict> {
+		return this.history(longestWalk).pipe(Effect.flatMap(tables => Effect.fail(new TableConflict({
+			base: base === 0 ? {version: 0, edit: noEdit, table: emptyTable} : tables.find(({version}) => version === base),
+			current,
+		}))));
+	}
+
+	private before({edit}: VersionedTable): Effect.Effect<VersionedTable | undefined, StoreFailure | TableUnreadable> {
+		return edit.previous === ''
+			? Effect.succeed(undefined)
+			: this.store.read(historyKey(edit.previous)).pipe(Effect.flatMap(({version, value}) => version === 0
+				? Effect.succeed(undefined)
+				: decode(edit.base, value)));
+	}
+}
+
+function decode(version: ObjectVersion, value: string): Effect.Effect<VersionedTable, TableUnreadable> {
+	const decoded = decodeVersionedTable(version, value);
+	return Result.isSuccess(decoded)
+		? Effect.succeed(decoded.success)
+		: Effect.fail(new TableUnreadable({detail: decoded.failure.map(({path, expected}) => `${path}: expected ${expected}`).join('; ')}));
+}
--- a/src/table/versioned-table.ts
+++ b/src/table/versioned-table.ts
@@ -10,6 +10,12 @@
 /** Name of the object that holds the table in force. */
 export const tableKey = 'table';
 
+/**
+ * @param edit - Id of an edit.
+ * @returns Name of the object that keeps the table it made.
+ */
+export const historyKey = (edit: string): string => `history/${edit}`;
+
 /** Who changed the table, when and how; kept with it. */
 export const TableEdit = Schema.Struct({
 	/** Unique a change, so that a lost answer can be settled by reading back. */
@@ -20,6 +26,8 @@
 	at: Schema.Number,
 	/** Version it was edited from. */
 	base: Schema.Number,
+	/** The edit that made that version; empty for the first. */
+	previous: Schema.String,
 });
 export type TableEdit = typeof TableEdit.Type;
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -32,6 +32,7 @@
 			// Both rules take Effect.map and Effect.catch for those of arrays and promises.
 			'array-callback-return': 'off',
 			'promise/prefer-await-to-then': 'off',
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			// Resumes after an interruption are written straight down, one attempt after another.
 			'no-await-in-loop': 'off',
 			curly: ['error', 'all'],
