--- a/development/fuzz/main.ts
+++ b/development/fuzz/main.ts
@@ -17,6 +17,8 @@
 	.strict()
 	.parseAsync();
 
+const describeCause = (error: unknown): string => error instanceof Error && error.cause instanceof Error ? error.cause.message : '';
+
 const chosen = suites.filter(({name}) => options.suite === undefined || name === options.suite);
 const endsAt = performance.now() + (options.minutes * 60_000);
 const totals = new Map(chosen.map(({name}) => [name, {histories: 0, steps: 0, faults: 0}]));
@@ -36,7 +38,7 @@
 
 	process.stdout.write('no broken promise found\n');
 } catch (error) {
-	process.stdout.write(`${String(error)}\n${String((error as Error).cause ?? '')}\n`);
+	process.stdout.write(`${String(error)}\n${describeCause(error)}\n`);
 	process.exitCode = 1;
 }
 
--- a/development/fuzz/table-suite.ts
+++ b/development/fuzz/table-suite.ts
@@ -117,8 +117,8 @@
 			})),
 	},
 	{
-		weight: 1, arbitrary: fc.integer({min: 0, max: boxCount - 1}).map(box => step<TableWorld>(`an old table reaches box ${box}`, world => {
-			world.replay(box, undefined);
+		weight: 1, arbitrary: fc.tuple(fc.integer({min: 0, max: boxCount - 1}), fc.nat(20)).map(([box, turn]) => step<TableWorld>(`an old table reaches box ${box}`, world => {
+			world.replay(box, turn);
 		})),
 	},
 	{
--- a/development/harness/caller.ts
+++ b/development/harness/caller.ts
@@ -31,6 +31,8 @@
 	readonly timing: Timing;
 	/** Tries it took. */
 	readonly tries: number;
+	/** Times the answer so far had to be dropped and asked for anew. */
+	readonly restarts: number;
 };
 
 /** A chat to ask for. */
@@ -87,11 +89,15 @@
 		for (let tries = 1; tries <= mostTries; tries++) {
 			const ended = await this.tryChat(chat, receiver);
 			if (ended) {
-				return {judgement: ended, timing: receiver.timing, tries};
+				return {
+					judgement: ended, timing: receiver.timing, tries, restarts: receiver.restarts,
+				};
 			}
 		}
 
-		return {judgement: {kind: 'lost', detail: `no end after ${mostTries} tries`}, timing: receiver.timing, tries: mostTries};
+		return {
+			judgement: {kind: 'lost', detail: `no end after ${mostTries} tries`}, timing: receiver.timing, tries: mostTries, restarts: receiver.restarts,
+		};
 	}
 
 	/**
@@ -103,7 +109,7 @@
 	async call(call: Call): Promise<Result> {
 		const startedAt = performance.now();
 		const result = (judgement: Judgement, tries: number): Result => ({
-			judgement, tries, timing: {firstToken: performance.now() - startedAt, between: []},
+			judgement, tries, restarts: 0, timing: {firstToken: performance.now() - startedAt, between: []},
 		});
 		for (let tries = 1; tries <= mostTries; tries++) {
 			const answer = await this.send(`/v1/services/${call.service}${call.path}`, call.body, {'Idempotency-Key': call.key});
@@ -224,6 +230,7 @@
 /** Puts a stream together over as many connections as it takes. */
 class StreamReceiver {
 	position = 0;
+	restarts = 0;
 	readonly timing: {firstToken: number; readonly between: number[]} = {firstToken: Number.NaN, between: []};
 	private text = '';
 	private fault: string | undefined;
@@ -233,6 +240,7 @@
 	constructor(private readonly chat: Chat) {}
 
 	restart(): void {
+		this.restarts++;
 		this.position = 0;
 		this.text = '';
 	}
--- a/development/standins/platform.ts
+++ b/development/standins/platform.ts
@@ -17,6 +17,8 @@
 type Faults = {
 	/** The Object API answers nothing: connections are cut. */
 	readonly outage: boolean;
+	/** The Object API alone is out; the box list answers. */
+	readonly objectOutage: boolean;
 	/** Milliseconds added to each call. */
 	readonly delay: number;
 	/** How many of the next writes take effect without an answer. */
@@ -100,7 +102,7 @@
 	private readonly writeLimit = new RateLimit(writesPerSecond);
 	private readonly readLimit = new RateLimit(readsPerSecond);
 	private faults: Faults = {
-		outage: false, delay: 0, loseAnswers: 0, boxListLag: 0, refuseStarts: false,
+		outage: false, objectOutage: false, delay: 0, loseAnswers: 0, boxListLag: 0, refuseStarts: false,
 	};
 
 	private version = 0;
@@ -128,7 +130,7 @@
 			return;
 		}
 
-		if (this.faults.outage) {
+		if (this.faults.outage || (this.faults.objectOutage && pathname.startsWith('/objects'))) {
 			request.incoming.socket.destroy();
 			return;
 		}
--- /dev/null
+++ b/src/boxes/test/box-directory.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {VirtualClock} from '../../../development/fuzz/virtual-time.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import type {BoxId, DataCentre, PoolName} from '../../base/identifiers.js';
+import type {Box} from '../../platform/box-list.js';
+import {BoxDirectory} from '../box-directory.js';
+
+const pool = 'engines' as PoolName;
+
+const box = (id: string, state: Box['state']): Box => ({
+	id: id as BoxId, role: 'model-engine', dataCentre: 'dc' as DataCentre, host: '127.0.0.1', port: 1, pool, machineClass: 'm', reclaimable: true, price: 1, state,
+});
+
+test('a box that was seen leaving gets no new work again, whatever later lists say', () => {
+	const listing = fc.array(fc.tuple(fc.constantFrom('a', 'b', 'c'), fc.constantFrom<Box['state']>('live', 'leaving')), {maxLength: 3});
+	const notice = fc.constantFrom('a', 'b', 'c');
+	fc.assert(fc.property(fc.array(fc.oneof(listing, notice), {maxLength: 20}), steps => {
+		const directory = BoxDirectory.create('self' as BoxId, VirtualClock.create({now: 0}), SilentEventLog.create());
+		const left = new Set<string>();
+		let version = 0;
+		for (const step of steps) {
+			if (typeof step === 'string') {
+				directory.markLeaving(step as BoxId, 'peer', undefined);
+				left.add(step);
+			} else {
+				version++;
+				const boxes = new Map(step.map(([id, state]) => [id, box(id, state)]));
+				directory.takeListing({version, boxes: [...boxes.values()]});
+				for (const {id, state} of boxes.values()) {
+					if (state === 'leaving') {
+						left.add(id);
+					}
+				}
+			}
+
+			assert.ok(directory.upstreams(pool).every(({id}) => !left.has(id)));
+		}
+	}), {seed: 1});
+});
+
+test('the end of a notice may only come nearer', () => {
+	const directory = BoxDirectory.create('self' as BoxId, VirtualClock.create({now: 0}), SilentEventLog.create());
+	const ends: Array<number | undefined> = [];
+	directory.onDidLeave(({endsAt}) => ends.push(endsAt));
+	for (const endsAt of [undefined, 5000, undefined, 9000, 3000]) {
+		directory.markLeaving('a' as BoxId, 'peer', endsAt);
+	}
+
+	assert.deepEqual(ends, [undefined, 5000, 3000]);
+});
--- a/src/daemon/record-hand-over.ts
+++ b/src/daemon/record-hand-over.ts
@@ -84,6 +84,8 @@
 		return Effect.gen({self: this}, function * () {
 			const moved = yield * this.send(active);
 			for (const record of active) {
+				// Whoever still asks here is sent to where the request is.
+				this.services.records.remove(record);
 				record.refuse(Refusal.create(
 					'moved-to-peer',
 					'This box is taken back by the platform. The request goes on at another; fetch its answer by its key.',
--- /dev/null
+++ b/src/daemon/test/leaving.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {afterEach, test} from 'node:test';
+import {FaultProxy} from '../../../development/harness/fault-proxy.js';
+import {control, Installation, until} from '../../../development/harness/installation.js';
+import {callerAt, testTable} from '../../../development/harness/small-installation.js';
+
+let installation: Installation;
+let proxies: FaultProxy[] = [];
+
+afterEach(async () => {
+	await installation.close();
+	for (const proxy of proxies) {
+		proxy.close();
+	}
+
+	proxies = [];
+});
+
+async function proxyTo(port: number): Promise<FaultProxy> {
+	const proxy = await FaultProxy.create(port);
+	proxies.push(proxy);
+	return proxy;
+}
+
+/** Three entry boxes, each with its own way to the platform and its peers' door behind a proxy; two engines. */
+async function start(): Promise<{readonly platform: readonly FaultProxy[]; readonly peers: readonly FaultProxy[]}> {
+	installation = await Installation.create();
+	await installation.applyTable(testTable());
+	const platform = await Promise.all([0, 1, 2].map(async () => proxyTo(installation.platformPort)));
+	const peers: FaultProxy[] = [];
+	await Promise.all([1, 2].map(async index => installation.addEngine(`engine-${index}`, {dataCentre: 'dc-1', pool: 'engines'})));
+	for (const [index, proxy] of platform.entries()) {
+		await installation.addEntry(`entry-${index + 1}`, {
+			dataCentre: 'dc-1',
+			platformPort: proxy.port,
+			async proxyPeers(port) {
+				const peer = await proxyTo(port);
+				peers.push(peer);
+				return peer.port;
+			},
+		});
+	}
+
+	await installation.untilReady();
+	return {platform, peers};
+}
+
+const chat = (text: string) => ({
+	model: 'assistant', key: randomUUID(), isStreamed: true, maximumTokens: 2, messages: [{role: 'user', content: text}],
+});
+
+async function startedAt(engine: string): Promise<number> {
+	const totals = await control(installation.members.get(engine)!.box.port, 'totals', {}) as {readonly started: number};
+	return totals.started;
+}
+
+async function knowsLeaving(operatorsPort: number, box: string): Promise<boolean> {
+	const answer = await fetch(`http://127.0.0.1:${operatorsPort}/status`);
+	const {leaving} = await answer.json() as {readonly leaving: ReadonlyArray<{readonly box: string}>};
+	return leaving.some(report => report.box === box);
+}
+
+/** Sends through every box and looks whether the engine got any of it. */
+async function assertNothingNew(engine: string): Promise<void> {
+	const before = await startedAt(engine);
+	const results = await Promise.all(installation.entries.flatMap(member =>
+		Array.from({length: 8}, async (_, index) => callerAt([member]).chat(chat(`${member.box.id} ${index}`)))));
+	assert.deepEqual(results.map(({judgement}) => judgement.kind), results.map(() => 'answered'));
+	assert.equal(await startedAt(engine), before);
+}
+
+test('an engine under notice gets nothing new, though the box list is late by a minute', async () => {
+	await start();
+	await control(installation.platformPort, 'faults', {boxListLag: 60_000});
+	await control(installation.platformPort, 'reclaim', {box: 'engine-1', notice: 60_000});
+	await until(async () => {
+		const known = await Promise.all(installation.entries.map(async ({operatorsPort}) => knowsLeaving(operatorsPort, 'engine-1')));
+		return known.every(Boolean);
+	});
+	await assertNothingNew('engine-1');
+});
+
+test('a notice that one box alone hears reaches the others over the links between them', async () => {
+	const {platform} = await start();
+	for (const proxy of platform.slice(1)) {
+		proxy.fault = {kind: 'freeze'};
+	}
+
+	await control(installation.platformPort, 'reclaim', {box: 'engine-1', notice: 60_000});
+	await until(async () => {
+		const known = await Promise.all(installation.entries.map(async ({operatorsPort}) => knowsLeaving(operatorsPort, 'engine-1')));
+		return known.every(Boolean);
+	});
+	await assertNothingNew('engine-1');
+});
+
+test('with the links between boxes cut and the box list late, the upstream\'s own word is enough', async () => {
+	const {peers} = await start();
+	await control(installation.platformPort, 'faults', {boxListLag: 60_000});
+	for (const proxy of peers) {
+		proxy.fault = {kind: 'cut'};
+	}
+
+	await control(installation.members.get('engine-1')!.box.port, 'leave', {});
+	await until(async () => {
+		const known = await Promise.all(installation.entries.map(async ({operatorsPort}) => knowsLeaving(operatorsPort, 'engine-1')));
+		return known.every(Boolean);
+	});
+	await assertNothingNew('engine-1');
+});
--- /dev/null
+++ b/src/daemon/test/planned-stop.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {after, before, test} from 'node:test';
+import {callerAt, startInstallation} from '../../../development/harness/small-installation.js';
+import {
+	control, until, type Installation, type Member,
+} from '../../../development/harness/installation.js';
+
+let installation: Installation;
+
+before(async () => {
+	installation = await startInstallation({
+		entries: 3, engines: 2, services: 1, dataCentres: 1,
+	});
+});
+
+after(async () => installation.close());
+
+const chat = (isStreamed: boolean) => {
+	const key = randomUUID();
+	return {
+		model: 'assistant', key, isStreamed, maximumTokens: 250, messages: [{role: 'user', content: `Answer ${key}.`}],
+	};
+};
+
+async function isReady({operatorsPort}: Member): Promise<boolean> {
+	const answer = await fetch(`http://127.0.0.1:${operatorsPort}/readyz`);
+	return answer.ok;
+}
+
+test('each entry box in turn is stopped under load, and no answer in progress is cut off', async () => {
+	const boxes = installation.entries;
+	for (const box of boxes) {
+		const caller = callerAt([box]);
+		const answers = Array.from({length: 6}, async (_, index) => caller.chat(chat(index % 2 === 0)));
+		await until(async () => {
+			const status = await fetch(`http://127.0.0.1:${box.operatorsPort}/status`);
+			return (await status.json() as {readonly inProgress: number}).inProgress === 6;
+		});
+		box.child.signal('SIGTERM');
+		const results = await Promise.all(answers);
+		// One try each: neither cut nor asked to come back.
+		assert.deepEqual(results.map(({judgement, tries}) => [judgement.kind, tries]), results.map(() => ['answered', 1]));
+		assert.equal(await box.child.exited, 0);
+	}
+});
+
+test('a box that is stopping says so to the balancer, and still answers who comes', async () => {
+	const box = await installation.addEntry('entry-late', {dataCentre: 'dc-1', balancerDelay: 1500});
+	await until(async () => isReady(box));
+	box.child.signal('SIGTERM');
+	await until(async () => !await isReady(box));
+	const {judgement} = await callerAt([box]).chat(chat(true));
+	assert.equal(judgement.kind, 'answered');
+	assert.equal(await box.child.exited, 0);
+});
+
+test('an engine that leaves without an end in sight finishes what it has, and gets nothing new', async () => {
+	const box = await installation.addEntry('entry-last', {dataCentre: 'dc-1'});
+	await until(async () => isReady(box));
+	const caller = callerAt([box]);
+	const answers = Array.from({length: 8}, async () => caller.chat(chat(true)));
+	const engine = installation.members.get('engine-1')!.box.port;
+	const started = async () => (await control(engine, 'totals', {}) as {readonly started: number}).started;
+	await until(async () => await started() > 0);
+	await control(engine, 'leave', {});
+	const results = await Promise.all(answers);
+	assert.deepEqual(results.map(({judgement}) => judgement.kind), results.map(() => 'answered'));
+	const before = await started();
+	await caller.chat(chat(true));
+	assert.equal(await started(), before);
+});
--- /dev/null
+++ b/src/daemon/test/reclaim.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {afterEach, beforeEach, test} from 'node:test';
+import type {Chat, Result} from '../../../development/harness/caller.js';
+import {readMetric, until, type Installation} from '../../../development/harness/installation.js';
+import {callerOf, startInstallation} from '../../../development/harness/small-installation.js';
+
+let installation: Installation;
+
+beforeEach(async () => {
+	installation = await startInstallation({
+		entries: 4, engines: 4, services: 2, dataCentres: 2,
+	});
+});
+
+afterEach(async () => installation.close());
+
+const notice = 3000;
+/** Long enough that no answer is whole before the notice ends. */
+const tokens = 700;
+
+const chat = (isStreamed: boolean): Chat => {
+	const key = randomUUID();
+	return {
+		model: 'assistant', key, isStreamed, maximumTokens: tokens, messages: [{role: 'user', content: `Write bulletin ${key}.`}],
+	};
+};
+
+/** Starts streamed and whole answers on all boxes, and waits until engines work on all of them. */
+async function beginAnswers(count: number): Promise<Array<Promise<Result>>> {
+	const caller = callerOf(installation);
+	const answers = Array.from({length: count}, async (_, index) => caller.chat(chat(index % 2 === 0)));
+	await until(async () => {
+		const inProgress = await Promise.all(installation.entries.map(async ({operatorsPort}) => readMetric(operatorsPort, 'waydrift_requests_in_progress')));
+		let sum = 0;
+		for (const part of inProgress) {
+			sum += part;
+		}
+
+		return sum === count;
+	});
+	return answers;
+}
+
+async function assertAllAnswered(answers: Array<Promise<Result>>): Promise<void> {
+	const results = await Promise.all(answers);
+	const endings = results.map(({judgement, restarts}) => ({judgement, restarts}));
+	assert.deepEqual(endings, endings.map(() => ({judgement: {kind: 'answered'}, restarts: 0})));
+}
+
+async function sumMetric(name: string): Promise<number> {
+	let sum = 0;
+	for (const {operatorsPort} of installation.entries) {
+		sum += await readMetric(operatorsPort, name);
+	}
+
+	return sum;
+}
+
+test('answers complete when the box of their engine is reclaimed with notice, with the cache moved', async () => {
+	const answers = await beginAnswers(12);
+	await installation.reclaim('engine-1', notice);
+	await assertAllAnswered(answers);
+	assert.ok(await sumMetric('waydrift_streams_moved_total{cause="leaving"}') > 0);
+	assert.equal(await sumMetric('waydrift_streams_moved_total{cause="failure"}'), 0);
+	assert.equal(await sumMetric('waydrift_recomputed_tokens_total{cause="leaving"}'), 0);
+});
+
+test('answers complete when an entry box is reclaimed with notice', async () => {
+	const answers = await beginAnswers(12);
+	await installation.reclaim('entry-1', notice);
+	await assertAllAnswered(answers);
+});
+
+test('answers complete when a whole data centre is reclaimed with notice, entry boxes and engines together', async () => {
+	const answers = await beginAnswers(12);
+	const leaving = [...installation.members.values()].filter(({box}) => box.dataCentre === 'dc-1').map(({box}) => box.id);
+	await Promise.all(leaving.map(async id => installation.reclaim(id, notice)));
+	await assertAllAnswered(answers);
+});
+
+test('answers complete through two reclaims in a row', async () => {
+	const answers = await beginAnswers(8);
+	await installation.reclaim('engine-1', notice);
+	await until(async () => await sumMetric('waydrift_streams_moved_total{cause="leaving"}') > 0);
+	await installation.reclaim('engine-2', notice);
+	await installation.reclaim('entry-2', notice);
+	await assertAllAnswered(answers);
+});
+
+test('releases that were accepted complete, once each, while their box is reclaimed', async () => {
+	const caller = callerOf(installation);
+	const keys = Array.from({length: 40}, () => randomUUID());
+	const answers = keys.map(async key => caller.call({
+		service: 'orders', path: '/release', key, body: key,
+	}));
+	await installation.reclaim('entry-1', notice);
+	await installation.reclaim('service-1', notice);
+	await assertAllAnswered(answers);
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -33,10 +33,23 @@
 			'array-callback-return': 'off',
 			'promise/prefer-await-to-then': 'off',
 			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
+			// The runner itself waits for tests.
+			'@typescript-eslint/no-floating-promises': ['error', {
+				allowForKnownSafeCalls: [{from: 'package', name: ['test', 'suite'], package: 'node:test'}],
+			}],
 			// Resumes after an interruption are written straight down, one attempt after another.
 			'no-await-in-loop': 'off',
 			curly: ['error', 'all'],
 		},
 	},
 	...importDirection,
+	// Tests reach for the fakes and the harness.
+	{
+		files: ['src/**/test/**/*.ts'],
+		rules: {
+			'no-restricted-imports': 'off',
+			// An assertion reads better with what it asserts in one place.
+			'unicorn/no-await-expression-member': 'off',
+		},
+	},
 ];
