Smaller exchanges between peers, subsets of upstreams, settles that share writes; benches of the relay, capacity and leaving

Change: an exchange a second in place of two, with rows by their place in the table and grants that live 3 s; a box links to about 32 upstreams of a larger pool, each upstream having as many boxes as any other; the note that a call ran waits 400 ms for a write to share. Boxes gone for half an hour are forgotten.

--- /dev/null
+++ b/development/bench/fit.ts
@@ -0,0 +1,36 @@
+/**
+ * Straight lines through measurements.
+ */
+
+/** A measurement: `y` at size `x`. */
+export type Point = {readonly x: number; readonly y: number};
+
+/** A straight line and how far the measurements are from it. */
+export type Line = {
+	readonly slope: number;
+	readonly intercept: number;
+	/** Largest distance of a measurement from the line. */
+	readonly residual: number;
+};
+
+const mean = (values: readonly number[]): number => {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum / values.length;
+};
+
+/**
+ * @param points - At least two, of different sizes.
+ * @returns The line of least squares.
+ */
+export function fitLine(points: readonly Point[]): Line {
+	const middleX = mean(points.map(({x}) => x));
+	const middleY = mean(points.map(({y}) => y));
+	const slope = mean(points.map(({x, y}) => (x - middleX) * (y - middleY))) / mean(points.map(({x}) => (x - middleX) ** 2));
+	const intercept = middleY - (slope * middleX);
+	const residual = Math.max(...points.map(({x, y}) => Math.abs(y - (intercept + (slope * x)))));
+	return {slope, intercept, residual};
+}
--- /dev/null
+++ b/development/bench/leaving.ts
@@ -0,0 +1,71 @@
+/**
+ * Time from a reclaim notice to the last request that the upstream gets, on any of eight boxes under load.
+ */
+import process from 'node:process';
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import {control, type Installation} from '../harness/installation.js';
+import {callerAt, startInstallation} from '../harness/small-installation.js';
+import {percentile} from '../harness/percentile.js';
+
+const entries = 8;
+const engines = 6;
+const trials = 4;
+/** Milliseconds that are watched after the notice. */
+const watched = 3000;
+const lookInterval = 5;
+
+async function started(port: number): Promise<number> {
+	const totals = await control(port, 'totals', {}) as {readonly started: number};
+	return totals.started;
+}
+
+/** @returns Milliseconds from the notice until the engine got its last new request. */
+async function measureOne(installation: Installation, engine: string): Promise<number> {
+	const {port} = installation.members.get(engine)!.box;
+	const noticeAt = performance.now();
+	await control(installation.platformPort, 'reclaim', {box: engine, notice: 600_000});
+	let last = await started(port);
+	let lastAt = noticeAt;
+	while (performance.now() - noticeAt < watched) {
+		const now = await started(port);
+		if (now > last) {
+			last = now;
+			lastAt = performance.now();
+		}
+
+		await delay(lookInterval);
+	}
+
+	return lastAt - noticeAt;
+}
+
+/** Measures with a prompt list, then with a list that is late by a minute. */
+export async function benchLeaving(): Promise<void> {
+	for (const boxListLag of [0, 60_000]) {
+		const installation = await startInstallation({
+			entries, engines, services: 0, dataCentres: 2,
+		});
+		const load = {isOpen: true};
+		const callers = installation.entries.map(async member => {
+			const caller = callerAt([member]);
+			while (load.isOpen) {
+				await caller.chat({
+					model: 'assistant', key: randomUUID(), isStreamed: true, maximumTokens: 3, messages: [{role: 'user', content: randomUUID()}],
+				});
+			}
+		});
+		await control(installation.platformPort, 'faults', {boxListLag});
+		await delay(1000);
+		const times: number[] = [];
+		for (let trial = 1; trial <= trials; trial++) {
+			times.push(await measureOne(installation, `engine-${trial}`));
+		}
+
+		load.isOpen = false;
+		await Promise.all(callers);
+		await installation.close();
+		const [middle, worst] = [percentile(times, 0.5), Math.max(...times)].map(time => time.toFixed(0));
+		process.stdout.write(`box list late by ${boxListLag} ms, ${entries} boxes: from notice to the last new request p50 ${middle} ms, maximum ${worst} ms, of ${times.length} notices\n`);
+	}
+}
--- /dev/null
+++ b/development/bench/main.ts
@@ -0,0 +1,18 @@
+/**
+ * Measurements: `npm run bench -- relay`, `capacity`, `leaving`.
+ */
+import process from 'node:process';
+import {benchCapacity} from './capacity.js';
+import {benchLeaving} from './leaving.js';
+import {benchRelay} from './relay.js';
+
+const benches: Readonly<Record<string, () => Promise<void>>> = {relay: benchRelay, capacity: benchCapacity, leaving: benchLeaving};
+const name = process.argv[2] ?? '';
+const bench = benches[name];
+if (!bench) {
+	process.stderr.write(`Name a bench: ${Object.keys(benches).join(', ')}\n`);
+	process.exit(2);
+}
+
+await bench();
+process.exit();
--- /dev/null
+++ b/development/bench/relay.ts
@@ -0,0 +1,180 @@
+/**
+ * Cost of one entry box against a bare relay, in the same run, as ratios.
+ */
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {BoxId, DataCentre, PoolName} from '../../src/base/identifiers.js';
+import {Child} from '../harness/child.js';
+import {control, Installation, until} from '../harness/installation.js';
+import {percentile} from '../harness/percentile.js';
+import {testTable} from '../harness/small-installation.js';
+import {processorTime, residentMemory} from './process-cost.js';
+import {closedLoop, openIdle, streamOnce} from './stream-client.js';
+
+/** Upstream entries that all lead to the token source, so that the gate opens wide. */
+const upstreams = 32;
+const concurrency = 32;
+/** Requests before the first that counts: the compiler of the language has to have seen all of the code. */
+const warmUpRequests = 8000;
+const shortRequests = 5000;
+const longRequests = 300;
+const longTokens = 100;
+const idleStreams = 1000;
+const idleAtOnce = 20;
+const latencySamples = 1500;
+const rounds = 2;
+
+/** A relay under test. */
+type Relay = {readonly name: string; readonly port: number; readonly pid: number};
+
+/** What was measured of a relay. */
+type Figures = {
+	/** Microseconds of processor time. */
+	readonly perRequest: number;
+	readonly perToken: number;
+	readonly requestsPerSecond: number;
+	readonly tokensPerSecond: number;
+	/** Milliseconds to the first token, at half of the bare relay's load. */
+	readonly firstTokenP50: number;
+	readonly firstTokenP95: number;
+	/** Bytes of memory an open idle stream. */
+	readonly perIdleStream: number;
+};
+
+async function timed(relay: Relay, count: number, tokens: number): Promise<{readonly processor: number; readonly wall: number}> {
+	const before = processorTime(relay.pid);
+	const wall = await closedLoop(concurrency, count, async () => streamOnce(relay.port, tokens));
+	return {processor: processorTime(relay.pid) - before, wall};
+}
+
+/** Sends at a fixed rate, whether answers come or not. */
+async function firstTokens(port: number, rate: number): Promise<readonly number[]> {
+	const pending: Array<Promise<number>> = [];
+	const startedAt = performance.now();
+	while (pending.length < latencySamples) {
+		const due = Math.min(latencySamples, Math.floor((performance.now() - startedAt) / 1000 * rate));
+		while (pending.length < due) {
+			pending.push(streamOnce(port, 1));
+		}
+
+		await delay(1);
+	}
+
+	return Promise.all(pending);
+}
+
+async function idleMemory(relay: Relay): Promise<number> {
+	const before = residentMemory(relay.pid);
+	const streams = [];
+	while (streams.length < idleStreams) {
+		streams.push(...await Promise.all(Array.from({length: idleAtOnce}, async () => openIdle(relay.port))));
+		// The gate opens step by step, as it would for callers.
+		await delay(60);
+	}
+
+	await delay(500);
+	const after = residentMemory(relay.pid);
+	for (const stream of streams) {
+		stream.destroy();
+	}
+
+	await delay(1000);
+	return (after - before) / idleStreams;
+}
+
+async function measure(relay: Relay, rate: number | undefined): Promise<Figures> {
+	// Streams that stand still first: a process that has not grown yet shows what they take.
+	const perIdleStream = await idleMemory(relay);
+	await timed(relay, warmUpRequests, 1);
+	const short = await timed(relay, shortRequests, 1);
+	const long = await timed(relay, longRequests, longTokens);
+	const perLongRequest = long.processor / longRequests;
+	const perShortRequest = short.processor / shortRequests;
+	const perToken = (perLongRequest - perShortRequest) / (longTokens - 1);
+	const requestsPerSecond = shortRequests / short.wall * 1000;
+	const first = await firstTokens(relay.port, rate ?? requestsPerSecond / 2);
+	return {
+		perRequest: (perShortRequest - perToken) * 1000,
+		perToken: perToken * 1000,
+		requestsPerSecond,
+		tokensPerSecond: longRequests * longTokens / long.wall * 1000,
+		firstTokenP50: percentile(first, 0.5),
+		firstTokenP95: percentile(first, 0.95),
+		perIdleStream,
+	};
+}
+
+async function startEntry(sourcePort: number): Promise<{readonly installation: Installation; readonly relay: Relay}> {
+	const installation = await Installation.create();
+	await installation.applyTable(testTable());
+	await Promise.all(Array.from({length: upstreams}, async (_, index) => control(installation.platformPort, 'boxes', {
+		id: `source-${index}` as BoxId,
+		role: 'model-engine',
+		dataCentre: 'dc-1' as DataCentre,
+		host: '127.0.0.1',
+		port: sourcePort,
+		pool: 'engines' as PoolName,
+		machineClass: 'm',
+		reclaimable: true,
+		price: 1,
+		state: 'live',
+	})));
+	const entry = await installation.addEntry('entry-1', {dataCentre: 'dc-1'});
+	await installation.untilReady();
+	await until(async () => await streamOnce(entry.box.port, 1) > 0);
+	return {installation, relay: {name: 'waydrift', port: entry.box.port, pid: entry.child.pid}};
+}
+
+const median = (values: readonly number[]) => percentile(values, 0.5);
+
+function combine(all: readonly Figures[]): Figures {
+	const of = (pick: (figures: Figures) => number) => median(all.map(figures => pick(figures)));
+	return {
+		perRequest: of(figures => figures.perRequest),
+		perToken: of(figures => figures.perToken),
+		requestsPerSecond: of(figures => figures.requestsPerSecond),
+		tokensPerSecond: of(figures => figures.tokensPerSecond),
+		firstTokenP50: of(figures => figures.firstTokenP50),
+		firstTokenP95: of(figures => figures.firstTokenP95),
+		perIdleStream: of(figures => figures.perIdleStream),
+	};
+}
+
+function print(bare: Figures, own: Figures): void {
+	const line = (name: string, pick: (figures: Figures) => number, unit: string, goal: string) => {
+		const [floor, ours] = [pick(bare), pick(own)];
+		process.stdout.write(`${name.padEnd(34)}${floor.toFixed(2).padStart(10)}${ours.toFixed(2).padStart(10)} ${unit.padEnd(6)} ratio ${(ours / floor).toFixed(2)}  ${goal}\n`);
+	};
+
+	process.stdout.write(`${''.padEnd(34)}${'bare'.padStart(10)}${'waydrift'.padStart(10)}\n`);
+	line('processor time a request', figures => figures.perRequest, 'us', 'goal 1.6');
+	line('processor time a streamed token', figures => figures.perToken, 'us', 'goal 1.2');
+	line('requests a second', figures => figures.requestsPerSecond, '', '');
+	line('tokens a second', figures => figures.tokensPerSecond, '', '');
+	line('first token, p50 at half load', figures => figures.firstTokenP50, 'ms', `added ${(own.firstTokenP50 - bare.firstTokenP50).toFixed(2)} ms`);
+	line('first token, p95 at half load', figures => figures.firstTokenP95, 'ms', `added ${(own.firstTokenP95 - bare.firstTokenP95).toFixed(2)} ms, goal 1.0`);
+	line('memory an open idle stream', figures => figures.perIdleStream / 1024, 'KB', 'goal 40 KB');
+}
+
+/** Runs the comparison and prints it; the last line is JSON. Each relay is a fresh process in each round. */
+export async function benchRelay(): Promise<void> {
+	const source = Child.start('development/bench/token-source.js', []);
+	const {port} = await source.line(line => 'port' in line);
+	const bare: Figures[] = [];
+	const own: Figures[] = [];
+	for (let round = 0; round < rounds; round++) {
+		const child = Child.start('development/bench/bare-relay.js', [String(port)]);
+		const started = await child.line(line => 'port' in line);
+		bare.push(await measure({name: 'bare', port: started.port as number, pid: child.pid}, undefined));
+		await child.kill();
+		const {installation, relay} = await startEntry(port as number);
+		// Both at the same load: half of what the entry box can take.
+		own.push(await measure(relay, undefined));
+		await installation.close();
+	}
+
+	await source.kill();
+	const [floor, ours] = [combine(bare), combine(own)];
+	print(floor, ours);
+	process.stdout.write(`${JSON.stringify({bare: floor, waydrift: ours})}\n`);
+}
--- a/development/fuzz/stream-suite.ts
+++ b/development/fuzz/stream-suite.ts
@@ -226,7 +226,7 @@
 		directory.takeListing({version: 1, boxes: [...this.engines.keys()].map(name => engineBox(name))});
 		const facts: CeilingFacts = {ceiling: name => table.ceiling(name), rows: () => [rowName(row)], entryBoxes: () => [id]};
 		const links = UpstreamLinks.create({
-			directory, clock, log, connector: new FakeConnector(this.engines),
+			self: id, directory, clock, log, connector: new FakeConnector(this.engines),
 		});
 		Effect.runFork(links.run());
 		const owner = CeilingOwner.create(facts, clock);
--- a/development/harness/installation.ts
+++ b/development/harness/installation.ts
@@ -29,6 +29,8 @@
 	readonly platformPort?: number;
 	/** Milliseconds of {@link Settings} `stopping.balancerDelay`. */
 	readonly balancerDelay?: number;
+	/** Options for Node itself: to profile a box, say. */
+	readonly nodeOptions?: readonly string[];
 	/** Port of its peers' door as the others see it: a proxy's, say. */
 	readonly proxyPeers?: (port: number) => Promise<number>;
 };
@@ -90,7 +92,7 @@
 			platform: {host: '127.0.0.1', port: options.platformPort ?? this.platformPort},
 			stopping: {balancerDelay: options.balancerDelay ?? 500},
 		}));
-		const child = Child.start(daemonProgram, ['serve', '--settings', file]);
+		const child = Child.start(daemonProgram, ['serve', '--settings', file], options.nodeOptions);
 		const started = await child.line(line => line.eventName === 'boxStarted');
 		const peerPort = started.peers as number;
 		return this.list({
--- a/src/base/faults.ts
+++ b/src/base/faults.ts
@@ -40,6 +40,35 @@
 
 const show = (value: unknown): string | undefined => JSON.stringify(value)?.slice(0, longestShownValue);
 
+/** Decodes unknown input. */
+export type Decoder<Type> = (input: unknown) => Result.Result<Type, readonly Fault[]>;
+
+/**
+ * Prepares a decoder that collects every fault; prepare it once and use it often.
+ *
+ * @param schema - What the input should be.
+ * @param excess - What to do with keys that the schema does not name.
+ * @returns The decoder.
+ */
+export function createDecoder<S extends Schema.ConstraintDecoder<unknown>>(
+	schema: S,
+	excess: 'error' | 'ignore' = 'error',
+): Decoder<S['Type']> {
+	const decode = Schema.decodeUnknownResult(schema, {errors: 'all', onExcessProperty: excess});
+	return input => Result.mapError(decode(input), failure => faultsOf(failure.issue, input));
+}
+
+function faultsOf(issue: SchemaIssue.Issue, input: unknown): readonly Fault[] {
+	return formatIssue(issue).issues.map(({path: segments, message}) => {
+		const path = (segments ?? []).map(segment => typeof segment === 'object' ? segment.key : segment);
+		return {
+			path: path.map(String).join('.'),
+			value: show(valueAt(input, path)),
+			expected: message === missingKey ? 'a value, which must be given' : message.replace(/^Expected /v, ''),
+		};
+	});
+}
+
 /**
  * Decodes unknown input and collects every fault in it.
  *
@@ -51,20 +80,7 @@
 	schema: S,
 	input: unknown,
 ): Result.Result<S['Type'], readonly Fault[]> {
-	const decoded = Schema.decodeUnknownResult(schema)(input, {errors: 'all', onExcessProperty: 'error'});
-	if (Result.isSuccess(decoded)) {
-		return Result.succeed(decoded.success);
-	}
-
-	const {issues} = formatIssue(decoded.failure.issue);
-	return Result.fail(issues.map(issue => {
-		const path = (issue.path ?? []).map(segment => typeof segment === 'object' ? segment.key : segment);
-		return {
-			path: path.map(String).join('.'),
-			value: show(valueAt(input, path)),
-			expected: issue.message === missingKey ? 'a value, which must be given' : issue.message.replace(/^Expected /v, ''),
-		};
-	}));
+	return createDecoder(schema)(input);
 }
 
 /**
--- a/src/base/http-client.ts
+++ b/src/base/http-client.ts
@@ -137,14 +137,18 @@
 
 			chunks.push(chunk);
 		});
+		let hasEnded = false;
 		answer.once('end', () => {
+			hasEnded = true;
 			resume(Effect.succeed({status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(chunks)}));
 		});
 		answer.once('error', error => {
 			resume(Effect.fail(new HttpFailure({maySent: true, detail: error.message})));
 		});
 		answer.once('close', () => {
-			resume(Effect.fail(new HttpFailure({maySent: true, detail: 'answer cut short'})));
+			if (!hasEnded) {
+				resume(Effect.fail(new HttpFailure({maySent: true, detail: 'answer cut short'})));
+			}
 		});
 		return Effect.sync(() => answer.destroy());
 	});
--- a/src/base/rendezvous.ts
+++ b/src/base/rendezvous.ts
@@ -21,9 +21,25 @@
 		hash = Math.imul(hash ^ text.charCodeAt(index), prime);
 	}
 
-	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
-	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
-	return (hash ^ (hash >>> 16)) >>> 0;
+	return spread(hash);
+}
+
+/**
+ * Mixes two hashes into one; cheap enough for all pairs of boxes and upstreams.
+ *
+ * @param left - A hash.
+ * @param right - Another.
+ * @returns An unsigned 32-bit number.
+ */
+export function mixHashes(left: number, right: number): number {
+	return spread(left ^ Math.imul(right, 0x9E_37_79_B1));
+}
+
+/** The final mix of MurmurHash3. */
+function spread(hash: number): number {
+	let mixed = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
+	mixed = Math.imul(mixed ^ (mixed >>> 13), 0xC2_B2_AE_35);
+	return (mixed ^ (mixed >>> 16)) >>> 0;
 }
 
 /**
--- a/src/boxes/box-directory.ts
+++ b/src/boxes/box-directory.ts
@@ -18,6 +18,9 @@
 	readonly endsAt: number | undefined;
 };
 
+/** Milliseconds for which a box that is gone from the list is remembered as leaving. */
+const goneMemory = 1_800_000;
+
 type LeavingListener = (leaving: Leaving) => void;
 
 /** Holds the last listing and every box that was seen leaving. */
@@ -34,6 +37,8 @@
 
 	private listing: BoxListing = {version: 0, boxes: []};
 	private readonly leaving = new Map<BoxId, Leaving>();
+	/** When boxes went from the list. */
+	private readonly goneAt = new Map<BoxId, number>();
 	private readonly leavingListeners = new Set<LeavingListener>();
 	private readonly listingListeners = new Set<() => void>();
 	private entryBoxNames: readonly BoxId[] = [];
@@ -50,9 +55,10 @@
 		return this.listing.version;
 	}
 
-	/** Every box that was seen leaving and is still listed. */
+	/** Every box that was seen leaving and may still be listed somewhere. */
 	get leavingBoxes(): readonly Leaving[] {
-		return [...this.leaving.values()];
+		const oldest = this.clock.monotonic() - goneMemory;
+		return [...this.leaving.values()].filter(({box}) => (this.goneAt.get(box) ?? Number.POSITIVE_INFINITY) > oldest);
 	}
 
 	/** Entry boxes but this one, leaving ones too: they still hold requests. */
@@ -82,6 +88,7 @@
 
 		const before = new Set(this.listing.boxes.map(box => box.id));
 		this.listing = listing;
+		this.forgetGone();
 		this.entryBoxNames = listing.boxes.filter(({role}) => role === 'entry').map(({id}) => id);
 		this.upstreamsByPool = groupBy(listing.boxes.filter(box => box.pool !== undefined), box => box.pool!);
 		const listed = new Set(listing.boxes.map(box => box.id));
@@ -91,6 +98,7 @@
 
 		for (const id of [...before].filter(box => !listed.has(box))) {
 			this.log.write('upstreamGone', {upstream: id});
+			this.goneAt.set(id, this.clock.monotonic());
 			this.markLeaving(id, 'box-list', this.clock.monotonic());
 		}
 
@@ -172,4 +180,15 @@
 			this.listingListeners.delete(listener);
 		};
 	}
+
+	/** A list that is late by more than this memory does not happen; names are not given twice. */
+	private forgetGone(): void {
+		const oldest = this.clock.monotonic() - goneMemory;
+		for (const [box, goneAt] of this.goneAt) {
+			if (goneAt < oldest) {
+				this.goneAt.delete(box);
+				this.leaving.delete(box);
+			}
+		}
+	}
 }
--- a/src/claims/claim-shard.ts
+++ b/src/claims/claim-shard.ts
@@ -22,6 +22,8 @@
 const largestShard = 900_000;
 /** Milliseconds of failures after which new operations are refused at once. */
 const outageDelay = 1000;
+/** Milliseconds that an operation nobody waits for stays open for others to share its write. */
+const patience = 400;
 const firstPause = 10;
 const longestPause = 500;
 
@@ -87,11 +89,13 @@
 	 *
 	 * @param name - Which entry.
 	 * @param decide - What to write, given what stands there; called again when that has changed.
+	 * @param urgency - `patient`: waits a little for others to share a write with.
 	 * @returns The outcome, once what it rests on is durable.
 	 */
 	run<T>(
 		name: string,
 		decide: (entry: ClaimEntry | undefined, storeTime: number) => ClaimDecision<T>,
+		urgency: 'urgent' | 'patient' = 'urgent',
 	): Effect.Effect<T, ClaimUnavailable> {
 		return Effect.suspend(() => {
 			if (this.isOut()) {
@@ -106,7 +110,14 @@
 				mayBeRecorded: false,
 			};
 			this.waiting.push(operation);
-			this.startCommitting();
+			if (urgency === 'urgent') {
+				this.startCommitting();
+			} else {
+				setTimeout(() => {
+					this.startCommitting();
+				}, patience);
+			}
+
 			// The cast is sound: only decide() of this operation makes its outcome.
 			return Deferred.await(operation.done) as Effect.Effect<T, ClaimUnavailable>;
 		});
@@ -120,7 +131,7 @@
 
 	/** One committer a shard and box; it outlives the callers that wait, for others may wait with them. */
 	private startCommitting(): void {
-		if (this.isCommitting) {
+		if (this.isCommitting || this.waiting.length === 0) {
 			return;
 		}
 
--- a/src/claims/store-claim-ledger.ts
+++ b/src/claims/store-claim-ledger.ts
@@ -56,7 +56,8 @@
 	}
 
 	override settle(request: ClaimRequest, end: ClaimEnd): Effect.Effect<void, ClaimUnavailable> {
-		return this.shardFor(request).run(entryName(request), entry => decideEnd(request, end, entry));
+		// A caller waits for a release; nobody waits for the note that a call ran.
+		return this.shardFor(request).run(entryName(request), entry => decideEnd(request, end, entry), end._tag === 'Ran' ? 'patient' : 'urgent');
 	}
 
 	private shardFor(request: ClaimName): ClaimShard {
--- a/src/command/test/command-line.test.ts
+++ b/src/command/test/command-line.test.ts
@@ -52,7 +52,14 @@
 		'peers: {host: 127.0.0.1, port: 1}',
 		'operators: {host: 127.0.0.1, port: 2}',
 	].join('\n'));
-	const table = write('table.yaml', 'services: []\naccounts:\n  - name: a\n    keyHashes: [plain]\nrows:\n  - {account: b, kind: k, service: s, share: 0, ceiling: 1, priority: 10, repeatable: maybe}\n');
+	const table = write('table.yaml', [
+		'services: []',
+		'accounts:',
+		'  - name: a',
+		'    keyHashes: [plain]',
+		'rows:',
+		'  - {account: b, kind: k, service: s, share: 0, ceiling: 1, priority: 10, repeatable: maybe}',
+	].join('\n'));
 	const broken = write('broken.yaml', 'rows: [\n');
 	const {code, errors} = await run('check', settings, table, broken);
 	assert.equal(code, 2);
--- a/src/daemon/entry-box.ts
+++ b/src/daemon/entry-box.ts
@@ -188,7 +188,7 @@
 		const directory = BoxDirectory.create(box, clock, log);
 		const facts = ceilingFacts(table, directory);
 		const links = UpstreamLinks.create({
-			directory, connector: this.platform.connector, clock, log,
+			self: box, directory, connector: this.platform.connector, clock, log,
 		});
 		const ceilings = Ceilings.create(box, facts, clock);
 		const owner = CeilingOwner.create(facts, clock);
@@ -216,6 +216,7 @@
 			log,
 			metrics,
 			state: () => this.state(),
+			rowNames: () => table.rowNames,
 			takeTable: stored => {
 				this.takeTable(stored);
 			},
--- a/src/daemon/local-peer.ts
+++ b/src/daemon/local-peer.ts
@@ -9,6 +9,7 @@
 import type {DispatchServices} from '../dispatch/dispatch-services.js';
 import {promptOf} from '../door/chat-request.js';
 import type {CeilingOwner} from '../limits/ceiling-owner.js';
+import {decodeRates, encodeRates} from '../limits/row-rates.js';
 import {Peer, type PeerFailure} from '../peers/peer.js';
 import {endOf} from '../peers/peer-links.js';
 import type {
@@ -47,7 +48,7 @@
 	override exchange({state, demands}: Exchange): Effect.Effect<ExchangeAnswer> {
 		return Effect.sync(() => {
 			this.takeLeaving(state.leaving);
-			return {state: this.services.state(), grants: this.services.owner.grant(state.box, demands)};
+			return {state: this.services.state(), grants: this.grant(state, demands)};
 		});
 	}
 
@@ -88,6 +89,14 @@
 		return Effect.sync(() => snapshots.filter(snapshot => this.adopt(snapshot)).length);
 	}
 
+	/** A box with another version of the table means other rows by their places. */
+	private grant({box, tableVersion}: PeerState, demands: readonly number[]): readonly number[] {
+		const {table, owner} = this.services;
+		return tableVersion === table.version
+			? encodeRates(owner.grant(box, decodeRates(demands, table.rowNames)), table.rowNames)
+			: [];
+	}
+
 	private takeLeaving(reports: readonly LeavingReport[]): void {
 		const now = this.services.clock.monotonic();
 		for (const report of reports) {
--- a/src/dispatch/chat-attempt.ts
+++ b/src/dispatch/chat-attempt.ts
@@ -3,6 +3,7 @@
  */
 import * as Data from 'effect/Data';
 import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
 import type {RequestRecord} from '../records/request-record.js';
 import type {EngineRequest, EngineUsage} from '../upstream/model-engine.js';
 import {UpstreamFailure} from '../upstream/upstream-failure.js';
@@ -74,7 +75,7 @@
 		const {state} = this.link;
 		return Effect.suspend(() => {
 			state.begin();
-			return Effect.raceFirst(this.receive(), this.watch());
+			return this.receiveWatched();
 		}).pipe(Effect.ensuring(Effect.sync(() => {
 			state.end();
 			this.record.onDidDrain(() => undefined);
@@ -128,13 +129,15 @@
 	}
 
 	/** Ends the try when the engine is leaving too soon, stands still, or the deadline passes. */
-	private watch(): Effect.Effect<AttemptOutcome> {
+	private receiveWatched(): Effect.Effect<AttemptOutcome> {
 		const {directory, clock} = this.services;
 		return Effect.callback<AttemptOutcome>(resume => {
+			// One task for the answer; looking after it takes timers alone.
+			const receiving = Effect.runFork(this.receive());
 			const check = () => {
 				const outcome = this.endedBy();
 				if (outcome) {
-					resume(Effect.succeed(outcome));
+					end(Effect.succeed(outcome));
 				}
 			};
 
@@ -145,10 +148,24 @@
 					check();
 				}
 			});
-			return Effect.sync(() => {
+			const stop = () => {
 				clearTimeout(deadline);
 				clearInterval(interval);
 				stopListening();
+			};
+
+			const end = (outcome: Effect.Effect<AttemptOutcome>) => {
+				stop();
+				resume(Fiber.interrupt(receiving).pipe(Effect.andThen(outcome)));
+			};
+
+			receiving.addObserver(exit => {
+				stop();
+				resume(exit);
+			});
+			return Effect.suspend(() => {
+				stop();
+				return Fiber.interrupt(receiving);
 			});
 		});
 	}
--- a/src/dispatch/upstream-links.ts
+++ b/src/dispatch/upstream-links.ts
@@ -10,6 +10,7 @@
 import type {PoolLoad} from '../limits/pool-gate.js';
 import type {Box} from '../platform/box-list.js';
 import {UpstreamState} from '../routing/upstream-state.js';
+import {chooseSubset, targetLinks} from '../routing/upstream-subset.js';
 import type {LoadReport} from '../upstream/load-report.js';
 import type {ModelEngine} from '../upstream/model-engine.js';
 import type {PlainService} from '../upstream/plain-service.js';
@@ -45,6 +46,8 @@
 
 /** What the links need. */
 export type UpstreamLinksServices = {
+	/** This box. */
+	readonly self: BoxId;
 	readonly directory: BoxDirectory;
 	readonly connector: UpstreamConnector;
 	readonly clock: Clock;
@@ -72,10 +75,20 @@
 		const {directory} = this.services;
 		const follow = Effect.callback<never>(() => {
 			this.reconcile();
-			const stop = directory.onDidChange(() => {
-				this.reconcile();
+			const stops = [
+				directory.onDidChange(() => {
+					this.reconcile();
+				}),
+				// Where an upstream of a part is leaving, another takes its place at once.
+				directory.onDidLeave(() => {
+					this.reconcile();
+				}),
+			];
+			return Effect.sync(() => {
+				for (const stop of stops) {
+					stop();
+				}
 			});
-			return Effect.sync(stop);
 		});
 		return follow.pipe(Effect.ensuring(Effect.sync(() => {
 			this.closeAll();
@@ -120,17 +133,33 @@
 	}
 
 	private reconcile(): void {
-		const {directory} = this.services;
-		const listed = new Map(directory.boxes.filter(({role}) => role !== 'entry').map(box => [box.id, box]));
-		for (const box of [...listed.values()].filter(({id}) => !this.tasks.has(id))) {
+		const listed = new Map(this.services.directory.boxes.filter(({role}) => role !== 'entry').map(box => [box.id, box]));
+		const wanted = this.wanted(listed);
+		for (const box of [...listed.values()].filter(({id}) => wanted.has(id) && !this.tasks.has(id))) {
 			this.open(box);
 		}
 
-		for (const id of [...this.tasks.keys()].filter(known => !listed.has(known))) {
+		for (const id of [...this.tasks.keys()].filter(known => !listed.has(known) || this.isDropped(known, wanted))) {
 			this.close(id);
 		}
 	}
 
+	/** Of a large pool, a part; of a small one, all. */
+	private wanted(listed: ReadonlyMap<BoxId, Box>): ReadonlySet<BoxId> {
+		const {directory, self} = this.services;
+		const pools = new Set([...listed.values()].flatMap(({pool}) => pool === undefined ? [] : [pool]));
+		const subsets = [...pools].map(pool => chooseSubset({
+			self, boxes: directory.entryBoxes, upstreams: directory.upstreams(pool).map(({id}) => id), target: targetLinks,
+		}));
+		return new Set(subsets.flatMap(subset => [...subset]));
+	}
+
+	/** A link that is no longer wanted stays while the upstream is leaving or has requests of this box. */
+	private isDropped(id: BoxId, wanted: ReadonlySet<BoxId>): boolean {
+		const link = this.engineLinks.get(id) ?? this.serviceLinks.get(id);
+		return !wanted.has(id) && !this.services.directory.isLeaving(id) && link?.state.inFlight === 0;
+	}
+
 	private open(box: Box): void {
 		const {connector, clock} = this.services;
 		const state = UpstreamState.create(box, clock);
--- a/src/door/authentication.ts
+++ b/src/door/authentication.ts
@@ -18,6 +18,25 @@
 	return `sha256:${createHash('sha256').update(key).digest('hex')}`;
 }
 
+/** Keys that were seen lately, with their hashes: hashing costs more than looking up. */
+const knownHashes = new Map<string, string>();
+const mostKnownHashes = 4096;
+
+function knownHash(key: string): string {
+	const known = knownHashes.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
+	if (knownHashes.size >= mostKnownHashes) {
+		knownHashes.clear();
+	}
+
+	const hash = hashKey(key);
+	knownHashes.set(key, hash);
+	return hash;
+}
+
 /**
  * Finds the client account of a request by its API key. Keys are long and random, so that looking up their
  * hash tells nothing by its time.
@@ -36,7 +55,7 @@
 		return Effect.fail(Refusal.create('key-missing', 'Send your API key as "Authorization: Bearer KEY".'));
 	}
 
-	const account = table.accountOf(hashKey(key));
+	const account = table.accountOf(knownHash(key));
 	return account
 		? Effect.succeed(account)
 		: Effect.fail(Refusal.create('key-unknown', 'This API key is not valid, or no longer.'));
--- a/src/door/chat-door.ts
+++ b/src/door/chat-door.ts
@@ -87,7 +87,8 @@
 				governed,
 				key,
 				from,
-				fingerprint: createHash('sha256').update(exchange.body).digest('base64url'),
+				// Only a key can be used again for something else.
+				fingerprint: key === undefined ? '' : createHash('sha256').update(exchange.body).digest('base64url'),
 				deadlineAt: this.services.clock.monotonic() + timeout,
 			};
 		});
--- a/src/door/chat-request.ts
+++ b/src/door/chat-request.ts
@@ -5,7 +5,7 @@
 import * as Effect from 'effect/Effect';
 import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
-import {decodeWithFaults} from '../base/faults.js';
+import {createDecoder} from '../base/faults.js';
 import {RequestKind, type ServiceName} from '../base/identifiers.js';
 import {Refusal} from '../base/verdict.js';
 import {describePrompt, type Prompt} from '../routing/prefix-belief.js';
@@ -13,28 +13,23 @@
 const largestAnswer = 131_072;
 const defaultAnswer = 1024;
 const AnswerLength = Schema.Int.check(Schema.isBetween({minimum: 1, maximum: largestAnswer}, {expected: `a whole number from 1 to ${largestAnswer}`}));
-const ContentPart = Schema.StructWithRest(Schema.Struct({type: Schema.String}), [Schema.Record(Schema.String, Schema.Unknown)]);
-const Message = Schema.StructWithRest(
-	Schema.Struct({
-		role: Schema.String,
-		content: Schema.optionalKey(Schema.NullOr(Schema.Union([Schema.String, Schema.Array(ContentPart)]))),
-	}),
-	[Schema.Record(Schema.String, Schema.Unknown)],
-);
+const Message = Schema.Struct({
+	role: Schema.String,
+	content: Schema.optionalKey(Schema.NullOr(Schema.Union([Schema.String, Schema.Array(Schema.Struct({type: Schema.String}))]))),
+});
 
-/** What this system reads. */
-const ChatBody = Schema.StructWithRest(
-	Schema.Struct({
-		model: Schema.NonEmptyString,
-		messages: Schema.Array(Message).check(Schema.isMinLength(1, {expected: 'at least one message'})),
-		n: Schema.optionalKey(Schema.NullOr(Schema.Literal(1))),
-		max_tokens: Schema.optionalKey(Schema.NullOr(AnswerLength)),
-		max_completion_tokens: Schema.optionalKey(Schema.NullOr(AnswerLength)),
-		stream: Schema.optionalKey(Schema.NullOr(Schema.Boolean)),
-		stream_options: Schema.optionalKey(Schema.NullOr(Schema.Struct({include_usage: Schema.optionalKey(Schema.Boolean)}))),
-	}),
-	[Schema.Record(Schema.String, Schema.Unknown)],
-);
+/** What this system reads; what it does not is passed on as it came. */
+const ChatBody = Schema.Struct({
+	model: Schema.NonEmptyString,
+	messages: Schema.Array(Message).check(Schema.isMinLength(1, {expected: 'at least one message'})),
+	n: Schema.optionalKey(Schema.NullOr(Schema.Literal(1))),
+	max_tokens: Schema.optionalKey(Schema.NullOr(AnswerLength)),
+	max_completion_tokens: Schema.optionalKey(Schema.NullOr(AnswerLength)),
+	stream: Schema.optionalKey(Schema.NullOr(Schema.Boolean)),
+	stream_options: Schema.optionalKey(Schema.NullOr(Schema.Struct({include_usage: Schema.optionalKey(Schema.Boolean)}))),
+});
+
+const decodeBody = createDecoder(ChatBody, 'ignore');
 
 /** A chat completion that was asked for. */
 export type ChatRequest = {
@@ -63,7 +58,7 @@
 		return malformed('The body is not valid JSON.');
 	}
 
-	const decoded = decodeWithFaults(ChatBody, input.success);
+	const decoded = decodeBody(input.success);
 	if (Result.isFailure(decoded)) {
 		return malformed(decoded.failure.map(({path, expected}) => `${path === '' ? 'body' : path}: expected ${expected}`).join('; '));
 	}
@@ -82,7 +77,7 @@
 		maximumTokens,
 		isStreamed: body.stream ?? false,
 		wantsUsage: body.stream_options?.include_usage ?? false,
-		body: {...body, model: service, max_tokens: maximumTokens},
+		body: {...input.success as Readonly<Record<string, unknown>>, model: service, max_tokens: maximumTokens},
 	});
 }
 
--- a/src/limits/ceiling-grant.ts
+++ b/src/limits/ceiling-grant.ts
@@ -4,7 +4,7 @@
  */
 
 /** Milliseconds a grant may be spent, from when it was asked for. */
-export const grantLifetime = 2000;
+export const grantLifetime = 3000;
 /** Milliseconds by which a box falls back later than its owner thinks it does. */
 export const fallbackMargin = 500;
 /** Milliseconds after the last grant from which a box takes its fair part. */
--- a/src/limits/pool-gate.ts
+++ b/src/limits/pool-gate.ts
@@ -52,6 +52,7 @@
 	}
 
 	private limit = 0;
+	private pool: PoolLoad | undefined;
 	private inside = 0;
 	private waiting: readonly Waiter[] = [];
 	private virtualTime = 0;
@@ -100,6 +101,7 @@
 		}
 
 		this.leftSinceTick = 0;
+		this.pool = this.load();
 		this.adjustLimit();
 		this.admitNext();
 		this.refuseHopeless();
@@ -131,8 +133,10 @@
 	}
 
 	private currentLimit(): number {
-		const {upstreams} = this.load();
-		if (this.limit === 0) {
+		// Looked at with each tick: asking all upstreams for each request would cost more than the request.
+		this.pool ??= this.load();
+		const {upstreams} = this.pool;
+		if (this.limit === 0 && upstreams > 0) {
 			this.limit = upstreams * firstLimitPerUpstream;
 		}
 
@@ -141,8 +145,8 @@
 	}
 
 	private adjustLimit(): void {
-		const {upstreams, queued} = this.load();
 		const limit = this.currentLimit();
+		const {upstreams, queued} = this.pool!;
 		if (queued > allowedQueue) {
 			this.limit = Math.max(upstreams, this.inside * decrease);
 		} else if (this.inside >= limit * 0.8) {
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -11,13 +11,14 @@
 import {grantLifetime} from '../limits/ceiling-grant.js';
 import type {CeilingOwner} from '../limits/ceiling-owner.js';
 import type {Ceilings} from '../limits/ceilings.js';
+import {decodeRates, encodeRates} from '../limits/row-rates.js';
 import type {Box} from '../platform/box-list.js';
 import type {Peer, PeerFailure} from './peer.js';
 import type {LeavingReport, PeerState, StoredTable} from './peer-messages.js';
 import {RemotePeer} from './remote-peer.js';
 
 /** Milliseconds between two exchanges on a link. */
-const exchangeInterval = 500;
+const exchangeInterval = 1000;
 const pauseAfterFailure = 500;
 
 /** What the links need. */
@@ -31,6 +32,8 @@
 	readonly metrics: Metrics;
 	/** @returns How this box stands. */
 	readonly state: () => PeerState;
+	/** @returns Names of all rows of the table in force, in its order. */
+	readonly rowNames: () => readonly string[];
 	/** Takes a table that a peer has in force. */
 	readonly takeTable: (table: StoredTable) => void;
 };
@@ -148,16 +151,18 @@
 		const {clock, ceilings, directory} = this.services;
 		return Effect.gen({self: this}, function * () {
 			const askedAt = clock.monotonic();
-			const demands = ceilings.demandsFor(link.box.id, this.reachableIds());
-			const answer = yield * link.peer.exchange({state: this.services.state(), demands});
+			const state = this.services.state();
+			const rowNames = this.services.rowNames();
+			const demands = encodeRates(ceilings.demandsFor(link.box.id, this.reachableIds()), rowNames);
+			const answer = yield * link.peer.exchange({state, demands});
 			this.noteAnswered(link, askedAt);
 			link.state = answer.state;
-			ceilings.takeGrants(link.box.id, answer.grants, askedAt);
+			ceilings.takeGrants(link.box.id, decodeRates(answer.grants, rowNames), askedAt);
 			for (const report of answer.state.leaving) {
 				directory.markLeaving(report.box, 'peer', endOf(report, askedAt));
 			}
 
-			if (answer.state.tableVersion > this.services.state().tableVersion) {
+			if (answer.state.tableVersion > state.tableVersion) {
 				yield * this.fetchTable(link);
 			}
 		});
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -25,20 +25,19 @@
 });
 export type PeerState = typeof PeerState.Type;
 
-const RowRate = Schema.Struct({row: Schema.String, rate: Schema.Number});
-
 /** Said a few times a second on every link. */
 export const Exchange = Schema.Struct({
 	state: PeerState,
-	/** What the sender asks for of ceilings that the receiver owns. */
-	demands: Schema.Array(RowRate),
+	/** What the sender asks for of ceilings that the receiver owns: places in the table and rates in turn. */
+	demands: Schema.Array(Schema.Number),
 });
 export type Exchange = typeof Exchange.Type;
 
 /** The answer to {@link Exchange}. */
 export type ExchangeAnswer = {
 	readonly state: PeerState;
-	readonly grants: ReadonlyArray<typeof RowRate.Type>;
+	/** Like the demands; empty where the receiver has another version of the table. */
+	readonly grants: readonly number[];
 };
 
 /** The table as the store holds it, for a box that cannot read the store. */
--- a/src/upstream/http-model-engine.ts
+++ b/src/upstream/http-model-engine.ts
@@ -115,6 +115,7 @@
 function streamOf(answer: IncomingMessage, listener: EngineListener): EngineStream {
 	const splitter = EventSplitter.create();
 	let isDone = false;
+	let hasEnded = false;
 	answer.setEncoding('utf8');
 	const take = (event: string): boolean => {
 		if (event === doneEvent) {
@@ -143,13 +144,17 @@
 			}
 		});
 		answer.once('end', () => {
+			hasEnded = true;
 			resume(isDone ? Effect.void : Effect.fail(cut('the answer ended before its last event')));
 		});
 		answer.once('error', error => {
 			resume(Effect.fail(cut(error.message)));
 		});
 		answer.once('close', () => {
-			resume(Effect.fail(cut('the connection closed before the answer was whole')));
+			// Each answer closes; building a failure for each would cost more than all else here.
+			if (!hasEnded) {
+				resume(Effect.fail(cut('the connection closed before the answer was whole')));
+			}
 		});
 		return Effect.sync(() => answer.destroy());
 	});
