Lint the scripts on a fresh clone too; a box is not sent away by a list that has lost it

Cause: on a fresh clone the linter finds no project for the scripts; the working tree had a cache that hid it. A listing without this very box marked it as leaving at once, and it would have moved all its requests: found by reading; the test failed first. Change: a project file for linter and editors that covers the scripts, one for the build. Errors of sockets after the first one are listened for.

--- a/scripts/prepare-tree.js
+++ b/scripts/prepare-tree.js
@@ -16,4 +16,4 @@
 	run('npm', ['ci', '--no-audit', '--no-fund']);
 }
 
-run(process.execPath, ['node_modules/typescript/bin/tsc', '--project', 'tsconfig.json']);
+run(process.execPath, ['node_modules/typescript/bin/tsc', '--project', 'tsconfig.build.json']);
--- a/src/base/http-client.ts
+++ b/src/base/http-client.ts
@@ -91,7 +91,8 @@
 					isConnected = true;
 				}
 			});
-			outgoing.once('error', error => {
+			// Stays: an error that nobody listens for would end the process.
+			outgoing.on('error', error => {
 				clearTimeout(timer);
 				resume(Effect.fail(new HttpFailure({maySent: isConnected, detail: error.message})));
 			});
@@ -142,7 +143,7 @@
 			hasEnded = true;
 			resume(Effect.succeed({status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(chunks)}));
 		});
-		answer.once('error', error => {
+		answer.on('error', error => {
 			resume(Effect.fail(new HttpFailure({maySent: true, detail: error.message})));
 		});
 		answer.once('close', () => {
--- a/src/boxes/box-directory.ts
+++ b/src/boxes/box-directory.ts
@@ -96,7 +96,8 @@
 			this.log.write('upstreamAppeared', {upstream: box.id});
 		}
 
-		for (const id of [...before].filter(box => !listed.has(box))) {
+		// A list that has lost this very box is no reason to go: callers are still on it.
+		for (const id of [...before].filter(box => !listed.has(box) && box !== this.self)) {
 			this.log.write('upstreamGone', {upstream: id});
 			this.goneAt.set(id, this.clock.monotonic());
 			this.markLeaving(id, 'box-list', this.clock.monotonic());
--- a/src/boxes/test/box-directory.test.ts
+++ b/src/boxes/test/box-directory.test.ts
@@ -50,3 +50,11 @@
 
 	assert.deepEqual(ends, [undefined, 5000, 3000]);
 });
+
+test('a list that has lost this very box is no reason for it to go', () => {
+	const directory = BoxDirectory.create('self' as BoxId, VirtualClock.create({now: 0}), SilentEventLog.create());
+	directory.takeListing({version: 1, boxes: [{...box('self', 'live'), role: 'entry'}, box('a', 'live')]});
+	directory.takeListing({version: 2, boxes: []});
+	assert.ok(!directory.isLeaving('self' as BoxId));
+	assert.ok(directory.isLeaving('a' as BoxId));
+});
--- a/src/door/body-reader.ts
+++ b/src/door/body-reader.ts
@@ -37,7 +37,7 @@
 		incoming.once('end', () => {
 			resume(Effect.succeed(Buffer.concat(chunks)));
 		});
-		incoming.once('error', error => {
+		incoming.on('error', error => {
 			resume(Effect.fail(Refusal.create('malformed', `The body was cut short: ${error.message}.`)));
 		});
 	});
--- a/src/upstream/http-model-engine.ts
+++ b/src/upstream/http-model-engine.ts
@@ -147,7 +147,7 @@
 			hasEnded = true;
 			resume(isDone ? Effect.void : Effect.fail(cut('the answer ended before its last event')));
 		});
-		answer.once('error', error => {
+		answer.on('error', error => {
 			resume(Effect.fail(cut(error.message)));
 		});
 		answer.once('close', () => {
