Typed lint rules apply to TypeScript alone

Cause: with a cold cache the linter asked for types of plain JavaScript and failed; a warm cache hid it. Seen on a fresh clone. Before and after: 'npx xo' without its cache: an error, then clean, twice.

--- a/xo.config.js
+++ b/xo.config.js
@@ -21,25 +21,31 @@
 	{ignores: ['build/**', 'dist/**']},
 	{
 		rules: {
-			'unicorn/no-process-exit': 'off',
 			// The library names its constructors with capitals (Schema.Struct, Data.TaggedError).
 			'new-cap': ['error', {newIsCap: true, capIsNew: false}],
+			'unicorn/no-process-exit': 'off',
 			'unicorn/throw-new-error': 'off',
+			// Both rules take Effect.map and Effect.catch for those of arrays and promises.
+			'array-callback-return': 'off',
+			'promise/prefer-await-to-then': 'off',
+			// Resumes after an interruption are written straight down, one attempt after another.
+			'no-await-in-loop': 'off',
+			curly: ['error', 'all'],
+		},
+	},
+	{
+		// These rules ask for types, which plain JavaScript has none of.
+		files: ['**/*.ts'],
+		rules: {
 			// Names on the wire (max_tokens, Content-Type) are not ours to choose.
 			'@typescript-eslint/naming-convention': 'off',
 			// A schema and the type it describes bear one name, as the library's own pages do.
 			'@typescript-eslint/no-redeclare': 'off',
-			// Both rules take Effect.map and Effect.catch for those of arrays and promises.
-			'array-callback-return': 'off',
-			'promise/prefer-await-to-then': 'off',
 			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			// The runner itself waits for tests.
 			'@typescript-eslint/no-floating-promises': ['error', {
 				allowForKnownSafeCalls: [{from: 'package', name: ['test', 'suite'], package: 'node:test'}],
 			}],
-			// Resumes after an interruption are written straight down, one attempt after another.
-			'no-await-in-loop': 'off',
-			curly: ['error', 'all'],
 		},
 	},
 	...importDirection,
