Bench of leaving upstreams shows that they had traffic before

Cause: it reported 0 ms throughout, which an engine without traffic would too. Change: requests in the half second before the notice are counted and printed.

--- a/development/bench/leaving.ts
+++ b/development/bench/leaving.ts
@@ -11,6 +11,8 @@
 const entries = 8;
 const engines = 6;
 const trials = 4;
+/** Milliseconds that are watched before the notice: an engine without traffic would prove nothing. */
+const watchedBefore = 500;
 /** Milliseconds that are watched after the notice. */
 const watched = 3000;
 const lookInterval = 5;
@@ -20,12 +22,21 @@
 	return totals.started;
 }
 
-/** @returns Milliseconds from the notice until the engine got its last new request. */
-async function measureOne(installation: Installation, engine: string): Promise<number> {
+type Trial = {
+	/** Requests that the engine got in the time before the notice. */
+	readonly earlier: number;
+	/** Milliseconds from the notice until the engine got its last new request. */
+	readonly time: number;
+};
+
+async function measureOne(installation: Installation, engine: string): Promise<Trial> {
 	const {port} = installation.members.get(engine)!.box;
+	const first = await started(port);
+	await delay(watchedBefore);
+	const earlier = await started(port) - first;
 	const noticeAt = performance.now();
 	await control(installation.platformPort, 'reclaim', {box: engine, notice: 600_000});
-	let last = await started(port);
+	let last = first + earlier;
 	let lastAt = noticeAt;
 	while (performance.now() - noticeAt < watched) {
 		const now = await started(port);
@@ -37,7 +48,7 @@
 		await delay(lookInterval);
 	}
 
-	return lastAt - noticeAt;
+	return {earlier, time: lastAt - noticeAt};
 }
 
 /** Measures with a prompt list, then with a list that is late by a minute. */
@@ -57,15 +68,21 @@
 		});
 		await control(installation.platformPort, 'faults', {boxListLag});
 		await delay(1000);
-		const times: number[] = [];
+		const measured: Trial[] = [];
 		for (let trial = 1; trial <= trials; trial++) {
-			times.push(await measureOne(installation, `engine-${trial}`));
+			measured.push(await measureOne(installation, `engine-${trial}`));
 		}
 
 		load.isOpen = false;
 		await Promise.all(callers);
 		await installation.close();
+		const times = measured.map(({time}) => time);
+		const traffic = Math.min(...measured.map(({earlier}) => earlier));
 		const [middle, worst] = [percentile(times, 0.5), Math.max(...times)].map(time => time.toFixed(0));
-		process.stdout.write(`box list late by ${boxListLag} ms, ${entries} boxes: from notice to the last new request p50 ${middle} ms, maximum ${worst} ms, of ${times.length} notices\n`);
+		process.stdout.write([
+			`box list late by ${boxListLag} ms, ${entries} boxes:`,
+			`from notice to the last new request p50 ${middle} ms, maximum ${worst} ms, of ${times.length} notices;`,
+			`at least ${traffic} requests in the ${watchedBefore} ms before\n`,
+		].join(' '));
 	}
 }
