--- a/development/harness/fault-proxy.ts
+++ b/development/harness/fault-proxy.ts
@@ -107,7 +107,10 @@
 
 		for (const socket of [caller, target]) {
 			socket.setNoDelay(true);
-			socket.on('error', end).on('close', end);
+			// What is held back still passes before the end does.
+			socket.on('error', end).on('close', () => {
+				this.pass(end);
+			});
 		}
 
 		caller.on('data', (chunk: Uint8Array) => {
--- a/src/dispatch/upstream-links.ts
+++ b/src/dispatch/upstream-links.ts
@@ -105,10 +105,12 @@
 
 	/**
 	 * @param pool - Which pool.
-	 * @returns Links to its plain services that may get new work now.
+	 * @returns Links to its plain services that may get new work now. Where all of them failed lately they are
+	 * all given again: a call that is tried may work, one that is refused cannot.
 	 */
 	plainServices(pool: PoolName): readonly ServiceLink[] {
-		return this.usable(pool, this.serviceLinks);
+		const usable = this.usable(pool, this.serviceLinks);
+		return usable.length > 0 ? usable : this.linked(pool, this.serviceLinks);
 	}
 
 	/**
@@ -126,10 +128,11 @@
 	}
 
 	private usable<Link extends {readonly state: UpstreamState}>(pool: PoolName, links: ReadonlyMap<BoxId, Link>): readonly Link[] {
-		return this.services.directory.upstreams(pool).flatMap(box => {
-			const link = links.get(box.id);
-			return link?.state.isUsable ? [link] : [];
-		});
+		return this.linked(pool, links).filter(({state}) => state.isUsable);
+	}
+
+	private linked<Link>(pool: PoolName, links: ReadonlyMap<BoxId, Link>): readonly Link[] {
+		return this.services.directory.upstreams(pool).flatMap(box => links.get(box.id) ?? []);
 	}
 
 	private reconcile(): void {
