--- a/src/platform/http-box-list.ts
+++ b/src/platform/http-box-list.ts
@@ -1,9 +1,8 @@
 /**
  * The box list and the reclaim notices over HTTP.
  */
-import {Buffer} from 'node:buffer';
 import * as Effect from 'effect/Effect';
-import type {HttpAnswer, HttpClient} from '../base/http-client.js';
+import {jsonOf, type HttpAnswer, type HttpClient} from '../base/http-client.js';
 import {BoxList, type BoxListing, type ReclaimNotices} from './box-list.js';
 import {StoreFailure} from './object-store.js';
 
@@ -11,8 +10,6 @@
 const ok = 200;
 const unchanged = 204;
 
-const parse = <T>(answer: HttpAnswer): T => JSON.parse(Buffer.from(answer.body).toString()) as T;
-
 /** Reads both by long polls. */
 export class HttpBoxList extends BoxList {
 	/**
@@ -29,12 +26,12 @@
 
 	override boxes(after: number, wait: number): Effect.Effect<BoxListing | undefined, StoreFailure> {
 		return this.poll(`/boxes?after=${after}&wait=${wait}`, wait)
-			.pipe(Effect.map(answer => answer.status === ok ? parse<BoxListing>(answer) : undefined));
+			.pipe(Effect.map(answer => answer.status === ok ? jsonOf<BoxListing>(answer) : undefined));
 	}
 
 	override notices(after: number, wait: number): Effect.Effect<ReclaimNotices, StoreFailure> {
 		return this.poll(`/notices?after=${after}&wait=${wait}`, wait)
-			.pipe(Effect.map(answer => answer.status === ok ? parse<ReclaimNotices>(answer) : {position: after, notices: []}));
+			.pipe(Effect.map(answer => answer.status === ok ? jsonOf<ReclaimNotices>(answer) : {position: after, notices: []}));
 	}
 
 	private poll(path: string, wait: number): Effect.Effect<HttpAnswer, StoreFailure> {
--- a/src/platform/http-object-store.ts
+++ b/src/platform/http-object-store.ts
@@ -1,10 +1,9 @@
 /**
  * The Object API over HTTP.
  */
-import {Buffer} from 'node:buffer';
 import * as Effect from 'effect/Effect';
 import {
-	type HttpClient, type HttpAnswer, type HttpCall, type HttpFailure,
+	jsonOf, type HttpAnswer, type HttpCall, type HttpClient, type HttpFailure,
 } from '../base/http-client.js';
 import {
 	ObjectStore, StoreFailure, VersionConflict, type ObjectVersion, type StoredObject,
@@ -20,7 +19,6 @@
 type WriteAnswer = {readonly version: ObjectVersion};
 type ListAnswer = {readonly keys: readonly string[]};
 
-const parse = <T>(answer: HttpAnswer): T => JSON.parse(Buffer.from(answer.body).toString()) as T;
 const pathOf = (key: string) => `/objects/${encodeURIComponent(key)}`;
 
 /** Speaks to the Object API by HTTP. */
@@ -39,7 +37,7 @@
 
 	override read(key: string): Effect.Effect<StoredObject, StoreFailure> {
 		return this.call({method: 'GET', path: pathOf(key), timeout: callTimeout}, [ok, notFound])
-			.pipe(Effect.map(answer => parse<StoredObject>(answer)));
+			.pipe(Effect.map(answer => jsonOf<StoredObject>(answer)));
 	}
 
 	override write(key: string, value: string, expected: ObjectVersion): Effect.Effect<ObjectVersion, StoreFailure | VersionConflict> {
@@ -47,18 +45,18 @@
 			method: 'PUT', path: `${pathOf(key)}?expected=${expected}`, body: value, timeout: callTimeout,
 		}, [ok, conflict])
 			.pipe(Effect.flatMap((answer): Effect.Effect<ObjectVersion, VersionConflict> => answer.status === ok
-				? Effect.succeed(parse<WriteAnswer>(answer).version)
+				? Effect.succeed(jsonOf<WriteAnswer>(answer).version)
 				: Effect.fail(new VersionConflict({key}))));
 	}
 
 	override watch(key: string, after: ObjectVersion, wait: number): Effect.Effect<StoredObject | undefined, StoreFailure> {
 		return this.call({method: 'GET', path: `${pathOf(key)}?after=${after}&wait=${wait}`, timeout: wait + callTimeout}, [ok, unchanged])
-			.pipe(Effect.map(answer => answer.status === ok ? parse<StoredObject>(answer) : undefined));
+			.pipe(Effect.map(answer => answer.status === ok ? jsonOf<StoredObject>(answer) : undefined));
 	}
 
 	override list(prefix: string): Effect.Effect<readonly string[], StoreFailure> {
 		return this.call({method: 'GET', path: `/objects?prefix=${encodeURIComponent(prefix)}`, timeout: callTimeout}, [ok])
-			.pipe(Effect.map(answer => parse<ListAnswer>(answer).keys));
+			.pipe(Effect.map(answer => jsonOf<ListAnswer>(answer).keys));
 	}
 
 	private call(call: HttpCall, expected: readonly number[]): Effect.Effect<HttpAnswer, StoreFailure> {
--- a/src/records/record-book.ts
+++ b/src/records/record-book.ts
@@ -43,11 +43,6 @@
 		return [...this.records.values()].filter(record => record.state === 'finished');
 	}
 
-	/** How many records are kept. */
-	get size(): number {
-		return this.records.size;
-	}
-
 	/**
 	 * @param name - Client account and key.
 	 * @returns The record, if it is kept here.
--- a/src/upstream/http-load.ts
+++ b/src/upstream/http-load.ts
@@ -3,7 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import * as Effect from 'effect/Effect';
-import type {HttpClient} from '../base/http-client.js';
+import {jsonOf, type HttpClient} from '../base/http-client.js';
 import type {LoadReport} from './load-report.js';
 import {UpstreamFailure} from './upstream-failure.js';
 
@@ -15,7 +15,7 @@
  */
 export function readLoad(client: HttpClient): Effect.Effect<LoadReport, UpstreamFailure> {
 	return client.exchange({method: 'GET', path: '/load', timeout: reportTimeout}).pipe(
-		Effect.map(answer => JSON.parse(Buffer.from(answer.body).toString()) as LoadReport),
+		Effect.map(answer => jsonOf<LoadReport>(answer)),
 		Effect.mapError(failure => new UpstreamFailure({reason: 'unreachable', verdict: 'not-run', detail: failure.detail})),
 	);
 }
--- a/src/upstream/http-model-engine.ts
+++ b/src/upstream/http-model-engine.ts
@@ -4,7 +4,9 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import * as Effect from 'effect/Effect';
-import {readWhole, type HttpClient, type HttpFailure} from '../base/http-client.js';
+import {
+	jsonOf, readWhole, type HttpClient, type HttpFailure,
+} from '../base/http-client.js';
 import {EventSplitter} from './event-splitter.js';
 import {readLoad, refusalReasonOf} from './http-load.js';
 import type {LoadReport} from './load-report.js';
@@ -75,7 +77,7 @@
 		}).pipe(
 			Effect.mapError(failure => unreachable(failure)),
 			Effect.flatMap(answer => answer.status === ok
-				? Effect.succeed((JSON.parse(Buffer.from(answer.body).toString()) as {readonly tokens: number}).tokens)
+				? Effect.succeed(jsonOf<{readonly tokens: number}>(answer).tokens)
 				: Effect.fail(new UpstreamFailure({reason: 'refused', verdict: 'not-run', detail: 'the engine could not import the cache'}))),
 		);
 	}
