--- a/scripts/layers.js
+++ b/scripts/layers.js
@@ -4,7 +4,7 @@
  */
 export const layers = [
 	'base',
-	'platform',
+	'external',
 	'upstream',
 	'settings',
 	'table',
--- a/src/boxes/box-directory.ts
+++ b/src/boxes/box-directory.ts
@@ -5,7 +5,7 @@
 import {groupBy} from '../base/group-by.js';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
-import type {Box, BoxListing} from '../platform/box-list.js';
+import type {Box, BoxListing} from '../external/box-list.js';
 
 /** Who told that a box is leaving. */
 export type LeavingSource = 'reclaim-notice' | 'box-list' | 'peer' | 'upstream';
--- a/src/boxes/box-watch.ts
+++ b/src/boxes/box-watch.ts
@@ -4,8 +4,8 @@
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
-import type {BoxList} from '../platform/box-list.js';
-import type {StoreFailure} from '../platform/object-store.js';
+import type {BoxList} from '../external/box-list.js';
+import type {StoreFailure} from '../external/object-store.js';
 import type {BoxDirectory} from './box-directory.js';
 
 const pollWait = 20_000;
--- a/src/boxes/test/box-directory.test.ts
+++ b/src/boxes/test/box-directory.test.ts
@@ -4,7 +4,7 @@
 import {VirtualClock} from '../../../development/fuzz/virtual-time.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import type {BoxId, DataCentre, PoolName} from '../../base/identifiers.js';
-import type {Box} from '../../platform/box-list.js';
+import type {Box} from '../../external/box-list.js';
 import {BoxDirectory} from '../box-directory.js';
 
 const pool = 'engines' as PoolName;
--- a/src/claims/claim-shard.ts
+++ b/src/claims/claim-shard.ts
@@ -9,7 +9,7 @@
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import type {Metrics} from '../base/metrics.js';
-import type {ObjectStore, ObjectVersion} from '../platform/object-store.js';
+import type {ObjectStore, ObjectVersion} from '../external/object-store.js';
 import {ClaimEntry, ClaimUnavailable} from './claim.js';
 
 /** Milliseconds a claim is remembered, on the store's clock. */
--- a/src/command/force-watch.ts
+++ b/src/command/force-watch.ts
@@ -4,7 +4,7 @@
 import * as Effect from 'effect/Effect';
 import * as Result from 'effect/Result';
 import type {BoxId} from '../base/identifiers.js';
-import type {ObjectVersion} from '../platform/object-store.js';
+import type {ObjectVersion} from '../external/object-store.js';
 import {decodeSummary, summaryPrefix, type DataCentreSummary} from '../status/data-centre-summary.js';
 import {CommandFailure} from './command-failure.js';
 import {exitCode} from './exit-code.js';
--- a/src/command/operator.ts
+++ b/src/command/operator.ts
@@ -6,10 +6,10 @@
 import * as Effect from 'effect/Effect';
 import {describeFault, type Fault} from '../base/faults.js';
 import {HttpClient} from '../base/http-client.js';
-import type {BoxList, BoxListing} from '../platform/box-list.js';
-import {HttpBoxList} from '../platform/http-box-list.js';
-import {HttpObjectStore} from '../platform/http-object-store.js';
-import type {ObjectStore, StoreFailure} from '../platform/object-store.js';
+import type {BoxList, BoxListing} from '../external/box-list.js';
+import {HttpBoxList} from '../external/http-box-list.js';
+import {HttpObjectStore} from '../external/http-object-store.js';
+import type {ObjectStore, StoreFailure} from '../external/object-store.js';
 import {collisionsOf, describeChange, differenceOf} from '../table/table-difference.js';
 import {
 	TableEditor, type EditUnsettled, type TableConflict, type TableUnreadable,
--- a/src/command/serve-command.ts
+++ b/src/command/serve-command.ts
@@ -10,8 +10,8 @@
 import {HttpClient} from '../base/http-client.js';
 import {EntryBox, type EntryBoxPlatform} from '../daemon/entry-box.js';
 import {HttpUpstreamConnector} from '../dispatch/upstream-connector.js';
-import {HttpBoxList} from '../platform/http-box-list.js';
-import {HttpObjectStore} from '../platform/http-object-store.js';
+import {HttpBoxList} from '../external/http-box-list.js';
+import {HttpObjectStore} from '../external/http-object-store.js';
 import {decodeSettings, type Settings} from '../settings/settings.js';
 import {exitCode, type ExitCode} from './exit-code.js';
 
--- a/src/command/status-command.ts
+++ b/src/command/status-command.ts
@@ -2,7 +2,7 @@
  * `waydrift status` and `waydrift boxes`: what operators watch.
  */
 import * as Effect from 'effect/Effect';
-import type {Box} from '../platform/box-list.js';
+import type {Box} from '../external/box-list.js';
 import type {DataCentreSummary} from '../status/data-centre-summary.js';
 import type {CommandFailure} from './command-failure.js';
 import {readSummaries} from './force-watch.js';
--- a/src/dispatch/upstream-connector.ts
+++ b/src/dispatch/upstream-connector.ts
@@ -2,7 +2,7 @@
  * Opens the way to an upstream; tests put fakes in its place.
  */
 import {HttpClient} from '../base/http-client.js';
-import type {Box} from '../platform/box-list.js';
+import type {Box} from '../external/box-list.js';
 import {HttpModelEngine} from '../upstream/http-model-engine.js';
 import {HttpPlainService} from '../upstream/http-plain-service.js';
 import type {ModelEngine} from '../upstream/model-engine.js';
--- a/src/dispatch/upstream-links.ts
+++ b/src/dispatch/upstream-links.ts
@@ -8,7 +8,7 @@
 import type {EventLog} from '../base/event-log.js';
 import type {BoxId, PoolName} from '../base/identifiers.js';
 import type {PoolLoad} from '../limits/pool-gate.js';
-import type {Box} from '../platform/box-list.js';
+import type {Box} from '../external/box-list.js';
 import {UpstreamState} from '../routing/upstream-state.js';
 import {chooseSubset, targetLinks} from '../routing/upstream-subset.js';
 import type {LoadReport} from '../upstream/load-report.js';
--- a/src/lease/lease.ts
+++ b/src/lease/lease.ts
@@ -11,7 +11,7 @@
 import {BoxId} from '../base/identifiers.js';
 import type {
 	ObjectStore, ObjectVersion, StoreFailure, VersionConflict,
-} from '../platform/object-store.js';
+} from '../external/object-store.js';
 
 /** Milliseconds a lease lives without being renewed. */
 export const leaseTerm = 10_000;
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -12,7 +12,7 @@
 import type {CeilingOwner} from '../limits/ceiling-owner.js';
 import type {Ceilings} from '../limits/ceilings.js';
 import {decodeRates, encodeRates} from '../limits/row-rates.js';
-import type {Box} from '../platform/box-list.js';
+import type {Box} from '../external/box-list.js';
 import type {Peer, PeerFailure} from './peer.js';
 import type {LeavingReport, PeerState, StoredTable} from './peer-messages.js';
 import {RemotePeer} from './remote-peer.js';
--- a/src/routing/upstream-state.ts
+++ b/src/routing/upstream-state.ts
@@ -2,7 +2,7 @@
  * What this box knows of one upstream: its lagged report, corrected by this box's own dispatches since.
  */
 import type {Clock} from '../base/clock.js';
-import type {Box} from '../platform/box-list.js';
+import type {Box} from '../external/box-list.js';
 import type {LoadReport} from '../upstream/load-report.js';
 import {PrefixBelief} from './prefix-belief.js';
 
--- a/src/status/summary-duty.ts
+++ b/src/status/summary-duty.ts
@@ -6,7 +6,7 @@
 import type {DataCentre} from '../base/identifiers.js';
 import type {HeldLease, Lease} from '../lease/lease.js';
 import type {PeerState} from '../peers/peer-messages.js';
-import type {ObjectStore} from '../platform/object-store.js';
+import type {ObjectStore} from '../external/object-store.js';
 import {summaryKey, type DataCentreSummary} from './data-centre-summary.js';
 
 /** Milliseconds between two writings: 10 data centres make 2 writes a second of the platform's hundred. */
--- a/src/table/table-editor.ts
+++ b/src/table/table-editor.ts
@@ -6,7 +6,7 @@
 import * as Data from 'effect/Data';
 import * as Effect from 'effect/Effect';
 import * as Result from 'effect/Result';
-import type {ObjectStore, ObjectVersion, StoreFailure} from '../platform/object-store.js';
+import type {ObjectStore, ObjectVersion, StoreFailure} from '../external/object-store.js';
 import {emptyTable, type Table} from './table.js';
 import {
 	decodeVersionedTable, encodeVersionedTable, historyKey, tableKey, type TableEdit, type VersionedTable,
--- a/src/table/table-text.ts
+++ b/src/table/table-text.ts
@@ -7,7 +7,7 @@
 import * as Result from 'effect/Result';
 import {stringify as stringifyYaml} from 'yaml';
 import type {Fault} from '../base/faults.js';
-import type {ObjectVersion} from '../platform/object-store.js';
+import type {ObjectVersion} from '../external/object-store.js';
 import {checkTable, type Table} from './table.js';
 
 const columns = ['account', 'kind', 'service', 'share', 'ceiling', 'priority', 'repeatable'] as const;
--- a/src/table/table-view.ts
+++ b/src/table/table-view.ts
@@ -4,7 +4,7 @@
 import type {ClientAccountName, ServiceName} from '../base/identifiers.js';
 import type {EventLog} from '../base/event-log.js';
 import {groupBy} from '../base/group-by.js';
-import type {ObjectVersion} from '../platform/object-store.js';
+import type {ObjectVersion} from '../external/object-store.js';
 import {
 	rowName, type ClientAccount, type Row, type Service,
 } from './table.js';
--- a/src/table/table-watch.ts
+++ b/src/table/table-watch.ts
@@ -4,7 +4,7 @@
 import * as Effect from 'effect/Effect';
 import * as Result from 'effect/Result';
 import type {EventLog} from '../base/event-log.js';
-import type {ObjectStore, StoredObject} from '../platform/object-store.js';
+import type {ObjectStore, StoredObject} from '../external/object-store.js';
 import type {TableView} from './table-view.js';
 import {decodeVersionedTable, tableKey} from './versioned-table.js';
 
--- a/src/table/versioned-table.ts
+++ b/src/table/versioned-table.ts
@@ -4,7 +4,7 @@
 import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
 import {decodeWithFaults, type Fault} from '../base/faults.js';
-import type {ObjectVersion} from '../platform/object-store.js';
+import type {ObjectVersion} from '../external/object-store.js';
 import {checkTable, type Table} from './table.js';
 
 /** Name of the object that holds the table in force. */
