--- a/development/fuzz/fake-object-store.ts
+++ b/development/fuzz/fake-object-store.ts
@@ -5,7 +5,7 @@
 import * as Effect from 'effect/Effect';
 import {
 	ObjectStore, StoreFailure, VersionConflict, type ObjectVersion, type StoredObject,
-} from '../../src/platform/object-store.js';
+} from '../../src/external/object-store.js';
 
 /** Milliseconds after which a caller gives a call up. */
 const callTimeout = 2000;
--- a/development/fuzz/stream-suite.ts
+++ b/development/fuzz/stream-suite.ts
@@ -23,7 +23,7 @@
 import {CeilingOwner, type CeilingFacts} from '../../src/limits/ceiling-owner.js';
 import {Ceilings} from '../../src/limits/ceilings.js';
 import type {PeerState} from '../../src/peers/peer-messages.js';
-import type {Box} from '../../src/platform/box-list.js';
+import type {Box} from '../../src/external/box-list.js';
 import {RecordBook} from '../../src/records/record-book.js';
 import {RequestRecord} from '../../src/records/request-record.js';
 import {describePrompt} from '../../src/routing/prefix-belief.js';
--- a/development/harness/installation.ts
+++ b/development/harness/installation.ts
@@ -4,7 +4,7 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import type {Box} from '../../src/platform/box-list.js';
+import type {Box} from '../../src/external/box-list.js';
 import type {BoxId, DataCentre, PoolName} from '../../src/base/identifiers.js';
 import type {Table} from '../../src/table/table.js';
 import {encodeVersionedTable} from '../../src/table/versioned-table.js';
--- a/development/standins/platform.ts
+++ b/development/standins/platform.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Server} from 'node:http';
-import type {Box} from '../../src/platform/box-list.js';
+import type {Box} from '../../src/external/box-list.js';
 import {
 	portOf, sendJson, startStandin, type StandinRequest,
 } from './standin-server.js';
