--- a/src/base/refusal-reason.ts
+++ b/src/base/refusal-reason.ts
@@ -45,6 +45,7 @@
 	'record-lost': refusal(410, 'The stream cannot be resumed', 'may-have-run'),
 	'moved-to-peer': refusal(503, 'This box is going; the request goes on at another', 'may-have-run', 1),
 	'not-ready': refusal(503, 'No configuration yet', 'not-run', 2),
+	'configuration-stale': refusal(503, 'The configuration may be out of date', 'not-run', 1),
 	'box-stopping': refusal(503, 'This box is stopping', 'not-run', 1),
 	internal: refusal(500, 'Internal fault', 'may-have-run'),
 } as const satisfies Record<string, RefusalTraits>;
--- a/src/command/command-line.ts
+++ b/src/command/command-line.ts
@@ -12,6 +12,7 @@
 import {exitCode, type ExitCode} from './exit-code.js';
 import {connectOperator, type Operator} from './operator.js';
 import type {OutputFormat} from './output.js';
+import {relay} from './relay-command.js';
 import {serve} from './serve-command.js';
 import {printBoxes, printStatus} from './status-command.js';
 import {
@@ -142,6 +143,10 @@
 			.example('$0 serve --settings box.yaml', 'Serve until stopped'), async ({settings}) => {
 			ending.code = await serve(settings);
 		})
+		.command('relay', 'Run a relay before the replicas of the users\' platform', builder => builder
+			.option('settings', {type: 'string', describe: 'Settings file (YAML); by default the one that the platform names'}), async ({settings}) => {
+			ending.code = await relay(settings);
+		})
 		.command('table', 'Read and change the table', tableCommands(ending))
 		.command('account', 'Client accounts and their keys', accountCommands(ending))
 		.command('service', 'Services', serviceCommands(ending))
--- /dev/null
+++ b/src/duties/usage-counts.ts
@@ -0,0 +1,100 @@
+/**
+ * Requests that began, by tenant and window of true time; every machine keeps what the others counted too, so that
+ * the counts of one that is lost survive.
+ */
+
+/** Requests of tenants in one window. */
+export type WindowUsage = {
+	readonly window: number;
+	readonly counts: ReadonlyArray<readonly [tenant: string, requests: number]>;
+};
+
+/** Windows kept. */
+const windowsKept = 8;
+/** Windows told to the others. */
+const windowsTold = 3;
+
+type Windows = Map<number, Map<string, number>>;
+
+/** The counts. */
+export class UsageCounts {
+	/**
+	 * @param trueTime - Milliseconds since 1970.
+	 * @param windowLength - Milliseconds of a window.
+	 * @returns Counts of nothing.
+	 */
+	static create(trueTime: () => number, windowLength: () => number): UsageCounts {
+		return new UsageCounts(trueTime, windowLength);
+	}
+
+	private readonly own: Windows = new Map();
+	private readonly others = new Map<string, Windows>();
+
+	private constructor(private readonly trueTime: () => number, private readonly windowLength: () => number) {}
+
+	/** Number of the window that is running. */
+	get currentWindow(): number {
+		return Math.floor(this.trueTime() / this.windowLength());
+	}
+
+	/** What this machine tells the others. */
+	get told(): readonly WindowUsage[] {
+		return [...this.own].slice(-windowsTold).map(([window, counts]) => ({window, counts: [...counts]}));
+	}
+
+	/**
+	 * Counts a request that begins now.
+	 *
+	 * @param tenant - Whose it is.
+	 */
+	note(tenant: string): void {
+		const window = this.currentWindow;
+		const counts = this.own.get(window) ?? new Map<string, number>();
+		this.own.set(window, counts);
+		counts.set(tenant, (counts.get(tenant) ?? 0) + 1);
+		trim(this.own, window);
+	}
+
+	/**
+	 * Takes what another machine counted; its counts only grow.
+	 *
+	 * @param start - One start of one machine.
+	 * @param usage - What it counted.
+	 */
+	take(start: string, usage: readonly WindowUsage[]): void {
+		const windows = this.others.get(start) ?? new Map<number, Map<string, number>>();
+		this.others.set(start, windows);
+		for (const {window, counts} of usage) {
+			const known = windows.get(window) ?? new Map<string, number>();
+			windows.set(window, known);
+			for (const [tenant, requests] of counts) {
+				known.set(tenant, Math.max(requests, known.get(tenant) ?? 0));
+			}
+		}
+
+		trim(windows, this.currentWindow);
+	}
+
+	/**
+	 * @param window - Number of a window.
+	 * @returns Requests of each tenant, over all machines that were ever heard.
+	 */
+	total(window: number): WindowUsage {
+		const total = new Map<string, number>();
+		for (const windows of [this.own, ...this.others.values()]) {
+			for (const [tenant, requests] of windows.get(window) ?? []) {
+				total.set(tenant, (total.get(tenant) ?? 0) + requests);
+			}
+		}
+
+		return {window, counts: [...total].sort(([left], [right]) => left < right ? -1 : 1)};
+	}
+}
+
+function trim(windows: Windows, current: number): void {
+	for (const window of windows.keys()) {
+		if (window < current - windowsKept) {
+			windows.delete(window);
+		}
+	}
+}
--- /dev/null
+++ b/src/gossip/gossip-message.ts
@@ -0,0 +1,51 @@
+/**
+ * What machines tell each other, one datagram at a time.
+ */
+import * as Schema from 'effect/Schema';
+import {createDecoder} from '../base/faults.js';
+
+/** Where a machine hears the others. */
+const MemberAddress = Schema.Struct({
+	name: Schema.String,
+	host: Schema.String,
+	port: Schema.Number,
+});
+export type MemberAddress = typeof MemberAddress.Type;
+
+/** Requests of tenants in one window. */
+const WindowCounts = Schema.Struct({
+	window: Schema.Number,
+	counts: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
+});
+export type WindowCounts = typeof WindowCounts.Type;
+
+/** One machine's state, as it tells it. */
+export const GossipMessage = Schema.Struct({
+	sender: MemberAddress,
+	/** Names one start of the machine's process. */
+	incarnation: Schema.String,
+	sequence: Schema.Number,
+	/** Milliseconds since the process started. */
+	uptime: Schema.Number,
+	/** The machine's time of day. */
+	wall: Schema.Number,
+	/** The newest message of the receiver that the sender has, and the milliseconds since it came. */
+	echo: Schema.optionalKey(Schema.Struct({incarnation: Schema.String, sequence: Schema.Number, age: Schema.Number})),
+	/** Version of the configuration in force. */
+	version: Schema.Number,
+	/** Milliseconds since that version is known to have been the newest; absent where it never was. */
+	proofAge: Schema.optionalKey(Schema.Number),
+	isStopping: Schema.Boolean,
+	quota: Schema.Array(Schema.Struct({tenant: Schema.String, passed: Schema.Number, level: Schema.Number})),
+	/** Work of the sender at replicas. */
+	work: Schema.Array(Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number})),
+	/** Replicas that began to leave lately. */
+	departed: Schema.Array(Schema.String),
+	usage: Schema.Array(WindowCounts),
+	/** Some of the machines that the sender knows. */
+	members: Schema.Array(MemberAddress),
+});
+export type GossipMessage = typeof GossipMessage.Type;
+
+/** Decodes a message; what a newer program adds is skipped. */
+export const decodeGossip = createDecoder(GossipMessage, 'ignore');
--- /dev/null
+++ b/src/gossip/peer-table.ts
@@ -0,0 +1,146 @@
+/**
+ * The other machines: which there are, and what was heard of each.
+ */
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {GossipMessage, MemberAddress} from './gossip-message.js';
+
+/** Milliseconds after which a machine of which nothing is heard no longer counts as one of the system's. */
+const memberLifetime = 20_000;
+
+/** How a message's sender is met; see `QuotaLedger.takeCounts`. */
+export type Meeting = 'known' | 'younger' | 'other';
+
+/** Another machine. */
+export type Peer = {
+	readonly address: MemberAddress;
+	/** The newest message; `undefined` before the first. */
+	readonly last: GossipMessage | undefined;
+	/** Monotonic milliseconds of this machine. */
+	readonly heardAt: number;
+	readonly listedAt: number;
+	/** Its time of day, less this machine's monotonic clock. */
+	readonly wallOffset: number;
+};
+
+/** The other machines. */
+export class PeerTable {
+	/**
+	 * @param self - Name of this machine.
+	 * @param clock - For ages.
+	 * @param log - Where gains and losses are told.
+	 * @returns A table that knows of none.
+	 */
+	static create(self: string, clock: Clock, log: EventLog): PeerTable {
+		return new PeerTable(self, clock, log);
+	}
+
+	/** Milliseconds within which a machine that is heard of has been heard. */
+	heardWithin = 1000;
+	private readonly peers = new Map<string, Peer>();
+	private readonly lost = new Set<string>();
+	private readonly startedAt: number;
+
+	private constructor(private readonly self: string, private readonly clock: Clock, private readonly log: EventLog) {
+		this.startedAt = clock.monotonic();
+	}
+
+	/** All other machines that may be there. */
+	get all(): readonly Peer[] {
+		return [...this.peers.values()];
+	}
+
+	/** Those that were heard lately. */
+	get heard(): readonly Peer[] {
+		const since = this.clock.monotonic() - this.heardWithin;
+		return this.all.filter(({heardAt}) => heardAt >= since);
+	}
+
+	/** Part of all machines that are heard of, this one too; above 0, at most 1. */
+	get heardPart(): number {
+		return (this.heard.length + 1) / (this.peers.size + 1);
+	}
+
+	/** How many machines there are, this one too. */
+	get machines(): number {
+		return this.peers.size + 1;
+	}
+
+	/** Milliseconds since this process started. */
+	get uptime(): number {
+		return this.clock.monotonic() - this.startedAt;
+	}
+
+	/** True time less this machine's monotonic clock: the middle of all clocks, since some may be off. */
+	get wallOffset(): number {
+		const own = this.clock.wall() - this.clock.monotonic();
+		const offsets = [own, ...this.heard.map(({wallOffset}) => wallOffset)].sort((left, right) => left - right);
+		return offsets[Math.floor(offsets.length / 2)]!;
+	}
+
+	/** @param members - Machines that somebody knows of. */
+	learn(members: readonly MemberAddress[]): void {
+		const now = this.clock.monotonic();
+		for (const address of members) {
+			const known = this.peers.get(address.name);
+			const isElsewhere = known && (known.address.host !== address.host || known.address.port !== address.port);
+			if (address.name !== this.self && (!known || (isElsewhere && now - known.heardAt > this.heardWithin))) {
+				this.peers.set(address.name, {
+					address, last: undefined, heardAt: Number.NEGATIVE_INFINITY, listedAt: now, wallOffset: 0,
+				});
+			}
+		}
+	}
+
+	/**
+	 * Takes a message.
+	 *
+	 * @param message - What a machine tells.
+	 * @returns How it is met; `undefined` where the message is older than the newest.
+	 */
+	take(message: GossipMessage): Meeting | undefined {
+		const now = this.clock.monotonic();
+		const {sender, incarnation, sequence} = message;
+		const known = this.peers.get(sender.name);
+		const isSameStart = known?.last?.incarnation === incarnation;
+		if (isSameStart && known.last!.sequence >= sequence) {
+			return undefined;
+		}
+
+		const meeting = this.meet(message, known, now);
+		this.peers.set(sender.name, {
+			address: sender, last: message, heardAt: now, listedAt: known?.listedAt ?? now, wallOffset: message.wall - now,
+		});
+		if (!known || now - known.heardAt > this.heardWithin) {
+			this.lost.delete(sender.name);
+			this.log.write('memberHeard', {member: sender.name, incarnation, meeting});
+		}
+
+		return meeting;
+	}
+
+	/** Drops machines that have not been heard for long, and tells of losses. */
+	sweep(): void {
+		const now = this.clock.monotonic();
+		for (const [name, {heardAt, listedAt}] of this.peers) {
+			const silence = now - Math.max(heardAt, listedAt);
+			if (silence > this.heardWithin && heardAt > 0 && !this.lost.has(name)) {
+				this.lost.add(name);
+				this.log.write('memberLost', {member: name, silence: Math.round(silence)});
+			}
+
+			if (silence > memberLifetime) {
+				this.peers.delete(name);
+				this.lost.delete(name);
+			}
+		}
+	}
+
+	private meet({uptime, incarnation}: GossipMessage, known: Peer | undefined, now: number): Meeting {
+		if (known?.last?.incarnation === incarnation) {
+			return now - known.heardAt <= this.heardWithin ? 'known' : 'other';
+		}
+
+		return uptime < this.uptime ? 'younger' : 'other';
+	}
+}
--- /dev/null
+++ b/src/node/platform-link.ts
@@ -0,0 +1,27 @@
+/**
+ * What a relay reaches outside of itself; the adapter at the root implements it.
+ */
+import type {DutyCalls} from '../duties/duty-calls.js';
+import type {MetadataStore} from '../follow/metadata-store.js';
+import type {RelayFormat} from '../relay/relay-format.js';
+import type {ReplicaEntry} from '../replicas/replica.js';
+import type {RouteTableContent} from '../routes/route-table.js';
+
+/** Names and formats of what the platform keeps. */
+export type PlatformNames = {
+	readonly configurationKind: string;
+	readonly configurationName: string;
+	readonly replicaKind: string;
+	/** @returns The version; `undefined` where it cannot be read. */
+	readonly decodeConfiguration: (spec: unknown) => RouteTableContent | undefined;
+	readonly decodeReplica: (id: string, spec: unknown) => ReplicaEntry;
+};
+
+/** The platform, as a relay reaches it. */
+export type PlatformLink = {
+	readonly names: PlatformNames;
+	readonly format: RelayFormat;
+	readonly store: MetadataStore;
+	/** `undefined` where the deployment has no duties. */
+	readonly duties: DutyCalls | undefined;
+};
--- /dev/null
+++ b/src/relay/admitted-request.ts
@@ -0,0 +1,22 @@
+/**
+ * A client's request that may be served.
+ */
+import type {IncomingMessage} from 'node:http';
+import type {Route, Tenant} from '../routes/route-table.js';
+import type {RequestHead} from './relay-format.js';
+
+/** A request, whole, with what governs it. */
+export type AdmittedRequest = {
+	readonly incoming: IncomingMessage;
+	readonly head: RequestHead;
+	readonly body: Uint8Array;
+	readonly route: Route;
+	readonly service: string;
+	readonly tenant: Tenant | undefined;
+	/** Units it counts against the tenant's quota. */
+	readonly units: number;
+	/** Zero is the most urgent. */
+	readonly urgency: number;
+	/** Monotonic milliseconds. */
+	readonly deadlineAt: number;
+};
--- /dev/null
+++ b/src/relay/front-door.ts
@@ -0,0 +1,249 @@
+/**
+ * The front: takes clients' requests, admits or refuses them, and sees to it that each gets one final answer.
+ */
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import {Refusal} from '../base/verdict.js';
+import type {Route, RouteTable, Tenant} from '../routes/route-table.js';
+import {pickTarget} from '../routes/route-table.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import {ClientAnswer} from './client-answer.js';
+import type {RequestHead} from './relay-format.js';
+import {RelayRun} from './relay-run.js';
+import type {RelayServices} from './relay-services.js';
+
+/** Bytes of a request's head at most. */
+const largestHead = 65_536;
+/** Milliseconds for a whole request to arrive. */
+const receiveTimeout = 30_000;
+const mostUrgent = 0;
+const leastUrgent = 9;
+const millisecondsPerSecond = 1000;
+/** Seconds after which a client may come back to a machine that knows no configuration. */
+const comeBackWhenKnown = 0.3;
+
+/** What the front asks of the process around it. */
+export type FrontState = {
+	/** @returns Whether this process is asked to stop. */
+	readonly isStopping: () => boolean;
+	/** @returns Whether requests are refused because the process ends soon. */
+	readonly isClosing: () => boolean;
+};
+
+/** The front. */
+export class FrontDoor {
+	/**
+	 * @param services - What serving needs.
+	 * @param state - What it asks of the process.
+	 * @returns A front that does not listen yet.
+	 */
+	static create(services: RelayServices, state: FrontState): FrontDoor {
+		return new FrontDoor(services, state);
+	}
+
+	/** Node's server; whoever opens it closes it. */
+	readonly server: Server;
+	private active = 0;
+	private readonly idleListeners: Array<() => void> = [];
+
+	private constructor(private readonly services: RelayServices, private readonly state: FrontState) {
+		this.server = createServer({maxHeaderSize: largestHead, requestTimeout: receiveTimeout, noDelay: true}, (incoming, response) => {
+			this.take(incoming, response);
+		});
+		this.server.keepAliveTimeout = 0;
+		services.table.onDidApply(({content: {limits}}) => {
+			this.server.keepAliveTimeout = limits.idleTimeout;
+			this.server.headersTimeout = limits.headerTimeout;
+		});
+	}
+
+	/** Requests in progress. */
+	get inProgress(): number {
+		return this.active;
+	}
+
+	/** @returns Ends when no request is in progress. */
+	whenIdle(): Effect.Effect<void> {
+		return Effect.callback<void>(resume => {
+			if (this.active === 0) {
+				resume(Effect.void);
+				return;
+			}
+
+			this.idleListeners.push(() => {
+				resume(Effect.void);
+			});
+		});
+	}
+
+	/** One task for each request; the client's leaving interrupts it. */
+	private take(incoming: IncomingMessage, response: ServerResponse): void {
+		this.active++;
+		this.services.metrics.inProgress.set(this.active);
+		const fiber = Effect.runFork(this.answer(incoming, response));
+		response.once('close', () => {
+			Effect.runFork(Fiber.interrupt(fiber));
+			this.active--;
+			this.services.metrics.inProgress.set(this.active);
+			if (this.active === 0) {
+				for (const listener of this.idleListeners.splice(0)) {
+					listener();
+				}
+			}
+		});
+	}
+
+	private answer(incoming: IncomingMessage, response: ServerResponse): Effect.Effect<void> {
+		const {clock, format, log, metrics} = this.services;
+		const receivedAt = clock.monotonic();
+		const head = format.readRequest(incoming);
+		const client = ClientAnswer.create(response, this.state.isStopping);
+		let run: RelayRun | undefined;
+		let admitted: AdmittedRequest | undefined;
+		const tell = (outcome: string, refusal?: Refusal) => {
+			const kind = admitted?.route.kind ?? 'none';
+			const now = clock.monotonic();
+			metrics.requests.inc({kind, outcome});
+			metrics.duration.observe({kind}, (now - receivedAt) / millisecondsPerSecond);
+			if (run?.story.firstByteAt !== undefined) {
+				metrics.firstByte.observe({kind}, (run.story.firstByteAt - receivedAt) / millisecondsPerSecond);
+			}
+
+			log.write(outcome === 'answered' ? 'requestAnswered' : (outcome === 'left' ? 'clientLeft' : 'requestRefused'), {
+				request: head.id,
+				route: admitted?.route.name,
+				service: admitted?.service,
+				tenant: admitted?.tenant?.name,
+				status: client.status,
+				reason: refusal?.reason,
+				verdict: refusal?.verdict ?? run?.verdict,
+				detail: refusal?.detail,
+				retryAfter: refusal?.retryAfter,
+				replica: run?.story.replica,
+				tries: run?.story.tries,
+				failures: run?.story.failures === '' ? undefined : run?.story.failures,
+				version: this.services.table.version,
+				proofAge: Math.round(this.services.table.proofAge),
+				firstByte: run?.story.firstByteAt === undefined ? undefined : Math.round(run.story.firstByteAt - receivedAt),
+				took: Math.round(now - receivedAt),
+				bytes: client.bytes,
+			});
+		};
+
+		const serving = Effect.gen({self: this}, function * () {
+			admitted = yield * this.admit(incoming, head, receivedAt);
+			run = RelayRun.create(this.services, admitted, client);
+			yield * run.serve();
+			tell('answered');
+		});
+		return serving.pipe(
+			Effect.catchTag('Refusal', refusal => Effect.sync(() => {
+				metrics.refusals.inc({reason: refusal.reason, verdict: refusal.verdict});
+				this.giveBack(admitted, refusal);
+				client.refuse(refusal);
+				tell('refused', refusal);
+			})),
+			Effect.onInterrupt(() => Effect.sync(() => {
+				tell('left');
+			})),
+			Effect.catchDefect(defect => Effect.sync(() => {
+				log.write('requestFailed', {request: head.id, detail: String(defect)});
+				client.refuse(Refusal.create('internal', 'The request failed for a fault of the program.'));
+			})),
+		);
+	}
+
+	private admit(incoming: IncomingMessage, head: RequestHead, receivedAt: number): Effect.Effect<AdmittedRequest, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const table = this.services.table.inForce;
+			if (!table || !this.services.replicas.isKnown) {
+				return yield * Effect.fail(Refusal.create('not-ready', 'This machine knows no configuration yet.', {retryAfter: comeBackWhenKnown}));
+			}
+
+			if (this.state.isClosing()) {
+				return yield * Effect.fail(Refusal.create('box-stopping', 'This machine is stopping.', {retryAfter: 0}));
+			}
+
+			const {route, tenant} = yield * this.govern(incoming, head, table);
+			const body = yield * readAll(incoming, table.content.limits.body);
+			const units = unitsOf(tenant, head);
+			if (tenant) {
+				yield * this.passQuota(tenant, units);
+			}
+
+			const deadline = Math.min(head.deadline ?? route.timeout, route.timeout);
+			return {
+				incoming, head, body, route, tenant, units,
+				service: pickTarget(route, Math.random()),
+				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, tenant))),
+				deadlineAt: receivedAt + deadline,
+			};
+		});
+	}
+
+	private govern(incoming: IncomingMessage, head: RequestHead, table: RouteTable): Effect.Effect<{readonly route: Route; readonly tenant: Tenant | undefined}, Refusal> {
+		const {guard} = this.services;
+		const stale = () => Effect.fail(Refusal.create('configuration-stale', 'The configuration may be out of date here.', {retryAfter: comeBackWhenKnown}));
+		const absent = (refusal: Refusal) => guard.believesAbsence ? Effect.fail(refusal) : stale();
+		const route = table.route(incoming.headers.host ?? '', incoming.url ?? '/');
+		if (!route) {
+			return absent(Refusal.create('no-such-path', 'No route leads there.'));
+		}
+
+		if (route.isPublic || !table.needsKeys) {
+			return Effect.succeed({route, tenant: undefined});
+		}
+
+		const tenant = head.key === undefined ? undefined : table.tenant(head.key);
+		if (!tenant) {
+			return absent(Refusal.create(head.key === undefined ? 'key-missing' : 'key-unknown', 'The request carries no key that is in force.'));
+		}
+
+		return guard.allowsKeys ? Effect.succeed({route, tenant}) : stale();
+	}
+
+	private passQuota(tenant: Tenant, units: number): Effect.Effect<void, Refusal> {
+		return Effect.suspend(() => {
+			const wait = this.services.quota.take(tenant.name, units);
+			return wait === 0
+				? Effect.void
+				: Effect.fail(Refusal.create('ceiling-reached', 'The tenant is past its quota.', {retryAfter: Math.ceil(wait) / millisecondsPerSecond}));
+		});
+	}
+
+	private giveBack(request: AdmittedRequest | undefined, {verdict}: Refusal): void {
+		if (request?.tenant && verdict === 'not-run') {
+			this.services.quota.giveBack(request.tenant.name, request.units);
+		}
+	}
+}
+
+function unitsOf(tenant: Tenant | undefined, {promptTokens, outputTokens}: RequestHead): number {
+	if (tenant?.unit !== 'tokens') {
+		return 1;
+	}
+
+	return promptTokens === undefined ? tenant.plainTokens : promptTokens + outputTokens;
+}
+
+/** Reads a request's body; nothing of it is decoded. */
+function readAll(incoming: IncomingMessage, limit: number): Effect.Effect<Uint8Array, Refusal> {
+	return Effect.callback<Uint8Array, Refusal>(resume => {
+		const chunks: Uint8Array[] = [];
+		let size = 0;
+		incoming.on('data', (chunk: Uint8Array) => {
+			size += chunk.length;
+			if (size > limit) {
+				resume(Effect.fail(Refusal.create('body-too-large', `The body is over ${limit} bytes.`)));
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		incoming.once('end', () => {
+			resume(Effect.succeed(Buffer.concat(chunks)));
+		});
+	});
+}
--- /dev/null
+++ b/src/relay/relay-metrics.ts
@@ -0,0 +1,79 @@
+/**
+ * What a relay counts and measures, for its metrics address.
+ */
+import {
+	Counter, Gauge, Histogram, Registry, collectDefaultMetrics,
+} from 'prom-client';
+
+const secondBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 5, 10, 15];
+
+/** The metrics of one relay. */
+export class RelayMetrics {
+	/** @returns Metrics in a registry of their own. */
+	static create(): RelayMetrics {
+		return new RelayMetrics();
+	}
+
+	/** What the metrics address prints. */
+	readonly registry = new Registry();
+
+	readonly requests = new Counter({
+		name: 'waydrift_relay_requests_total', help: 'Requests by route kind and outcome.', labelNames: ['kind', 'outcome'], registers: [this.registry],
+	});
+
+	readonly refusals = new Counter({
+		name: 'waydrift_relay_refusals_total', help: 'Refusals by reason and verdict.', labelNames: ['reason', 'verdict'], registers: [this.registry],
+	});
+
+	readonly attempts = new Counter({
+		name: 'waydrift_relay_attempt_failures_total', help: 'Tries at replicas that failed, by reason.', labelNames: ['reason'], registers: [this.registry],
+	});
+
+	readonly retries = new Counter({
+		name: 'waydrift_relay_retries_total', help: 'Requests sent again, by reason.', labelNames: ['reason'], registers: [this.registry],
+	});
+
+	readonly retriesDenied = new Counter({
+		name: 'waydrift_relay_retries_denied_total', help: 'Requests not sent again, by what forbade it.', labelNames: ['because'], registers: [this.registry],
+	});
+
+	readonly firstByte = new Histogram({
+		name: 'waydrift_relay_first_byte_seconds', help: 'Seconds to the first byte of an answer.', labelNames: ['kind'], buckets: secondBuckets, registers: [this.registry],
+	});
+
+	readonly duration = new Histogram({
+		name: 'waydrift_relay_duration_seconds', help: 'Seconds to the end of an answer.', labelNames: ['kind'], buckets: secondBuckets, registers: [this.registry],
+	});
+
+	readonly inProgress = new Gauge({
+		name: 'waydrift_relay_requests_in_progress', help: 'Requests in progress.', registers: [this.registry],
+	});
+
+	readonly configurationVersion = new Gauge({
+		name: 'waydrift_relay_configuration_version', help: 'Version of the configuration in force.', registers: [this.registry],
+	});
+
+	readonly proofAge = new Gauge({
+		name: 'waydrift_relay_proof_age_seconds', help: 'Age of the proof that no newer configuration exists.', registers: [this.registry],
+	});
+
+	readonly replicas = new Gauge({
+		name: 'waydrift_relay_replicas', help: 'Replicas by service and state.', labelNames: ['service', 'state'], registers: [this.registry],
+	});
+
+	readonly membersHeard = new Gauge({
+		name: 'waydrift_relay_members_heard', help: 'Other machines that were heard lately.', registers: [this.registry],
+	});
+
+	readonly leaseHeld = new Gauge({
+		name: 'waydrift_relay_lease_held', help: 'Whether this machine holds the duties.', registers: [this.registry],
+	});
+
+	readonly linesLeftOut = new Counter({
+		name: 'waydrift_relay_log_lines_left_out_total', help: 'Log lines left out because the reader was too slow.', registers: [this.registry],
+	});
+
+	private constructor() {
+		collectDefaultMetrics({register: this.registry});
+	}
+}
--- /dev/null
+++ b/src/relay/relay-run.ts
@@ -0,0 +1,322 @@
+/**
+ * Serves one admitted request: chooses a replica, sends it, and passes the answer on; again elsewhere where that is
+ * allowed.
+ */
+import * as Effect from 'effect/Effect';
+import {Refusal, type Verdict} from '../base/verdict.js';
+import type {Replica} from '../replicas/replica.js';
+import type {Connection} from '../replicas/replica-connections.js';
+import type {ChoiceRequest} from '../replicas/replica-choice.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import {AttemptFailure} from './attempt-failure.js';
+import type {ClientAnswer} from './client-answer.js';
+import type {RelayServices} from './relay-services.js';
+import {openAnswer, readBody, type OpenAnswer} from './replica-exchange.js';
+import {StreamPassage} from './stream-passage.js';
+
+/** Tries at most, whatever the outcome of each. */
+const mostTries = 4;
+/** Part of the time left below which it makes no sense to try again, in milliseconds. */
+const shortestTry = 30;
+const firstServerError = 500;
+/** Seconds after which a client may come back where replicas are short. */
+const comeBack = 0.5;
+
+/** What became of a request, for its log line. */
+export type RunStory = {
+	tries: number;
+	runs: number;
+	replica: string | undefined;
+	/** Failures of tries in order. */
+	failures: string;
+	firstByteAt: number | undefined;
+};
+
+/** One request on its way. */
+export class RelayRun {
+	/**
+	 * @param services - What it works with.
+	 * @param request - The request.
+	 * @param client - Where the answer goes.
+	 * @returns The run; serve it to begin.
+	 */
+	static create(services: RelayServices, request: AdmittedRequest, client: ClientAnswer): RelayRun {
+		return new RelayRun(services, request, client);
+	}
+
+	/** What became of it so far. */
+	readonly story: RunStory = {
+		tries: 0, runs: 0, replica: undefined, failures: '', firstByteAt: undefined,
+	};
+
+	private readonly passage: StreamPassage;
+	private readonly tried = new Set<Replica>();
+	private readonly choiceRequest: ChoiceRequest;
+	/** An answer of a replica that failed the request, to be passed on where nothing better comes. */
+	private failedAnswer: (() => void) | undefined;
+	private hasCounted = false;
+
+	private constructor(
+		private readonly services: RelayServices,
+		private readonly request: AdmittedRequest,
+		private readonly client: ClientAnswer,
+	) {
+		const {head} = request;
+		this.passage = StreamPassage.create(client, services.format);
+		this.choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
+	}
+
+	/** Whether the request may have run, as far as this run knows. */
+	get verdict(): Verdict {
+		return this.story.runs > 0 ? 'may-have-run' : 'not-run';
+	}
+
+	/** @returns Ends when the answer was sent; a refusal says whether the request may have run. */
+	serve(): Effect.Effect<void, Refusal> {
+		const timeLeft = Math.max(0, this.request.deadlineAt - this.services.clock.monotonic());
+		const late = Effect.sleep(timeLeft).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(this.lateness()))));
+		return Effect.raceFirst(this.tryReplicas(), late);
+	}
+
+	private tryReplicas(): Effect.Effect<void, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			this.services.budgets.of(this.request.service).noteRequest();
+			for (;;) {
+				const replica = yield * this.chooseReplica();
+				this.story.tries++;
+				this.story.replica = replica.entry.id;
+				const failure = yield * this.tryReplica(replica).pipe(Effect.as(undefined), Effect.catchTag('AttemptFailure', error => Effect.succeed(error)));
+				if (!failure) {
+					return;
+				}
+
+				this.noteFailure(replica, failure);
+				const refusal = this.judge(failure);
+				if (refusal && this.failedAnswer && !this.client.hasBegun) {
+					this.failedAnswer();
+					return;
+				}
+
+				if (refusal) {
+					yield * Effect.fail(refusal);
+				}
+			}
+		});
+	}
+
+	private chooseReplica(): Effect.Effect<Replica, Refusal> {
+		const {replicas, choice} = this.services;
+		const ready = replicas.ready(this.request.service);
+		const untried = ready.filter(replica => !this.tried.has(replica));
+		const sound = untried.filter(({isAvoided}) => !isAvoided);
+		const candidates = [sound, untried, ready].find(({length}) => length > 0);
+		if (!candidates) {
+			return Effect.fail(this.refuse('no-upstream', `No replica of service ${this.request.service} can take the request.`));
+		}
+
+		return Effect.succeed(choice.choose(candidates, this.choiceRequest));
+	}
+
+	private tryReplica(replica: Replica): Effect.Effect<void, AttemptFailure> {
+		const tokens = this.request.head.promptTokens ?? 0;
+		let unread = tokens;
+		const markRead = () => {
+			replica.noteRead(unread);
+			unread = 0;
+		};
+
+		return Effect.suspend(() => {
+			this.tried.add(replica);
+			replica.begin(tokens);
+			return this.connect(replica).pipe(Effect.flatMap(connection => this.send(replica, connection, markRead)));
+		}).pipe(Effect.ensuring(Effect.sync(() => {
+			markRead();
+			replica.end();
+		})));
+	}
+
+	private connect(replica: Replica): Effect.Effect<Connection, AttemptFailure> {
+		const {connections} = this.services;
+		return connections.of(replica).acquire(this.request.route.kind !== 'repeatable')
+			.pipe(Effect.mapError(({detail}) => AttemptFailure.notRun('unreachable', detail)));
+	}
+
+	/** Everything that decides is looked at again here: the connection may have taken its time, or the process stood still. */
+	private send(replica: Replica, {socket}: Connection, markRead: () => void): Effect.Effect<void, AttemptFailure> {
+		return Effect.suspend(() => {
+			const {clock, guard, connections, format} = this.services;
+			const withheld = this.whyWithheld(replica, guard.allowsKeys);
+			if (withheld !== undefined) {
+				connections.of(replica).release(socket, undefined);
+				return Effect.fail(AttemptFailure.notRun('withheld', withheld));
+			}
+
+			const {incoming, head, body} = this.request;
+			const sentAt = clock.monotonic();
+			const outgoing = {
+				id: head.id,
+				method: incoming.method ?? 'GET',
+				path: incoming.url ?? '/',
+				headers: format.requestHeaders(incoming, {
+					replica: replica.entry.id,
+					tenant: this.request.tenant?.name,
+					deadline: this.request.deadlineAt - sentAt,
+					urgency: this.request.urgency,
+					lastEventId: this.passage.lastEventId,
+					bodyLength: body.length > 0 || incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined ? body.length : undefined,
+				}),
+				body: body.length > 0 ? body : undefined,
+			};
+			this.story.runs++;
+			return openAnswer({connections: connections.of(replica), socket, format}, outgoing).pipe(
+				Effect.flatMap(answer => this.passOn(replica, answer, sentAt, markRead)),
+				Effect.onInterrupt(() => Effect.sync(() => {
+					socket.destroy();
+				})),
+			);
+		});
+	}
+
+	private whyWithheld(replica: Replica, allowsKeys: boolean): string | undefined {
+		if (replica.isLeaving) {
+			return 'the replica began to leave';
+		}
+
+		if (this.request.tenant && !allowsKeys) {
+			return 'the configuration may be out of date';
+		}
+
+		return undefined;
+	}
+
+	private passOn(replica: Replica, answer: OpenAnswer, sentAt: number, markRead: () => void): Effect.Effect<void, AttemptFailure> {
+		const isError = answer.status >= firstServerError;
+		const note = () => {
+			const now = this.services.clock.monotonic();
+			this.story.firstByteAt ??= now;
+			markRead();
+			replica.noteAnswer(now - sentAt, isError);
+			this.countUsage();
+		};
+
+		if (this.request.route.kind === 'stream' && !isError && answer.status < 300) {
+			return this.passage.pass(answer, {
+				onFirstEvent: () => {
+					note();
+					this.services.choice.noteRead(replica, this.choiceRequest);
+				},
+			});
+		}
+
+		return readBody(answer).pipe(Effect.flatMap(body => {
+			note();
+			if (this.client.hasBegun) {
+				return Effect.fail(AttemptFailure.mayHaveRun('failed', `the replica that was to go on answered ${answer.status}`));
+			}
+
+			const sendIt = () => {
+				this.sendWhole(answer, body);
+			};
+
+			if (isError && this.request.route.kind === 'repeatable') {
+				this.failedAnswer = sendIt;
+				return Effect.fail(AttemptFailure.mayHaveRun('failed', `the replica answered ${answer.status}`));
+			}
+
+			sendIt();
+			return Effect.void;
+		}));
+	}
+
+	private sendWhole(answer: OpenAnswer, body: Uint8Array): void {
+		const headers = this.services.format.answerHeaders(answer.message);
+		const isBodiless = this.request.incoming.method === 'HEAD' || answer.status === 204 || answer.status === 304;
+		this.client.send(answer.status, isBodiless ? headers : withoutLength(headers), body, isBodiless);
+	}
+
+	private countUsage(): void {
+		if (!this.hasCounted && this.request.tenant) {
+			this.hasCounted = true;
+			this.services.usage.note(this.request.tenant.name);
+		}
+	}
+
+	private noteFailure(replica: Replica, failure: AttemptFailure): void {
+		const {metrics, replicas} = this.services;
+		metrics.attempts.inc({reason: failure.reason});
+		this.story.failures += `${this.story.failures === '' ? '' : '; '}${replica.entry.id}: ${failure.reason}: ${failure.detail}`;
+		if (failure.verdict === 'not-run' && failure.reason !== 'unreachable' && failure.reason !== 'withheld') {
+			this.story.runs--;
+		}
+
+		if (failure.reason === 'elsewhere') {
+			replicas.noteLeaving(replica.entry.id, 'replica');
+		} else if (failure.reason === 'unreachable' || failure.reason === 'refused' || failure.reason === 'cut') {
+			replica.noteFailure();
+		}
+	}
+
+	/** @returns Why the request ends here; nothing where it is tried again. */
+	private judge(failure: AttemptFailure): Refusal | undefined {
+		const {clock, metrics, budgets} = this.services;
+		const {route, service} = this.request;
+		const deny = (because: string): Refusal => {
+			metrics.retriesDenied.inc({because});
+			return this.refusalOf(failure);
+		};
+
+		if (failure.verdict !== 'not-run' && !this.mayRunAgain(failure)) {
+			return deny('kind');
+		}
+
+		if (this.story.runs >= route.maximumAttempts && failure.verdict !== 'not-run') {
+			return deny('attempts');
+		}
+
+		if (this.story.tries >= mostTries || this.request.deadlineAt - clock.monotonic() < shortestTry) {
+			return deny('time');
+		}
+
+		const isArrival = failure.reason !== 'unreachable' && failure.reason !== 'withheld';
+		if (isArrival && !budgets.of(service).withdraw()) {
+			return deny('budget');
+		}
+
+		metrics.retries.inc({reason: failure.reason});
+		return undefined;
+	}
+
+	/** A stream that may be resumed goes on behind the last event that the client has. */
+	private mayRunAgain({reason}: AttemptFailure): boolean {
+		const {kind, isResumable} = this.request.route;
+		if (kind === 'stream') {
+			return isResumable && reason !== 'failed';
+		}
+
+		return kind === 'repeatable' && !this.client.hasBegun;
+	}
+
+	private refusalOf({reason, detail}: AttemptFailure): Refusal {
+		if (this.verdict === 'may-have-run') {
+			return Refusal.create('upstream-cut', `The replica brought no whole answer: ${detail}.`, {verdict: 'may-have-run'});
+		}
+
+		return this.refuse(reason === 'refused' ? 'upstream-refused' : 'no-upstream', `The request was not run: ${detail}.`);
+	}
+
+	private refuse(reason: 'no-upstream' | 'upstream-refused', detail: string): Refusal {
+		return this.verdict === 'not-run'
+			? Refusal.create(reason, detail, {retryAfter: comeBack})
+			: Refusal.create('upstream-cut', detail, {verdict: 'may-have-run'});
+	}
+
+	private lateness(): Refusal {
+		return this.verdict === 'not-run'
+			? Refusal.create('capacity-short', 'No replica took the request in time; it was not run.', {retryAfter: comeBack})
+			: Refusal.create('deadline-passed', 'No whole answer came in time.');
+	}
+}
+
+function withoutLength(headers: readonly string[]): readonly string[] {
+	return headers.filter((_, index) => headers[index - (index % 2)]!.toLowerCase() !== 'content-length');
+}
--- /dev/null
+++ b/src/relay/relay-services.ts
@@ -0,0 +1,31 @@
+/**
+ * What serving a request needs, got through constructors.
+ */
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {QuotaLedger} from '../quota/quota-ledger.js';
+import type {ReplicaChoice} from '../replicas/replica-choice.js';
+import type {ReplicaDirectory} from '../replicas/replica-directory.js';
+import type {RouteTableView} from '../routes/route-table-view.js';
+import type {ConnectionBook} from './connection-book.js';
+import type {FreshnessGuard} from './freshness-guard.js';
+import type {RelayFormat} from './relay-format.js';
+import type {RelayMetrics} from './relay-metrics.js';
+import type {RepeatBudgets} from './repeat-budgets.js';
+import type {UsageCounts} from '../duties/usage-counts.js';
+
+/** The services of one machine that serve requests. */
+export type RelayServices = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: RelayMetrics;
+	readonly format: RelayFormat;
+	readonly table: RouteTableView;
+	readonly guard: FreshnessGuard;
+	readonly replicas: ReplicaDirectory;
+	readonly choice: ReplicaChoice;
+	readonly connections: ConnectionBook;
+	readonly quota: QuotaLedger;
+	readonly budgets: RepeatBudgets;
+	readonly usage: UsageCounts;
+};
--- /dev/null
+++ b/src/relay/replica-exchange.ts
@@ -0,0 +1,137 @@
+/**
+ * One request on one connection to a replica, and its answer, checked.
+ */
+import {Buffer} from 'node:buffer';
+import {request, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import * as Effect from 'effect/Effect';
+import type {ReplicaConnections} from '../replicas/replica-connections.js';
+import {AttemptFailure} from './attempt-failure.js';
+import type {AnswerHead, RelayFormat} from './relay-format.js';
+
+/** A request as it goes to a replica. */
+export type OutgoingRequest = {
+	readonly id: string | undefined;
+	readonly method: string;
+	readonly path: string;
+	/** Names and values in turn. */
+	readonly headers: string[];
+	readonly body: Uint8Array | undefined;
+};
+
+/** An answer whose head has come and has been checked. */
+export type OpenAnswer = {
+	readonly message: IncomingMessage;
+	readonly head: AnswerHead;
+	readonly status: number;
+};
+
+/** Where a request goes. */
+export type ExchangePath = {
+	readonly connections: ReplicaConnections;
+	readonly socket: Socket;
+	readonly format: RelayFormat;
+};
+
+/**
+ * Sends a request and waits for the head of its answer.
+ *
+ * @param path - Where it goes.
+ * @param outgoing - The request.
+ * @returns The answer; it belongs to the request. A failure says whether the request may have run.
+ */
+export function openAnswer({connections, socket, format}: ExchangePath, outgoing: OutgoingRequest): Effect.Effect<OpenAnswer, AttemptFailure> {
+	return Effect.callback<OpenAnswer, AttemptFailure>(resume => {
+		let lifetime: number | undefined;
+		let isSettled = false;
+		const fail = (failure: AttemptFailure) => {
+			if (!isSettled) {
+				isSettled = true;
+				socket.destroy();
+				resume(Effect.fail(failure));
+			}
+		};
+
+		// Node tells so when the whole answer has come and the connection may be used again.
+		socket.once('free', () => {
+			connections.release(socket, lifetime);
+		});
+		const message = request({
+			method: outgoing.method, path: outgoing.path, headers: outgoing.headers, createConnection: () => socket,
+		});
+		message.on('error', error => {
+			fail(AttemptFailure.mayHaveRun(isParseError(error) ? 'garbled' : 'cut', error.message));
+		});
+		message.once('response', answer => {
+			const head = format.readAnswer(answer);
+			lifetime = head.idleLifetime;
+			// An error of the answer is told by its close.
+			answer.on('error', ignore);
+			const failure = judgeHead(head, answer, outgoing.id);
+			if (failure) {
+				fail(failure);
+				return;
+			}
+
+			isSettled = true;
+			resume(Effect.succeed({message: answer, head, status: answer.statusCode ?? 0}));
+		});
+		message.end(outgoing.body);
+		return Effect.sync(() => {
+			isSettled = true;
+			socket.destroy();
+		});
+	});
+}
+
+/** Only the replica's own word proves that it has not run the request. */
+function judgeHead(head: AnswerHead, answer: IncomingMessage, id: string | undefined): AttemptFailure | undefined {
+	if (id !== undefined && head.id !== id) {
+		return AttemptFailure.mayHaveRun('garbled', `the answer belongs to ${head.id ?? 'no request'}`);
+	}
+
+	if (head.isNotRun) {
+		return AttemptFailure.notRun(head.isElsewhere ? 'elsewhere' : 'refused', `the replica answered ${answer.statusCode ?? 0}`);
+	}
+
+	return head.isPlain ? undefined : AttemptFailure.mayHaveRun('garbled', 'the body of the answer is encoded');
+}
+
+/**
+ * Reads a body to its end.
+ *
+ * @param answer - The answer.
+ * @returns The whole body; fails where it is cut short.
+ */
+export function readBody({message}: OpenAnswer): Effect.Effect<Uint8Array, AttemptFailure> {
+	return Effect.callback<Uint8Array, AttemptFailure>(resume => {
+		const chunks: Uint8Array[] = [];
+		message.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+		});
+		onceEnded(message, isWhole => {
+			resume(isWhole ? Effect.succeed(Buffer.concat(chunks)) : Effect.fail(AttemptFailure.mayHaveRun('cut', 'the answer was cut short')));
+		});
+	});
+}
+
+/**
+ * @param message - An answer being read.
+ * @param listener - Called once, when no more comes, with whether all came.
+ */
+export function onceEnded(message: IncomingMessage, listener: (isWhole: boolean) => void): void {
+	let isTold = false;
+	const tell = () => {
+		if (!isTold) {
+			isTold = true;
+			listener(message.complete);
+		}
+	};
+
+	message.once('end', tell);
+	message.once('close', tell);
+}
+
+const isParseError = (error: NodeJS.ErrnoException): boolean => error.code?.startsWith('HPE_') === true;
+
+const ignore = () => undefined;
--- /dev/null
+++ b/src/replicas/replica-choice.ts
@@ -0,0 +1,140 @@
+/**
+ * Decides which replica gets a request.
+ */
+import {hashText} from '../base/rendezvous.js';
+import type {Replica} from './replica.js';
+
+/** A part of a prompt, as far as the choice is concerned. */
+export type ChoicePart = {
+	readonly id: string;
+	readonly tokens: number;
+};
+
+/** What a choice needs to know of a request. */
+export type ChoiceRequest = {
+	/** Tokens of the prompt; zero where the request is no generation. */
+	readonly promptTokens: number;
+	/** Parts of the prompt that other requests share, in order. */
+	readonly sharedParts: readonly ChoicePart[];
+};
+
+/** Decides which replica gets a request. */
+export abstract class ReplicaChoice {
+	/**
+	 * @param candidates - Replicas that may get it; at least one.
+	 * @param request - The request.
+	 * @returns The one that gets it.
+	 */
+	abstract choose(candidates: readonly Replica[], request: ChoiceRequest): Replica;
+
+	/**
+	 * Notes that a replica has read a prompt.
+	 *
+	 * @param replica - The replica.
+	 * @param request - The request.
+	 */
+	abstract noteRead(replica: Replica, request: ChoiceRequest): void;
+}
+
+/** Prompt tokens a replica reads in a millisecond, where nothing is known; only relations count. */
+const assumedReadRate = 50;
+/** Milliseconds that a request beside others costs. */
+const costBeside = 3;
+/** Milliseconds a request holds a slot, where none was measured. */
+const assumedServiceTime = 40;
+/** Milliseconds that another zone costs. */
+const zoneCost = 2;
+/** Milliseconds for which a part is believed to be kept. */
+const partLifetime = 30_000;
+const mostPartsKept = 4096;
+/** Milliseconds of penalty for a replica that fails all its requests. */
+const errorCost = 400;
+
+/** Takes the replica with the least expected wait: work there, prompt tokens to read, zone and errors. */
+export class LeastWaitChoice extends ReplicaChoice {
+	/**
+	 * @param zone - Zone of this machine.
+	 * @param now - Monotonic milliseconds.
+	 * @param random - Numbers from 0 to 1.
+	 * @returns The choice.
+	 */
+	static create(zone: string, now: () => number, random: () => number = Math.random): LeastWaitChoice {
+		return new LeastWaitChoice(zone, now, random);
+	}
+
+	/** When a replica last read a part, by part and replica. */
+	private readonly readAt = new Map<string, Map<string, number>>();
+
+	private constructor(
+		private readonly zone: string,
+		private readonly now: () => number,
+		private readonly random: () => number,
+	) {
+		super();
+	}
+
+	override choose(candidates: readonly Replica[], request: ChoiceRequest): Replica {
+		const home = homeOf(candidates, request);
+		const mean = meanErrorShare(candidates);
+		return candidates
+			.map(replica => ({replica, cost: this.costOf(replica, request, home, mean)}))
+			.sort((left, right) => left.cost - right.cost)[0]!.replica;
+	}
+
+	override noteRead(replica: Replica, {sharedParts}: ChoiceRequest): void {
+		for (const {id} of sharedParts) {
+			const replicas = this.readAt.get(id) ?? new Map<string, number>();
+			replicas.set(replica.entry.id, this.now());
+			// Set anew, so that the parts used last stand last.
+			this.readAt.delete(id);
+			this.readAt.set(id, replicas);
+		}
+
+		const [oldest] = this.readAt.keys();
+		if (this.readAt.size > mostPartsKept && oldest !== undefined) {
+			this.readAt.delete(oldest);
+		}
+	}
+
+	private costOf(replica: Replica, request: ChoiceRequest, home: Replica | undefined, meanErrors: number): number {
+		const {requests, unreadTokens} = replica.work;
+		const {slots, zone} = replica.entry;
+		const serviceTime = replica.latency || assumedServiceTime;
+		const toRead = request.promptTokens - this.keptTokens(replica, request, home);
+		const read = (toRead + unreadTokens) / assumedReadRate;
+		const beside = request.promptTokens > 0 ? requests * costBeside : (requests / slots) * serviceTime / 2;
+		const queue = Math.max(0, requests + 1 - slots) * serviceTime / slots;
+		const errors = Math.max(0, replica.errorShare - meanErrors) * errorCost;
+		return read + beside + queue + errors + (zone === this.zone ? 0 : zoneCost) + this.random();
+	}
+
+	/** Tokens at the start of the prompt that the replica is believed to keep. */
+	private keptTokens(replica: Replica, {sharedParts}: ChoiceRequest, home: Replica | undefined): number {
+		const since = this.now() - partLifetime;
+		const firstMissing = sharedParts.findIndex(({id}) => (this.readAt.get(id)?.get(replica.entry.id) ?? Number.NEGATIVE_INFINITY) < since);
+		const kept = replica === home || firstMissing === -1 ? sharedParts : sharedParts.slice(0, firstMissing);
+		let tokens = 0;
+		for (const part of kept) {
+			tokens += part.tokens;
+		}
+
+		return tokens;
+	}
+}
+
+/** The same on every machine, so that machines agree where a part is kept without talking. */
+function homeOf(candidates: readonly Replica[], {sharedParts}: ChoiceRequest): Replica | undefined {
+	const part = sharedParts.at(-1);
+	return part && candidates
+		.map(replica => ({replica, score: hashText(`${part.id}\n${replica.entry.id}`)}))
+		.sort((left, right) => right.score - left.score)[0]?.replica;
+}
+
+function meanErrorShare(replicas: readonly Replica[]): number {
+	let total = 0;
+	for (const {errorShare} of replicas) {
+		total += errorShare;
+	}
+
+	return total / Math.max(1, replicas.length);
+}
--- /dev/null
+++ b/src/replicas/replica.ts
@@ -0,0 +1,163 @@
+/**
+ * A replica of a service, as the platform's list tells of it, and what this machine knows of its load.
+ */
+import type {Clock} from '../base/clock.js';
+
+/** What the list says of a replica. */
+export type ReplicaEntry = {
+	/** Names one start of one replica; never used again. */
+	readonly id: string;
+	readonly service: string;
+	readonly host: string;
+	readonly port: number;
+	readonly zone: string;
+	readonly slots: number;
+	readonly isDraining: boolean;
+	/** Whether the platform may take it away at short notice. */
+	readonly isReclaimable: boolean;
+	/** Milliseconds until it leaves, where that is known. */
+	readonly leavesIn: number | undefined;
+};
+
+/** Work at a replica. */
+export type ReplicaWork = {
+	/** Requests in progress. */
+	readonly requests: number;
+	/** Prompt tokens of those that have brought nothing yet. */
+	readonly unreadTokens: number;
+};
+
+/** Milliseconds for which a replica is avoided after a first failure; doubles with each further one. */
+const firstAvoidance = 300;
+const longestAvoidance = 4000;
+const meanWeight = 0.1;
+/** Milliseconds after which what a peer said of its work no longer counts. */
+const peerWorkLifetime = 1000;
+
+type PeerWork = ReplicaWork & {readonly at: number};
+
+/** One replica, as this machine sees it. */
+export class Replica {
+	/**
+	 * @param entry - What the list says.
+	 * @param clock - For ages.
+	 * @returns A replica of which nothing else is known.
+	 */
+	static create(entry: ReplicaEntry, clock: Clock): Replica {
+		return new Replica(entry, clock);
+	}
+
+	private own = {requests: 0, unreadTokens: 0};
+	private readonly peers = new Map<string, PeerWork>();
+	private failures = 0;
+	private avoidedUntil = Number.NEGATIVE_INFINITY;
+	private errorMean = 0;
+	private latencyMean = 0;
+	private leaving = false;
+
+	private constructor(private listed: ReplicaEntry, private readonly clock: Clock) {
+		this.leaving = listed.isDraining;
+	}
+
+	/** What the list says. */
+	get entry(): ReplicaEntry {
+		return this.listed;
+	}
+
+	/** Whether it gets no new work any more; never taken back, since each start has an id of its own. */
+	get isLeaving(): boolean {
+		return this.leaving;
+	}
+
+	/** Whether it failed lately and is left alone for a while. */
+	get isAvoided(): boolean {
+		return this.clock.monotonic() < this.avoidedUntil;
+	}
+
+	/** This machine's own work there. */
+	get ownWork(): ReplicaWork {
+		return this.own;
+	}
+
+	/** Share of requests that brought an error lately, 0 to 1. */
+	get errorShare(): number {
+		return this.errorMean;
+	}
+
+	/** Mean milliseconds to the first byte of an answer; zero before the first. */
+	get latency(): number {
+		return this.latencyMean;
+	}
+
+	/** Work of all machines there, as far as is known. */
+	get work(): ReplicaWork {
+		const since = this.clock.monotonic() - peerWorkLifetime;
+		let {requests, unreadTokens} = this.own;
+		for (const peer of this.peers.values()) {
+			if (peer.at >= since) {
+				requests += peer.requests;
+				unreadTokens += peer.unreadTokens;
+			}
+		}
+
+		return {requests, unreadTokens};
+	}
+
+	/** @param entry - What the list says now. */
+	update(entry: ReplicaEntry): void {
+		this.listed = entry;
+		this.leaving ||= entry.isDraining;
+	}
+
+	/** Notes that it is draining or gone. */
+	leave(): void {
+		this.leaving = true;
+	}
+
+	/**
+	 * @param peer - Name of another machine.
+	 * @param work - Its work here.
+	 */
+	notePeerWork(peer: string, work: ReplicaWork): void {
+		this.peers.set(peer, {...work, at: this.clock.monotonic()});
+	}
+
+	/** @param peer - Name of a machine that has no work here. */
+	clearPeerWork(peer: string): void {
+		this.peers.delete(peer);
+	}
+
+	/** @param unreadTokens - Prompt tokens of a request that goes there now. */
+	begin(unreadTokens: number): void {
+		this.own = {requests: this.own.requests + 1, unreadTokens: this.own.unreadTokens + unreadTokens};
+	}
+
+	/** @param unreadTokens - Prompt tokens that have been read there. */
+	noteRead(unreadTokens: number): void {
+		this.own = {...this.own, unreadTokens: Math.max(0, this.own.unreadTokens - unreadTokens)};
+	}
+
+	/** Notes that a request has ended there. */
+	end(): void {
+		this.own = {...this.own, requests: Math.max(0, this.own.requests - 1)};
+	}
+
+	/**
+	 * Notes an answer.
+	 *
+	 * @param latency - Milliseconds to its first byte.
+	 * @param isError - Whether the replica failed the request.
+	 */
+	noteAnswer(latency: number, isError: boolean): void {
+		this.failures = 0;
+		this.errorMean += ((isError ? 1 : 0) - this.errorMean) * meanWeight;
+		this.latencyMean += (latency - this.latencyMean) * (this.latencyMean === 0 ? 1 : meanWeight);
+	}
+
+	/** Notes that it refused for being full or could not be reached. */
+	noteFailure(): void {
+		this.failures++;
+		const pause = Math.min(longestAvoidance, firstAvoidance * (2 ** (this.failures - 1)));
+		this.avoidedUntil = this.clock.monotonic() + (pause * (0.75 + (Math.random() / 2)));
+	}
+}
--- /dev/null
+++ b/src/settings/relay-settings.ts
@@ -0,0 +1,127 @@
+/**
+ * Settings of a relay: a machine that stands between the platform's balancer and its replicas.
+ */
+import * as Result from 'effect/Result';
+import * as Schema from 'effect/Schema';
+import type {Fault} from '../base/faults.js';
+import {decodeYaml} from '../base/yaml-file.js';
+
+/** An address as text, or nothing where the deployment has none. */
+const AddressText = Schema.NullOr(Schema.String
+	.check(Schema.isPattern(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v, {expected: 'an IP number and a port, as 10.0.0.1:8080'})));
+const Amount = Schema.NullOr(Schema.Number.check(Schema.isGreaterThanOrEqualTo(0, {expected: 'a number, zero or above'})));
+const Flag = Schema.NullOr(Schema.Boolean);
+
+/** The settings file as it is written; what a deployment does not tell is null. */
+const RelaySettingsFile = Schema.Struct({
+	node: Schema.String,
+	zone: Schema.String,
+	listen: Schema.Struct({front: AddressText, ready: AddressText, control: AddressText}),
+	metrics: Schema.Struct({port: Schema.Number}),
+	seeds: Schema.NullOr(Schema.Array(Schema.String)),
+	isFirstStart: Flag,
+	store: Schema.Struct({address: AddressText}),
+	duties: Schema.Struct({address: AddressText, kinds: Schema.NullOr(Schema.Array(Schema.String))}),
+	bounds: Schema.Struct({
+		grace: Amount,
+		revoke: Amount,
+		isRevocationStrict: Flag,
+		retryRatio: Amount,
+		retryWindow: Amount,
+		retrySlack: Amount,
+		lease: Amount,
+		reportWindow: Amount,
+		reportDelay: Amount,
+	}),
+});
+
+/** Address of a listener or of a service. */
+export type Address = {
+	readonly host: string;
+	readonly port: number;
+};
+
+/** Bounds that must hold, in milliseconds unless they say otherwise. */
+export type RelayBounds = {
+	readonly grace: number;
+	readonly revoke: number;
+	readonly isRevocationStrict: boolean;
+	/** Repeats for each request. */
+	readonly retryRatio: number;
+	readonly retryWindow: number;
+	/** Repeats in a window. */
+	readonly retrySlack: number;
+	readonly lease: number;
+	readonly reportWindow: number;
+	readonly reportDelay: number;
+};
+
+/** Settings of a relay. */
+export type RelaySettings = {
+	readonly node: string;
+	readonly zone: string;
+	readonly front: Address;
+	readonly ready: Address;
+	readonly control: Address;
+	readonly metrics: Address;
+	readonly seeds: readonly Address[];
+	readonly isFirstStart: boolean;
+	readonly store: Address;
+	readonly duties: Address | undefined;
+	readonly dutyKinds: readonly string[];
+	readonly bounds: RelayBounds;
+};
+
+const defaults = {
+	grace: 8, revoke: 5000, retryRatio: 0.1, retryWindow: 10, retrySlack: 10, lease: 3000, reportWindow: 5, reportDelay: 10,
+} as const;
+const millisecondsPerSecond = 1000;
+
+/**
+ * @param text - An IP number and a port.
+ * @returns The address.
+ */
+export function readAddress(text: string): Address {
+	const colon = text.lastIndexOf(':');
+	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
+}
+
+/**
+ * Reads settings of a relay from YAML text.
+ *
+ * @param text - Content of the file.
+ * @returns The settings with defaults filled in, or all faults at once.
+ */
+export function decodeRelaySettings(text: string): Result.Result<RelaySettings, readonly Fault[]> {
+	return Result.map(decodeYaml(RelaySettingsFile, text), file => settingsOf(file));
+}
+
+function settingsOf(file: typeof RelaySettingsFile.Type): RelaySettings {
+	const front = readAddress(file.listen.front ?? '0.0.0.0:0');
+	const addressOr = (address: string | null, port: number): Address => address === null ? {host: front.host, port} : readAddress(address);
+	const {bounds} = file;
+	return {
+		node: file.node,
+		zone: file.zone,
+		front,
+		ready: addressOr(file.listen.ready, front.port + 1),
+		control: addressOr(file.listen.control, file.metrics.port + 1),
+		metrics: {host: front.host, port: file.metrics.port},
+		seeds: (file.seeds ?? []).map(seed => readAddress(seed)),
+		isFirstStart: file.isFirstStart ?? false,
+		store: addressOr(file.store.address, 0),
+		duties: file.duties.address === null ? undefined : readAddress(file.duties.address),
+		dutyKinds: file.duties.kinds ?? [],
+		bounds: {
+			grace: (bounds.grace ?? defaults.grace) * millisecondsPerSecond,
+			revoke: bounds.revoke ?? defaults.revoke,
+			isRevocationStrict: bounds.isRevocationStrict ?? false,
+			retryRatio: bounds.retryRatio ?? defaults.retryRatio,
+			retryWindow: (bounds.retryWindow ?? defaults.retryWindow) * millisecondsPerSecond,
+			retrySlack: bounds.retrySlack ?? defaults.retrySlack,
+			lease: bounds.lease ?? defaults.lease,
+			reportWindow: (bounds.reportWindow ?? defaults.reportWindow) * millisecondsPerSecond,
+			reportDelay: (bounds.reportDelay ?? defaults.reportDelay) * millisecondsPerSecond,
+		},
+	};
+}
