--- /dev/null
+++ b/development/relay/replica-standin.ts
@@ -0,0 +1,184 @@
+/**
+ * A stand-in for a replica of a service on the platform, with faults. Development only.
+ */
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {header} from '../../platform/names.js';
+import {startStandin, type StandinRequest} from '../standins/standin-server.js';
+
+/** What a replica does with the next requests. */
+export type ReplicaConduct = {
+	/** Milliseconds before an answer or before the first event. */
+	readonly delay: number;
+	/** Events of a stream; zero makes a whole answer. */
+	readonly events: number;
+	/** Milliseconds between events. */
+	readonly gap: number;
+	/** How the answer goes wrong. */
+	readonly fault: 'none' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'encoded' | 'cut-stream' | 'elsewhere';
+};
+
+/** A request that a replica has run or refused. */
+export type SeenRequest = {
+	readonly id: string;
+	readonly method: string;
+	readonly target: string;
+	readonly body: string;
+	readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+	readonly hasRun: boolean;
+	isAbandoned: boolean;
+};
+
+const calm: ReplicaConduct = {
+	delay: 5, events: 0, gap: 5, fault: 'none',
+};
+
+/** The stand-in. */
+export class ReplicaStandin {
+	/**
+	 * @param id - Its id.
+	 * @returns The replica, listening on loopback.
+	 */
+	static async start(id: string): Promise<ReplicaStandin> {
+		const replica = new ReplicaStandin(id);
+		replica.server = await startStandin(0, async request => replica.answer(request));
+		replica.server.on('connection', () => {
+			replica.connections++;
+		});
+		return replica;
+	}
+
+	/** Requests in the order in which they came. */
+	readonly seen: SeenRequest[] = [];
+	/** Connections that were opened to it. */
+	connections = 0;
+	conduct: ReplicaConduct = calm;
+	private server!: Server;
+
+	private constructor(readonly id: string) {}
+
+	/** TCP port. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
+	/** Requests that it has run. */
+	get runs(): readonly SeenRequest[] {
+		return this.seen.filter(({hasRun}) => hasRun);
+	}
+
+	/**
+	 * @param changes - What it does otherwise from now on.
+	 */
+	behave(changes: Partial<ReplicaConduct>): void {
+		this.conduct = {...calm, ...changes};
+	}
+
+	/** Closes all connections and stops. */
+	async close(): Promise<void> {
+		this.server.closeAllConnections();
+		await new Promise(resolve => {
+			this.server.close(resolve);
+		});
+	}
+
+	private async answer(request: StandinRequest): Promise<void> {
+		const {conduct} = this;
+		const {response, headers, incoming} = request;
+		const id = String(headers[header.attempt]);
+		const isElsewhere = conduct.fault === 'elsewhere' || (headers[header.expectInstance] !== undefined && headers[header.expectInstance] !== this.id);
+		const hasRun = !isElsewhere && conduct.fault !== 'refuse';
+		const seen: SeenRequest = {
+			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, isAbandoned: false,
+		};
+		this.seen.push(seen);
+		response.once('close', () => {
+			seen.isAbandoned = !response.writableFinished;
+		});
+		const own = {'Attempt-Id': id, 'Server-Stamp': `stamp-${this.id}`};
+		if (!hasRun) {
+			response.writeHead(isElsewhere ? 421 : 503, {...own, 'Not-Executed': '1', 'Content-Length': '0'}).end();
+			return;
+		}
+
+		await pause(conduct.delay);
+		if (conduct.events > 0) {
+			await this.stream(request, conduct, own);
+			return;
+		}
+
+		this.answerWhole(request, conduct, own);
+	}
+
+	private answerWhole({response}: StandinRequest, {fault}: ReplicaConduct, own: Readonly<Record<string, string>>): void {
+		const body = `answer of ${this.id}`;
+		const length = {'Content-Length': String(body.length)};
+		switch (fault) {
+			case 'mute': {
+				return;
+			}
+
+			case 'cut': {
+				response.writeHead(200, {...own, 'Content-Length': String(body.length + 10)});
+				response.write(body, () => response.socket?.destroy());
+				return;
+			}
+
+			case 'wrong-id': {
+				response.writeHead(200, {...own, ...length, 'Attempt-Id': 'another'}).end(body);
+				return;
+			}
+
+			case 'encoded': {
+				response.writeHead(200, {...own, ...length, 'Content-Encoding': 'gzip'}).end(body);
+				return;
+			}
+
+			case 'error': {
+				response.writeHead(500, {...own, ...length}).end(body);
+				return;
+			}
+
+			case 'extra': {
+				response.writeHead(200, {...own, ...length}).end(body);
+				response.socket?.write(`HTTP/1.1 200 OK\r\nAttempt-Id: late\r\nContent-Length: 4\r\n\r\nlate`);
+				return;
+			}
+
+			case 'unframed': {
+				response.socket?.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${own['Attempt-Id']}\r\nServer-Stamp: ${own['Server-Stamp']}\r\n\r\n${body}`);
+				return;
+			}
+
+			default: {
+				response.writeHead(200, {...own, ...length}).end(body);
+			}
+		}
+	}
+
+	private async stream({response, headers}: StandinRequest, {events, gap, fault}: ReplicaConduct, own: Readonly<Record<string, string>>): Promise<void> {
+		const first = Number(headers[header.lastEvent] ?? 0) + 1;
+		response.writeHead(200, {...own, 'Content-Type': 'text/event-stream'});
+		const ids = Array.from({length: Math.max(0, events - first + 1)}, (_, index) => first + index);
+		for (const event of ids) {
+			if (response.destroyed) {
+				return;
+			}
+
+			if (fault === 'cut-stream' && event > events / 2) {
+				// The cut falls inside an event.
+				response.write(`id: ${event}\ndata: ha`, () => response.socket?.destroy());
+				return;
+			}
+
+			response.write(`id: ${event}\ndata: ${this.id}-${event}\n\n`);
+			await pause(gap);
+		}
+
+		response.end();
+	}
+}
+
+const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
--- /dev/null
+++ b/development/relay/store-standin.ts
@@ -0,0 +1,246 @@
+/**
+ * A stand-in for the platform's metadata store and its duty calls, with faults. Development only.
+ */
+import type {Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {header, path} from '../../platform/names.js';
+import {sendJson, startStandin, type StandinRequest} from '../standins/standin-server.js';
+
+/** An object as the store sends it. */
+type Held = {
+	readonly meta: {readonly name: string; readonly rev: number};
+	readonly spec: unknown;
+};
+
+type Happened = {readonly kind: string; readonly object: Held; readonly gone: boolean; readonly rev: number};
+
+type Watcher = {
+	readonly kind: string;
+	readonly after: number;
+	readonly response: ServerResponse;
+	readonly timer: NodeJS.Timeout;
+};
+
+/** A duty call that came. */
+export type DutyCall = {
+	readonly path: string;
+	readonly holder: string;
+	readonly fence: number;
+	readonly body: Readonly<Record<string, unknown>>;
+};
+
+/** What is wrong with the store. */
+export type StoreFaults = {
+	/** Answers nothing at all. */
+	readonly isSilent: boolean;
+	/** Answers 503. */
+	readonly isBusy: boolean;
+	/** Does writes and answers nothing. */
+	readonly losesAnswers: boolean;
+};
+
+const noFaults: StoreFaults = {isSilent: false, isBusy: false, losesAnswers: false};
+
+/** The stand-in. */
+export class StoreStandin {
+	/** @returns The store, listening on loopback. */
+	static async start(): Promise<StoreStandin> {
+		const store = new StoreStandin();
+		store.server = await startStandin(0, async request => {
+			store.answer(request);
+		});
+		return store;
+	}
+
+	/** Duty calls that came, in order. */
+	readonly dutyCalls: DutyCall[] = [];
+	/** Calls of any sort that came. */
+	calls = 0;
+	faults: StoreFaults = noFaults;
+	private server!: Server;
+	private revision = 1;
+	private readonly objects = new Map<string, Map<string, Held>>();
+	private history: readonly Happened[] = [];
+	private forgottenUpTo = 0;
+	private watchers: readonly Watcher[] = [];
+
+	private constructor() {
+		// Made by start().
+	}
+
+	/** TCP port. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
+	/**
+	 * Writes an object, as the operator or a replica does.
+	 *
+	 * @param kind - Its kind.
+	 * @param name - Its name.
+	 * @param spec - What it holds.
+	 */
+	put(kind: string, name: string, spec: unknown): Held {
+		this.revision++;
+		const held: Held = {meta: {name, rev: this.revision}, spec};
+		const objects = this.objects.get(kind) ?? new Map<string, Held>();
+		this.objects.set(kind, objects);
+		objects.set(name, held);
+		this.happen(kind, held, false);
+		return held;
+	}
+
+	/**
+	 * Removes an object.
+	 *
+	 * @param kind - Its kind.
+	 * @param name - Its name.
+	 */
+	remove(kind: string, name: string): void {
+		const held = this.objects.get(kind)?.get(name);
+		if (held) {
+			this.revision++;
+			this.objects.get(kind)!.delete(name);
+			this.happen(kind, {...held, meta: {name, rev: this.revision}}, true);
+		}
+	}
+
+	/**
+	 * @param kind - Kind of an object.
+	 * @param name - Its name.
+	 * @returns What it holds.
+	 */
+	spec(kind: string, name: string): unknown {
+		return this.objects.get(kind)?.get(name)?.spec;
+	}
+
+	/** Forgets all history and cuts the watches that wait. */
+	forgetHistory(): void {
+		this.forgottenUpTo = this.revision;
+		this.history = [];
+		for (const {response, timer} of this.watchers) {
+			clearTimeout(timer);
+			response.socket?.destroy();
+		}
+
+		this.watchers = [];
+	}
+
+	/** Heals all faults. */
+	heal(): void {
+		this.faults = noFaults;
+	}
+
+	/** Closes all connections and stops. */
+	async close(): Promise<void> {
+		this.server.closeAllConnections();
+		await new Promise(resolve => {
+			this.server.close(resolve);
+		});
+	}
+
+	private happen(kind: string, object: Held, gone: boolean): void {
+		this.history = [...this.history.slice(-500), {
+			kind, object, gone, rev: this.revision,
+		}];
+		const woken = this.watchers.filter(watcher => watcher.kind === kind);
+		this.watchers = this.watchers.filter(watcher => watcher.kind !== kind);
+		for (const watcher of woken) {
+			clearTimeout(watcher.timer);
+			this.sendChanges(watcher);
+		}
+	}
+
+	private answer(request: StandinRequest): void {
+		this.calls++;
+		const {method, url, response} = request;
+		if (this.faults.isSilent) {
+			return;
+		}
+
+		if (this.faults.isBusy) {
+			sendJson(response, 503);
+			return;
+		}
+
+		if (url.pathname === path.usage || url.pathname === path.scale) {
+			this.takeDuty(request);
+			return;
+		}
+
+		const [kind = '', name] = url.pathname.slice(path.objects.length).split('/').map(part => decodeURIComponent(part));
+		if (method === 'GET') {
+			this.read(request, kind, name);
+			return;
+		}
+
+		this.write(request, kind, name);
+	}
+
+	private takeDuty({url, headers, body, response}: StandinRequest): void {
+		this.dutyCalls.push({
+			path: url.pathname, holder: String(headers[header.holder]), fence: Number(headers[header.fence]), body: JSON.parse(body) as DutyCall['body'],
+		});
+		sendJson(response, 200, {});
+	}
+
+	private read({url, response}: StandinRequest, kind: string, name: string | undefined): void {
+		const objects = this.objects.get(kind);
+		if (name !== undefined) {
+			const held = objects?.get(name);
+			sendJson(response, held ? 200 : 404, held);
+			return;
+		}
+
+		const watch = url.searchParams.get('watch');
+		if (watch === null) {
+			sendJson(response, 200, {items: [...objects?.values() ?? []], more: false, at: this.revision});
+			return;
+		}
+
+		const after = Number(watch);
+		const timer = setTimeout(() => {
+			this.watchers = this.watchers.filter(watcher => watcher.response !== response);
+			sendJson(response, 200, {events: [], at: this.revision});
+		}, Number(url.searchParams.get('wait_ms')));
+		const watcher: Watcher = {
+			kind, after, response, timer,
+		};
+		if (after < this.forgottenUpTo || this.history.some(event => event.kind === kind && event.rev > after)) {
+			clearTimeout(timer);
+			this.sendChanges(watcher);
+			return;
+		}
+
+		this.watchers = [...this.watchers, watcher];
+	}
+
+	private sendChanges({kind, after, response}: Watcher): void {
+		if (after < this.forgottenUpTo) {
+			sendJson(response, 410);
+			return;
+		}
+
+		const events = this.history.filter(event => event.kind === kind && event.rev > after).map(({object, gone}) => ({object, gone}));
+		sendJson(response, 200, {events, at: this.revision});
+	}
+
+	private write({method, body, response}: StandinRequest, kind: string, named: string | undefined): void {
+		const {meta, spec} = JSON.parse(body) as {readonly meta: {readonly name?: string; readonly rev?: number}; readonly spec: unknown};
+		const name = named ?? meta.name ?? '';
+		const held = this.objects.get(kind)?.get(name);
+		const isConflict = method === 'POST' ? held !== undefined : held?.meta.rev !== meta.rev;
+		if (isConflict) {
+			sendJson(response, 409, held);
+			return;
+		}
+
+		const written = this.put(kind, name, spec);
+		if (this.faults.losesAnswers) {
+			response.socket?.destroy();
+			return;
+		}
+
+		sendJson(response, 200, written);
+	}
+}
--- a/src/command/relay-command.ts
+++ b/src/command/relay-command.ts
@@ -1,26 +1,20 @@
 /**
- * `waydrift relay`: a machine between the platform's balancer and its replicas. The one place that wires the adapter.
+ * `waydrift relay`: a machine between the platform's balancer and its replicas. 
  */
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import * as Effect from 'effect/Effect';
 import * as Result from 'effect/Result';
 import * as Schedule from 'effect/Schedule';
-import {HttpDutyCalls} from '../../platform/duties.js';
-import {
-	configurationKind, configurationName, decodeConfiguration, decodeReplica, replicaKind,
-} from '../../platform/formats.js';
-import {HttpMetadataStore} from '../../platform/metadata-store.js';
-import {PlatformRelayFormat} from '../../platform/relay-format.js';
 import {settingsVariable} from '../../platform/settings.js';
 import {BoundedEventLog} from '../base/bounded-event-log.js';
 import type {EventLog} from '../base/event-log.js';
 import {describeFault} from '../base/faults.js';
-import type {PlatformLink} from '../node/platform-link.js';
 import {RelayNode} from '../node/relay-node.js';
 import {RelayMetrics} from '../relay/relay-metrics.js';
 import {decodeRelaySettings, type RelaySettings} from '../settings/relay-settings.js';
 import {exitCode, type ExitCode} from './exit-code.js';
+import {reachPlatform} from './reach-platform.js';
 import {signalled} from './signals.js';
 
 /** Milliseconds between two looks at the settings file, which may change without a signal. */
@@ -55,17 +49,6 @@
 	}
 }
 
-function reach({store, duties}: RelaySettings): PlatformLink {
-	return {
-		names: {
-			configurationKind, configurationName, replicaKind, decodeConfiguration, decodeReplica,
-		},
-		format: PlatformRelayFormat.create(),
-		store: HttpMetadataStore.create(store.host, store.port),
-		duties: duties && HttpDutyCalls.create(duties.host, duties.port),
-	};
-}
-
 /**
  * Relays until the process is asked to stop.
  *
@@ -92,7 +75,7 @@
 
 		log.name(settings.current.node);
 		const node = yield * RelayNode.start({
-			settings: () => settings.current!, link: reach(settings.current), log, metrics,
+			settings: () => settings.current!, link: reachPlatform(settings.current), log, metrics,
 		});
 		yield * Effect.raceFirst(signalled('SIGTERM'), signalled('SIGINT'));
 		yield * node.stop();
--- /dev/null
+++ b/src/duties/duty-campaign.ts
@@ -0,0 +1,56 @@
+/**
+ * Decides whether this machine is to take the duties over.
+ */
+import type {Peer} from '../gossip/peer-table.js';
+import type {DutyRecord} from './duty-record.js';
+
+/** What the decision rests on. */
+export type CampaignFacts = {
+	readonly self: string;
+	readonly incarnation: string;
+	readonly record: DutyRecord | undefined;
+	/** Machines that were heard lately. */
+	readonly heard: readonly Peer[];
+	/** Part of all machines that are heard, this one too. */
+	readonly heardPart: number;
+	/** Milliseconds since the store last answered this machine. */
+	readonly storeSilence: number;
+	readonly isStopping: boolean;
+};
+
+/** Milliseconds of silence after which the store counts as out of a candidate's reach. */
+const candidateSilence = 2500;
+/** Milliseconds of silence after which a holder is taken to be out of the store's reach. */
+const holderSilence = 4500;
+/** Part of the machines that must be heard: a machine that is cut off leaves the duties to the others. */
+const leastHeardPart = 0.25;
+
+/**
+ * @param facts - What the decision rests on.
+ * @returns Whether the machine that holds the duties is at work, as far as this one can tell.
+ */
+export function isHolderAtWork({self, incarnation, record, heard}: CampaignFacts): boolean {
+	if (!record || record.holder === '') {
+		return false;
+	}
+
+	if (record.holder === self) {
+		return record.incarnation === incarnation;
+	}
+
+	const last = heard.find(({address}) => address.name === record.holder)?.last;
+	return last?.incarnation === record.incarnation && !last.isStopping && last.storeAge < holderSilence;
+}
+
+/**
+ * @param facts - What the decision rests on.
+ * @returns Whether this machine is the one to take the duties over.
+ */
+export function isCandidate({self, heard, heardPart, storeSilence, isStopping}: CampaignFacts): boolean {
+	if (isStopping || storeSilence > candidateSilence || heardPart < leastHeardPart) {
+		return false;
+	}
+
+	const others = heard.filter(({last}) => last && !last.isStopping && last.storeAge < candidateSilence).map(({address}) => address.name);
+	return others.every(name => self < name);
+}
--- /dev/null
+++ b/src/duties/duty-lease.ts
@@ -0,0 +1,180 @@
+/**
+ * Holds the duties by one object in the store, written under the condition that nobody else has written it.
+ *
+ * @remarks
+ * There is no term to renew: each act is written before it is done, and a write that succeeds proves that nobody
+ * took over before. A new holder waits before its first act until the acts of the one before have been done.
+ * Source: docs/PLATFORM.md, "ONE".
+ */
+import * as Data from 'effect/Data';
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {MetadataStore, RevisionConflict, StoreUnavailable} from '../follow/metadata-store.js';
+import type {DutySigner} from './duty-calls.js';
+import {decodeDutyRecord, firstRecord, type DutyRecord} from './duty-record.js';
+
+/** Kind and name of the object. */
+const dutyKind = 'waydrift-duties';
+const dutyName = 'record';
+/** Milliseconds after a write was sent in which the act it stands for may be done. */
+const actWithin = 1200;
+
+/** Somebody else holds the duties. */
+export class DutyTaken extends Data.TaggedError('DutyTaken')<{readonly holder: string}> {}
+
+/** Proves that this machine held the duties a moment ago. */
+export type ActPermit = {
+	readonly signer: DutySigner;
+	readonly record: DutyRecord;
+	/** @returns Whether the act may still be done. */
+	readonly isValid: () => boolean;
+};
+
+/** What the lease needs. */
+export type DutyLeaseServices = {
+	readonly self: string;
+	readonly incarnation: string;
+	readonly store: MetadataStore;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	/** @returns Milliseconds a new holder waits before its first act. */
+	readonly wait: () => number;
+};
+
+/** The duties, as this machine sees them. */
+export class DutyLease {
+	/**
+	 * @param services - What it needs.
+	 * @returns The lease, not held.
+	 */
+	static create(services: DutyLeaseServices): DutyLease {
+		return new DutyLease(services);
+	}
+
+	private record: DutyRecord | undefined;
+	private revision: number | undefined;
+	private actsFrom = Number.POSITIVE_INFINITY;
+	private isUnsure = false;
+
+	private constructor(private readonly services: DutyLeaseServices) {}
+
+	/** What was last read or written; `undefined` before the first. */
+	get known(): DutyRecord | undefined {
+		return this.record;
+	}
+
+	/** Whether this start of this machine holds the duties, as far as it knows. */
+	get isHeld(): boolean {
+		const {self, incarnation} = this.services;
+		return this.record?.holder === self && this.record.incarnation === incarnation;
+	}
+
+	/** Whether it may act: it holds the duties and has waited. */
+	get mayAct(): boolean {
+		return this.isHeld && this.services.clock.monotonic() >= this.actsFrom;
+	}
+
+	/** @returns Ends when the object has been read. */
+	look(): Effect.Effect<void, StoreUnavailable> {
+		return this.services.store.read(dutyKind, dutyName).pipe(Effect.map(object => {
+			const wasHeld = this.isHeld;
+			const decoded = object && decodeDutyRecord(object.spec);
+			this.revision = object?.revision;
+			this.record = decoded && Result.isSuccess(decoded) ? decoded.success : firstRecord;
+			this.isUnsure = false;
+			if (wasHeld && !this.isHeld) {
+				this.noteLoss();
+			}
+		}));
+	}
+
+	/** @returns Takes the duties over if nobody else does so first. */
+	acquire(): Effect.Effect<void, StoreUnavailable | RevisionConflict> {
+		return Effect.gen({self: this}, function * () {
+			const {self, incarnation, clock, log} = this.services;
+			yield * this.look();
+			if (this.isHeld) {
+				return;
+			}
+
+			const before = this.record!;
+			yield * this.write({
+				...before, holder: self, incarnation, fence: before.fence + 1, decision: before.decision + 1,
+			});
+			const needsWait = before.fence > 0;
+			this.actsFrom = clock.monotonic() + (needsWait ? this.services.wait() : 0);
+			log.write('dutyAcquired', {fence: before.fence + 1, before: before.holder});
+		});
+	}
+
+	/**
+	 * Writes a decision; it may be acted on for a moment after.
+	 *
+	 * @param decide - Makes the record out of the one that stands.
+	 * @returns The permit.
+	 */
+	decide(decide: (record: DutyRecord) => DutyRecord): Effect.Effect<ActPermit, StoreUnavailable | DutyTaken> {
+		return Effect.gen({self: this}, function * () {
+			const {self, clock} = this.services;
+			if (this.isUnsure) {
+				yield * this.look();
+			}
+
+			if (!this.isHeld) {
+				return yield * Effect.fail(new DutyTaken({holder: this.record?.holder ?? ''}));
+			}
+
+			const sentAt = clock.monotonic();
+			const record = {...decide(this.record!), decision: this.record!.decision + 1};
+			yield * this.write(record).pipe(Effect.catchTag('RevisionConflict', () => this.lookAfterConflict()));
+			return {
+				record,
+				signer: {holder: self, fence: record.fence},
+				isValid: () => clock.monotonic() - sentAt < actWithin,
+			};
+		});
+	}
+
+	/** @returns Gives the duties up, so that another machine need not find out. */
+	release(): Effect.Effect<void> {
+		return Effect.suspend(() => this.isHeld
+			? Effect.ignore(this.decide(record => ({...record, holder: '', incarnation: ''})).pipe(Effect.map(() => {
+				this.noteLoss();
+			})))
+			: Effect.void);
+	}
+
+	/** @param detail - Why this machine no longer holds the duties: a call showed a higher fence. */
+	giveUp(detail: string): void {
+		this.services.log.write('dutyLost', {detail});
+		this.actsFrom = Number.POSITIVE_INFINITY;
+		this.isUnsure = true;
+	}
+
+	private lookAfterConflict(): Effect.Effect<never, StoreUnavailable | DutyTaken> {
+		return this.look().pipe(Effect.andThen(Effect.suspend(() => Effect.fail(new DutyTaken({holder: this.record?.holder ?? ''})))));
+	}
+
+	private write(record: DutyRecord): Effect.Effect<void, StoreUnavailable | RevisionConflict> {
+		const {store} = this.services;
+		const written = this.revision === undefined
+			? store.create(dutyKind, dutyName, record)
+			: store.replace(dutyKind, dutyName, record, this.revision);
+		return written.pipe(
+			Effect.map(({revision}) => {
+				this.revision = revision;
+				this.record = record;
+			}),
+			Effect.tapError(() => Effect.sync(() => {
+				this.isUnsure = true;
+			})),
+		);
+	}
+
+	private noteLoss(): void {
+		this.actsFrom = Number.POSITIVE_INFINITY;
+		this.services.log.write('dutyLost', {holder: this.record?.holder});
+	}
+}
--- /dev/null
+++ b/src/duties/duty-record.ts
@@ -0,0 +1,46 @@
+/**
+ * What stands in the store about the duties: who holds them, and what was last decided. The next holder goes on
+ * from it at any step.
+ */
+import * as Schema from 'effect/Schema';
+import {createDecoder} from '../base/faults.js';
+
+/** An order that stands: how many replicas of each sort a zone is to have. */
+const StandingOrder = Schema.Struct({
+	service: Schema.String,
+	zone: Schema.String,
+	/** Replicas that may be withdrawn. */
+	reclaimable: Schema.Number,
+	kept: Schema.Number,
+});
+export type StandingOrder = typeof StandingOrder.Type;
+
+/** A report that was decided on; it is never sent with other counts. */
+const DecidedReport = Schema.Struct({
+	window: Schema.Number,
+	counts: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
+});
+
+/** The record. */
+export const DutyRecord = Schema.Struct({
+	/** Name of the machine; empty where nobody holds the duties. */
+	holder: Schema.String,
+	incarnation: Schema.String,
+	/** Rises with each holder. */
+	fence: Schema.Number,
+	/** Rises with each decision, so that each write changes something. */
+	decision: Schema.Number,
+	report: Schema.optionalKey(DecidedReport),
+	orders: Schema.Array(StandingOrder),
+	/** Replicas that each service had when the system first started. */
+	baseline: Schema.Array(Schema.Struct({service: Schema.String, replicas: Schema.Number})),
+});
+export type DutyRecord = typeof DutyRecord.Type;
+
+/** The record before anybody held the duties. */
+export const firstRecord: DutyRecord = {
+	holder: '', incarnation: '', fence: 0, decision: 0, orders: [], baseline: [],
+};
+
+/** Decodes the record. */
+export const decodeDutyRecord = createDecoder(DutyRecord, 'ignore');
--- a/src/follow/kind-follower.ts
+++ b/src/follow/kind-follower.ts
@@ -13,6 +13,8 @@
 
 /** Takes what is learnt of a kind. */
 export type KindListener = {
+	/** Called whenever the store has answered. */
+	readonly onAnswer?: () => void;
 	/**
 	 * @param listing - All objects there are.
 	 * @param sentAt - Monotonic milliseconds at which the list was asked for.
@@ -94,6 +96,7 @@
 		}
 
 		this.isLost = false;
+		this.listener.onAnswer?.();
 		this.answeredAt = this.services.clock.monotonic();
 	}
 
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -36,6 +36,8 @@
 	/** Milliseconds since that version is known to have been the newest; absent where it never was. */
 	proofAge: Schema.optionalKey(Schema.Number),
 	isStopping: Schema.Boolean,
+	/** Milliseconds since the store last answered the sender. */
+	storeAge: Schema.Number,
 	quota: Schema.Array(Schema.Struct({tenant: Schema.String, passed: Schema.Number, level: Schema.Number})),
 	/** Work of the sender at replicas. */
 	work: Schema.Array(Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number})),
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -22,7 +22,7 @@
 const roundsKept = 64;
 
 /** What a message holds besides what the exchange itself adds. */
-export type LocalState = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'quota' | 'work' | 'departed' | 'usage'>;
+export type LocalState = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'quota' | 'work' | 'departed' | 'usage'>;
 
 /** What the exchange needs. */
 export type GossipServices = {
@@ -66,7 +66,7 @@
 				yield * Effect.sleep(roundInterval);
 			}
 		});
-		return Effect.scoped(rounds) as Effect.Effect<never>;
+		return Effect.scoped(rounds);
 	}
 
 	private open(): Effect.Effect<Socket, never, Scope.Scope> {
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -103,7 +103,7 @@
 		const {sender, incarnation, sequence} = message;
 		const known = this.peers.get(sender.name);
 		const isSameStart = known?.last?.incarnation === incarnation;
-		if (isSameStart && known.last!.sequence >= sequence) {
+		if (isSameStart && known.last.sequence >= sequence) {
 			return undefined;
 		}
 
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -42,13 +42,22 @@
 	/** What the store holds of the version in force, for peers. */
 	spec: unknown;
 	private isFetching = false;
+	private answeredAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly services: ConfigurationServices) {}
 
+	/** Milliseconds since the store last answered. */
+	get storeSilence(): number {
+		return this.services.clock.monotonic() - this.answeredAt;
+	}
+
 	/** @returns Follows the store until interrupted. */
 	follow(): Effect.Effect<never> {
 		const {link: {store, names}, clock, log} = this.services;
 		return KindFollower.create(names.configurationKind, {store, clock, log}, {
+			onAnswer: () => {
+				this.answeredAt = clock.monotonic();
+			},
 			list: ({objects}, sentAt) => {
 				const object = objects.find(({name}) => name === names.configurationName);
 				if (object) {
@@ -70,6 +79,7 @@
 			const sentAt = clock.monotonic();
 			return store.read(names.configurationKind, names.configurationName).pipe(
 				Effect.map(object => {
+					this.answeredAt = clock.monotonic();
 					if (object) {
 						this.takeObject(object, sentAt);
 					}
--- a/src/node/control-listeners.ts
+++ b/src/node/control-listeners.ts
@@ -1,6 +1,7 @@
 /**
  * The small listeners of a relay: readiness for the balancer, metrics for operators, the configuration for peers.
  */
+import {Buffer} from 'node:buffer';
 import {createServer, type Server} from 'node:http';
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -1,29 +1,129 @@
 /**
- * The duties of a relay.
+ * The duties of a relay: one machine at a time does them.
  */
+import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import type {Role} from '../daemon/role.js';
+import {isCandidate, isHolderAtWork, type CampaignFacts} from '../duties/duty-campaign.js';
+import type {DutyCalls} from '../duties/duty-calls.js';
+import {DutyLease} from '../duties/duty-lease.js';
+import {FleetDuty} from '../duties/fleet-duty.js';
+import {SurvivingZonesPolicy} from '../duties/fleet-plan.js';
+import {UsageDuty} from '../duties/usage-duty.js';
 import type {PeerTable} from '../gossip/peer-table.js';
+import type {RelayMetrics} from '../relay/relay-metrics.js';
 import type {RelayServices} from '../relay/relay-services.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
 import type {PlatformLink} from './platform-link.js';
 
+/** Milliseconds between two looks at what is due. */
+const stepInterval = 300;
+/** Milliseconds after the start in which other machines are heard for the first time. */
+const settleTime = 900;
+const failurePause = 700;
+
 /** What the duties need. */
 export type DutyParts = {
 	readonly self: string;
+	readonly incarnation: string;
 	readonly link: PlatformLink;
 	readonly log: EventLog;
+	readonly metrics: RelayMetrics;
 	readonly settings: () => RelaySettings;
 	readonly clock: Clock;
 	readonly peers: PeerTable;
 	readonly services: RelayServices;
+	/** @returns Milliseconds since the store last answered. */
+	readonly storeSilence: () => number;
+	readonly isStopping: () => boolean;
 };
 
 /**
  * @param parts - What the duties need.
  * @returns Their roles; none where the deployment has no duties.
  */
-export function openDuties(_parts: DutyParts): readonly Role[] {
-	return [];
+export function openDuties(parts: DutyParts): readonly Role[] {
+	const {duties} = parts.link;
+	return duties ? [{name: 'duties', run: DutyRole.create(parts, duties).run()}] : [];
+}
+
+/** Takes the duties over where nobody is at work, and does them. */
+class DutyRole {
+	static create(parts: DutyParts, calls: DutyCalls): DutyRole {
+		return new DutyRole(parts, calls);
+	}
+
+	private readonly lease: DutyLease;
+	private readonly usage: UsageDuty;
+	private readonly fleet: FleetDuty;
+
+	private constructor(private readonly parts: DutyParts, calls: DutyCalls) {
+		const {self, incarnation, link: {store}, clock, log, settings, services, peers} = parts;
+		this.lease = DutyLease.create({
+			self, incarnation, store, clock, log, wait: () => settings().bounds.lease,
+		});
+		this.usage = UsageDuty.create({
+			lease: this.lease,
+			calls,
+			counts: services.usage,
+			clock,
+			log,
+			trueTime: () => clock.monotonic() + peers.wallOffset,
+			windowLength: () => settings().bounds.reportWindow,
+			delay: () => settings().bounds.reportDelay,
+			hasHeardAll: within => peers.all.every(({heardAt}) => clock.monotonic() - heardAt <= within),
+		});
+		this.fleet = FleetDuty.create({
+			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: SurvivingZonesPolicy.create(),
+		});
+	}
+
+	run(): Effect.Effect<never> {
+		const step = Effect.suspend(() => this.step()).pipe(
+			Effect.andThen(Effect.sleep(stepInterval)),
+			Effect.catch(() => Effect.sleep(failurePause)),
+		);
+		return Effect.sleep(settleTime).pipe(Effect.andThen(Effect.forever(step)));
+	}
+
+	private step() {
+		return Effect.gen({self: this}, function * () {
+			const {lease} = this;
+			this.parts.metrics.leaseHeld.set(lease.isHeld ? 1 : 0);
+			if (lease.isHeld && this.parts.isStopping()) {
+				yield * lease.release();
+				return;
+			}
+
+			if (!lease.isHeld) {
+				yield * this.campaign();
+			}
+
+			if (lease.mayAct) {
+				yield * this.usage.step();
+				yield * this.fleet.step();
+			}
+		});
+	}
+
+	private campaign() {
+		return Effect.gen({self: this}, function * () {
+			if (isHolderAtWork(this.facts()) || !isCandidate(this.facts())) {
+				return;
+			}
+
+			yield * this.lease.look();
+			if (!isHolderAtWork(this.facts())) {
+				yield * this.lease.acquire();
+			}
+		});
+	}
+
+	private facts(): CampaignFacts {
+		const {self, incarnation, peers, storeSilence, isStopping} = this.parts;
+		return {
+			self, incarnation, record: this.lease.known, heard: peers.heard, heardPart: peers.heardPart, storeSilence: storeSilence(), isStopping: isStopping(),
+		};
+	}
 }
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -37,6 +37,8 @@
 const endMargin = 900;
 const stopCheckInterval = 50;
 const sampleInterval = 1000;
+/** Milliseconds told where the store has never answered. */
+const unknownAge = 1_000_000;
 const millisecondsPerSecond = 1000;
 
 /** What a relay is made of. */
@@ -179,7 +181,7 @@
 	}
 
 	private roles(): readonly Role[] {
-		const {settings, link, log} = this.parts;
+		const {settings, link, log, metrics} = this.parts;
 		const {control, node} = settings();
 		const self = {name: node, ...control};
 		const gossip = Gossip.create({
@@ -196,7 +198,9 @@
 			},
 			seeds: () => settings().seeds,
 		});
-		const members = MemberRole.create({store: link.store, self, peers: this.peers, log});
+		const members = MemberRole.create({
+			store: link.store, self, peers: this.peers, log,
+		});
 		return [
 			{name: 'gossip', run: gossip.run()},
 			{name: 'configuration', run: this.configuration.follow()},
@@ -205,7 +209,10 @@
 			{name: 'members', run: members.run()},
 			{name: 'metrics', run: this.sampleMetrics()},
 			...openDuties({
-				link, log, settings, clock: this.clock, peers: this.peers, services: this.services, self: node,
+				link, log, settings, clock: this.clock, peers: this.peers, services: this.services, self: node, metrics,
+				incarnation: this.incarnation,
+				storeSilence: () => this.configuration.storeSilence,
+				isStopping: () => this.stoppingSince !== undefined,
 			}),
 		];
 	}
@@ -234,6 +241,7 @@
 			version: table.version,
 			...(Number.isFinite(table.proofAge) ? {proofAge: Math.ceil(table.proofAge)} : {}),
 			isStopping: this.stoppingSince !== undefined,
+			storeAge: Math.min(unknownAge, Math.round(this.configuration.storeSilence)),
 			quota: quota.counts,
 			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
 			departed: replicas.departed,
--- /dev/null
+++ b/src/quota/test/quota-ledger.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as fc from 'fast-check';
+import {Clock} from '../../base/clock.js';
+import {QuotaLedger} from '../quota-ledger.js';
+
+class MovedClock extends Clock {
+	now = 0;
+
+	override monotonic(): number {
+		return this.now;
+	}
+
+	override wall(): number {
+		return this.now;
+	}
+}
+
+const tenant = 'basin';
+const bound = {rate: 100, burst: 100};
+
+/** Machines that tell each other in rounds, as the exchange does. */
+class Fleet {
+	readonly clock = new MovedClock();
+	readonly ledgers: readonly QuotaLedger[];
+	readonly reaches: boolean[];
+	private readonly met = new Set<string>();
+
+	constructor(machines: number) {
+		this.reaches = Array.from({length: machines}, () => true);
+		this.ledgers = Array.from({length: machines}, (_, index) => QuotaLedger.create({
+			bound: () => bound,
+			heardPart: () => this.reaches[index] ? this.reaches.filter(Boolean).length / machines : 1 / machines,
+		}, this.clock, true));
+	}
+
+	exchange(): void {
+		for (const [receiver, ledger] of this.ledgers.entries()) {
+			for (const [sender, other] of this.ledgers.entries()) {
+				if (receiver === sender) {
+					continue;
+				}
+
+				const pair = `${receiver}/${sender}`;
+				if (!this.reaches[receiver] || !this.reaches[sender]) {
+					this.met.delete(pair);
+					continue;
+				}
+
+				ledger.takeCounts(String(sender), other.counts, this.met.has(pair) ? 'known' : 'other');
+				this.met.add(pair);
+			}
+		}
+	}
+}
+
+test('a tenant inside its quota is never refused, whichever machines its requests come to', () => {
+	const fleet = new Fleet(9);
+	for (let step = 0; step < 200; step++) {
+		fleet.clock.now += 20;
+		if (step % 10 === 0) {
+			fleet.exchange();
+		}
+
+		assert.equal(fleet.ledgers[(step * 7) % 9]!.take(tenant, 1.5), 0);
+	}
+});
+
+test('far past its quota a tenant gets its quota and little more in any window, also with machines cut off', () => {
+	fc.assert(fc.property(
+		fc.array(fc.record({machine: fc.nat(8), cut: fc.option(fc.nat(8)), heal: fc.boolean()}), {minLength: 1500, maxLength: 2000}),
+		steps => {
+			const fleet = new Fleet(9);
+			const passed: Array<{readonly at: number; readonly units: number}> = [];
+			for (const [index, {machine, cut, heal}] of steps.entries()) {
+				fleet.clock.now += 10;
+				// A cut or heal now and then, a third of the machines at most.
+				if (index % 400 === 399 && cut !== null) {
+					fleet.reaches[cut] = false;
+				}
+
+				if (index % 700 === 699 && heal) {
+					fleet.reaches.fill(true);
+				}
+
+				if (index % 20 === 0) {
+					fleet.exchange();
+				}
+
+				// Four times the quota is asked for.
+				if (fleet.ledgers[machine]!.take(tenant, 4) === 0) {
+					passed.push({at: fleet.clock.now, units: 4});
+				}
+			}
+
+			const window = 8000;
+			for (const {at} of passed) {
+				const inWindow = passed.filter(other => other.at >= at && other.at < at + window);
+				const units = inWindow.length * 4;
+				assert.ok(units <= (bound.rate * 8 + bound.burst) * 1.35, `${units} units in a window`);
+			}
+		},
+	), {numRuns: 12, seed: 7});
+});
+
+test('a machine that starts among others takes the bucket as they know it, and one that starts with all has nothing saved', () => {
+	const clock = new MovedClock();
+	const facts = {bound: () => bound, heardPart: () => 1};
+	const old = QuotaLedger.create(facts, clock, true);
+	while (old.take(tenant, 10) === 0) {
+		// Used up.
+	}
+
+	const fresh = QuotaLedger.create(facts, clock, true);
+	fresh.takeCounts('old', old.counts, 'other');
+	assert.ok(fresh.take(tenant, 1) > 0);
+	const restarted = QuotaLedger.create(facts, clock, false);
+	assert.ok(restarted.take(tenant, 1) > 0);
+	clock.now += 100;
+	assert.equal(restarted.take(tenant, 1), 0);
+});
+
+test('a lowered bound takes hold at once, and what did not run is given back', () => {
+	const clock = new MovedClock();
+	const limit = {...bound};
+	const ledger = QuotaLedger.create({bound: () => limit, heardPart: () => 1}, clock, true);
+	limit.burst = 5;
+	assert.equal(ledger.take(tenant, 6), 0);
+	assert.ok(ledger.take(tenant, 1) > 0);
+	ledger.giveBack(tenant, 6);
+	assert.equal(ledger.take(tenant, 1), 0);
+});
--- a/src/relay/front-door.ts
+++ b/src/relay/front-door.ts
@@ -2,16 +2,20 @@
  * The front: takes clients' requests, admits or refuses them, and sees to it that each gets one final answer.
  */
 import {Buffer} from 'node:buffer';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import {Refusal} from '../base/verdict.js';
-import type {Route, RouteTable, Tenant} from '../routes/route-table.js';
-import {pickTarget} from '../routes/route-table.js';
+import {
+	type Route, type RouteTable, type Tenant, pickTarget,
+} from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import {ClientAnswer} from './client-answer.js';
 import type {RequestHead} from './relay-format.js';
 import {RelayRun} from './relay-run.js';
+import {RequestStory, type Governed} from './request-story.js';
 import type {RelayServices} from './relay-services.js';
 
 /** Bytes of a request's head at most. */
@@ -24,6 +28,13 @@
 /** Seconds after which a client may come back to a machine that knows no configuration. */
 const comeBackWhenKnown = 0.3;
 
+/** What an admission rests on. */
+type Admission = Governed & {
+	readonly table: RouteTable;
+	/** Monotonic milliseconds. */
+	readonly receivedAt: number;
+};
+
 /** What the front asks of the process around it. */
 export type FrontState = {
 	/** @returns Whether this process is asked to stop. */
@@ -96,57 +107,32 @@
 	}
 
 	private answer(incoming: IncomingMessage, response: ServerResponse): Effect.Effect<void> {
-		const {clock, format, log, metrics} = this.services;
+		const {clock, format, log} = this.services;
 		const receivedAt = clock.monotonic();
 		const head = format.readRequest(incoming);
 		const client = ClientAnswer.create(response, this.state.isStopping);
-		let run: RelayRun | undefined;
-		let admitted: AdmittedRequest | undefined;
-		const tell = (outcome: string, refusal?: Refusal) => {
-			const kind = admitted?.route.kind ?? 'none';
-			const now = clock.monotonic();
-			metrics.requests.inc({kind, outcome});
-			metrics.duration.observe({kind}, (now - receivedAt) / millisecondsPerSecond);
-			if (run?.story.firstByteAt !== undefined) {
-				metrics.firstByte.observe({kind}, (run.story.firstByteAt - receivedAt) / millisecondsPerSecond);
-			}
-
-			log.write(outcome === 'answered' ? 'requestAnswered' : (outcome === 'left' ? 'clientLeft' : 'requestRefused'), {
-				request: head.id,
-				route: admitted?.route.name,
-				service: admitted?.service,
-				tenant: admitted?.tenant?.name,
-				status: client.status,
-				reason: refusal?.reason,
-				verdict: refusal?.verdict ?? run?.verdict,
-				detail: refusal?.detail,
-				retryAfter: refusal?.retryAfter,
-				replica: run?.story.replica,
-				tries: run?.story.tries,
-				failures: run?.story.failures === '' ? undefined : run?.story.failures,
-				version: this.services.table.version,
-				proofAge: Math.round(this.services.table.proofAge),
-				firstByte: run?.story.firstByteAt === undefined ? undefined : Math.round(run.story.firstByteAt - receivedAt),
-				took: Math.round(now - receivedAt),
-				bytes: client.bytes,
-			});
-		};
-
+		const story = RequestStory.create({
+			services: this.services, head, client, receivedAt,
+		});
 		const serving = Effect.gen({self: this}, function * () {
-			admitted = yield * this.admit(incoming, head, receivedAt);
-			run = RelayRun.create(this.services, admitted, client);
+			const table = yield * this.tableInForce();
+			const governed = yield * this.govern(incoming, head, table);
+			story.governed = governed;
+			const admitted = yield * this.admit(incoming, head, {table, receivedAt, ...governed});
+			story.admitted = admitted;
+			const run = RelayRun.create(this.services, admitted, client);
+			story.run = run;
 			yield * run.serve();
-			tell('answered');
+			story.tellAnswered();
 		});
 		return serving.pipe(
 			Effect.catchTag('Refusal', refusal => Effect.sync(() => {
-				metrics.refusals.inc({reason: refusal.reason, verdict: refusal.verdict});
-				this.giveBack(admitted, refusal);
+				this.giveBack(story.admitted, refusal);
 				client.refuse(refusal);
-				tell('refused', refusal);
+				story.tellRefused(refusal);
 			})),
 			Effect.onInterrupt(() => Effect.sync(() => {
-				tell('left');
+				story.tellLeft();
 			})),
 			Effect.catchDefect(defect => Effect.sync(() => {
 				log.write('requestFailed', {request: head.id, detail: String(defect)});
@@ -155,18 +141,21 @@
 		);
 	}
 
-	private admit(incoming: IncomingMessage, head: RequestHead, receivedAt: number): Effect.Effect<AdmittedRequest, Refusal> {
-		return Effect.gen({self: this}, function * () {
+	private tableInForce(): Effect.Effect<RouteTable, Refusal> {
+		return Effect.suspend(() => {
 			const table = this.services.table.inForce;
 			if (!table || !this.services.replicas.isKnown) {
-				return yield * Effect.fail(Refusal.create('not-ready', 'This machine knows no configuration yet.', {retryAfter: comeBackWhenKnown}));
+				return Effect.fail(Refusal.create('not-ready', 'This machine knows no configuration yet.', {retryAfter: comeBackWhenKnown}));
 			}
 
-			if (this.state.isClosing()) {
-				return yield * Effect.fail(Refusal.create('box-stopping', 'This machine is stopping.', {retryAfter: 0}));
-			}
+			return this.state.isClosing()
+				? Effect.fail(Refusal.create('box-stopping', 'This machine is stopping.', {retryAfter: 0}))
+				: Effect.succeed(table);
+		});
+	}
 
-			const {route, tenant} = yield * this.govern(incoming, head, table);
+	private admit(incoming: IncomingMessage, head: RequestHead, {table, receivedAt, route, tenant}: Admission): Effect.Effect<AdmittedRequest, Refusal> {
+		return Effect.gen({self: this}, function * () {
 			const body = yield * readAll(incoming, table.content.limits.body);
 			const units = unitsOf(tenant, head);
 			if (tenant) {
@@ -183,7 +172,7 @@
 		});
 	}
 
-	private govern(incoming: IncomingMessage, head: RequestHead, table: RouteTable): Effect.Effect<{readonly route: Route; readonly tenant: Tenant | undefined}, Refusal> {
+	private govern(incoming: IncomingMessage, head: RequestHead, table: RouteTable): Effect.Effect<Governed, Refusal> {
 		const {guard} = this.services;
 		const stale = () => Effect.fail(Refusal.create('configuration-stale', 'The configuration may be out of date here.', {retryAfter: comeBackWhenKnown}));
 		const absent = (refusal: Refusal) => guard.believesAbsence ? Effect.fail(refusal) : stale();
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -1,8 +1,9 @@
 /**
  * What a relay counts and measures, for its metrics address.
  */
+import process from 'node:process';
 import {
-	Counter, Gauge, Histogram, Registry, collectDefaultMetrics,
+	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 
 const secondBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 5, 10, 15];
@@ -73,7 +74,17 @@
 		name: 'waydrift_relay_log_lines_left_out_total', help: 'Log lines left out because the reader was too slow.', registers: [this.registry],
 	});
 
+	/** The library's own default metrics wake the process a hundred times a second: memory alone is told. */
+	readonly memory = new Gauge({
+		name: 'waydrift_relay_resident_bytes',
+		help: 'Resident memory of the process.',
+		registers: [this.registry],
+		collect() {
+			this.set(process.memoryUsage.rss());
+		},
+	});
+
 	private constructor() {
-		collectDefaultMetrics({register: this.registry});
+		// Made by create().
 	}
 }
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -7,12 +7,12 @@
 import type {ReplicaChoice} from '../replicas/replica-choice.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
+import type {UsageCounts} from '../duties/usage-counts.js';
 import type {ConnectionBook} from './connection-book.js';
 import type {FreshnessGuard} from './freshness-guard.js';
 import type {RelayFormat} from './relay-format.js';
 import type {RelayMetrics} from './relay-metrics.js';
 import type {RepeatBudgets} from './repeat-budgets.js';
-import type {UsageCounts} from '../duties/usage-counts.js';
 
 /** The services of one machine that serve requests. */
 export type RelayServices = {
--- a/src/relay/replica-exchange.ts
+++ b/src/relay/replica-exchange.ts
@@ -59,6 +59,8 @@
 		const message = request({
 			method: outgoing.method, path: outgoing.path, headers: outgoing.headers, createConnection: () => socket,
 		});
+		// Without an agent Node takes a connection for one request.
+		message.shouldKeepAlive = true;
 		message.on('error', error => {
 			fail(AttemptFailure.mayHaveRun(isParseError(error) ? 'garbled' : 'cut', error.message));
 		});
--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -98,7 +98,7 @@
 
 function settingsOf(file: typeof RelaySettingsFile.Type): RelaySettings {
 	const front = readAddress(file.listen.front ?? '0.0.0.0:0');
-	const addressOr = (address: string | null, port: number): Address => address === null ? {host: front.host, port} : readAddress(address);
+	const addressOr = (address: typeof AddressText.Type, port: number): Address => address === null ? {host: front.host, port} : readAddress(address);
 	const {bounds} = file;
 	return {
 		node: file.node,
