--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -17,6 +17,8 @@
 const refusalPause = 1500;
 /** Milliseconds beyond the boot time after which replicas that are still missing are ordered again. */
 const missingPause = 3000;
+/** Milliseconds without a new replica after which the first fleet counts as whole: replicas list themselves in turn. */
+const settleTime = 2500;
 
 /** What the duty needs. */
 export type FleetDutyServices = {
@@ -59,7 +61,8 @@
 			const {lease, table} = this.services;
 			const record = lease.known;
 			const scaled = (table.inForce?.content.services ?? []).filter(({scaling}) => scaling !== undefined);
-			if (!record || scaled.length === 0) {
+			const isWhole = record?.baseline.length !== 0 || this.services.replicas.settledFor > settleTime;
+			if (!record || scaled.length === 0 || !isWhole) {
 				return Effect.void;
 			}
 
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -26,14 +26,22 @@
 	private readonly departures = new Map<string, number>();
 	private readonly goneListeners: ReplicaListener[] = [];
 	private known = false;
+	private lastListedAt: number;
 
-	private constructor(private readonly clock: Clock, private readonly log: EventLog) {}
+	private constructor(private readonly clock: Clock, private readonly log: EventLog) {
+		this.lastListedAt = clock.monotonic();
+	}
 
 	/** Whether a list has been read. */
 	get isKnown(): boolean {
 		return this.known;
 	}
 
+	/** Milliseconds since a replica was last listed for the first time. */
+	get settledFor(): number {
+		return this.clock.monotonic() - this.lastListedAt;
+	}
+
 	/** All that are listed. */
 	get all(): readonly Replica[] {
 		return [...this.replicas.values()];
@@ -107,6 +115,7 @@
 		}
 
 		this.replicas.set(entry.id, added);
+		this.lastListedAt = this.clock.monotonic();
 		this.log.write('replicaListed', {
 			replica: entry.id, service: entry.service, zone: entry.zone, address: `${entry.host}:${entry.port}`, isDraining: entry.isDraining,
 		});
