--- /dev/null
+++ b/src/base/test/bounded-event-log.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {BoundedEventLog, type LogOutput} from '../bounded-event-log.js';
+
+/** A reader that reads only when it is told to. */
+class StuckOutput implements LogOutput {
+	writableLength = 0;
+	readonly lines: Array<Readonly<Record<string, unknown>>> = [];
+
+	write(line: string): void {
+		this.writableLength += line.length;
+		this.lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>);
+	}
+}
+
+test('a reader that does not read bounds what waits, successes are left out before failures, and the loss is told', () => {
+	const output = new StuckOutput();
+	let leftOut = 0;
+	const log = BoundedEventLog.create(output, () => {
+		leftOut++;
+	});
+	log.name('node-1');
+	for (let index = 0; index < 5000; index++) {
+		log.write('requestAnswered', {request: `a-${index}`});
+		log.write('requestRefused', {request: `r-${index}`});
+	}
+
+	assert.ok(output.writableLength < 270_000);
+	assert.ok(leftOut > 0);
+	const refused = output.lines.filter(({eventName}) => eventName === 'requestRefused').length;
+	const answered = output.lines.filter(({eventName}) => eventName === 'requestAnswered').length;
+	assert.ok(refused > answered);
+	output.writableLength = 0;
+	log.write('relayStopped');
+	assert.deepEqual(output.lines.slice(-2).map(({eventName}) => eventName), ['logLinesLeftOut', 'relayStopped']);
+	const told = output.lines.filter(({eventName}) => eventName === 'logLinesLeftOut').map(({lines}) => lines as number);
+	assert.equal(told.reduce((left, right) => left + right, 0), leftOut);
+	assert.equal(output.lines.at(-1)!.node, 'node-1');
+});
--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -90,6 +90,7 @@
 			baseline,
 			zones,
 			reclaimableReady: new Map(zones.map(zone => [zone, ready.filter(({entry}) => entry.zone === zone).length])),
+			isIdle: replicas.ready(name).every(({work}) => work.requests === 0),
 			isSettled: before.length > 0 && before.every(({kept}) => kept === 0),
 		};
 		return policy.plan(facts);
--- a/src/duties/fleet-plan.ts
+++ b/src/duties/fleet-plan.ts
@@ -18,6 +18,8 @@
 	readonly reclaimableReady: ReadonlyMap<string, number>;
 	/** Whether the others have been given up before. */
 	readonly isSettled: boolean;
+	/** Whether nothing runs at its replicas, so that none would be missed. */
+	readonly isIdle: boolean;
 };
 
 /** Decides. */
@@ -33,6 +35,8 @@
 const survivingPart = 0.8;
 /** Part of the first fleet below which others are ordered again. */
 const leastPart = 0.35;
+/** Part of the first fleet that must serve before the others are given up. */
+const firstPart = 0.6;
 /** Zones that may be withdrawn one upon the other, before the first comes back. */
 const zonesLost = 2;
 
@@ -46,18 +50,25 @@
 		return new SurvivingZonesPolicy();
 	}
 
-	override plan({service, scaling, baseline, zones, reclaimableReady, isSettled}: FleetFacts): readonly StandingOrder[] {
+	override plan(facts: FleetFacts): readonly StandingOrder[] {
+		const {service, scaling, baseline, zones} = facts;
 		const surviving = Math.max(1, zones.length - zonesLost);
 		const each = Math.ceil(baseline * survivingPart / surviving);
-		const reclaimable = Math.min(scaling.maximum, Math.max(scaling.minimum, each));
-		const serving = zones.map(zone => Math.min(reclaimable, reclaimableReady.get(zone) ?? 0));
-		const enough = isSettled ? baseline * leastPart : Math.min(baseline, reclaimable * Math.max(1, zones.length - 1));
-		const hasEnough = sumOf(serving) >= enough;
-		const keptBefore = Math.min(Math.max(0, scaling.maximum - reclaimable), Math.ceil(baseline / Math.max(1, zones.length)));
+		const wanted = Math.min(scaling.maximum, Math.max(scaling.minimum, each));
+		const kept = this.needsKept(facts, wanted) ? Math.min(scaling.maximum, Math.ceil(baseline / Math.max(1, zones.length))) : 0;
+		// The maximum holds for both sorts together.
+		const reclaimable = Math.min(wanted, scaling.maximum - kept);
 		return zones.map(zone => ({
-			service, zone, reclaimable, kept: hasEnough ? 0 : keptBefore,
+			service, zone, reclaimable, kept,
 		}));
 	}
+
+	/** Kept replicas stay until the others serve, and come back where too few of those are left. */
+	private needsKept({baseline, zones, reclaimableReady, isSettled, isIdle}: FleetFacts, wanted: number): boolean {
+		const serving = sumOf(zones.map(zone => Math.min(wanted, reclaimableReady.get(zone) ?? 0)));
+		const isShort = serving < baseline * (isSettled ? leastPart : firstPart);
+		return isShort && (isSettled || !isIdle);
+	}
 }
 
 function sumOf(numbers: readonly number[]): number {
--- a/src/follow/kind-follower.ts
+++ b/src/follow/kind-follower.ts
@@ -7,7 +7,7 @@
 import type {Change, Listing, MetadataStore} from './metadata-store.js';
 
 /** Milliseconds a watch waits: a connection that has gone silent is noticed soon after. */
-const watchWait = 1500;
+const watchWait = 3000;
 /** Milliseconds between two tries while the store does not answer. */
 const retryPause = 250;
 
