--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -1,9 +1,8 @@
 /**
  * A whole small deployment in one process: store, replicas and relays, on loopback. Development only.
  */
-import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
-import {Agent, request, type IncomingHttpHeaders} from 'node:http';
+import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
+import {createServer, type AddressInfo} from 'node:net';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import {configurationKind, configurationName, replicaKind} from '../../platform/formats.js';
@@ -76,6 +75,13 @@
 	name: `r${path}`, host: testHost, path_prefix: path, kind: 'idempotent', timeout_ms: 2000, goal_ms: 200, priority: 1, service: 'plain', max_attempts: 2, public: false, ...changes,
 });
 
+const usualRoutes = [
+	routeTo('/calls/'),
+	routeTo('/once/', {kind: 'non_idempotent', max_attempts: 1}),
+	routeTo('/stream/', {kind: 'streaming', resumable: true}),
+	routeTo('/whole/', {kind: 'streaming', max_attempts: 1}),
+];
+
 /** What an installation is made of. */
 export type InstallationPlan = {
 	readonly relays: number;
@@ -120,7 +126,7 @@
 		this.version += 3;
 		this.store.put(configurationKind, configurationName, {
 			version: this.version,
-			routes: this.plan.routes ?? [routeTo('/calls/'), routeTo('/once/', {kind: 'non_idempotent', max_attempts: 1}), routeTo('/stream/', {kind: 'streaming', resumable: true}), routeTo('/whole/', {kind: 'streaming', max_attempts: 1})],
+			routes: this.plan.routes ?? usualRoutes,
 			services: this.plan.services ?? [{name: 'plain', max_conns: 100}],
 			limits: {max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000},
 			tenants: [{
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -2,7 +2,7 @@
  * A stand-in for a replica of a service on the platform, with faults. Development only.
  */
 import type {Server} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {header} from '../../platform/names.js';
 import {startStandin, type StandinRequest} from '../standins/standin-server.js';
 
@@ -110,7 +110,7 @@
 		this.answerWhole(request, conduct, own);
 	}
 
-	private answerWhole({response}: StandinRequest, {fault}: ReplicaConduct, own: Readonly<Record<string, string>>): void {
+	private answerWhole({response, incoming}: StandinRequest, {fault}: ReplicaConduct, own: Readonly<Record<string, string>>): void {
 		const body = `answer of ${this.id}`;
 		const length = {'Content-Length': String(body.length)};
 		switch (fault) {
@@ -141,7 +141,7 @@
 
 			case 'extra': {
 				response.writeHead(200, {...own, ...length}).end(body);
-				response.socket?.write(`HTTP/1.1 200 OK\r\nAttempt-Id: late\r\nContent-Length: 4\r\n\r\nlate`);
+				response.socket?.write('HTTP/1.1 200 OK\r\nAttempt-Id: late\r\nContent-Length: 4\r\n\r\nlate');
 				return;
 			}
 
@@ -152,11 +152,12 @@
 
 			case 'unframed-reset':
 			case 'unframed-crash': {
+				const {socket} = incoming;
 				const reset = () => {
-					(response.socket as Socket | null)?.resetAndDestroy();
+					socket.resetAndDestroy();
 				};
 
-				response.socket?.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${own['Attempt-Id']}\r\nServer-Stamp: ${own['Server-Stamp']}\r\n\r\n${body.slice(0, 4)}`, () => {
+				socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${own['Attempt-Id']}\r\nServer-Stamp: ${own['Server-Stamp']}\r\n\r\n${body.slice(0, 4)}`, () => {
 					if (fault === 'unframed-crash') {
 						// At once, so that the reader finds bytes and reset together.
 						reset();
@@ -182,7 +183,8 @@
 				return;
 			}
 
-			if (fault === 'cut-stream' && event > events / 2) {
+			// What is resumed runs to its end.
+			if (fault === 'cut-stream' && first === 1 && event > events / 2) {
 				// The cut falls inside an event.
 				response.write(`id: ${event}\ndata: ha`, () => response.socket?.destroy());
 				return;
--- a/src/node/test/relay-serving.test.ts
+++ b/src/node/test/relay-serving.test.ts
@@ -6,7 +6,7 @@
 import {
 	RelayInstallation, testKey, until,
 } from '../../../development/relay/relay-installation.js';
-import type {ReplicaStandin, SeenRequest} from '../../../development/relay/replica-standin.js';
+import type {ReplicaConduct, ReplicaStandin, SeenRequest} from '../../../development/relay/replica-standin.js';
 
 let installation: RelayInstallation;
 let first: ReplicaStandin;
@@ -74,14 +74,19 @@
 	assert.deepEqual(views.map(({status}) => status), Array.from({length: 6}, () => 200));
 });
 
-for (const fault of ['cut', 'wrong-id', 'encoded'] as const) {
+const assertOnceWith502 = async (fault: ReplicaConduct['fault']): Promise<void> => {
+	first.behave({fault});
+	second.behave({fault});
+	const view = await installation.call({path: '/once/x', method: 'POST', body: '1'});
+	assert.equal(view.status, 502);
+	assert.equal(runs().length, 1);
+	assert.equal(view.headers['retry-after'], undefined);
+};
+
+const badAnswers = ['cut', 'wrong-id', 'encoded', 'unframed-reset', 'unframed-crash'] as const;
+for (const fault of badAnswers) {
 	test(`a request that may run once is sent once, and gets 502 when its answer is bad: ${fault}`, async () => {
-		first.behave({fault});
-		second.behave({fault});
-		const view = await installation.call({path: '/once/x', method: 'POST', body: '1'});
-		assert.equal(view.status, 502);
-		assert.equal(runs().length, 1);
-		assert.equal(view.headers['retry-after'], undefined);
+		await assertOnceWith502(fault);
 	});
 }
 
@@ -133,23 +138,16 @@
 test('a stream that may be resumed goes on elsewhere with no event missing or doubled', async () => {
 	first.behave({events: 10, fault: 'cut-stream'});
 	second.behave({events: 10, fault: 'cut-stream'});
-	const spare = await installation.addReplica('i-3');
-	spare.behave({events: 10});
-	await until(() => installation.relays[0]!.log.lines.some(({replica}) => replica === 'i-3'));
 	const views = await Promise.all(Array.from({length: 9}, async () => installation.call({path: '/stream/x', method: 'POST', body: 'p'})));
-	const whole = views.filter(({isWhole}) => isWhole);
-	assert.ok(whole.length > 0);
-	for (const {body} of whole) {
+	for (const {body, isWhole} of views) {
 		const ids = [...body.matchAll(/^id: (?<id>\d+)$/gmv)].map(match => match.groups!.id);
+		assert.ok(isWhole);
 		assert.deepEqual(ids, Array.from({length: 10}, (_, index) => String(index + 1)));
 		assert.ok(!body.includes('data: ha'), 'no part of a cut event is passed on');
 	}
 
-	const resumed = spare.seen.filter(({headers}) => headers['last-event-id'] !== undefined);
-	assert.ok(resumed.length > 0, 'at least one stream was resumed at the spare replica');
-	spare.behave({});
-	installation.unlist('i-3');
-	await until(() => installation.relays[0]!.log.lines.some(({eventName, replica}) => eventName === 'replicaGone' && replica === 'i-3'));
+	const resumed = seen().filter(({headers}) => headers['last-event-id'] === '5');
+	assert.equal(resumed.length, 9);
 });
 
 test('a stream that may not be resumed does not look whole when it was cut', async () => {
@@ -176,7 +174,9 @@
 test('a request held to its route\'s time-out ends then, and is not said to have not run', async () => {
 	first.behave({fault: 'mute'});
 	second.behave({fault: 'mute'});
-	const view = await installation.call({path: '/once/x', method: 'POST', body: '1', headers: {'Deadline-Ms': '300'}});
+	const view = await installation.call({
+		path: '/once/x', method: 'POST', body: '1', headers: {'Deadline-Ms': '300'},
+	});
 	assert.equal(view.status, 504);
 	await until(() => seen()[0]!.isAbandoned);
 });
@@ -198,11 +198,3 @@
 
 	assert.ok(first.connections - before <= 2, `${first.connections - before} new connections for 10 requests`);
 });
-
-for (const fault of ['unframed-reset', 'unframed-crash'] as const) {
-	test(`an answer without a length whose connection is reset is not whole: ${fault}`, async () => {
-		first.behave({fault});
-		const view = await installation.call({path: '/once/x', method: 'POST', body: '1'});
-		assert.equal(view.status, 502);
-	});
-}
--- a/src/node/test/relay-stopping.test.ts
+++ b/src/node/test/relay-stopping.test.ts
@@ -15,7 +15,9 @@
 after(async () => installation.close());
 
 const readiness = async (): Promise<number> => new Promise((resolve, reject) => {
-	get({host: '127.0.0.1', port: relay.readyPort, path: '/api/readyz', agent: false}, answer => {
+	get({
+		host: '127.0.0.1', port: relay.readyPort, path: '/api/readyz', agent: false,
+	}, answer => {
 		answer.resume();
 		resolve(answer.statusCode ?? 0);
 	}).on('error', reject);
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -97,7 +97,7 @@
 			for (const {at} of passed) {
 				const inWindow = passed.filter(other => other.at >= at && other.at < at + window);
 				const units = inWindow.length * 4;
-				assert.ok(units <= (bound.rate * 8 + bound.burst) * 1.35, `${units} units in a window`);
+				assert.ok(units <= ((bound.rate * 8) + bound.burst) * 1.35, `${units} units in a window`);
 			}
 		},
 	), {numRuns: 12, seed: 7});
