Usage drafts outlast the loss of all machines; the last holder's machine goes on at once; half a burst after a restart

Change: the holder writes the counts of open windows once a second; a machine that held the duties last needs not wait out its own acts and is preferred; a bucket starts with half of the burst in place of nothing (2,136 answers 429 there after the restart).

--- a/src/duties/duty-campaign.ts
+++ b/src/duties/duty-campaign.ts
@@ -44,13 +44,18 @@
 
 /**
  * @param facts - What the decision rests on.
- * @returns Whether this machine is the one to take the duties over.
+ * @returns Whether this machine is the one to take the duties over: the machine that held them last, where it is
+ * there again, since its own acts need not be waited out; else the first by name.
  */
-export function isCandidate({self, heard, heardPart, storeSilence, isStopping}: CampaignFacts): boolean {
+export function isCandidate({self, record, heard, heardPart, storeSilence, isStopping}: CampaignFacts): boolean {
 	if (isStopping || storeSilence > candidateSilence || heardPart < leastHeardPart) {
 		return false;
 	}
 
 	const others = heard.filter(({last}) => last && !last.isStopping && last.storeAge < candidateSilence).map(({address}) => address.name);
-	return others.every(name => self < name);
+	if (record?.holder === self) {
+		return true;
+	}
+
+	return !others.includes(record?.holder ?? '') && others.every(name => self < name);
 }
--- a/src/duties/duty-lease.ts
+++ b/src/duties/duty-lease.ts
@@ -103,7 +103,8 @@
 			yield * this.write({
 				...before, holder: self, incarnation, fence: before.fence + 1, decision: before.decision + 1,
 			});
-			const needsWait = before.fence > 0;
+			// What this machine itself did before needs no waiting out.
+			const needsWait = before.fence > 0 && before.holder !== self;
 			this.actsFrom = clock.monotonic() + (needsWait ? this.services.wait() : 0);
 			log.write('dutyAcquired', {fence: before.fence + 1, before: before.holder});
 		});
--- /dev/null
+++ b/src/duties/test/usage-draft.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {Clock} from '../../base/clock.js';
+import {StoreStandin} from '../../../development/relay/store-standin.js';
+import {HttpMetadataStore} from '../../../platform/metadata-store.js';
+import {UsageCounts} from '../usage-counts.js';
+import {UsageDraft} from '../usage-draft.js';
+
+class MovedClock extends Clock {
+	now = 10_000;
+
+	override monotonic(): number {
+		return this.now;
+	}
+
+	override wall(): number {
+		return this.now;
+	}
+}
+
+test('counts of machines that are all lost at once are found again by the next holder, none twice', async () => {
+	const standin = await StoreStandin.start();
+	const store = HttpMetadataStore.create('127.0.0.1', standin.port);
+	const clock = new MovedClock();
+	const countsOf = () => UsageCounts.create(() => clock.now, () => 5000);
+	const first = countsOf();
+	first.note('basin');
+	first.note('basin');
+	first.take('other/one', [{window: first.currentWindow, counts: [['basin', 3]]}]);
+	const draft = UsageDraft.create({
+		start: 'self/one', store, counts: first, clock,
+	});
+	await Effect.runPromise(draft.step());
+	await Effect.runPromise(draft.step());
+	const second = countsOf();
+	second.note('basin');
+	const next = UsageDraft.create({
+		start: 'self/two', store, counts: second, clock,
+	});
+	await Effect.runPromise(next.step());
+	second.take('other/one', [{window: second.currentWindow, counts: [['basin', 3]]}]);
+	assert.deepEqual(second.total(second.currentWindow).counts, [['basin', 6]]);
+	await standin.close();
+});
--- a/src/duties/usage-counts.ts
+++ b/src/duties/usage-counts.ts
@@ -9,6 +9,12 @@
 	readonly counts: ReadonlyArray<readonly [tenant: string, requests: number]>;
 };
 
+/** What one start of one machine counted. */
+export type StartUsage = {
+	readonly start: string;
+	readonly usage: readonly WindowUsage[];
+};
+
 /** Windows kept. */
 const windowsKept = 8;
 /** Windows told to the others. */
@@ -39,7 +45,12 @@
 
 	/** What this machine tells the others. */
 	get told(): readonly WindowUsage[] {
-		return [...this.own].slice(-windowsTold).map(([window, counts]) => ({window, counts: [...counts]}));
+		return usageOf(this.own).slice(-windowsTold);
+	}
+
+	/** What every start of every machine counted, but for this one's own counts. */
+	get heard(): readonly StartUsage[] {
+		return [...this.others].map(([start, windows]) => ({start, usage: usageOf(windows)}));
 	}
 
 	/**
@@ -73,6 +84,9 @@
 		}
 
 		trim(windows, this.currentWindow);
+		if (windows.size === 0) {
+			this.others.delete(start);
+		}
 	}
 
 	/**
@@ -91,6 +105,10 @@
 	}
 }
 
+function usageOf(windows: Windows): readonly WindowUsage[] {
+	return [...windows].map(([window, counts]) => ({window, counts: [...counts]}));
+}
+
 function trim(windows: Windows, current: number): void {
 	for (const window of windows.keys()) {
 		if (window < current - windowsKept) {
--- /dev/null
+++ b/src/duties/usage-draft.ts
@@ -0,0 +1,105 @@
+/**
+ * Keeps the counts of windows that are not reported yet in the store, so that they outlast the loss of all machines
+ * at once.
+ */
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import * as Schema from 'effect/Schema';
+import type {Clock} from '../base/clock.js';
+import {createDecoder} from '../base/faults.js';
+import type {MetadataStore, RevisionConflict, StoreUnavailable} from '../follow/metadata-store.js';
+import type {StartUsage, UsageCounts} from './usage-counts.js';
+
+/** Kind and name of the object. */
+const draftKind = 'waydrift-duties';
+const draftName = 'usage';
+/** Milliseconds between two writes. */
+const writeInterval = 1000;
+/** Windows that a draft holds; older ones have been reported. */
+const windowsDrafted = 3;
+
+const Draft = Schema.Struct({
+	starts: Schema.Array(Schema.Struct({
+		start: Schema.String,
+		usage: Schema.Array(Schema.Struct({
+			window: Schema.Number,
+			counts: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
+		})),
+	})),
+});
+const decodeDraft = createDecoder(Draft, 'ignore');
+
+/** What the draft needs. */
+export type UsageDraftServices = {
+	/** This start of this machine. */
+	readonly start: string;
+	readonly store: MetadataStore;
+	readonly counts: UsageCounts;
+	readonly clock: Clock;
+};
+
+/** The draft, written by the machine that holds the duties. */
+export class UsageDraft {
+	/**
+	 * @param services - What it needs.
+	 * @returns The draft, not read.
+	 */
+	static create(services: UsageDraftServices): UsageDraft {
+		return new UsageDraft(services);
+	}
+
+	private revision: number | undefined;
+	private isRead = false;
+	private writtenAt = Number.NEGATIVE_INFINITY;
+
+	private constructor(private readonly services: UsageDraftServices) {}
+
+	/** @returns Takes over what stands in the store, once; then writes now and then. */
+	step(): Effect.Effect<void, StoreUnavailable> {
+		return Effect.suspend(() => {
+			if (!this.isRead) {
+				return this.read();
+			}
+
+			return this.services.clock.monotonic() - this.writtenAt < writeInterval
+				? Effect.void
+				: this.write().pipe(Effect.catchTag('RevisionConflict', () => this.read()));
+		});
+	}
+
+	private read(): Effect.Effect<void, StoreUnavailable> {
+		const {store, counts, start: own} = this.services;
+		return store.read(draftKind, draftName).pipe(Effect.map(object => {
+			this.revision = object?.revision;
+			this.isRead = true;
+			const decoded = object && decodeDraft(object.spec);
+			const starts = decoded && Result.isSuccess(decoded) ? decoded.success.starts : [];
+			for (const {start, usage} of starts.filter(entry => entry.start !== own)) {
+				counts.take(start, usage);
+			}
+		}));
+	}
+
+	private write(): Effect.Effect<void, StoreUnavailable | RevisionConflict> {
+		const {store, counts, clock, start} = this.services;
+		const oldest = counts.currentWindow - windowsDrafted;
+		const starts = [...counts.heard, {start, usage: counts.told}].flatMap(entry => recentOf(entry, oldest));
+		this.writtenAt = clock.monotonic();
+		const written = this.revision === undefined
+			? store.create(draftKind, draftName, {starts})
+			: store.replace(draftKind, draftName, {starts}, this.revision);
+		return written.pipe(
+			Effect.map(({revision}) => {
+				this.revision = revision;
+			}),
+			Effect.tapError(() => Effect.sync(() => {
+				this.isRead = false;
+			})),
+		);
+	}
+}
+
+function recentOf({start, usage}: StartUsage, oldest: number): readonly StartUsage[] {
+	const recent = usage.filter(({window}) => window >= oldest);
+	return recent.length === 0 ? [] : [{start, usage: recent}];
+}
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -10,6 +10,7 @@
 import {DutyLease} from '../duties/duty-lease.js';
 import {FleetDuty} from '../duties/fleet-duty.js';
 import {SurvivingZonesPolicy} from '../duties/fleet-plan.js';
+import {UsageDraft} from '../duties/usage-draft.js';
 import {UsageDuty} from '../duties/usage-duty.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 import type {RelayMetrics} from '../relay/relay-metrics.js';
@@ -57,6 +58,7 @@
 	private readonly lease: DutyLease;
 	private readonly usage: UsageDuty;
 	private readonly fleet: FleetDuty;
+	private readonly draft: UsageDraft;
 
 	private constructor(private readonly parts: DutyParts, calls: DutyCalls) {
 		const {self, incarnation, link: {store}, clock, log, settings, services, peers} = parts;
@@ -74,6 +76,9 @@
 			delay: () => settings().bounds.reportDelay,
 			hasHeardAll: within => peers.all.every(({heardAt}) => clock.monotonic() - heardAt <= within),
 		});
+		this.draft = UsageDraft.create({
+			start: `${self}/${incarnation}`, store, counts: services.usage, clock,
+		});
 		this.fleet = FleetDuty.create({
 			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: SurvivingZonesPolicy.create(),
 		});
@@ -101,6 +106,7 @@
 			}
 
 			if (lease.mayAct) {
+				yield * this.draft.step();
 				yield * this.usage.step();
 				yield * this.fleet.step();
 			}
@@ -109,6 +115,10 @@
 
 	private campaign() {
 		return Effect.gen({self: this}, function * () {
+			if (!this.lease.known) {
+				yield * this.lease.look();
+			}
+
 			if (isHolderAtWork(this.facts()) || !isCandidate(this.facts())) {
 				return;
 			}
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -36,13 +36,11 @@
 	level: number;
 	refilledAt: number;
 	passed: number;
-	/** Units a second asked for lately. */
-	demand: number;
 };
 
 const millisecondsPerSecond = 1000;
-/** Milliseconds over which demand is averaged. */
-const demandWindow = 1000;
+/** Part of the burst that a machine has that starts anew: others, or its own last start, may just have used the rest. */
+const restartPart = 0.5;
 
 /** The buckets of all tenants. */
 export class QuotaLedger {
@@ -88,7 +86,6 @@
 
 		const bucket = this.bucketOf(tenant);
 		this.refill(tenant, bucket);
-		bucket.demand += units * millisecondsPerSecond / demandWindow;
 		if (bucket.level <= 0) {
 			return Math.max(1, -bucket.level / bound.rate * millisecondsPerSecond);
 		}
@@ -152,7 +149,7 @@
 		}
 
 		const bucket: Bucket = {
-			level: this.startsFull ? this.facts.bound(tenant)?.burst ?? 0 : 0, refilledAt: this.clock.monotonic(), passed: 0, demand: 0,
+			level: (this.facts.bound(tenant)?.burst ?? 0) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
 		};
 		this.buckets.set(tenant, bucket);
 		return bucket;
@@ -163,7 +160,6 @@
 		const elapsed = now - bucket.refilledAt;
 		const bound = this.facts.bound(tenant);
 		bucket.refilledAt = now;
-		bucket.demand *= Math.exp(-elapsed / demandWindow);
 		if (bound) {
 			const part = this.facts.heardPart();
 			bucket.level = Math.min(bound.burst * part, bucket.level + (elapsed * bound.rate * part / millisecondsPerSecond));
