--- a/development/demo/main.ts
+++ b/development/demo/main.ts
@@ -13,6 +13,7 @@
 	control, Installation, readMetric, type Member,
 } from '../harness/installation.js';
 import {percentile} from '../harness/percentile.js';
+import {runRelayDemo} from './relay-demo.js';
 import {DirectCaller} from './direct-caller.js';
 import {
 	sampleKey, sampleKinds, sampleTable, type SampleKind,
@@ -239,3 +240,7 @@
 } finally {
 	await installation.close();
 }
+
+if (await runRelayDemo() !== 0) {
+	process.exitCode = 1;
+}
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -53,6 +53,8 @@
 	/** Connections that were opened to it. */
 	connections = 0;
 	conduct: ReplicaConduct = calm;
+	/** Events of an answer to a path under `/stream/`; zero leaves that to the conduct. */
+	streamEvents = 0;
 	private server!: Server;
 
 	private constructor(readonly id: string) {}
@@ -102,8 +104,9 @@
 		}
 
 		await pause(conduct.delay);
-		if (conduct.events > 0) {
-			await this.stream(request, conduct, own);
+		const events = this.streamEvents > 0 && request.url.pathname.startsWith('/stream/') ? this.streamEvents : conduct.events;
+		if (events > 0) {
+			await this.stream(request, {...conduct, events}, own);
 			return;
 		}
 
