Lapsed entries count again; given-up connections are reset; tries go by the configuration in force; silent replicas are left alone

An entry may lapse while the store is out and be written again by the same start of a replica: it was taken for gone for ten seconds, and where all lapse nothing was left to send to. A request or duty call that is given up on while a link is cut arrived when the cut healed, since a plain close goes on sending. A second try went by the configuration of the first. A replica gone dark got requests until they timed out. Change: departures carry the store's revision, a newer entry counts; just-gone replicas are used for 0.6 s where there is no other; reset in place of close; governed anew at each further try; no byte for 0.9 s or five times its mean latency makes a replica silent.

--- a/src/base/http-client.ts
+++ b/src/base/http-client.ts
@@ -88,6 +88,8 @@
 				agent: call.freshConnection ? false : this.agent,
 			});
 			const timer = setTimeout(() => {
+				// A reset takes back what a cut still holds up: a call that is given up on must not arrive late.
+				outgoing.socket?.resetAndDestroy();
 				outgoing.destroy(new Error(`no answer within ${call.timeout} ms`));
 			}, call.timeout);
 			outgoing.once('socket', socket => {
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -42,7 +42,7 @@
 	/** Work of the sender at replicas. */
 	work: Schema.Array(Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number})),
 	/** Replicas that began to leave lately. */
-	departed: Schema.Array(Schema.String),
+	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
 	usage: Schema.Array(WindowCounts),
 	/** Some of the machines that the sender knows. */
 	members: Schema.Array(MemberAddress),
--- a/src/node/platform-link.ts
+++ b/src/node/platform-link.ts
@@ -2,7 +2,7 @@
  * What a relay reaches outside of itself; the adapter at the root implements it.
  */
 import type {DutyCalls} from '../duties/duty-calls.js';
-import type {MetadataStore} from '../follow/metadata-store.js';
+import type {MetadataStore, StoredObject} from '../follow/metadata-store.js';
 import type {RelayFormat} from '../relay/relay-format.js';
 import type {ReplicaEntry} from '../replicas/replica.js';
 import type {RouteTableContent} from '../routes/route-table.js';
@@ -14,7 +14,7 @@
 	readonly replicaKind: string;
 	/** @returns The version; `undefined` where it cannot be read. */
 	readonly decodeConfiguration: (spec: unknown) => RouteTableContent | undefined;
-	readonly decodeReplica: (id: string, spec: unknown) => ReplicaEntry;
+	readonly decodeReplica: (object: StoredObject) => ReplicaEntry;
 };
 
 /** The platform, as a relay reaches it. */
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -221,14 +221,14 @@
 		const {link: {store, names}, log} = this.parts;
 		const {replicas} = this.services;
 		return KindFollower.create(names.replicaKind, {store, clock: this.clock, log}, {
-			list({objects}) {
-				replicas.replaceAll(objects.map(({name, spec}) => names.decodeReplica(name, spec)));
+			list({objects, at}) {
+				replicas.replaceAll(objects.map(object => names.decodeReplica(object)), at);
 			},
 			change({object, isGone}) {
 				if (isGone) {
-					replicas.remove(object.name);
+					replicas.remove(object.name, object.revision);
 				} else {
-					replicas.put(names.decodeReplica(object.name, object.spec));
+					replicas.put(names.decodeReplica(object));
 				}
 			},
 		}).run();
@@ -259,8 +259,8 @@
 
 		quota.takeCounts(start, message.quota, meeting);
 		usage.take(start, message.usage);
-		for (const id of message.departed) {
-			replicas.noteLeaving(id, 'peer');
+		for (const departure of message.departed) {
+			replicas.noteLeaving(departure, 'peer');
 		}
 
 		const worked = new Map(work.map(entry => [entry.replica, entry]));
--- a/src/relay/admitted-request.ts
+++ b/src/relay/admitted-request.ts
@@ -13,6 +13,8 @@
 	readonly route: Route;
 	readonly service: string;
 	readonly tenant: Tenant | undefined;
+	/** Version of the configuration that governs it. */
+	readonly version: number;
 	/** Units it counts against the tenant's quota. */
 	readonly units: number;
 	/** Zero is the most urgent. */
--- a/src/relay/front-door.ts
+++ b/src/relay/front-door.ts
@@ -165,6 +165,7 @@
 			const deadline = Math.min(head.deadline ?? route.timeout, route.timeout);
 			return {
 				incoming, head, body, route, tenant, units,
+				version: table.version,
 				service: pickTarget(route, Math.random()),
 				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, tenant))),
 				deadlineAt: receivedAt + deadline,
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -7,11 +7,14 @@
 import type {Replica} from '../replicas/replica.js';
 import type {Connection} from '../replicas/replica-connections.js';
 import type {ChoiceRequest} from '../replicas/replica-choice.js';
+import {pickTarget} from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import type {RelayServices} from './relay-services.js';
-import {openAnswer, readBody, type OpenAnswer} from './replica-exchange.js';
+import {
+	abandon, openAnswer, readBody, type OpenAnswer,
+} from './replica-exchange.js';
 import {StreamPassage} from './stream-passage.js';
 
 /** Tries at most, whatever the outcome of each. */
@@ -58,7 +61,7 @@
 
 	private constructor(
 		private readonly services: RelayServices,
-		private readonly request: AdmittedRequest,
+		private request: AdmittedRequest,
 		private readonly client: ClientAnswer,
 	) {
 		const {head} = request;
@@ -82,6 +85,7 @@
 		return Effect.gen({self: this}, function * () {
 			this.services.budgets.of(this.request.service).noteRequest();
 			for (;;) {
+				yield * this.governAnew();
 				const replica = yield * this.chooseReplica();
 				this.story.tries++;
 				this.story.replica = replica.entry.id;
@@ -104,12 +108,38 @@
 		});
 	}
 
+	/** A request that is tried again goes as the configuration says that is in force by now. */
+	private governAnew(): Effect.Effect<void, Refusal> {
+		return Effect.suspend(() => {
+			const {table, guard} = this.services;
+			const {incoming, head, tenant, version} = this.request;
+			const {inForce} = table;
+			if (!inForce || inForce.version === version) {
+				return Effect.void;
+			}
+
+			const route = inForce.route(incoming.headers.host ?? '', incoming.url ?? '/');
+			const holder = tenant && head.key !== undefined ? inForce.tenant(head.key) : undefined;
+			const isAllowed = route !== undefined && holder?.name === tenant?.name && guard.allowsKeys;
+			if (!isAllowed) {
+				return Effect.fail(this.refuse('configuration-stale', 'The configuration no longer allows the request.'));
+			}
+
+			const isTarget = route.targets.some(({service}) => service === this.request.service);
+			this.request = {
+				...this.request, route, version: inForce.version, service: isTarget ? this.request.service : pickTarget(route, Math.random()),
+			};
+			return Effect.void;
+		});
+	}
+
 	private chooseReplica(): Effect.Effect<Replica, Refusal> {
 		const {replicas, choice} = this.services;
 		const ready = replicas.ready(this.request.service);
 		const untried = ready.filter(replica => !this.tried.has(replica));
-		const sound = untried.filter(({isAvoided}) => !isAvoided);
-		const candidates = [sound, untried, ready].find(({length}) => length > 0);
+		const sound = untried.filter(({isAvoided, isSilent}) => !isAvoided && !isSilent);
+		const heard = untried.filter(({isSilent}) => !isSilent);
+		const candidates = [sound, heard, untried, ready].find(({length}) => length > 0);
 		if (!candidates) {
 			return Effect.fail(this.refuse('no-upstream', `No replica of service ${this.request.service} can take the request.`));
 		}
@@ -171,14 +201,14 @@
 			return openAnswer({connections: connections.of(replica), socket, format}, outgoing).pipe(
 				Effect.flatMap(answer => this.passOn(replica, answer, sentAt, markRead)),
 				Effect.onInterrupt(() => Effect.sync(() => {
-					socket.destroy();
+					abandon(socket);
 				})),
 			);
 		});
 	}
 
 	private whyWithheld(replica: Replica, allowsKeys: boolean): string | undefined {
-		if (replica.isLeaving) {
+		if (!this.services.replicas.mayBeSent(replica)) {
 			return 'the replica began to leave';
 		}
 
@@ -201,6 +231,9 @@
 
 		if (this.request.route.kind === 'stream' && !isError && answer.status < 300) {
 			return this.passage.pass(answer, {
+				onHeard() {
+					replica.noteHeard();
+				},
 				onFirstEvent: () => {
 					note();
 					this.services.choice.noteRead(replica, this.choiceRequest);
@@ -250,7 +283,7 @@
 		}
 
 		if (failure.reason === 'elsewhere') {
-			replicas.noteLeaving(replica.entry.id, 'replica');
+			replicas.noteLeaving(replica.entry, 'replica');
 		} else if (failure.reason === 'unreachable' || failure.reason === 'refused' || failure.reason === 'cut') {
 			replica.noteFailure();
 		}
@@ -304,7 +337,7 @@
 		return this.refuse(reason === 'refused' ? 'upstream-refused' : 'no-upstream', `The request was not run: ${detail}.`);
 	}
 
-	private refuse(reason: 'no-upstream' | 'upstream-refused', detail: string): Refusal {
+	private refuse(reason: 'no-upstream' | 'upstream-refused' | 'configuration-stale', detail: string): Refusal {
 		return this.verdict === 'not-run'
 			? Refusal.create(reason, detail, {retryAfter: comeBack})
 			: Refusal.create('upstream-cut', detail, {verdict: 'may-have-run'});
--- a/src/relay/replica-exchange.ts
+++ b/src/relay/replica-exchange.ts
@@ -51,7 +51,7 @@
 		const fail = (failure: AttemptFailure) => {
 			if (!isSettled) {
 				isSettled = true;
-				socket.destroy();
+				abandon(socket);
 				resume(Effect.fail(failure));
 			}
 		};
@@ -97,7 +97,7 @@
 		message.end(outgoing.body);
 		return Effect.sync(() => {
 			isSettled = true;
-			socket.destroy();
+			abandon(socket);
 		});
 	});
 }
@@ -150,6 +150,18 @@
 	message.once('close', tell);
 }
 
+/**
+ * Ends a connection whose request is given up on. A reset takes back what a cut still holds up, so that it does not
+ * arrive at the replica when the cut heals.
+ *
+ * @param socket - The connection.
+ */
+export function abandon(socket: Socket): void {
+	if (!socket.destroyed) {
+		socket.resetAndDestroy();
+	}
+}
+
 const isParseError = (error: NodeJS.ErrnoException): boolean => error.code?.startsWith('HPE_') === true;
 
 const ignore = () => undefined;
--- a/src/relay/stream-passage.ts
+++ b/src/relay/stream-passage.ts
@@ -12,6 +12,8 @@
 export type StreamListener = {
 	/** The first event of a run has come. */
 	readonly onFirstEvent: () => void;
+	/** Bytes have come. */
+	readonly onHeard: () => void;
 };
 
 /** One client's stream, over all the replicas that make it. */
@@ -46,6 +48,7 @@
 			let hasEvents = false;
 			message.setEncoding('utf8');
 			message.on('data', (chunk: string) => {
+				listener.onHeard();
 				const events = splitter.split(chunk);
 				if (events.length === 0) {
 					return;
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -1,12 +1,24 @@
 /**
- * All replicas this machine knows of. One that was seen draining or gone never becomes ready again.
+ * All replicas this machine knows of. One that was seen draining never becomes ready again; one whose entry went does
+ * only where a newer entry says so.
  */
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import {Replica, type ReplicaEntry} from './replica.js';
 
-/** Milliseconds for which the ids of replicas that left are kept and told to peers. */
+/** Milliseconds for which departures are kept and told to peers. */
 const departureMemory = 10_000;
+/** Milliseconds after its departure for which a replica may still be sent to where there is no other. */
+const lastResort = 600;
+
+/** A replica that began to leave. */
+export type Departure = {
+	readonly id: string;
+	/** Number of the change by which it did. */
+	readonly revision: number;
+};
+
+type KnownDeparture = Departure & {readonly at: number};
 
 /** Called with a replica that has gone. */
 export type ReplicaListener = (replica: Replica) => void;
@@ -23,7 +35,8 @@
 	}
 
 	private readonly replicas = new Map<string, Replica>();
-	private readonly departures = new Map<string, number>();
+	private readonly departures = new Map<string, KnownDeparture>();
+	private lately: readonly Replica[] = [];
 	private readonly goneListeners: ReplicaListener[] = [];
 	private known = false;
 	private lastListedAt: number;
@@ -47,16 +60,16 @@
 		return [...this.replicas.values()];
 	}
 
-	/** Ids of those that began to leave lately. */
-	get departed(): readonly string[] {
+	/** Those that began to leave lately. */
+	get departed(): readonly Departure[] {
 		const since = this.clock.monotonic() - departureMemory;
-		for (const [id, at] of this.departures) {
+		for (const [id, {at}] of this.departures) {
 			if (at < since) {
 				this.departures.delete(id);
 			}
 		}
 
-		return [...this.departures.keys()];
+		return [...this.departures.values()].map(({id, revision}) => ({id, revision}));
 	}
 
 	/** @param listener - Called with a replica that is listed no longer. */
@@ -66,10 +79,22 @@
 
 	/**
 	 * @param service - Name of a service.
-	 * @returns Its replicas that may get work.
+	 * @returns Its replicas that may get work. Where there are none, those that have only just gone, or whose entries
+	 * have only lapsed: they still serve for a while.
 	 */
 	ready(service: string): readonly Replica[] {
-		return this.all.filter(replica => replica.entry.service === service && !replica.isLeaving);
+		const listed = this.all.filter(replica => replica.entry.service === service && !replica.isLeaving);
+		return listed.length > 0
+			? listed
+			: [...this.all, ...this.lately].filter(replica => replica.entry.service === service && this.mayBeSent(replica));
+	}
+
+	/**
+	 * @param replica - A replica that was chosen.
+	 * @returns Whether a request may still be sent to it.
+	 */
+	mayBeSent({isLeaving, leavingFor}: Replica): boolean {
+		return !isLeaving || leavingFor < lastResort;
 	}
 
 	/**
@@ -80,12 +105,15 @@
 		return this.replicas.get(id);
 	}
 
-	/** @param entries - All that are listed now. */
-	replaceAll(entries: readonly ReplicaEntry[]): void {
+	/**
+	 * @param entries - All that are listed now.
+	 * @param revision - Revision of the list.
+	 */
+	replaceAll(entries: readonly ReplicaEntry[], revision: number): void {
 		const listed = new Set(entries.map(({id}) => id));
 		for (const id of this.replicas.keys()) {
 			if (!listed.has(id)) {
-				this.remove(id);
+				this.remove(id, revision);
 			}
 		}
 
@@ -103,14 +131,15 @@
 			const wasLeaving = replica.isLeaving;
 			replica.update(entry);
 			if (!wasLeaving && replica.isLeaving) {
-				this.noteDeparture(entry.id, 'list');
+				this.noteDeparture(entry, 'list');
 			}
 
 			return;
 		}
 
 		const added = Replica.create(entry, this.clock);
-		if (this.departures.has(entry.id)) {
+		// An entry that lapsed and was written again is newer than its departure.
+		if ((this.departures.get(entry.id)?.revision ?? 0) >= entry.revision) {
 			added.leave();
 		}
 
@@ -121,8 +150,11 @@
 		});
 	}
 
-	/** @param id - Id of a replica that is listed no longer. */
-	remove(id: string): void {
+	/**
+	 * @param id - Id of a replica that is listed no longer.
+	 * @param revision - Number of the change by which it went.
+	 */
+	remove(id: string, revision: number): void {
 		const replica = this.replicas.get(id);
 		if (!replica) {
 			return;
@@ -130,8 +162,9 @@
 
 		this.replicas.delete(id);
 		replica.leave();
-		this.noteDeparture(id, 'list');
-		this.log.write('replicaGone', {replica: id, service: replica.entry.service});
+		this.lately = [...this.lately.filter(other => this.mayBeSent(other)), replica];
+		this.noteDeparture({id, revision}, 'list');
+		this.log.write('replicaGone', {replica: id, service: replica.entry.service, revision});
 		for (const listener of this.goneListeners) {
 			listener(replica);
 		}
@@ -140,24 +173,24 @@
 	/**
 	 * Notes what somebody else knows: a replica is draining or gone.
 	 *
-	 * @param id - Id of the replica.
+	 * @param departure - The replica, and the change by which it began to leave.
 	 * @param source - Who said so.
 	 */
-	noteLeaving(id: string, source: 'peer' | 'replica'): void {
-		const replica = this.replicas.get(id);
-		if (replica && !replica.isLeaving) {
+	noteLeaving(departure: Departure, source: 'peer' | 'replica'): void {
+		const replica = this.replicas.get(departure.id);
+		if (replica && !replica.isLeaving && replica.entry.revision <= departure.revision) {
 			replica.leave();
-			this.noteDeparture(id, source);
-		} else if (!replica && source === 'peer' && !this.departures.has(id)) {
-			this.departures.set(id, this.clock.monotonic());
+			this.noteDeparture(departure, source);
+		} else if (!replica && source === 'peer' && !this.departures.has(departure.id)) {
+			this.departures.set(departure.id, {...departure, at: this.clock.monotonic()});
 		}
 	}
 
-	private noteDeparture(id: string, source: string): void {
+	private noteDeparture({id, revision}: Departure, source: string): void {
 		if (!this.departures.has(id)) {
-			this.log.write('replicaLeaving', {replica: id, source});
+			this.log.write('replicaLeaving', {replica: id, source, revision});
 		}
 
-		this.departures.set(id, this.clock.monotonic());
+		this.departures.set(id, {id, revision, at: this.clock.monotonic()});
 	}
 }
--- a/src/replicas/replica.ts
+++ b/src/replicas/replica.ts
@@ -7,6 +7,8 @@
 export type ReplicaEntry = {
 	/** Names one start of one replica; never used again. */
 	readonly id: string;
+	/** Number of the change by which the list came to say this; rises. */
+	readonly revision: number;
 	readonly service: string;
 	readonly host: string;
 	readonly port: number;
@@ -31,6 +33,9 @@
 const firstAvoidance = 300;
 const longestAvoidance = 4000;
 const meanWeight = 0.1;
+/** Milliseconds without a byte from a replica that has requests after which it counts as silent; more where it is slow. */
+const leastSilence = 900;
+const silencePerLatency = 5;
 /** Milliseconds after which what a peer said of its work no longer counts. */
 const peerWorkLifetime = 1000;
 
@@ -53,10 +58,12 @@
 	private avoidedUntil = Number.NEGATIVE_INFINITY;
 	private errorMean = 0;
 	private latencyMean = 0;
-	private leaving = false;
+	private leavingSince: number | undefined;
+	/** When it was last heard, or got a request after having none. */
+	private heardAt = 0;
 
 	private constructor(private listed: ReplicaEntry, private readonly clock: Clock) {
-		this.leaving = listed.isDraining;
+		this.leavingSince = listed.isDraining ? clock.monotonic() : undefined;
 	}
 
 	/** What the list says. */
@@ -64,9 +71,20 @@
 		return this.listed;
 	}
 
-	/** Whether it gets no new work any more; never taken back, since each start has an id of its own. */
+	/** Whether it gets no new work any more. */
 	get isLeaving(): boolean {
-		return this.leaving;
+		return this.leavingSince !== undefined;
+	}
+
+	/** Milliseconds since it began to leave; zero before. */
+	get leavingFor(): number {
+		return this.leavingSince === undefined ? 0 : this.clock.monotonic() - this.leavingSince;
+	}
+
+	/** Whether it has requests of this machine and has sent nothing for long. */
+	get isSilent(): boolean {
+		const allowed = Math.max(leastSilence, this.latencyMean * silencePerLatency);
+		return this.own.requests > 0 && this.clock.monotonic() - this.heardAt > allowed;
 	}
 
 	/** Whether it failed lately and is left alone for a while. */
@@ -106,12 +124,19 @@
 	/** @param entry - What the list says now. */
 	update(entry: ReplicaEntry): void {
 		this.listed = entry;
-		this.leaving ||= entry.isDraining;
+		if (entry.isDraining) {
+			this.leave();
+		}
 	}
 
 	/** Notes that it is draining or gone. */
 	leave(): void {
-		this.leaving = true;
+		this.leavingSince ??= this.clock.monotonic();
+	}
+
+	/** Notes that bytes came from it. */
+	noteHeard(): void {
+		this.heardAt = this.clock.monotonic();
 	}
 
 	/**
@@ -129,6 +154,10 @@
 
 	/** @param unreadTokens - Prompt tokens of a request that goes there now. */
 	begin(unreadTokens: number): void {
+		if (this.own.requests === 0) {
+			this.noteHeard();
+		}
+
 		this.own = {requests: this.own.requests + 1, unreadTokens: this.own.unreadTokens + unreadTokens};
 	}
 
@@ -150,6 +179,7 @@
 	 */
 	noteAnswer(latency: number, isError: boolean): void {
 		this.failures = 0;
+		this.noteHeard();
 		this.errorMean += ((isError ? 1 : 0) - this.errorMean) * meanWeight;
 		this.latencyMean += (latency - this.latencyMean) * (this.latencyMean === 0 ? 1 : meanWeight);
 	}
--- /dev/null
+++ b/src/replicas/test/replica-directory.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Clock} from '../../base/clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {ReplicaDirectory} from '../replica-directory.js';
+import type {ReplicaEntry} from '../replica.js';
+
+class MovedClock extends Clock {
+	now = 10_000;
+
+	override monotonic(): number {
+		return this.now;
+	}
+
+	override wall(): number {
+		return this.now;
+	}
+}
+
+const entry = (id: string, changes: Partial<ReplicaEntry> = {}): ReplicaEntry => ({
+	id, revision: 1, service: 's', host: '127.0.0.1', port: 1, zone: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined, ...changes,
+});
+
+function directoryOf(entries: readonly ReplicaEntry[]): {readonly clock: MovedClock; readonly directory: ReplicaDirectory} {
+	const clock = new MovedClock();
+	const directory = ReplicaDirectory.create(clock, SilentEventLog.create());
+	directory.replaceAll(entries, 5);
+	return {clock, directory};
+}
+
+const readyIds = (directory: ReplicaDirectory): readonly string[] => directory.ready('s').map(replica => replica.entry.id);
+
+test('an entry that lapsed and was written again counts again, whatever peers still tell of its departure', () => {
+	const {directory} = directoryOf([entry('a'), entry('b')]);
+	directory.remove('a', 10);
+	assert.deepEqual(readyIds(directory), ['b']);
+	directory.put(entry('a', {revision: 12}));
+	directory.noteLeaving({id: 'a', revision: 10}, 'peer');
+	assert.deepEqual(readyIds(directory), ['b', 'a']);
+	directory.noteLeaving({id: 'a', revision: 13}, 'peer');
+	assert.deepEqual(readyIds(directory), ['b']);
+});
+
+test('an older entry does not bring a replica back that a peer saw leave', () => {
+	const {directory} = directoryOf([]);
+	directory.noteLeaving({id: 'a', revision: 10}, 'peer');
+	directory.put(entry('a', {revision: 9}));
+	assert.equal(directory.find('a')!.isLeaving, true);
+});
+
+test('a replica that drains never becomes ready again', () => {
+	const {directory} = directoryOf([entry('a'), entry('b')]);
+	directory.put(entry('a', {revision: 6, isDraining: true}));
+	directory.put(entry('a', {revision: 7}));
+	assert.deepEqual(readyIds(directory), ['b']);
+});
+
+test('where all entries lapse at once the replicas are used a little longer, and then no more', () => {
+	const {clock, directory} = directoryOf([entry('a'), entry('b')]);
+	directory.replaceAll([], 20);
+	assert.deepEqual(readyIds(directory), ['a', 'b']);
+	clock.now += 1000;
+	assert.deepEqual(readyIds(directory), []);
+});
+
+test('a replica that has requests and sends nothing counts as silent until it is heard', () => {
+	const {clock, directory} = directoryOf([entry('a')]);
+	const replica = directory.find('a')!;
+	clock.now += 5000;
+	assert.equal(replica.isSilent, false, 'without requests nothing is expected of it');
+	replica.begin(0);
+	clock.now += 950;
+	assert.equal(replica.isSilent, true);
+	replica.noteHeard();
+	assert.equal(replica.isSilent, false);
+});
