A refused sender reads its answer: what still comes of a request is thrown away for a while before the close

Ruled out: the relays (another door), the change of resets (another client). Change: the answer is written whole, then up to 1 s or 32 MB are thrown away, then the connection ends.

--- a/src/door/callers-door.ts
+++ b/src/door/callers-door.ts
@@ -12,6 +12,7 @@
 import type {EventLog} from '../base/event-log.js';
 import type {ClientAccountName} from '../base/identifiers.js';
 import type {Metrics} from '../base/metrics.js';
+import {endLingering} from '../base/lingering-close.js';
 import {Refusal} from '../base/verdict.js';
 import type {Settings} from '../settings/settings.js';
 import type {TableView} from '../table/table-view.js';
@@ -19,7 +20,7 @@
 import {readBody} from './body-reader.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ChatDoor} from './chat-door.js';
-import {problemOf, sendProblem} from './problem.js';
+import {problemOf, sendProblem, writeProblem} from './problem.js';
 import type {RequestDoor} from './request-door.js';
 import type {ServiceDoor} from './service-door.js';
 
@@ -196,11 +197,11 @@
 		}
 
 		if (!incoming.complete) {
-			// The rest of the body is not read: the connection cannot be used again.
+			// The rest of the body is thrown away: the connection cannot be used again.
 			response.shouldKeepAlive = false;
-			response.once('finish', () => {
-				incoming.socket.destroySoon();
-			});
+			writeProblem(response, refusal);
+			endLingering(incoming, response);
+			return;
 		}
 
 		sendProblem(response, refusal);
--- a/src/door/problem.ts
+++ b/src/door/problem.ts
@@ -37,12 +37,12 @@
 }
 
 /**
- * Sends a refusal as a whole answer.
+ * Writes a refusal as a whole answer, and leaves it to the caller to end it.
  *
  * @param response - Where to; its head must not have been sent.
  * @param refusal - Why.
  */
-export function sendProblem(response: ServerResponse, refusal: Refusal): void {
+export function writeProblem(response: ServerResponse, refusal: Refusal): void {
 	const problem = problemOf(refusal);
 	const body = JSON.stringify(problem);
 	response.writeHead(problem.status, {
@@ -51,5 +51,17 @@
 		...(refusal.retryAfter === undefined ? {} : {'Retry-After': String(refusal.retryAfter)}),
 		...(refusal.location === undefined ? {} : {Location: refusal.location}),
 		...(problem.status === 401 ? {'WWW-Authenticate': 'Bearer'} : {}),
-	}).end(body);
+	});
+	response.write(body);
+}
+
+/**
+ * Sends a refusal as a whole answer.
+ *
+ * @param response - Where to; its head must not have been sent.
+ * @param refusal - Why.
+ */
+export function sendProblem(response: ServerResponse, refusal: Refusal): void {
+	writeProblem(response, refusal);
+	response.end();
 }
