--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -4,7 +4,7 @@
 import process from 'node:process';
 
 const part = process.argv[2] ?? '';
-const files = ['build/src', 'build/development']
+const files = ['build/src', 'build/platform', 'build/development']
 	.flatMap(folder => readdirSync(folder, {recursive: true}).map(name => `${folder}/${name}`))
 	.filter(name => name.endsWith('.test.js') && name.includes(part))
 	.sort();
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,4 +1,7 @@
 import {layers} from './scripts/layers.js';
+import {platformSpellings} from './scripts/platform-spellings.js';
+
+const platformSpelling = platformSpellings.map(spelling => spelling.replaceAll('/', String.raw`\/`)).join('|');
 
 /** Forbids a layer the folders above it, so that imports only go downwards. */
 const importDirection = layers.map((folder, index) => ({
@@ -15,6 +18,10 @@
 				{regex: '^effect$', message: 'Import effect by module (effect/Effect): the whole library costs 20 MB.'},
 			],
 		}],
+		'no-restricted-syntax': ['error', {
+			selector: `Literal[value=/^(?:${platformSpelling})/i]`,
+			message: 'The platform\'s names stand in platform/ alone (docs/PLATFORM.md).',
+		}],
 	},
 }));
 
@@ -55,6 +62,7 @@
 		files: ['src/**/test/**/*.ts'],
 		rules: {
 			'no-restricted-imports': 'off',
+			'no-restricted-syntax': 'off',
 			// An assertion reads better with what it asserts in one place.
 			'unicorn/no-await-expression-member': 'off',
 		},
