--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -80,6 +80,7 @@
 	routeTo('/once/', {kind: 'non_idempotent', max_attempts: 1}),
 	routeTo('/stream/', {kind: 'streaming', resumable: true}),
 	routeTo('/whole/', {kind: 'streaming', max_attempts: 1}),
+	routeTo('/long/', {kind: 'streaming', max_attempts: 1, timeout_ms: 60_000}),
 ];
 
 /** What an installation is made of. */
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -15,7 +15,7 @@
 	/** Milliseconds between events. */
 	readonly gap: number;
 	/** How the answer goes wrong. */
-	readonly fault: 'none' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'elsewhere';
+	readonly fault: 'none' | 'reset' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'elsewhere';
 };
 
 /** A request that a replica has run or refused. */
@@ -121,6 +121,11 @@
 				return;
 			}
 
+			case 'reset': {
+				incoming.socket.resetAndDestroy();
+				return;
+			}
+
 			case 'cut': {
 				response.writeHead(200, {...own, 'Content-Length': String(body.length + 10)});
 				response.write(body, () => response.socket?.destroy());
--- a/src/node/test/relay-serving.test.ts
+++ b/src/node/test/relay-serving.test.ts
@@ -83,7 +83,7 @@
 	assert.equal(view.headers['retry-after'], undefined);
 };
 
-const badAnswers = ['cut', 'wrong-id', 'encoded', 'unframed-reset', 'unframed-crash'] as const;
+const badAnswers = ['reset', 'cut', 'wrong-id', 'encoded', 'unframed-reset', 'unframed-crash'] as const;
 for (const fault of badAnswers) {
 	test(`a request that may run once is sent once, and gets 502 when its answer is bad: ${fault}`, async () => {
 		await assertOnceWith502(fault);
@@ -158,12 +158,12 @@
 	assert.equal(runs().length, 1);
 });
 
-test('a replica stops work when the client leaves', async () => {
-	first.behave({events: 400, gap: 20});
-	second.behave({events: 400, gap: 20});
+test('a replica stops work when the client leaves, long before any time-out', async () => {
+	first.behave({events: 3000, gap: 20});
+	second.behave({events: 3000, gap: 20});
 	const leaving = new AbortController();
 	const call = installation.call({
-		path: '/stream/x', method: 'POST', body: 'p', signal: leaving.signal,
+		path: '/long/x', method: 'POST', body: 'p', headers: {'Deadline-Ms': '60000'}, signal: leaving.signal,
 	});
 	await until(() => seen().length > 0);
 	leaving.abort();
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -100,7 +100,7 @@
 				assert.ok(units <= ((bound.rate * 8) + bound.burst) * 1.35, `${units} units in a window`);
 			}
 		},
-	), {numRuns: 12, seed: 7});
+	), {numRuns: 12, seed: 7, endOnFailure: true});
 });
 
 test('a machine that starts among others takes the bucket as they know it, and one that starts anew has half of the burst', () => {
