--- a/src/duties/test/usage-draft.test.ts
+++ b/src/duties/test/usage-draft.test.ts
@@ -1,28 +1,16 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import * as Effect from 'effect/Effect';
-import {Clock} from '../../base/clock.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {StoreStandin} from '../../../development/relay/store-standin.js';
 import {HttpMetadataStore} from '../../../platform/metadata-store.js';
 import {UsageCounts} from '../usage-counts.js';
 import {UsageDraft} from '../usage-draft.js';
 
-class MovedClock extends Clock {
-	now = 10_000;
-
-	override monotonic(): number {
-		return this.now;
-	}
-
-	override wall(): number {
-		return this.now;
-	}
-}
-
 test('counts of machines that are all lost at once are found again by the next holder, none twice', async () => {
 	const standin = await StoreStandin.start();
 	const store = HttpMetadataStore.create('127.0.0.1', standin.port);
-	const clock = new MovedClock();
+	const clock = new MovedClock(10_000);
 	const countsOf = () => UsageCounts.create(() => clock.now, () => 5000);
 	const first = countsOf();
 	first.note('basin');
--- a/src/gossip/test/gossip-proof.test.ts
+++ b/src/gossip/test/gossip-proof.test.ts
@@ -1,30 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {SilentEventLog} from '../../base/event-log.js';
-import {Clock} from '../../base/clock.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
 import type {GossipMessage} from '../gossip-message.js';
 import {PeerTable} from '../peer-table.js';
 
-class MovedClock extends Clock {
-	now = 1000;
-	shift = 1_700_000_000_000;
-
-	override monotonic(): number {
-		return this.now;
-	}
-
-	override wall(): number {
-		return this.now + this.shift;
-	}
-}
+const epoch = 1_700_000_000_000;
 
 const message = (name: string, changes: Partial<GossipMessage> = {}): GossipMessage => ({
-	sender: {name, host: '127.0.0.1', port: 1}, incarnation: 'one', sequence: 1, uptime: 5000, wall: 1_700_000_001_000, version: 1, isStopping: false, storeAge: 0,
+	sender: {name, host: '127.0.0.1', port: 1}, incarnation: 'one', sequence: 1, uptime: 5000, wall: epoch + 1000, version: 1, isStopping: false, storeAge: 0,
 	quota: [], work: [], departed: [], usage: [], members: [], ...changes,
 });
 
 test('an old message that arrives late changes nothing', () => {
-	const clock = new MovedClock();
+	const clock = new MovedClock(1000);
+	clock.shift = epoch;
 	const table = PeerTable.create('self', clock, SilentEventLog.create());
 	assert.equal(table.take(message('a', {sequence: 5})), 'other');
 	assert.equal(table.take(message('a', {sequence: 4})), undefined);
@@ -32,7 +22,8 @@
 });
 
 test('a younger start is met as such, and one that was silent for long as another', () => {
-	const clock = new MovedClock();
+	const clock = new MovedClock(1000);
+	clock.shift = epoch;
 	const table = PeerTable.create('self', clock, SilentEventLog.create());
 	clock.now += 10_000;
 	table.take(message('a', {uptime: 100}));
@@ -42,7 +33,8 @@
 });
 
 test('true time is the middle of all clocks, whatever one of them says', () => {
-	const clock = new MovedClock();
+	const clock = new MovedClock(1000);
+	clock.shift = epoch;
 	const table = PeerTable.create('self', clock, SilentEventLog.create());
 	const truth = clock.wall();
 	clock.shift += 4000;
@@ -52,7 +44,8 @@
 });
 
 test('machines that are silent for long count no longer, and part of all that is heard is told', () => {
-	const clock = new MovedClock();
+	const clock = new MovedClock(1000);
+	clock.shift = epoch;
 	const table = PeerTable.create('self', clock, SilentEventLog.create());
 	table.take(message('a'));
 	table.learn([{name: 'b', host: '127.0.0.1', port: 2}, {name: 'self', host: '127.0.0.1', port: 3}]);
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -1,21 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import * as fc from 'fast-check';
-import {Clock} from '../../base/clock.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {QuotaLedger} from '../quota-ledger.js';
 
-class MovedClock extends Clock {
-	now = 0;
-
-	override monotonic(): number {
-		return this.now;
-	}
-
-	override wall(): number {
-		return this.now;
-	}
-}
-
 const tenant = 'basin';
 const bound = {rate: 100, burst: 100};
 
--- a/src/replicas/test/replica-directory.test.ts
+++ b/src/replicas/test/replica-directory.test.ts
@@ -1,28 +1,16 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Clock} from '../../base/clock.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaEntry} from '../replica.js';
 
-class MovedClock extends Clock {
-	now = 10_000;
-
-	override monotonic(): number {
-		return this.now;
-	}
-
-	override wall(): number {
-		return this.now;
-	}
-}
-
 const entry = (id: string, changes: Partial<ReplicaEntry> = {}): ReplicaEntry => ({
 	id, revision: 1, service: 's', host: '127.0.0.1', port: 1, zone: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined, ...changes,
 });
 
 function directoryOf(entries: readonly ReplicaEntry[]): {readonly clock: MovedClock; readonly directory: ReplicaDirectory} {
-	const clock = new MovedClock();
+	const clock = new MovedClock(10_000);
 	const directory = ReplicaDirectory.create(clock, SilentEventLog.create());
 	directory.replaceAll(entries, 5);
 	return {clock, directory};
--- a/src/routes/test/route-table.test.ts
+++ b/src/routes/test/route-table.test.ts
@@ -1,24 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Clock} from '../../base/clock.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import {
 	RouteTable, pickTarget, type Route, type RouteTableContent,
 } from '../route-table.js';
 import {RouteTableView} from '../route-table-view.js';
 
-class MovedClock extends Clock {
-	now = 1000;
-
-	override monotonic(): number {
-		return this.now;
-	}
-
-	override wall(): number {
-		return this.now;
-	}
-}
-
 const route = (name: string, pathPrefix: string, changes: Partial<Route> = {}): Route => ({
 	name,
 	host: 'A.example',
@@ -62,7 +50,7 @@
 });
 
 test('only a higher version comes into force, and a proof counts for the version in force alone', () => {
-	const clock = new MovedClock();
+	const clock = new MovedClock(1000);
 	const view = RouteTableView.create(clock, SilentEventLog.create());
 	const applied: number[] = [];
 	view.onDidApply(({version}) => {
