--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -187,7 +187,7 @@
 		const loopback = (port: number | undefined) => ({host: '127.0.0.1', port: port!});
 		const settings: RelaySettings = {
 			node: name,
-			zone: 'zone-1',
+			dataCentre: 'zone-1',
 			front: loopback(front),
 			ready: loopback(ready),
 			control: loopback(control),
--- a/src/base/bounded-event-log.ts
+++ b/src/base/bounded-event-log.ts
@@ -42,7 +42,7 @@
 		super();
 	}
 
-	/** @param node - Name of the machine, a field of each line from now on. */
+	/** @param node - Name of the box, a field of each line from now on. */
 	name(node: string): void {
 		this.node = node;
 	}
--- a/src/command/relay-command.ts
+++ b/src/command/relay-command.ts
@@ -1,5 +1,5 @@
 /**
- * `waydrift relay`: a machine between the platform's balancer and its replicas.
+ * `waydrift relay`: a box between the platform's balancer and its replicas.
  */
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
--- a/src/duties/duty-calls.ts
+++ b/src/duties/duty-calls.ts
@@ -1,29 +1,29 @@
 /**
- * Calls to the platform that one machine at a time makes.
+ * Calls to the platform that one box at a time makes.
  */
 import * as Data from 'effect/Data';
 import type * as Effect from 'effect/Effect';
 
 /** Who calls. */
 export type DutySigner = {
-	/** Name of the machine. */
+	/** Name of the box. */
 	readonly holder: string;
 	/** Rises with each holder. */
 	readonly fence: number;
 };
 
-/** What tenants used in one window. */
+/** What client accounts used in one window. */
 export type UsageReport = {
 	/** Number of the window. */
 	readonly window: number;
-	/** Requests by tenant. */
-	readonly counts: ReadonlyArray<readonly [tenant: string, requests: number]>;
+	/** Requests by client account. */
+	readonly counts: ReadonlyArray<readonly [clientAccount: string, requests: number]>;
 };
 
-/** How many replicas of one sort a zone is to have. */
+/** How many replicas of one sort a data centre is to have. */
 export type ReplicaOrder = {
 	readonly service: string;
-	readonly zone: string;
+	readonly dataCentre: string;
 	readonly count: number;
 	/** Whether these are ones that may be withdrawn. */
 	readonly isReclaimable: boolean;
@@ -47,7 +47,7 @@
 
 	/**
 	 * @param signer - Who calls.
-	 * @param order - One zone.
+	 * @param order - One data centre.
 	 * @returns Ends when the platform has taken it.
 	 */
 	abstract orderReplicas(signer: DutySigner, order: ReplicaOrder): Effect.Effect<void, DutyRefusal>;
--- a/src/duties/duty-campaign.ts
+++ b/src/duties/duty-campaign.ts
@@ -1,5 +1,5 @@
 /**
- * Decides whether this machine is to take the duties over.
+ * Decides whether this box is to take the duties over.
  */
 import type {Peer} from '../gossip/peer-table.js';
 import type {DutyRecord} from './duty-record.js';
@@ -9,11 +9,11 @@
 	readonly self: string;
 	readonly incarnation: string;
 	readonly record: DutyRecord | undefined;
-	/** Machines that were heard lately. */
+	/** Boxes that were heard lately. */
 	readonly heard: readonly Peer[];
-	/** Part of all machines that are heard, this one too. */
+	/** Part of all boxes that are heard, this one too. */
 	readonly heardPart: number;
-	/** Milliseconds since the store last answered this machine. */
+	/** Milliseconds since the store last answered this box. */
 	readonly storeSilence: number;
 	readonly isStopping: boolean;
 };
@@ -22,12 +22,12 @@
 const candidateSilence = 2500;
 /** Milliseconds of silence after which a holder is taken to be out of the store's reach. */
 const holderSilence = 4500;
-/** Part of the machines that must be heard: a machine that is cut off leaves the duties to the others. */
+/** Part of the boxes that must be heard: a box that is cut off leaves the duties to the others. */
 const leastHeardPart = 0.25;
 
 /**
  * @param facts - What the decision rests on.
- * @returns Whether the machine that holds the duties is at work, as far as this one can tell.
+ * @returns Whether the box that holds the duties is at work, as far as this one can tell.
  */
 export function isHolderAtWork({self, incarnation, record, heard}: CampaignFacts): boolean {
 	if (!record || record.holder === '') {
@@ -44,7 +44,7 @@
 
 /**
  * @param facts - What the decision rests on.
- * @returns Whether this machine is the one to take the duties over: the machine that held them last, where it is
+ * @returns Whether this box is the one to take the duties over: the box that held them last, where it is
  * there again, since its own acts need not be waited out; else the first by name.
  */
 export function isCandidate({self, record, heard, heardPart, storeSilence, isStopping}: CampaignFacts): boolean {
--- a/src/duties/duty-lease.ts
+++ b/src/duties/duty-lease.ts
@@ -24,7 +24,7 @@
 /** Somebody else holds the duties. */
 export class DutyTaken extends Data.TaggedError('DutyTaken')<{readonly holder: string}> {}
 
-/** Proves that this machine held the duties a moment ago. */
+/** Proves that this box held the duties a moment ago. */
 export type ActPermit = {
 	readonly signer: DutySigner;
 	readonly record: DutyRecord;
@@ -43,7 +43,7 @@
 	readonly wait: () => number;
 };
 
-/** The duties, as this machine sees them. */
+/** The duties, as this box sees them. */
 export class DutyLease {
 	/**
 	 * @param services - What it needs.
@@ -65,7 +65,7 @@
 		return this.record;
 	}
 
-	/** Whether this start of this machine holds the duties, as far as it knows. */
+	/** Whether this start of this box holds the duties, as far as it knows. */
 	get isHeld(): boolean {
 		const {self, incarnation} = this.services;
 		return this.record?.holder === self && this.record.incarnation === incarnation;
@@ -103,7 +103,7 @@
 			yield * this.write({
 				...before, holder: self, incarnation, fence: before.fence + 1, decision: before.decision + 1,
 			});
-			// What this machine itself did before needs no waiting out.
+			// What this box itself did before needs no waiting out.
 			const needsWait = before.fence > 0 && before.holder !== self;
 			this.actsFrom = clock.monotonic() + (needsWait ? this.services.wait() : 0);
 			log.write('dutyAcquired', {fence: before.fence + 1, before: before.holder});
@@ -138,7 +138,7 @@
 		});
 	}
 
-	/** @returns Gives the duties up, so that another machine need not find out. */
+	/** @returns Gives the duties up, so that another box need not find out. */
 	release(): Effect.Effect<void> {
 		return Effect.suspend(() => this.isHeld
 			? Effect.ignore(this.decide(record => ({...record, holder: '', incarnation: ''})).pipe(Effect.map(() => {
@@ -147,7 +147,7 @@
 			: Effect.void);
 	}
 
-	/** @param detail - Why this machine no longer holds the duties: a call showed a higher fence. */
+	/** @param detail - Why this box no longer holds the duties: a call showed a higher fence. */
 	giveUp(detail: string): void {
 		this.services.log.write('dutyLost', {detail});
 		this.actsFrom = Number.POSITIVE_INFINITY;
--- a/src/duties/duty-record.ts
+++ b/src/duties/duty-record.ts
@@ -5,10 +5,10 @@
 import * as Schema from 'effect/Schema';
 import {createDecoder} from '../base/faults.js';
 
-/** An order that stands: how many replicas of each sort a zone is to have. */
+/** An order that stands: how many replicas of each sort a data centre is to have. */
 const StandingOrder = Schema.Struct({
 	service: Schema.String,
-	zone: Schema.String,
+	dataCentre: Schema.String,
 	/** Replicas that may be withdrawn. */
 	reclaimable: Schema.Number,
 	kept: Schema.Number,
@@ -23,7 +23,7 @@
 
 /** The record. */
 export const DutyRecord = Schema.Struct({
-	/** Name of the machine; empty where nobody holds the duties. */
+	/** Name of the box; empty where nobody holds the duties. */
 	holder: Schema.String,
 	incarnation: Schema.String,
 	/** Rises with each holder. */
--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -39,7 +39,7 @@
 	readonly at: number;
 };
 
-const keyOf = ({service, zone, isReclaimable}: ReplicaOrder): string => `${service}\n${zone}\n${isReclaimable}`;
+const keyOf = ({service, dataCentre, isReclaimable}: ReplicaOrder): string => `${service}\n${dataCentre}\n${isReclaimable}`;
 
 /** The duty. */
 export class FleetDuty {
@@ -82,14 +82,14 @@
 	private planOf({name, scaling}: Service, baseline: number, standing: readonly StandingOrder[]): readonly StandingOrder[] {
 		const {replicas, policy} = this.services;
 		const ready = replicas.ready(name).filter(({entry}) => entry.isReclaimable);
-		const zones = [...scaling!.zonePrices.keys()];
+		const dataCentres = [...scaling!.dataCentrePrices.keys()];
 		const before = standing.filter(({service}) => service === name);
 		const facts: FleetFacts = {
 			service: name,
 			scaling: scaling!,
 			baseline,
-			zones,
-			reclaimableReady: new Map(zones.map(zone => [zone, ready.filter(({entry}) => entry.zone === zone).length])),
+			dataCentres,
+			reclaimableReady: new Map(dataCentres.map(dataCentre => [dataCentre, ready.filter(({entry}) => entry.dataCentre === dataCentre).length])),
 			isIdle: replicas.ready(name).every(({work}) => work.requests === 0),
 			isSettled: before.length > 0 && before.every(({kept}) => kept === 0),
 		};
@@ -97,13 +97,13 @@
 	}
 
 	/** What is added goes first: what is given up is given up when the order before it was taken. */
-	private ordersOf({service, zone, reclaimable, kept}: StandingOrder): readonly ReplicaOrder[] {
+	private ordersOf({service, dataCentre, reclaimable, kept}: StandingOrder): readonly ReplicaOrder[] {
 		return [
 			{
-				service, zone, count: reclaimable, isReclaimable: true,
+				service, dataCentre, count: reclaimable, isReclaimable: true,
 			},
 			{
-				service, zone, count: kept, isReclaimable: false,
+				service, dataCentre, count: kept, isReclaimable: false,
 			},
 		];
 	}
@@ -121,7 +121,7 @@
 
 		const bootTime = this.services.table.inForce?.service(order.service)?.scaling?.bootTime ?? 0;
 		const present = this.services.replicas.ready(order.service)
-			.filter(({entry}) => entry.zone === order.zone && entry.isReclaimable === order.isReclaimable).length;
+			.filter(({entry}) => entry.dataCentre === order.dataCentre && entry.isReclaimable === order.isReclaimable).length;
 		return present < order.count && age > bootTime + missingPause;
 	}
 
@@ -136,7 +136,7 @@
 		};
 
 		const fields = {
-			service: order.service, zone: order.zone, count: order.count, isReclaimable: order.isReclaimable, fence: signer.fence,
+			service: order.service, dataCentre: order.dataCentre, count: order.count, isReclaimable: order.isReclaimable, fence: signer.fence,
 		};
 		return calls.orderReplicas(signer, order).pipe(
 			Effect.map(() => {
--- a/src/duties/test/fleet-plan.test.ts
+++ b/src/duties/test/fleet-plan.test.ts
@@ -1,17 +1,17 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {Scaling} from '../../routes/route-table.js';
-import {SurvivingZonesPolicy, type FleetFacts} from '../fleet-plan.js';
+import {SurvivingDataCentresPolicy, type FleetFacts} from '../fleet-plan.js';
 
 const scaling: Scaling = {
-	minimum: 1, maximum: 7, bootTime: 4000, reclaimablePrice: 0.15, zonePrices: new Map([['a', 1], ['b', 1], ['c', 1], ['d', 1]]),
+	minimum: 1, maximum: 7, bootTime: 4000, reclaimablePrice: 0.15, dataCentrePrices: new Map([['a', 1], ['b', 1], ['c', 1], ['d', 1]]),
 };
-const zones = ['a', 'b', 'c', 'd'];
+const dataCentres = ['a', 'b', 'c', 'd'];
 const facts = (changes: Partial<FleetFacts>): FleetFacts => ({
-	service: 's', scaling, baseline: 12, zones, reclaimableReady: new Map(), isSettled: false, isIdle: false, ...changes,
+	service: 's', scaling, baseline: 12, dataCentres, reclaimableReady: new Map(), isSettled: false, isIdle: false, ...changes,
 });
-const plan = (changes: Partial<FleetFacts>) => SurvivingZonesPolicy.create().plan(facts(changes));
-const ready = (count: number, in_: readonly string[] = zones) => new Map(in_.map(zone => [zone, count]));
+const plan = (changes: Partial<FleetFacts>) => SurvivingDataCentresPolicy.create().plan(facts(changes));
+const ready = (count: number, in_: readonly string[] = dataCentres) => new Map(in_.map(dataCentre => [dataCentre, count]));
 
 test('kept replicas stay until the others serve', () => {
 	assert.ok(plan({}).every(({kept, reclaimable}) => kept === 3 && reclaimable === 4));
@@ -22,19 +22,19 @@
 	assert.ok(plan({isIdle: true}).every(({kept}) => kept === 0));
 });
 
-test('two zones withdrawn leave enough, and nothing is ordered or given up in the wave', () => {
+test('two data centres withdrawn leave enough, and nothing is ordered or given up in the wave', () => {
 	const calm = plan({isSettled: true, reclaimableReady: ready(5)});
 	const wave = plan({isSettled: true, reclaimableReady: ready(5, ['a', 'b'])});
 	assert.deepEqual(wave, calm);
-	const left = calm.filter(({zone}) => zone === 'a' || zone === 'b');
+	const left = calm.filter(({dataCentre}) => dataCentre === 'a' || dataCentre === 'b');
 	assert.ok(left.every(({reclaimable}) => reclaimable * 2 >= 12 * 0.8));
 });
 
-test('where all zones but one are withdrawn and too little is left, kept replicas are ordered', () => {
+test('where all data centres but one are withdrawn and too little is left, kept replicas are ordered', () => {
 	assert.ok(plan({isSettled: true, reclaimableReady: ready(4, ['a'])}).every(({kept}) => kept > 0));
 });
 
-test('no zone is ever ordered more than the maximum, both sorts together, or less than the minimum', () => {
+test('no data centre is ever ordered more than the maximum, both sorts together, or less than the minimum', () => {
 	for (const baseline of [0, 1, 5, 12, 60]) {
 		for (const isSettled of [true, false]) {
 			for (const {kept, reclaimable} of plan({baseline, isSettled})) {
--- a/src/duties/test/usage-draft.test.ts
+++ b/src/duties/test/usage-draft.test.ts
@@ -7,7 +7,7 @@
 import {UsageCounts} from '../usage-counts.js';
 import {UsageDraft} from '../usage-draft.js';
 
-test('counts of machines that are all lost at once are found again by the next holder, none twice', async () => {
+test('counts of boxes that are all lost at once are found again by the next holder, none twice', async () => {
 	const standin = await StoreStandin.start();
 	const store = HttpMetadataStore.create('127.0.0.1', standin.port);
 	const clock = new MovedClock(10_000);
--- a/src/duties/usage-counts.ts
+++ b/src/duties/usage-counts.ts
@@ -1,15 +1,15 @@
 /**
- * Requests that began, by tenant and window of true time; every machine keeps what the others counted too, so that
+ * Requests that began, by client account and window of true time; every box keeps what the others counted too, so that
  * the counts of one that is lost survive.
  */
 
-/** Requests of tenants in one window. */
+/** Requests of client accounts in one window. */
 export type WindowUsage = {
 	readonly window: number;
-	readonly counts: ReadonlyArray<readonly [tenant: string, requests: number]>;
+	readonly counts: ReadonlyArray<readonly [clientAccount: string, requests: number]>;
 };
 
-/** What one start of one machine counted. */
+/** What one start of one box counted. */
 export type StartUsage = {
 	readonly start: string;
 	readonly usage: readonly WindowUsage[];
@@ -43,12 +43,12 @@
 		return Math.floor(this.trueTime() / this.windowLength());
 	}
 
-	/** What this machine tells the others. */
+	/** What this box tells the others. */
 	get told(): readonly WindowUsage[] {
 		return usageOf(this.own).slice(-windowsTold);
 	}
 
-	/** What every start of every machine counted, but for this one's own counts. */
+	/** What every start of every box counted, but for this one's own counts. */
 	get heard(): readonly StartUsage[] {
 		return [...this.others].map(([start, windows]) => ({start, usage: usageOf(windows)}));
 	}
@@ -56,20 +56,20 @@
 	/**
 	 * Counts a request that begins now.
 	 *
-	 * @param tenant - Whose it is.
+	 * @param clientAccount - Whose it is.
 	 */
-	note(tenant: string): void {
+	note(clientAccount: string): void {
 		const window = this.currentWindow;
 		const counts = this.own.get(window) ?? new Map<string, number>();
 		this.own.set(window, counts);
-		counts.set(tenant, (counts.get(tenant) ?? 0) + 1);
+		counts.set(clientAccount, (counts.get(clientAccount) ?? 0) + 1);
 		trim(this.own, window);
 	}
 
 	/**
-	 * Takes what another machine counted; its counts only grow.
+	 * Takes what another box counted; its counts only grow.
 	 *
-	 * @param start - One start of one machine.
+	 * @param start - One start of one box.
 	 * @param usage - What it counted.
 	 */
 	take(start: string, usage: readonly WindowUsage[]): void {
@@ -78,8 +78,8 @@
 		for (const {window, counts} of usage) {
 			const known = windows.get(window) ?? new Map<string, number>();
 			windows.set(window, known);
-			for (const [tenant, requests] of counts) {
-				known.set(tenant, Math.max(requests, known.get(tenant) ?? 0));
+			for (const [clientAccount, requests] of counts) {
+				known.set(clientAccount, Math.max(requests, known.get(clientAccount) ?? 0));
 			}
 		}
 
@@ -91,13 +91,13 @@
 
 	/**
 	 * @param window - Number of a window.
-	 * @returns Requests of each tenant, over all machines that were ever heard.
+	 * @returns Requests of each client account, over all boxes that were ever heard.
 	 */
 	total(window: number): WindowUsage {
 		const total = new Map<string, number>();
 		for (const windows of [this.own, ...this.others.values()]) {
-			for (const [tenant, requests] of windows.get(window) ?? []) {
-				total.set(tenant, (total.get(tenant) ?? 0) + requests);
+			for (const [clientAccount, requests] of windows.get(window) ?? []) {
+				total.set(clientAccount, (total.get(clientAccount) ?? 0) + requests);
 			}
 		}
 
--- a/src/duties/usage-draft.ts
+++ b/src/duties/usage-draft.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the counts of windows that are not reported yet in the store, so that they outlast the loss of all machines
+ * Keeps the counts of windows that are not reported yet in the store, so that they outlast the loss of all boxes
  * at once.
  */
 import * as Effect from 'effect/Effect';
@@ -31,14 +31,14 @@
 
 /** What the draft needs. */
 export type UsageDraftServices = {
-	/** This start of this machine. */
+	/** This start of this box. */
 	readonly start: string;
 	readonly store: MetadataStore;
 	readonly counts: UsageCounts;
 	readonly clock: Clock;
 };
 
-/** The draft, written by the machine that holds the duties. */
+/** The draft, written by the box that holds the duties. */
 export class UsageDraft {
 	/**
 	 * @param services - What it needs.
--- a/src/duties/usage-duty.ts
+++ b/src/duties/usage-duty.ts
@@ -9,7 +9,7 @@
 import type {DutyLease, DutyTaken} from './duty-lease.js';
 import type {UsageCounts} from './usage-counts.js';
 
-/** Milliseconds after a window's end at which it is reported where every machine has been heard. */
+/** Milliseconds after a window's end at which it is reported where every box has been heard. */
 const earliest = 1500;
 /** Milliseconds after a window's end at which it is reported whatever has been heard. */
 const latest = 4500;
@@ -27,7 +27,7 @@
 	readonly windowLength: () => number;
 	/** @returns Milliseconds after a window's end at which a report is too late. */
 	readonly delay: () => number;
-	/** @returns Whether every machine that is there was heard so many milliseconds ago or less. */
+	/** @returns Whether every box that is there was heard so many milliseconds ago or less. */
 	readonly hasHeardAll: (within: number) => boolean;
 };
 
@@ -43,7 +43,7 @@
 
 	/** The window that was last taken by the platform. */
 	private taken: number | undefined;
-	/** Windows from this one on were counted from their start by this machine or told by others. */
+	/** Windows from this one on were counted from their start by this box or told by others. */
 	private readonly firstWindow: number;
 
 	private constructor(private readonly services: UsageDutyServices) {
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -1,10 +1,10 @@
 /**
- * What machines tell each other, one datagram at a time.
+ * What boxes tell each other, one datagram at a time.
  */
 import * as Schema from 'effect/Schema';
 import {createDecoder} from '../base/faults.js';
 
-/** Where a machine hears the others. */
+/** Where a box hears the others. */
 const MemberAddress = Schema.Struct({
 	name: Schema.String,
 	host: Schema.String,
@@ -12,22 +12,22 @@
 });
 export type MemberAddress = typeof MemberAddress.Type;
 
-/** Requests of tenants in one window. */
+/** Requests of client accounts in one window. */
 const WindowCounts = Schema.Struct({
 	window: Schema.Number,
 	counts: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
 });
 export type WindowCounts = typeof WindowCounts.Type;
 
-/** One machine's state, as it tells it. */
+/** One box's state, as it tells it. */
 export const GossipMessage = Schema.Struct({
 	sender: MemberAddress,
-	/** Names one start of the machine's process. */
+	/** Names one start of the box's process. */
 	incarnation: Schema.String,
 	sequence: Schema.Number,
 	/** Milliseconds since the process started. */
 	uptime: Schema.Number,
-	/** The machine's time of day. */
+	/** The box's time of day. */
 	wall: Schema.Number,
 	/** The newest message of the receiver that the sender has, and the milliseconds since it came. */
 	echo: Schema.optionalKey(Schema.Struct({incarnation: Schema.String, sequence: Schema.Number, age: Schema.Number})),
@@ -38,13 +38,13 @@
 	isStopping: Schema.Boolean,
 	/** Milliseconds since the store last answered the sender. */
 	storeAge: Schema.Number,
-	quota: Schema.Array(Schema.Struct({tenant: Schema.String, passed: Schema.Number, level: Schema.Number})),
+	quota: Schema.Array(Schema.Struct({clientAccount: Schema.String, passed: Schema.Number, level: Schema.Number})),
 	/** Work of the sender at replicas. */
 	work: Schema.Array(Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number})),
 	/** Replicas that began to leave lately. */
 	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
 	usage: Schema.Array(WindowCounts),
-	/** Some of the machines that the sender knows. */
+	/** Some of the boxes that the sender knows. */
 	members: Schema.Array(MemberAddress),
 });
 export type GossipMessage = typeof GossipMessage.Type;
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -1,5 +1,5 @@
 /**
- * The exchange between machines: each tells its state to the others by datagrams, several times a second.
+ * The exchange between boxes: each tells its state to the others by datagrams, several times a second.
  *
  * @remarks Source: docs/PLATFORM.md, "A mechanism for each rule".
  */
@@ -14,9 +14,9 @@
 
 /** Milliseconds between two rounds. */
 const roundInterval = 200;
-/** Machines told in one round. */
+/** Boxes told in one round. */
 const largestFanOut = 24;
-/** Machines named in one message. */
+/** Boxes named in one message. */
 const membersNamed = 6;
 /** Rounds whose moment of sending is kept, to date what others prove. */
 const roundsKept = 64;
@@ -33,11 +33,11 @@
 	readonly peers: PeerTable;
 	/** @returns What to tell. */
 	readonly state: () => LocalState;
-	/** Takes what a machine tells. */
+	/** Takes what a box tells. */
 	readonly take: (message: GossipMessage, meeting: Meeting) => void;
-	/** Takes the moment at which a version is known to have been the newest, by this machine's monotonic clock. */
+	/** Takes the moment at which a version is known to have been the newest, by this box's monotonic clock. */
 	readonly prove: (version: number, at: number) => void;
-	/** Addresses at which machines may be, before any is known. */
+	/** Addresses at which boxes may be, before any is known. */
 	readonly seeds: () => ReadonlyArray<Omit<MemberAddress, 'name'>>;
 };
 
@@ -91,7 +91,7 @@
 		this.sentAt.delete(this.sequence - roundsKept);
 		const known = peers.all;
 		const fanOut = Math.min(known.length, largestFanOut);
-		// A machine is heard again only after all others had their turn.
+		// A box is heard again only after all others had their turn.
 		peers.heardWithin = Math.max(1000, 5 * roundInterval * Math.ceil(known.length / largestFanOut));
 		const common = this.commonPart(known);
 		const told = Array.from({length: fanOut}, (_, index) => known[(this.turn + index) % known.length]!);
@@ -149,8 +149,8 @@
 	}
 
 	/**
-	 * Dates a proof by this machine's own clock, though the datagram may have waited anywhere: the sender had this
-	 * machine's message some time before it sent, and this machine knows when that message left.
+	 * Dates a proof by this box's own clock, though the datagram may have waited anywhere: the sender had this
+	 * box's message some time before it sent, and this box knows when that message left.
 	 */
 	private noteProof({echo, proofAge, version}: GossipMessage, incarnation: string): void {
 		if (!echo || proofAge === undefined || echo.incarnation !== incarnation) {
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -1,32 +1,32 @@
 /**
- * The other machines: which there are, and what was heard of each.
+ * The other boxes: which there are, and what was heard of each.
  */
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import type {GossipMessage, MemberAddress} from './gossip-message.js';
 
-/** Milliseconds after which a machine of which nothing is heard no longer counts as one of the system's. */
+/** Milliseconds after which a box of which nothing is heard no longer counts as one of the system's. */
 const memberLifetime = 20_000;
 
 /** How a message's sender is met; see `QuotaLedger.takeCounts`. */
 export type Meeting = 'known' | 'younger' | 'other';
 
-/** Another machine. */
+/** Another box. */
 export type Peer = {
 	readonly address: MemberAddress;
 	/** The newest message; `undefined` before the first. */
 	readonly last: GossipMessage | undefined;
-	/** Monotonic milliseconds of this machine. */
+	/** Monotonic milliseconds of this box. */
 	readonly heardAt: number;
 	readonly listedAt: number;
-	/** Its time of day, less this machine's monotonic clock. */
+	/** Its time of day, less this box's monotonic clock. */
 	readonly wallOffset: number;
 };
 
-/** The other machines. */
+/** The other boxes. */
 export class PeerTable {
 	/**
-	 * @param self - Name of this machine.
+	 * @param self - Name of this box.
 	 * @param clock - For ages.
 	 * @param log - Where gains and losses are told.
 	 * @returns A table that knows of none.
@@ -35,7 +35,7 @@
 		return new PeerTable(self, clock, log);
 	}
 
-	/** Milliseconds within which a machine that is heard of has been heard. */
+	/** Milliseconds within which a box that is heard of has been heard. */
 	heardWithin = 1000;
 	private readonly peers = new Map<string, Peer>();
 	private readonly lost = new Set<string>();
@@ -45,7 +45,7 @@
 		this.startedAt = clock.monotonic();
 	}
 
-	/** All other machines that may be there. */
+	/** All other boxes that may be there. */
 	get all(): readonly Peer[] {
 		return [...this.peers.values()];
 	}
@@ -56,13 +56,13 @@
 		return this.all.filter(({heardAt}) => heardAt >= since);
 	}
 
-	/** Part of all machines that are heard of, this one too; above 0, at most 1. */
+	/** Part of all boxes that are heard of, this one too; above 0, at most 1. */
 	get heardPart(): number {
 		return (this.heard.length + 1) / (this.peers.size + 1);
 	}
 
-	/** How many machines there are, this one too. */
-	get machines(): number {
+	/** How many boxes there are, this one too. */
+	get boxes(): number {
 		return this.peers.size + 1;
 	}
 
@@ -71,14 +71,14 @@
 		return this.clock.monotonic() - this.startedAt;
 	}
 
-	/** True time less this machine's monotonic clock: the middle of all clocks, since some may be off. */
+	/** True time less this box's monotonic clock: the middle of all clocks, since some may be off. */
 	get wallOffset(): number {
 		const own = this.clock.wall() - this.clock.monotonic();
 		const offsets = [own, ...this.heard.map(({wallOffset}) => wallOffset)].sort((left, right) => left - right);
 		return offsets[Math.floor(offsets.length / 2)]!;
 	}
 
-	/** @param members - Machines that somebody knows of. */
+	/** @param members - Boxes that somebody knows of. */
 	learn(members: readonly MemberAddress[]): void {
 		const now = this.clock.monotonic();
 		for (const address of members) {
@@ -95,7 +95,7 @@
 	/**
 	 * Takes a message.
 	 *
-	 * @param message - What a machine tells.
+	 * @param message - What a box tells.
 	 * @returns How it is met; `undefined` where the message is older than the newest.
 	 */
 	take(message: GossipMessage): Meeting | undefined {
@@ -119,7 +119,7 @@
 		return meeting;
 	}
 
-	/** Drops machines that have not been heard for long, and tells of losses. */
+	/** Drops boxes that have not been heard for long, and tells of losses. */
 	sweep(): void {
 		const now = this.clock.monotonic();
 		for (const [name, {heardAt, listedAt}] of this.peers) {
--- a/src/gossip/test/gossip-proof.test.ts
+++ b/src/gossip/test/gossip-proof.test.ts
@@ -43,16 +43,16 @@
 	assert.ok(Math.abs((clock.now + table.wallOffset) - truth) <= 5);
 });
 
-test('machines that are silent for long count no longer, and part of all that is heard is told', () => {
+test('boxes that are silent for long count no longer, and part of all that is heard is told', () => {
 	const clock = new MovedClock(1000);
 	clock.shift = epoch;
 	const table = PeerTable.create('self', clock, SilentEventLog.create());
 	table.take(message('a'));
 	table.learn([{name: 'b', host: '127.0.0.1', port: 2}, {name: 'self', host: '127.0.0.1', port: 3}]);
-	assert.equal(table.machines, 3);
+	assert.equal(table.boxes, 3);
 	assert.equal(table.heardPart, 2 / 3);
 	clock.now += 25_000;
 	table.sweep();
-	assert.equal(table.machines, 1);
+	assert.equal(table.boxes, 1);
 	assert.equal(table.heardPart, 1);
 });
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -11,9 +11,9 @@
 import type {RouteTableView, TableSource} from '../routes/route-table-view.js';
 import type {PlatformLink} from './platform-link.js';
 
-/** Milliseconds a proof may be old before this machine asks the store itself. */
+/** Milliseconds a proof may be old before this box asks the store itself. */
 const provingAge = 900;
-/** Milliseconds by which machines differ in that, so that mostly one asks for all. */
+/** Milliseconds by which boxes differ in that, so that mostly one asks for all. */
 const provingSpread = 500;
 const checkInterval = 100;
 const failurePause = 400;
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -1,5 +1,5 @@
 /**
- * The duties of a relay: one machine at a time does them.
+ * The duties of a relay: one box at a time does them.
  */
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
@@ -9,7 +9,7 @@
 import type {DutyCalls} from '../duties/duty-calls.js';
 import {DutyLease} from '../duties/duty-lease.js';
 import {FleetDuty} from '../duties/fleet-duty.js';
-import {SurvivingZonesPolicy} from '../duties/fleet-plan.js';
+import {SurvivingDataCentresPolicy} from '../duties/fleet-plan.js';
 import {UsageDraft} from '../duties/usage-draft.js';
 import {UsageDuty} from '../duties/usage-duty.js';
 import type {PeerTable} from '../gossip/peer-table.js';
@@ -20,7 +20,7 @@
 
 /** Milliseconds between two looks at what is due. */
 const stepInterval = 300;
-/** Milliseconds after the start in which other machines are heard for the first time. */
+/** Milliseconds after the start in which other boxes are heard for the first time. */
 const settleTime = 900;
 const failurePause = 700;
 
@@ -80,7 +80,7 @@
 			start: `${self}/${incarnation}`, store, counts: services.usage, clock,
 		});
 		this.fleet = FleetDuty.create({
-			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: SurvivingZonesPolicy.create(),
+			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: SurvivingDataCentresPolicy.create(),
 		});
 	}
 
--- a/src/node/member-role.ts
+++ b/src/node/member-role.ts
@@ -1,5 +1,5 @@
 /**
- * Writes this machine into the store and reads the others from there, so that machines find each other whatever
+ * Writes this box into the store and reads the others from there, so that boxes find each other whatever
  * their settings say.
  */
 import * as Effect from 'effect/Effect';
@@ -11,7 +11,7 @@
 import type {MemberAddress} from '../gossip/gossip-message.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 
-/** Kind of the machines' own objects in the store. */
+/** Kind of the boxes' own objects in the store. */
 const memberKind = 'waydrift-members';
 /** Milliseconds between two looks. */
 const lookInterval = 10_000;
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -29,7 +29,7 @@
 import {MemberRole} from './member-role.js';
 import type {PlatformLink} from './platform-link.js';
 
-/** Milliseconds for the balancer to notice that this machine takes no new clients. */
+/** Milliseconds for the balancer to notice that this box takes no new clients. */
 const balancerDelay = 3000;
 /** Milliseconds after a stop was asked for from which requests are refused: what is taken later may not end in time. */
 const closingDelay = 2800;
@@ -146,15 +146,15 @@
 			format: link.format,
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas: ReplicaDirectory.create(clock, log),
-			choice: LeastWaitChoice.create(settings().zone, () => clock.monotonic()),
+			choice: LeastWaitChoice.create(settings().dataCentre, () => clock.monotonic()),
 			connections: ConnectionBook.create(clock),
 			quota: QuotaLedger.create({
-				bound: name => table.inForce?.content.tenants.find(tenant => tenant.name === name),
+				bound: name => table.inForce?.content.clientAccounts.find(clientAccount => clientAccount.name === name),
 				heardPart: () => peers.heardPart,
 			}, clock, settings().isFirstStart),
 			budgets: RepeatBudgets.create(
 				() => ({ratio: bounds().retryRatio, slack: bounds().retrySlack, window: bounds().retryWindow}),
-				() => peers.machines,
+				() => peers.boxes,
 				clock,
 			),
 			usage: UsageCounts.create(() => clock.monotonic() + peers.wallOffset, () => bounds().reportWindow),
--- a/src/node/test/relay-duties.test.ts
+++ b/src/node/test/relay-duties.test.ts
@@ -64,7 +64,7 @@
 	assertRules(installation.store.dutyCalls);
 });
 
-test('replicas are ordered in every zone of the service, and the orders stand in the store', async () => {
+test('replicas are ordered in every data centre of the service, and the orders stand in the store', async () => {
 	await until(() => new Set(orders().map(({body}) => body.zone)).size === 2);
 	const record = installation.store.spec('waydrift-duties', 'record') as {readonly orders: readonly unknown[]; readonly baseline: ReadonlyArray<{readonly replicas: number}>};
 	assert.equal(record.orders.length, 2);
--- a/src/node/test/relay-serving.test.ts
+++ b/src/node/test/relay-serving.test.ts
@@ -30,7 +30,7 @@
 const seen = (): readonly SeenRequest[] => [...first.seen, ...second.seen];
 const runs = (): readonly SeenRequest[] => [...first.runs, ...second.runs];
 
-test('a request reaches one replica with path, query, body and id as sent, the tenant set and the key taken off', async () => {
+test('a request reaches one replica with path, query, body and id as sent, the client account set and the key taken off', async () => {
 	const view = await installation.call({
 		path: '/calls/a%2Fb?x=1', method: 'POST', body: 'bytes', headers: {'Attempt-Id': 'abc', Tenant: 'somebody', 'X-Own': 'kept'},
 	});
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -1,15 +1,15 @@
 /**
- * One bucket for each tenant over all machines: every machine counts what it lets pass, tells the others, and takes
+ * One bucket for each client account over all boxes: every box counts what it lets pass, tells the others, and takes
  * what they tell from its own copy of the bucket.
  *
  * @remarks
- * What two machines let pass at the same moment neither knows of; that excess is at most demand times the time
- * between two exchanges, and it is paid back, since the bucket goes below zero. Machines that cannot hear each other
+ * What two boxes let pass at the same moment neither knows of; that excess is at most demand times the time
+ * between two exchanges, and it is paid back, since the bucket goes below zero. Boxes that cannot hear each other
  * leave each other a fair part. Source: docs/PLATFORM.md, "QUOTA".
  */
 import type {Clock} from '../base/clock.js';
 
-/** A tenant's bound for all machines together. */
+/** A client account's bound for all boxes together. */
 export type QuotaBound = {
 	/** Units a second; zero stands for no bound. */
 	readonly rate: number;
@@ -17,18 +17,18 @@
 	readonly burst: number;
 };
 
-/** What a machine tells of a tenant: units let pass since it started, and how full its copy of the bucket is. */
+/** What a box tells of a client account: units let pass since it started, and how full its copy of the bucket is. */
 export type QuotaCount = {
-	readonly tenant: string;
+	readonly clientAccount: string;
 	readonly passed: number;
 	readonly level: number;
 };
 
-/** What is known of the other machines. */
+/** What is known of the other boxes. */
 export type QuotaFacts = {
-	/** @returns The tenant's bound; `undefined` where there is no such tenant. */
-	readonly bound: (tenant: string) => QuotaBound | undefined;
-	/** @returns Part of all machines that are heard of, this one too; above 0, at most 1. */
+	/** @returns The client account's bound; `undefined` where there is no such client account. */
+	readonly bound: (clientAccount: string) => QuotaBound | undefined;
+	/** @returns Part of all boxes that are heard of, this one too; above 0, at most 1. */
 	readonly heardPart: () => number;
 };
 
@@ -39,13 +39,13 @@
 };
 
 const millisecondsPerSecond = 1000;
-/** Part of the burst that a machine has that starts anew: others, or its own last start, may just have used the rest. */
+/** Part of the burst that a box has that starts anew: others, or its own last start, may just have used the rest. */
 const restartPart = 0.5;
 
-/** The buckets of all tenants. */
+/** The buckets of all client accounts. */
 export class QuotaLedger {
 	/**
-	 * @param facts - What is known of tenants and machines.
+	 * @param facts - What is known of client accounts and boxes.
 	 * @param clock - For refilling.
 	 * @param startsFull - Whether nobody can have used anything yet: the whole system starts for the first time.
 	 * @returns A ledger.
@@ -63,29 +63,29 @@
 		private readonly startsFull: boolean,
 	) {}
 
-	/** What this machine tells the others. */
+	/** What this box tells the others. */
 	get counts(): readonly QuotaCount[] {
-		return [...this.buckets].map(([tenant, bucket]) => {
-			this.refill(tenant, bucket);
-			return {tenant, passed: Math.round(bucket.passed), level: Math.round(bucket.level)};
+		return [...this.buckets].map(([clientAccount, bucket]) => {
+			this.refill(clientAccount, bucket);
+			return {clientAccount, passed: Math.round(bucket.passed), level: Math.round(bucket.level)};
 		});
 	}
 
 	/**
 	 * Lets a request pass or not.
 	 *
-	 * @param tenant - Whose it is.
+	 * @param clientAccount - Whose it is.
 	 * @param units - How much it counts.
 	 * @returns Zero where it may pass; otherwise the milliseconds after which to come back.
 	 */
-	take(tenant: string, units: number): number {
-		const bound = this.facts.bound(tenant);
+	take(clientAccount: string, units: number): number {
+		const bound = this.facts.bound(clientAccount);
 		if (!bound || bound.rate <= 0) {
 			return 0;
 		}
 
-		const bucket = this.bucketOf(tenant);
-		this.refill(tenant, bucket);
+		const bucket = this.bucketOf(clientAccount);
+		this.refill(clientAccount, bucket);
 		if (bucket.level <= 0) {
 			return Math.max(1, -bucket.level / bound.rate * millisecondsPerSecond);
 		}
@@ -98,11 +98,11 @@
 	/**
 	 * Takes back what a request counted that has not run.
 	 *
-	 * @param tenant - Whose it was.
+	 * @param clientAccount - Whose it was.
 	 * @param units - How much it counted.
 	 */
-	giveBack(tenant: string, units: number): void {
-		const bucket = this.buckets.get(tenant);
+	giveBack(clientAccount: string, units: number): void {
+		const bucket = this.buckets.get(clientAccount);
 		if (bucket) {
 			bucket.level += units;
 			bucket.passed -= units;
@@ -110,9 +110,9 @@
 	}
 
 	/**
-	 * Takes what another machine tells.
+	 * Takes what another box tells.
 	 *
-	 * @param peer - One start of one machine.
+	 * @param peer - One start of one box.
 	 * @param counts - What it tells.
 	 * @param meeting - How it is met: `known` has been heard lately; `younger` is new and began after this one;
 	 * `other` is older, or was not heard for a while, so that its part was left to it.
@@ -120,15 +120,15 @@
 	takeCounts(peer: string, counts: readonly QuotaCount[], meeting: 'known' | 'younger' | 'other'): void {
 		const known = this.peers.get(peer) ?? new Map<string, number>();
 		this.peers.set(peer, known);
-		for (const {tenant, passed, level} of counts) {
-			const before = known.get(tenant) ?? 0;
-			known.set(tenant, passed);
-			if (!this.facts.bound(tenant)) {
+		for (const {clientAccount, passed, level} of counts) {
+			const before = known.get(clientAccount) ?? 0;
+			known.set(clientAccount, passed);
+			if (!this.facts.bound(clientAccount)) {
 				continue;
 			}
 
-			const bucket = this.bucketOf(tenant);
-			this.refill(tenant, bucket);
+			const bucket = this.bucketOf(clientAccount);
+			this.refill(clientAccount, bucket);
 			if (meeting === 'other') {
 				bucket.level = Math.min(bucket.level, level);
 			} else {
@@ -137,28 +137,28 @@
 		}
 	}
 
-	/** @param peer - One start of one machine, which is gone. */
+	/** @param peer - One start of one box, which is gone. */
 	forget(peer: string): void {
 		this.peers.delete(peer);
 	}
 
-	private bucketOf(tenant: string): Bucket {
-		const known = this.buckets.get(tenant);
+	private bucketOf(clientAccount: string): Bucket {
+		const known = this.buckets.get(clientAccount);
 		if (known) {
 			return known;
 		}
 
 		const bucket: Bucket = {
-			level: (this.facts.bound(tenant)?.burst ?? 0) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
+			level: (this.facts.bound(clientAccount)?.burst ?? 0) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
 		};
-		this.buckets.set(tenant, bucket);
+		this.buckets.set(clientAccount, bucket);
 		return bucket;
 	}
 
-	private refill(tenant: string, bucket: Bucket): void {
+	private refill(clientAccount: string, bucket: Bucket): void {
 		const now = this.clock.monotonic();
 		const elapsed = now - bucket.refilledAt;
-		const bound = this.facts.bound(tenant);
+		const bound = this.facts.bound(clientAccount);
 		bucket.refilledAt = now;
 		if (bound) {
 			const part = this.facts.heardPart();
--- a/src/quota/repeat-budget.ts
+++ b/src/quota/repeat-budget.ts
@@ -1,10 +1,10 @@
 /**
  * Bounds how many requests are sent again, so that a brown-out of replicas is not made worse. The bound holds for all
- * machines together: each keeps to a part of its own requests and to its part of the slack.
+ * boxes together: each keeps to a part of its own requests and to its part of the slack.
  */
 import type {Clock} from '../base/clock.js';
 
-/** The bound for all machines together. */
+/** The bound for all boxes together. */
 export type RepeatBound = {
 	/** Repeats for each request. */
 	readonly ratio: number;
@@ -14,21 +14,21 @@
 	readonly window: number;
 };
 
-/** Part of the bound that is used: windows of machines do not begin together, and machines start anew. */
+/** Part of the bound that is used: windows of boxes do not begin together, and boxes start anew. */
 const usedPart = 0.7;
-/** Part of the slack, which a machine that starts anew has again. */
+/** Part of the slack, which a box that starts anew has again. */
 const usedSlack = 0.5;
 
-/** The budget of one service on one machine. */
+/** The budget of one service on one box. */
 export class RepeatBudget {
 	/**
-	 * @param bound - The bound for all machines.
-	 * @param machines - How many there are.
+	 * @param bound - The bound for all boxes.
+	 * @param boxes - How many there are.
 	 * @param clock - For the window.
 	 * @returns A budget of which nothing is used.
 	 */
-	static create(bound: () => RepeatBound, machines: () => number, clock: Clock): RepeatBudget {
-		return new RepeatBudget(bound, machines, clock);
+	static create(bound: () => RepeatBound, boxes: () => number, clock: Clock): RepeatBudget {
+		return new RepeatBudget(bound, boxes, clock);
 	}
 
 	private firsts: readonly number[] = [];
@@ -36,7 +36,7 @@
 
 	private constructor(
 		private readonly bound: () => RepeatBound,
-		private readonly machines: () => number,
+		private readonly boxes: () => number,
 		private readonly clock: Clock,
 	) {}
 
@@ -49,7 +49,7 @@
 	withdraw(): boolean {
 		const {ratio, slack} = this.bound();
 		const repeats = this.recent(this.repeats);
-		const allowed = (this.recent(this.firsts).length * ratio * usedPart) + (slack * usedSlack / Math.max(1, this.machines()));
+		const allowed = (this.recent(this.firsts).length * ratio * usedPart) + (slack * usedSlack / Math.max(1, this.boxes()));
 		this.repeats = repeats;
 		if (repeats.length + 1 > allowed) {
 			return false;
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -4,21 +4,21 @@
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {QuotaLedger} from '../quota-ledger.js';
 
-const tenant = 'basin';
+const clientAccount = 'basin';
 const bound = {rate: 100, burst: 100};
 
-/** Machines that tell each other in rounds, as the exchange does. */
+/** Boxes that tell each other in rounds, as the exchange does. */
 class Fleet {
 	readonly clock = new MovedClock();
 	readonly ledgers: readonly QuotaLedger[];
 	readonly reaches: boolean[];
 	private readonly met = new Set<string>();
 
-	constructor(machines: number) {
-		this.reaches = Array.from({length: machines}, () => true);
-		this.ledgers = Array.from({length: machines}, (_, index) => QuotaLedger.create({
+	constructor(boxes: number) {
+		this.reaches = Array.from({length: boxes}, () => true);
+		this.ledgers = Array.from({length: boxes}, (_, index) => QuotaLedger.create({
 			bound: () => bound,
-			heardPart: () => this.reaches[index] ? this.reaches.filter(Boolean).length / machines : 1 / machines,
+			heardPart: () => this.reaches[index] ? this.reaches.filter(Boolean).length / boxes : 1 / boxes,
 		}, this.clock, true));
 	}
 
@@ -42,7 +42,7 @@
 	}
 }
 
-test('a tenant inside its quota is never refused, whichever machines its requests come to', () => {
+test('a client account inside its quota is never refused, whichever boxes its requests come to', () => {
 	const fleet = new Fleet(9);
 	for (let step = 0; step < 200; step++) {
 		fleet.clock.now += 20;
@@ -50,19 +50,19 @@
 			fleet.exchange();
 		}
 
-		assert.equal(fleet.ledgers[(step * 7) % 9]!.take(tenant, 1.5), 0);
+		assert.equal(fleet.ledgers[(step * 7) % 9]!.take(clientAccount, 1.5), 0);
 	}
 });
 
-test('far past its quota a tenant gets its quota and little more in any window, also with machines cut off', () => {
+test('far past its quota a client account gets its quota and little more in any window, also with boxes cut off', () => {
 	fc.assert(fc.property(
-		fc.array(fc.record({machine: fc.nat(8), cut: fc.option(fc.nat(8)), heal: fc.boolean()}), {minLength: 1500, maxLength: 2000}),
+		fc.array(fc.record({box: fc.nat(8), cut: fc.option(fc.nat(8)), heal: fc.boolean()}), {minLength: 1500, maxLength: 2000}),
 		steps => {
 			const fleet = new Fleet(9);
 			const passed: Array<{readonly at: number; readonly units: number}> = [];
-			for (const [index, {machine, cut, heal}] of steps.entries()) {
+			for (const [index, {box, cut, heal}] of steps.entries()) {
 				fleet.clock.now += 10;
-				// A cut or heal now and then, a third of the machines at most.
+				// A cut or heal now and then, a third of the boxes at most.
 				if (index % 400 === 399 && cut !== null) {
 					fleet.reaches[cut] = false;
 				}
@@ -76,7 +76,7 @@
 				}
 
 				// Four times the quota is asked for.
-				if (fleet.ledgers[machine]!.take(tenant, 4) === 0) {
+				if (fleet.ledgers[box]!.take(clientAccount, 4) === 0) {
 					passed.push({at: fleet.clock.now, units: 4});
 				}
 			}
@@ -91,22 +91,22 @@
 	), {numRuns: 12, seed: 7, endOnFailure: true});
 });
 
-test('a machine that starts among others takes the bucket as they know it, and one that starts anew has half of the burst', () => {
+test('a box that starts among others takes the bucket as they know it, and one that starts anew has half of the burst', () => {
 	const clock = new MovedClock();
 	const facts = {bound: () => bound, heardPart: () => 1};
 	const old = QuotaLedger.create(facts, clock, true);
-	while (old.take(tenant, 10) === 0) {
+	while (old.take(clientAccount, 10) === 0) {
 		// Used up.
 	}
 
 	const fresh = QuotaLedger.create(facts, clock, true);
 	fresh.takeCounts('old', old.counts, 'other');
-	assert.ok(fresh.take(tenant, 1) > 0);
+	assert.ok(fresh.take(clientAccount, 1) > 0);
 	const restarted = QuotaLedger.create(facts, clock, false);
-	assert.equal(restarted.take(tenant, 60), 0);
-	assert.ok(restarted.take(tenant, 1) > 0, 'half of the burst is there, and no more');
+	assert.equal(restarted.take(clientAccount, 60), 0);
+	assert.ok(restarted.take(clientAccount, 1) > 0, 'half of the burst is there, and no more');
 	clock.now += 200;
-	assert.equal(restarted.take(tenant, 1), 0);
+	assert.equal(restarted.take(clientAccount, 1), 0);
 });
 
 test('a lowered bound takes hold at once, and what did not run is given back', () => {
@@ -114,8 +114,8 @@
 	const limit = {...bound};
 	const ledger = QuotaLedger.create({bound: () => limit, heardPart: () => 1}, clock, true);
 	limit.burst = 5;
-	assert.equal(ledger.take(tenant, 6), 0);
-	assert.ok(ledger.take(tenant, 1) > 0);
-	ledger.giveBack(tenant, 6);
-	assert.equal(ledger.take(tenant, 1), 0);
+	assert.equal(ledger.take(clientAccount, 6), 0);
+	assert.ok(ledger.take(clientAccount, 1) > 0);
+	ledger.giveBack(clientAccount, 6);
+	assert.equal(ledger.take(clientAccount, 1), 0);
 });
--- a/src/relay/admitted-request.ts
+++ b/src/relay/admitted-request.ts
@@ -2,7 +2,7 @@
  * A client's request that may be served.
  */
 import type {IncomingMessage} from 'node:http';
-import type {Route, Tenant} from '../routes/route-table.js';
+import type {Route, ClientAccount} from '../routes/route-table.js';
 import type {RequestHead} from './relay-format.js';
 
 /** A request, whole, with what governs it. */
@@ -12,10 +12,10 @@
 	readonly body: Uint8Array;
 	readonly route: Route;
 	readonly service: string;
-	readonly tenant: Tenant | undefined;
+	readonly clientAccount: ClientAccount | undefined;
 	/** Version of the configuration that governs it. */
 	readonly version: number;
-	/** Units it counts against the tenant's quota. */
+	/** Units it counts against the client account's quota. */
 	readonly units: number;
 	/** Zero is the most urgent. */
 	readonly urgency: number;
--- a/src/relay/connection-book.ts
+++ b/src/relay/connection-book.ts
@@ -1,5 +1,5 @@
 /**
- * The connections of this machine, by replica.
+ * The connections of this box, by replica.
  */
 import type {Clock} from '../base/clock.js';
 import {ReplicaConnections} from '../replicas/replica-connections.js';
--- a/src/relay/freshness-guard.ts
+++ b/src/relay/freshness-guard.ts
@@ -1,5 +1,5 @@
 /**
- * Decides whether what this machine knows of the configuration is new enough to act on.
+ * Decides whether what this box knows of the configuration is new enough to act on.
  *
  * @remarks Source: docs/PLATFORM.md, "CONFIG, strict revocation".
  */
--- a/src/relay/front-door.ts
+++ b/src/relay/front-door.ts
@@ -9,7 +9,7 @@
 import * as Fiber from 'effect/Fiber';
 import {Refusal} from '../base/verdict.js';
 import {
-	type Route, type RouteTable, type Tenant, pickTarget,
+	type Route, type RouteTable, type ClientAccount, pickTarget,
 } from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import {ClientAnswer} from './client-answer.js';
@@ -25,7 +25,7 @@
 const mostUrgent = 0;
 const leastUrgent = 9;
 const millisecondsPerSecond = 1000;
-/** Seconds after which a client may come back to a machine that knows no configuration. */
+/** Seconds after which a client may come back to a box that knows no configuration. */
 const comeBackWhenKnown = 0.3;
 
 /** What an admission rests on. */
@@ -145,29 +145,29 @@
 		return Effect.suspend(() => {
 			const table = this.services.table.inForce;
 			if (!table || !this.services.replicas.isKnown) {
-				return Effect.fail(Refusal.create('not-ready', 'This machine knows no configuration yet.', {retryAfter: comeBackWhenKnown}));
+				return Effect.fail(Refusal.create('not-ready', 'This box knows no configuration yet.', {retryAfter: comeBackWhenKnown}));
 			}
 
 			return this.state.isClosing()
-				? Effect.fail(Refusal.create('box-stopping', 'This machine is stopping.', {retryAfter: 0}))
+				? Effect.fail(Refusal.create('box-stopping', 'This box is stopping.', {retryAfter: 0}))
 				: Effect.succeed(table);
 		});
 	}
 
-	private admit(incoming: IncomingMessage, head: RequestHead, {table, receivedAt, route, tenant}: Admission): Effect.Effect<AdmittedRequest, Refusal> {
+	private admit(incoming: IncomingMessage, head: RequestHead, {table, receivedAt, route, clientAccount}: Admission): Effect.Effect<AdmittedRequest, Refusal> {
 		return Effect.gen({self: this}, function * () {
 			const body = yield * readAll(incoming, table.content.limits.body);
-			const units = unitsOf(tenant, head);
-			if (tenant) {
-				yield * this.passQuota(tenant, units);
+			const units = unitsOf(clientAccount, head);
+			if (clientAccount) {
+				yield * this.passQuota(clientAccount, units);
 			}
 
 			const deadline = Math.min(head.deadline ?? route.timeout, route.timeout);
 			return {
-				incoming, head, body, route, tenant, units,
+				incoming, head, body, route, clientAccount, units,
 				version: table.version,
 				service: pickTarget(route, Math.random()),
-				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, tenant))),
+				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, clientAccount))),
 				deadlineAt: receivedAt + deadline,
 			};
 		});
@@ -183,39 +183,39 @@
 		}
 
 		if (route.isPublic || !table.needsKeys) {
-			return Effect.succeed({route, tenant: undefined});
+			return Effect.succeed({route, clientAccount: undefined});
 		}
 
-		const tenant = head.key === undefined ? undefined : table.tenant(head.key);
-		if (!tenant) {
+		const clientAccount = head.key === undefined ? undefined : table.clientAccount(head.key);
+		if (!clientAccount) {
 			return absent(Refusal.create(head.key === undefined ? 'key-missing' : 'key-unknown', 'The request carries no key that is in force.'));
 		}
 
-		return guard.allowsKeys ? Effect.succeed({route, tenant}) : stale();
+		return guard.allowsKeys ? Effect.succeed({route, clientAccount}) : stale();
 	}
 
-	private passQuota(tenant: Tenant, units: number): Effect.Effect<void, Refusal> {
+	private passQuota(clientAccount: ClientAccount, units: number): Effect.Effect<void, Refusal> {
 		return Effect.suspend(() => {
-			const wait = this.services.quota.take(tenant.name, units);
+			const wait = this.services.quota.take(clientAccount.name, units);
 			return wait === 0
 				? Effect.void
-				: Effect.fail(Refusal.create('ceiling-reached', 'The tenant is past its quota.', {retryAfter: Math.ceil(wait) / millisecondsPerSecond}));
+				: Effect.fail(Refusal.create('ceiling-reached', 'The client account is past its quota.', {retryAfter: Math.ceil(wait) / millisecondsPerSecond}));
 		});
 	}
 
 	private giveBack(request: AdmittedRequest | undefined, {verdict}: Refusal): void {
-		if (request?.tenant && verdict === 'not-run') {
-			this.services.quota.giveBack(request.tenant.name, request.units);
+		if (request?.clientAccount && verdict === 'not-run') {
+			this.services.quota.giveBack(request.clientAccount.name, request.units);
 		}
 	}
 }
 
-function unitsOf(tenant: Tenant | undefined, {promptTokens, outputTokens}: RequestHead): number {
-	if (tenant?.unit !== 'tokens') {
+function unitsOf(clientAccount: ClientAccount | undefined, {promptTokens, outputTokens}: RequestHead): number {
+	if (clientAccount?.unit !== 'tokens') {
 		return 1;
 	}
 
-	return promptTokens === undefined ? tenant.plainTokens : promptTokens + outputTokens;
+	return promptTokens === undefined ? clientAccount.plainTokens : promptTokens + outputTokens;
 }
 
 /** Reads a request's body; nothing of it is decoded. */
--- a/src/relay/relay-format.ts
+++ b/src/relay/relay-format.ts
@@ -28,7 +28,7 @@
 /** What the system tells a replica besides what the client said. */
 export type SentHead = {
 	readonly replica: string;
-	readonly tenant: string | undefined;
+	readonly clientAccount: string | undefined;
 	/** Milliseconds left. */
 	readonly deadline: number;
 	/** Zero is the most urgent; `undefined` leaves it. */
@@ -55,7 +55,7 @@
 
 /** Reads and writes heads. */
 export abstract class RelayFormat {
-	/** Path at which the balancer asks whether this machine takes clients. */
+	/** Path at which the balancer asks whether this box takes clients. */
 	abstract readonly readyPath: string;
 
 	/**
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -63,11 +63,11 @@
 	});
 
 	readonly membersHeard = new Gauge({
-		name: 'waydrift_relay_members_heard', help: 'Other machines that were heard lately.', registers: [this.registry],
+		name: 'waydrift_relay_members_heard', help: 'Other boxes that were heard lately.', registers: [this.registry],
 	});
 
 	readonly leaseHeld = new Gauge({
-		name: 'waydrift_relay_lease_held', help: 'Whether this machine holds the duties.', registers: [this.registry],
+		name: 'waydrift_relay_lease_held', help: 'Whether this box holds the duties.', registers: [this.registry],
 	});
 
 	readonly linesLeftOut = new Counter({
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -112,15 +112,15 @@
 	private governAnew(): Effect.Effect<void, Refusal> {
 		return Effect.suspend(() => {
 			const {table, guard} = this.services;
-			const {incoming, head, tenant, version} = this.request;
+			const {incoming, head, clientAccount, version} = this.request;
 			const {inForce} = table;
 			if (!inForce || inForce.version === version) {
 				return Effect.void;
 			}
 
 			const route = inForce.route(incoming.headers.host ?? '', incoming.url ?? '/');
-			const holder = tenant && head.key !== undefined ? inForce.tenant(head.key) : undefined;
-			const isAllowed = route !== undefined && holder?.name === tenant?.name && guard.allowsKeys;
+			const holder = clientAccount && head.key !== undefined ? inForce.clientAccount(head.key) : undefined;
+			const isAllowed = route !== undefined && holder?.name === clientAccount?.name && guard.allowsKeys;
 			if (!isAllowed) {
 				return Effect.fail(this.refuse('configuration-stale', 'The configuration no longer allows the request.'));
 			}
@@ -189,7 +189,7 @@
 				path: incoming.url ?? '/',
 				headers: format.requestHeaders(incoming, {
 					replica: replica.entry.id,
-					tenant: this.request.tenant?.name,
+					clientAccount: this.request.clientAccount?.name,
 					deadline: this.request.deadlineAt - sentAt,
 					urgency: this.request.urgency,
 					lastEventId: this.passage.lastEventId,
@@ -212,7 +212,7 @@
 			return 'the replica began to leave';
 		}
 
-		if (this.request.tenant && !allowsKeys) {
+		if (this.request.clientAccount && !allowsKeys) {
 			return 'the configuration may be out of date';
 		}
 
@@ -268,9 +268,9 @@
 	}
 
 	private countUsage(): void {
-		if (!this.hasCounted && this.request.tenant) {
+		if (!this.hasCounted && this.request.clientAccount) {
 			this.hasCounted = true;
-			this.services.usage.note(this.request.tenant.name);
+			this.services.usage.note(this.request.clientAccount.name);
 		}
 	}
 
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -14,7 +14,7 @@
 import type {RelayMetrics} from './relay-metrics.js';
 import type {RepeatBudgets} from './repeat-budgets.js';
 
-/** The services of one machine that serve requests. */
+/** The services of one box that serve requests. */
 export type RelayServices = {
 	readonly clock: Clock;
 	readonly log: EventLog;
--- a/src/relay/repeat-budgets.ts
+++ b/src/relay/repeat-budgets.ts
@@ -1,5 +1,5 @@
 /**
- * The budgets of repeats of this machine, by service.
+ * The budgets of repeats of this box, by service.
  */
 import type {Clock} from '../base/clock.js';
 import {RepeatBudget, type RepeatBound} from '../quota/repeat-budget.js';
@@ -7,20 +7,20 @@
 /** A budget for each service. */
 export class RepeatBudgets {
 	/**
-	 * @param bound - The bound for all machines.
-	 * @param machines - How many machines there are.
+	 * @param bound - The bound for all boxes.
+	 * @param boxes - How many boxes there are.
 	 * @param clock - For the window.
 	 * @returns Budgets of which nothing is used.
 	 */
-	static create(bound: () => RepeatBound, machines: () => number, clock: Clock): RepeatBudgets {
-		return new RepeatBudgets(bound, machines, clock);
+	static create(bound: () => RepeatBound, boxes: () => number, clock: Clock): RepeatBudgets {
+		return new RepeatBudgets(bound, boxes, clock);
 	}
 
 	private readonly byService = new Map<string, RepeatBudget>();
 
 	private constructor(
 		private readonly bound: () => RepeatBound,
-		private readonly machines: () => number,
+		private readonly boxes: () => number,
 		private readonly clock: Clock,
 	) {}
 
@@ -34,7 +34,7 @@
 			return known;
 		}
 
-		const budget = RepeatBudget.create(this.bound, this.machines, this.clock);
+		const budget = RepeatBudget.create(this.bound, this.boxes, this.clock);
 		this.byService.set(service, budget);
 		return budget;
 	}
--- a/src/relay/request-story.ts
+++ b/src/relay/request-story.ts
@@ -3,7 +3,7 @@
  */
 import type {EventFields} from '../base/event-log.js';
 import type {Refusal} from '../base/verdict.js';
-import type {Route, Tenant} from '../routes/route-table.js';
+import type {Route, ClientAccount} from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {ClientAnswer} from './client-answer.js';
 import type {RequestHead} from './relay-format.js';
@@ -14,7 +14,7 @@
 export type Governed = {
 	readonly route: Route;
 	/** `undefined` where no key is needed. */
-	readonly tenant: Tenant | undefined;
+	readonly clientAccount: ClientAccount | undefined;
 };
 
 /** What a story begins with. */
@@ -96,7 +96,7 @@
 		return {
 			request: head.id,
 			route: this.governed?.route.name,
-			tenant: this.governed?.tenant?.name,
+			clientAccount: this.governed?.clientAccount?.name,
 			service: this.admitted?.service,
 			units: this.admitted?.units,
 			status: client.status,
--- a/src/relay/stream-passage.ts
+++ b/src/relay/stream-passage.ts
@@ -88,7 +88,7 @@
 		}
 	}
 
-	/** A client that reads slowly slows its replica down, not this machine's memory up. */
+	/** A client that reads slowly slows its replica down, not this box's memory up. */
 	private holdBack({message}: OpenAnswer): void {
 		if (this.client.isCongested) {
 			message.pause();
--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -42,31 +42,31 @@
 const costBeside = 3;
 /** Milliseconds a request holds a slot, where none was measured. */
 const assumedServiceTime = 40;
-/** Milliseconds that another zone costs. */
-const zoneCost = 2;
+/** Milliseconds that another data centre costs. */
+const dataCentreCost = 2;
 /** Milliseconds for which a part is believed to be kept. */
 const partLifetime = 30_000;
 const mostPartsKept = 4096;
 /** Milliseconds of penalty for a replica that fails all its requests. */
 const errorCost = 400;
 
-/** Takes the replica with the least expected wait: work there, prompt tokens to read, zone and errors. */
+/** Takes the replica with the least expected wait: work there, prompt tokens to read, data centre and errors. */
 export class LeastWaitChoice extends ReplicaChoice {
 	/**
-	 * @param zone - Zone of this machine.
+	 * @param dataCentre - Data centre of this box.
 	 * @param now - Monotonic milliseconds.
 	 * @param random - Numbers from 0 to 1.
 	 * @returns The choice.
 	 */
-	static create(zone: string, now: () => number, random: () => number = Math.random): LeastWaitChoice {
-		return new LeastWaitChoice(zone, now, random);
+	static create(dataCentre: string, now: () => number, random: () => number = Math.random): LeastWaitChoice {
+		return new LeastWaitChoice(dataCentre, now, random);
 	}
 
 	/** When a replica last read a part, by part and replica. */
 	private readonly readAt = new Map<string, Map<string, number>>();
 
 	private constructor(
-		private readonly zone: string,
+		private readonly dataCentre: string,
 		private readonly now: () => number,
 		private readonly random: () => number,
 	) {
@@ -98,14 +98,14 @@
 
 	private costOf(replica: Replica, request: ChoiceRequest, home: Replica | undefined, meanErrors: number): number {
 		const {requests, unreadTokens} = replica.work;
-		const {slots, zone} = replica.entry;
+		const {slots, dataCentre} = replica.entry;
 		const serviceTime = replica.latency || assumedServiceTime;
 		const toRead = request.promptTokens - this.keptTokens(replica, request, home);
 		const read = (toRead + unreadTokens) / assumedReadRate;
 		const beside = request.promptTokens > 0 ? requests * costBeside : (requests / slots) * serviceTime / 2;
 		const queue = Math.max(0, requests + 1 - slots) * serviceTime / slots;
 		const errors = Math.max(0, replica.errorShare - meanErrors) * errorCost;
-		return read + beside + queue + errors + (zone === this.zone ? 0 : zoneCost) + this.random();
+		return read + beside + queue + errors + (dataCentre === this.dataCentre ? 0 : dataCentreCost) + this.random();
 	}
 
 	/** Tokens at the start of the prompt that the replica is believed to keep. */
@@ -122,7 +122,7 @@
 	}
 }
 
-/** The same on every machine, so that machines agree where a part is kept without talking. */
+/** The same on every box, so that boxes agree where a part is kept without talking. */
 function homeOf(candidates: readonly Replica[], {sharedParts}: ChoiceRequest): Replica | undefined {
 	const part = sharedParts.at(-1);
 	return part && candidates
--- a/src/replicas/replica-connections.ts
+++ b/src/replicas/replica-connections.ts
@@ -20,7 +20,7 @@
 /** No connection to a replica could be made; nothing was sent. */
 export class ConnectionFailure extends Data.TaggedError('ConnectionFailure')<{
 	readonly detail: string;
-	/** Whether the replica's machine said no, rather than nothing. */
+	/** Whether the replica's box said no, rather than nothing. */
 	readonly isRefused: boolean;
 }> {}
 
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -1,5 +1,5 @@
 /**
- * All replicas this machine knows of. One that was seen draining never becomes ready again; one whose entry went does
+ * All replicas this box knows of. One that was seen draining never becomes ready again; one whose entry went does
  * only where a newer entry says so.
  */
 import type {Clock} from '../base/clock.js';
@@ -146,7 +146,7 @@
 		this.replicas.set(entry.id, added);
 		this.lastListedAt = this.clock.monotonic();
 		this.log.write('replicaListed', {
-			replica: entry.id, service: entry.service, zone: entry.zone, address: `${entry.host}:${entry.port}`, isDraining: entry.isDraining,
+			replica: entry.id, service: entry.service, dataCentre: entry.dataCentre, address: `${entry.host}:${entry.port}`, isDraining: entry.isDraining,
 		});
 	}
 
--- a/src/replicas/replica.ts
+++ b/src/replicas/replica.ts
@@ -1,5 +1,5 @@
 /**
- * A replica of a service, as the platform's list tells of it, and what this machine knows of its load.
+ * A replica of a service, as the platform's list tells of it, and what this box knows of its load.
  */
 import type {Clock} from '../base/clock.js';
 
@@ -12,7 +12,7 @@
 	readonly service: string;
 	readonly host: string;
 	readonly port: number;
-	readonly zone: string;
+	readonly dataCentre: string;
 	readonly slots: number;
 	readonly isDraining: boolean;
 	/** Whether the platform may take it away at short notice. */
@@ -41,7 +41,7 @@
 
 type PeerWork = ReplicaWork & {readonly at: number};
 
-/** One replica, as this machine sees it. */
+/** One replica, as this box sees it. */
 export class Replica {
 	/**
 	 * @param entry - What the list says.
@@ -81,7 +81,7 @@
 		return this.leavingSince === undefined ? 0 : this.clock.monotonic() - this.leavingSince;
 	}
 
-	/** Whether it has requests of this machine and has sent nothing for long. */
+	/** Whether it has requests of this box and has sent nothing for long. */
 	get isSilent(): boolean {
 		const allowed = Math.max(leastSilence, this.latencyMean * silencePerLatency);
 		return this.own.requests > 0 && this.clock.monotonic() - this.heardAt > allowed;
@@ -92,7 +92,7 @@
 		return this.clock.monotonic() < this.avoidedUntil;
 	}
 
-	/** This machine's own work there. */
+	/** This box's own work there. */
 	get ownWork(): ReplicaWork {
 		return this.own;
 	}
@@ -107,7 +107,7 @@
 		return this.latencyMean;
 	}
 
-	/** Work of all machines there, as far as is known. */
+	/** Work of all boxes there, as far as is known. */
 	get work(): ReplicaWork {
 		const since = this.clock.monotonic() - peerWorkLifetime;
 		let {requests, unreadTokens} = this.own;
@@ -140,14 +140,14 @@
 	}
 
 	/**
-	 * @param peer - Name of another machine.
+	 * @param peer - Name of another box.
 	 * @param work - Its work here.
 	 */
 	notePeerWork(peer: string, work: ReplicaWork): void {
 		this.peers.set(peer, {...work, at: this.clock.monotonic()});
 	}
 
-	/** @param peer - Name of a machine that has no work here. */
+	/** @param peer - Name of a box that has no work here. */
 	clearPeerWork(peer: string): void {
 		this.peers.delete(peer);
 	}
--- a/src/routes/route-table-view.ts
+++ b/src/routes/route-table-view.ts
@@ -1,5 +1,5 @@
 /**
- * The configuration in force on this machine, and how sure it is that no newer one is.
+ * The configuration in force on this box, and how sure it is that no newer one is.
  */
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
@@ -62,7 +62,7 @@
 		const before = this.version;
 		this.table = RouteTable.create(content);
 		this.log.write('routesApplied', {
-			version: content.version, before, source, routes: content.routes.length, tenants: content.tenants.length,
+			version: content.version, before, source, routes: content.routes.length, clientAccounts: content.clientAccounts.length,
 		});
 		for (const listener of this.listeners) {
 			listener(this.table);
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -1,5 +1,5 @@
 /**
- * One version of the configuration of routes, tenants and services, ready for look-ups.
+ * One version of the configuration of routes, client accounts and services, ready for look-ups.
  *
  * @remarks Source: docs/PLATFORM.md, "The way of a configuration".
  */
@@ -33,8 +33,8 @@
 	readonly targets: readonly RouteTarget[];
 };
 
-/** A tenant, its keys and its quota. */
-export type Tenant = {
+/** A client account, its keys and its quota. */
+export type ClientAccount = {
 	readonly name: string;
 	readonly keys: readonly string[];
 	/** In place of the route's; `undefined` leaves that. */
@@ -50,14 +50,14 @@
 
 /** How many replicas a service may have, and what they cost. */
 export type Scaling = {
-	/** In each zone. */
+	/** In each data centre. */
 	readonly minimum: number;
 	readonly maximum: number;
 	/** Milliseconds until a new replica serves. */
 	readonly bootTime: number;
 	/** Price of a reclaimable replica, as a part of another's. */
 	readonly reclaimablePrice: number;
-	readonly zonePrices: ReadonlyMap<string, number>;
+	readonly dataCentrePrices: ReadonlyMap<string, number>;
 };
 
 /** What is said of a service. */
@@ -86,7 +86,7 @@
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly services: readonly Service[];
-	readonly tenants: readonly Tenant[];
+	readonly clientAccounts: readonly ClientAccount[];
 	readonly limits: ClientLimits;
 };
 
@@ -103,14 +103,14 @@
 	}
 
 	private readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
-	private readonly tenantsByKey: ReadonlyMap<string, Tenant>;
+	private readonly clientAccountsByKey: ReadonlyMap<string, ClientAccount>;
 	private readonly servicesByName: ReadonlyMap<string, Service>;
 
 	private constructor(readonly content: RouteTableContent) {
 		const byLength = [...content.routes].sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
 		const hosts = new Set(byLength.map(({host}) => host.toLowerCase()));
 		this.routesByHost = new Map([...hosts].map(host => [host, byLength.filter(route => route.host.toLowerCase() === host)]));
-		this.tenantsByKey = new Map(content.tenants.flatMap(tenant => tenant.keys.map(key => [key, tenant] as const)));
+		this.clientAccountsByKey = new Map(content.clientAccounts.flatMap(clientAccount => clientAccount.keys.map(key => [key, clientAccount] as const)));
 		this.servicesByName = new Map(content.services.map(service => [service.name, service]));
 	}
 
@@ -121,7 +121,7 @@
 
 	/** Whether requests need a key, but on public routes. */
 	get needsKeys(): boolean {
-		return this.content.tenants.length > 0;
+		return this.content.clientAccounts.length > 0;
 	}
 
 	/**
@@ -138,8 +138,8 @@
 	 * @param key - What the client sent.
 	 * @returns Whose key it is; `undefined` where it is nobody's.
 	 */
-	tenant(key: string): Tenant | undefined {
-		return this.tenantsByKey.get(key);
+	clientAccount(key: string): ClientAccount | undefined {
+		return this.clientAccountsByKey.get(key);
 	}
 
 	/**
@@ -152,11 +152,11 @@
 
 	/**
 	 * @param route - The route of a request.
-	 * @param tenant - Its tenant.
+	 * @param clientAccount - Its client account.
 	 * @returns Its rank; zero is the most urgent.
 	 */
-	priority(route: Route, tenant: Tenant | undefined): number {
-		return tenant?.priority ?? route.priority ?? priorityWhereNothingIsSaid;
+	priority(route: Route, clientAccount: ClientAccount | undefined): number {
+		return clientAccount?.priority ?? route.priority ?? priorityWhereNothingIsSaid;
 	}
 }
 
--- a/src/routes/test/route-table.test.ts
+++ b/src/routes/test/route-table.test.ts
@@ -24,7 +24,7 @@
 });
 
 const content = (version: number, changes: Partial<RouteTableContent> = {}): RouteTableContent => ({
-	version, routes: [], services: [], tenants: [], limits: {body: 1, headerTimeout: 1, idleTimeout: 1}, ...changes,
+	version, routes: [], services: [], clientAccounts: [], limits: {body: 1, headerTimeout: 1, idleTimeout: 1}, ...changes,
 });
 
 test('the longest prefix of the host decides, whatever the order, the case of the host and its port', () => {
@@ -40,12 +40,12 @@
 	assert.deepEqual([0, 0.5, 0.89, 0.91, 0.999].map(draw => pickTarget(split, draw)), ['s', 's', 's', 't', 't']);
 });
 
-test('the tenant\'s priority goes before the route\'s', () => {
+test('the client account\'s priority goes before the route\'s', () => {
 	const table = RouteTable.create(content(1));
-	const tenant = {
+	const clientAccount = {
 		name: 't', keys: [], priority: 0, unit: 'tokens', plainTokens: 1, rate: 0, burst: 0,
 	} as const;
-	assert.equal(table.priority(route('r', '/'), tenant), 0);
+	assert.equal(table.priority(route('r', '/'), clientAccount), 0);
 	assert.equal(table.priority(route('r', '/'), undefined), 3);
 });
 
--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -1,5 +1,5 @@
 /**
- * Settings of a relay: a machine that stands between the platform's balancer and its replicas.
+ * Settings of a relay: a box that stands between the platform's balancer and its replicas.
  */
 import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
@@ -15,7 +15,7 @@
 /** The settings file as it is written; what a deployment does not tell is null. */
 const RelaySettingsFile = Schema.Struct({
 	node: Schema.String,
-	zone: Schema.String,
+	dataCentre: Schema.String,
 	listen: Schema.Struct({front: AddressText, ready: AddressText, control: AddressText}),
 	metrics: Schema.Struct({port: Schema.Number}),
 	seeds: Schema.NullOr(Schema.Array(Schema.String)),
@@ -59,7 +59,7 @@
 /** Settings of a relay. */
 export type RelaySettings = {
 	readonly node: string;
-	readonly zone: string;
+	readonly dataCentre: string;
 	readonly front: Address;
 	readonly ready: Address;
 	readonly control: Address;
@@ -102,7 +102,7 @@
 	const {bounds} = file;
 	return {
 		node: file.node,
-		zone: file.zone,
+		dataCentre: file.dataCentre,
 		front,
 		ready: addressOr(file.listen.ready, front.port + 1),
 		control: addressOr(file.listen.control, file.metrics.port + 1),
