--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -29,6 +29,7 @@
 
 /** A relay of the installation. */
 export type RelayMember = {
+	readonly name: string;
 	readonly node: RelayNode;
 	readonly port: number;
 	readonly readyPort: number;
@@ -215,7 +216,7 @@
 		};
 
 		return {
-			node, port: front!, readyPort: ready!, log, metrics, end,
+			name, node, port: front!, readyPort: ready!, log, metrics, end,
 		};
 	}
 
--- a/development/relay/store-standin.ts
+++ b/development/relay/store-standin.ts
@@ -225,7 +225,18 @@
 		sendJson(response, 200, {events, at: this.revision});
 	}
 
-	private write({method, body, response}: StandinRequest, kind: string, named: string | undefined): void {
+	private write(request: StandinRequest, kind: string, named: string | undefined): void {
+		const {method, url, body, response} = request;
+		if (method === 'DELETE') {
+			const isCurrent = this.objects.get(kind)?.get(named ?? '')?.meta.rev === Number(url.searchParams.get('rev'));
+			if (isCurrent) {
+				this.remove(kind, named ?? '');
+			}
+
+			sendJson(response, isCurrent ? 200 : 409, {});
+			return;
+		}
+
 		const {meta, spec} = JSON.parse(body) as {readonly meta: {readonly name?: string; readonly rev?: number}; readonly spec: unknown};
 		const name = named ?? meta.name ?? '';
 		const held = this.objects.get(kind)?.get(name);
--- a/src/duties/duty-campaign.ts
+++ b/src/duties/duty-campaign.ts
@@ -11,11 +11,15 @@
 	readonly record: DutyRecord | undefined;
 	/** Boxes that were heard lately. */
 	readonly heard: readonly Peer[];
+	/** Those of them that may take the duties over too. */
+	readonly rivals: readonly Peer[];
 	/** Part of all boxes that are heard, this one too. */
 	readonly heardPart: number;
 	/** Milliseconds since the store last answered this box. */
 	readonly storeSilence: number;
 	readonly isStopping: boolean;
+	/** Whether all other boxes tell this one. */
+	readonly isAggregator: boolean;
 };
 
 /** Milliseconds of silence after which the store counts as out of a candidate's reach. */
@@ -47,12 +51,12 @@
  * @returns Whether this box is the one to take the duties over: the box that held them last, where it is
  * there again, since its own acts need not be waited out; else the first by name.
  */
-export function isCandidate({self, record, heard, heardPart, storeSilence, isStopping}: CampaignFacts): boolean {
-	if (isStopping || storeSilence > candidateSilence || heardPart < leastHeardPart) {
+export function isCandidate({self, record, rivals, heardPart, storeSilence, isStopping, isAggregator}: CampaignFacts): boolean {
+	if (isStopping || !isAggregator || storeSilence > candidateSilence || heardPart < leastHeardPart) {
 		return false;
 	}
 
-	const others = heard.filter(({last}) => last && !last.isStopping && last.storeAge < candidateSilence).map(({address}) => address.name);
+	const others = rivals.filter(({last}) => last && !last.isStopping && last.storeAge < candidateSilence).map(({address}) => address.name);
 	if (record?.holder === self) {
 		return true;
 	}
--- a/src/follow/kind-follower.ts
+++ b/src/follow/kind-follower.ts
@@ -4,24 +4,36 @@
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
-import type {Change, Listing, MetadataStore} from './metadata-store.js';
+import type {Changes, Listing, MetadataStore} from './metadata-store.js';
 
 /** Milliseconds a watch waits: a connection that has gone silent is noticed soon after. */
 const watchWait = 3000;
-/** Milliseconds between two tries while the store does not answer. */
+/** Milliseconds between two tries while the store does not answer; doubles up to the longest. */
 const retryPause = 250;
+const longestRetryPause = 600;
+/** Milliseconds between two looks whether following is needed. */
+const idlePause = 400;
+/** Milliseconds after changes before the next watch: what changes together is told together. */
+const gatherPause = 60;
 
 /** Takes what is learnt of a kind. */
 export type KindListener = {
-	/** Called whenever the store has answered. */
-	readonly onAnswer?: () => void;
+	/**
+	 * Called whenever the store has answered, before what it said is told.
+	 *
+	 * @param isRegained - Whether it had not answered before.
+	 */
+	readonly onAnswer?: (isRegained: boolean) => void;
 	/**
 	 * @param listing - All objects there are.
 	 * @param sentAt - Monotonic milliseconds at which the list was asked for.
 	 */
 	readonly list: (listing: Listing, sentAt: number) => void;
-	/** @param change - One object that has changed or gone. */
-	readonly change: (change: Change) => void;
+	/**
+	 * @param changes - Objects that have changed or gone; none where nothing did.
+	 * @param sentAt - Monotonic milliseconds at which the watch was sent.
+	 */
+	readonly change: (changes: Changes, sentAt: number) => void;
 };
 
 /** What a follower needs. */
@@ -29,6 +41,8 @@
 	readonly store: MetadataStore;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	/** @returns Whether this box follows the kind; where it does not, it learns of it from others. */
+	readonly isNeeded: () => boolean;
 };
 
 /** Follows one kind. */
@@ -44,6 +58,7 @@
 	}
 
 	private isLost = false;
+	private failures = 0;
 	private answeredAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(
@@ -59,16 +74,18 @@
 
 	/** @returns Follows until interrupted. */
 	run(): Effect.Effect<never> {
-		const turn = this.follow().pipe(
+		const following = this.follow().pipe(
 			Effect.catchTag('HistoryGone', () => Effect.sync(() => {
 				this.services.log.write('historyGone', {kind: this.kind});
 			})),
 			Effect.catchTag('StoreUnavailable', ({detail}) => {
 				this.noteLoss(detail);
-				return Effect.sleep(retryPause * (0.75 + (Math.random() / 2)));
+				this.failures++;
+				const pause = Math.min(longestRetryPause, retryPause * (2 ** (this.failures - 1)));
+				return Effect.sleep(pause * (0.75 + (Math.random() / 2)));
 			}),
 		);
-		return Effect.forever(turn);
+		return Effect.forever(Effect.suspend(() => this.services.isNeeded() ? following : Effect.sleep(idlePause)));
 	}
 
 	private follow() {
@@ -79,12 +96,14 @@
 			this.noteAnswer();
 			this.listener.list(listing, sentAt);
 			let {at} = listing;
-			for (;;) {
+			while (this.services.isNeeded()) {
+				const watchedFrom = clock.monotonic();
 				const changes = yield * store.watch(this.kind, at, watchWait);
 				this.noteAnswer();
 				at = Math.max(at, changes.at);
-				for (const change of changes.changes) {
-					this.listener.change(change);
+				this.listener.change(changes, watchedFrom);
+				if (changes.changes.length > 0) {
+					yield * Effect.sleep(gatherPause);
 				}
 			}
 		});
@@ -95,8 +114,9 @@
 			this.services.log.write('storeRegained', {kind: this.kind, silence: Math.round(this.silence)});
 		}
 
+		this.listener.onAnswer?.(this.isLost);
 		this.isLost = false;
-		this.listener.onAnswer?.();
+		this.failures = 0;
 		this.answeredAt = this.services.clock.monotonic();
 	}
 
--- a/src/follow/metadata-store.ts
+++ b/src/follow/metadata-store.ts
@@ -89,5 +89,14 @@
 	 * @returns The object.
 	 */
 	abstract replace(kind: string, name: string, spec: unknown, expected: number): Effect.Effect<StoredObject, StoreUnavailable | RevisionConflict>;
-}
 
+	/**
+	 * Removes an object.
+	 *
+	 * @param kind - Kind of the object.
+	 * @param name - Its name.
+	 * @param expected - Revision it must be at.
+	 * @returns Ends when it is gone, also where it was before.
+	 */
+	abstract remove(kind: string, name: string, expected: number): Effect.Effect<void, StoreUnavailable | RevisionConflict>;
+}
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -19,6 +19,35 @@
 });
 export type WindowCounts = typeof WindowCounts.Type;
 
+/** Work of boxes at one replica. */
+const Work = Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number});
+
+/** A change of the list of replicas, as the store tells it. */
+const ReplicaChange = Schema.Struct({
+	object: Schema.Struct({name: Schema.String, revision: Schema.Number, spec: Schema.Unknown}),
+	isGone: Schema.Boolean,
+});
+
+/** What an aggregator knows of all boxes, told to one of them. */
+export const FleetDigest = Schema.Struct({
+	/** Boxes that the sender knows of, itself too. */
+	boxes: Schema.Number,
+	quota: Schema.Array(Schema.Struct({
+		clientAccount: Schema.String,
+		/** How full the bucket is. */
+		level: Schema.Number,
+		/** Units a second that all boxes let pass lately. */
+		passRate: Schema.Number,
+		/** What the receiver let pass since its start, as far as the level holds it. */
+		counted: Schema.Number,
+	})),
+	/** Work of all boxes but the receiver. */
+	work: Schema.Array(Work),
+	/** Changes of the list of replicas that the receiver does not have yet; absent where the sender cannot tell them. */
+	changes: Schema.optionalKey(Schema.Struct({at: Schema.Number, changes: Schema.Array(ReplicaChange)})),
+});
+export type FleetDigest = typeof FleetDigest.Type;
+
 /** One box's state, as it tells it. */
 export const GossipMessage = Schema.Struct({
 	sender: MemberAddress,
@@ -40,7 +69,13 @@
 	storeAge: Schema.Number,
 	quota: Schema.Array(Schema.Struct({clientAccount: Schema.String, passed: Schema.Number, level: Schema.Number})),
 	/** Work of the sender at replicas. */
-	work: Schema.Array(Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number})),
+	work: Schema.Array(Work),
+	/** Revision up to which the sender knows the list of replicas, and the milliseconds since it was known to be whole. */
+	replicas: Schema.optionalKey(Schema.Struct({at: Schema.Number, age: Schema.Number})),
+	/** Whether the sender asks for a digest. */
+	asksDigest: Schema.optionalKey(Schema.Boolean),
+	/** Present in the answer of an aggregator, which then tells nothing of its own counters. */
+	digest: Schema.optionalKey(FleetDigest),
 	/** Replicas that began to leave lately. */
 	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
 	usage: Schema.Array(WindowCounts),
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -1,7 +1,7 @@
 /**
- * The exchange between boxes: each tells its state to the others by datagrams, several times a second.
+ * The exchange between boxes: each tells its state to others by datagrams, several times a second.
  *
- * @remarks Source: docs/PLATFORM.md, "A mechanism for each rule".
+ * @remarks Source: docs/DESIGN.md, "The exchange".
  */
 import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
@@ -9,20 +9,21 @@
 import * as Result from 'effect/Result';
 import type * as Scope from 'effect/Scope';
 import type {Clock} from '../base/clock.js';
-import {decodeGossip, type GossipMessage, type MemberAddress} from './gossip-message.js';
+import type {ExchangeTopology} from './exchange-topology.js';
+import {
+	decodeGossip, type FleetDigest, type GossipMessage, type MemberAddress,
+} from './gossip-message.js';
 import type {Meeting, Peer, PeerTable} from './peer-table.js';
 
-/** Milliseconds between two rounds. */
-const roundInterval = 200;
-/** Boxes told in one round. */
-const largestFanOut = 24;
-/** Boxes named in one message. */
+/** Boxes named in one message, besides the aggregators. */
 const membersNamed = 6;
-/** Rounds whose moment of sending is kept, to date what others prove. */
-const roundsKept = 64;
+/** Milliseconds for which the moment of sending a message is kept, to date what others prove. */
+const sentMemory = 15_000;
+/** Rounds after which the seeds are told again, whoever is heard. */
+const roundsBetweenSeeds = 25;
 
 /** What a message holds besides what the exchange itself adds. */
-export type LocalState = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'quota' | 'work' | 'departed' | 'usage'>;
+export type LocalState = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'quota' | 'work' | 'departed' | 'usage' | 'replicas'>;
 
 /** What the exchange needs. */
 export type GossipServices = {
@@ -31,10 +32,15 @@
 	readonly incarnation: string;
 	readonly clock: Clock;
 	readonly peers: PeerTable;
+	readonly topology: ExchangeTopology;
 	/** @returns What to tell. */
 	readonly state: () => LocalState;
-	/** Takes what a box tells. */
+	/** @returns What to tell one box of all others. */
+	readonly digest: (peer: Peer) => FleetDigest;
+	/** Takes what a box tells of itself. */
 	readonly take: (message: GossipMessage, meeting: Meeting) => void;
+	/** Takes what an aggregator tells of all boxes. */
+	readonly takeDigest: (message: GossipMessage, digest: FleetDigest) => void;
 	/** Takes the moment at which a version is known to have been the newest, by this box's monotonic clock. */
 	readonly prove: (version: number, at: number) => void;
 	/** Addresses at which boxes may be, before any is known. */
@@ -52,8 +58,8 @@
 	}
 
 	private sequence = 0;
+	private rounds = 0;
 	private readonly sentAt = new Map<number, number>();
-	private turn = 0;
 
 	private constructor(private readonly services: GossipServices) {}
 
@@ -63,7 +69,7 @@
 			const socket = yield * this.open();
 			for (;;) {
 				this.round(socket);
-				yield * Effect.sleep(roundInterval);
+				yield * Effect.sleep(this.services.topology.interval);
 			}
 		});
 		return Effect.scoped(rounds);
@@ -76,7 +82,7 @@
 			// A datagram that cannot be sent is one that is lost.
 			socket.on('error', ignore);
 			socket.on('message', data => {
-				this.hear(data);
+				this.hear(socket, data);
 			});
 			socket.bind(self.port, self.host);
 			return socket;
@@ -84,43 +90,53 @@
 	}
 
 	private round(socket: Socket): void {
-		const {peers, clock} = this.services;
+		const {peers, topology, seeds} = this.services;
 		peers.sweep();
-		this.sequence++;
-		this.sentAt.set(this.sequence, clock.monotonic());
-		this.sentAt.delete(this.sequence - roundsKept);
-		const known = peers.all;
-		const fanOut = Math.min(known.length, largestFanOut);
-		// A box is heard again only after all others had their turn.
-		peers.heardWithin = Math.max(1000, 5 * roundInterval * Math.ceil(known.length / largestFanOut));
-		const common = this.commonPart(known);
-		const told = Array.from({length: fanOut}, (_, index) => known[(this.turn + index) % known.length]!);
-		this.turn = known.length === 0 ? 0 : (this.turn + fanOut) % known.length;
-		for (const peer of told) {
-			this.tell(socket, peer.address, {...common, ...this.echoOf(peer)});
+		peers.isLarge = topology.isLarge;
+		peers.heardWithin = topology.heardWithin;
+		this.rounds++;
+		const isLonely = peers.heard.length === 0;
+		const message: GossipMessage = {...this.head(), ...this.services.state(), ...(isLonely || topology.isLarge ? {asksDigest: true} : {})};
+		for (const peer of topology.targets(this.rounds)) {
+			peers.noteTold(peer.address.name);
+			this.tell(socket, peer.address, {...message, ...this.echoOf(peer)});
 		}
 
-		if (peers.heard.length === 0 || this.sequence % 25 === 0) {
-			for (const {host, port} of this.services.seeds()) {
-				this.tell(socket, {host, port}, common);
+		if (isLonely || this.rounds % roundsBetweenSeeds === 0) {
+			for (const address of seeds()) {
+				this.tell(socket, address, message);
 			}
 		}
 	}
 
-	private commonPart(known: readonly Peer[]): GossipMessage {
-		const {self, incarnation, peers, clock, state} = this.services;
-		const first = known.length === 0 ? 0 : this.sequence % known.length;
+	/** What every message begins with; it has a number of its own. */
+	private head(): Pick<GossipMessage, 'sender' | 'incarnation' | 'sequence' | 'uptime' | 'wall' | 'members'> {
+		const {self, incarnation, peers, clock, topology} = this.services;
 		return {
 			sender: self,
 			incarnation,
-			sequence: this.sequence,
+			sequence: this.nextSequence(),
 			uptime: Math.round(peers.uptime),
 			wall: clock.wall(),
-			members: [...known, ...known].slice(first, first + Math.min(membersNamed, known.length)).map(({address}) => address),
-			...state(),
+			members: topology.namesToTell(membersNamed, this.rounds).map(({address}) => address),
 		};
 	}
 
+	private nextSequence(): number {
+		const now = this.services.clock.monotonic();
+		this.sequence++;
+		this.sentAt.set(this.sequence, now);
+		for (const [sequence, at] of this.sentAt) {
+			if (now - at < sentMemory) {
+				break;
+			}
+
+			this.sentAt.delete(sequence);
+		}
+
+		return this.sequence;
+	}
+
 	private echoOf({last, heardAt}: Peer): Pick<GossipMessage, 'echo'> {
 		return last
 			? {echo: {incarnation: last.incarnation, sequence: last.sequence, age: Math.floor(this.services.clock.monotonic() - heardAt)}}
@@ -131,9 +147,9 @@
 		socket.send(Buffer.from(JSON.stringify(message)), port, host, ignore);
 	}
 
-	private hear(data: Uint8Array): void {
+	private hear(socket: Socket, data: Uint8Array): void {
 		const message = parse(data);
-		const {peers, self, take, incarnation} = this.services;
+		const {peers, self, take, takeDigest, incarnation} = this.services;
 		if (!message || message.sender.name === self.name) {
 			return;
 		}
@@ -145,7 +161,35 @@
 		}
 
 		this.noteProof(message, incarnation);
-		take(message, meeting);
+		if (message.digest) {
+			peers.noteFleetSize(message.digest.boxes);
+			takeDigest(message, message.digest);
+		} else {
+			take(message, meeting);
+		}
+
+		if (message.asksDigest) {
+			this.answer(socket, message.sender.name);
+		}
+	}
+
+	/** The answer comes at once, so that it is as new as can be and needs no list of whom to tell. */
+	private answer(socket: Socket, name: string): void {
+		const {peers, state, digest, clock} = this.services;
+		const peer = peers.named(name);
+		if (!peer) {
+			return;
+		}
+
+		this.tell(socket, peer.address, {
+			...this.head(),
+			...state(),
+			// The middle of many clocks: a box that hears few others cannot tell which of them is off.
+			wall: Math.round(clock.monotonic() + peers.wallOffset),
+			quota: [], work: [], usage: [],
+			...this.echoOf(peer),
+			digest: digest(peer),
+		});
 	}
 
 	/**
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -8,8 +8,13 @@
 /** Milliseconds after which a box of which nothing is heard no longer counts as one of the system's. */
 const memberLifetime = 20_000;
 
+/** Milliseconds for which the size of the fleet counts that others told. */
+const toldSizeLifetime = 20_000;
+/** Milliseconds since its start up to which a box of a large fleet is taken to have told nobody else before. */
+const newcomerUptime = 2500;
+
 /** How a message's sender is met; see `QuotaLedger.takeCounts`. */
-export type Meeting = 'known' | 'younger' | 'other';
+export type Meeting = 'known' | 'younger' | 'other' | 'apart';
 
 /** Another box. */
 export type Peer = {
@@ -21,6 +26,8 @@
 	readonly listedAt: number;
 	/** Its time of day, less this box's monotonic clock. */
 	readonly wallOffset: number;
+	/** Messages that were sent to it since it was last heard. */
+	readonly unanswered: number;
 };
 
 /** The other boxes. */
@@ -37,8 +44,13 @@
 
 	/** Milliseconds within which a box that is heard of has been heard. */
 	heardWithin = 1000;
+	/** Whether the fleet is so large that a box hears only some of the others. */
+	isLarge = false;
 	private readonly peers = new Map<string, Peer>();
+	/** When each box was last heard, also those that count as gone. */
+	private readonly heardLast = new Map<string, number>();
 	private readonly lost = new Set<string>();
+	private toldSize = {boxes: 0, at: Number.NEGATIVE_INFINITY};
 	private readonly startedAt: number;
 
 	private constructor(private readonly self: string, private readonly clock: Clock, private readonly log: EventLog) {
@@ -50,6 +62,24 @@
 		return [...this.peers.values()];
 	}
 
+	/**
+	 * @param name - Name of a box.
+	 * @returns What is known of it; `undefined` where it is not known.
+	 */
+	named(name: string): Peer | undefined {
+		return this.peers.get(name);
+	}
+
+	/**
+	 * @param name - Name of a box.
+	 * @param within - Milliseconds.
+	 * @returns Whether it was heard in that time.
+	 */
+	wasHeardWithin(name: string, within: number): boolean {
+		const at = this.heardLast.get(name) ?? Number.NEGATIVE_INFINITY;
+		return this.clock.monotonic() - at <= within;
+	}
+
 	/** Those that were heard lately. */
 	get heard(): readonly Peer[] {
 		const since = this.clock.monotonic() - this.heardWithin;
@@ -63,6 +93,12 @@
 
 	/** How many boxes there are, this one too. */
 	get boxes(): number {
+		const isTold = this.clock.monotonic() - this.toldSize.at < toldSizeLifetime;
+		return Math.max(this.knownBoxes, isTold ? this.toldSize.boxes : 0);
+	}
+
+	/** How many boxes this one knows of itself, this one too. */
+	get knownBoxes(): number {
 		return this.peers.size + 1;
 	}
 
@@ -78,6 +114,19 @@
 		return offsets[Math.floor(offsets.length / 2)]!;
 	}
 
+	/** @param boxes - How many boxes another one knows of. */
+	noteFleetSize(boxes: number): void {
+		this.toldSize = {boxes, at: this.clock.monotonic()};
+	}
+
+	/** @param name - A box that a message is sent to. */
+	noteTold(name: string): void {
+		const peer = this.peers.get(name);
+		if (peer) {
+			this.peers.set(name, {...peer, unanswered: peer.unanswered + 1});
+		}
+	}
+
 	/** @param members - Boxes that somebody knows of. */
 	learn(members: readonly MemberAddress[]): void {
 		const now = this.clock.monotonic();
@@ -86,7 +135,7 @@
 			const isElsewhere = known && (known.address.host !== address.host || known.address.port !== address.port);
 			if (address.name !== this.self && (!known || (isElsewhere && now - known.heardAt > this.heardWithin))) {
 				this.peers.set(address.name, {
-					address, last: undefined, heardAt: Number.NEGATIVE_INFINITY, listedAt: now, wallOffset: 0,
+					address, last: undefined, heardAt: Number.NEGATIVE_INFINITY, listedAt: now, wallOffset: 0, unanswered: 0,
 				});
 			}
 		}
@@ -108,8 +157,9 @@
 		}
 
 		const meeting = this.meet(message, known, now);
+		this.heardLast.set(sender.name, now);
 		this.peers.set(sender.name, {
-			address: sender, last: message, heardAt: now, listedAt: known?.listedAt ?? now, wallOffset: message.wall - now,
+			address: sender, last: message, heardAt: now, listedAt: known?.listedAt ?? now, wallOffset: message.wall - now, unanswered: 0,
 		});
 		if (!known || now - known.heardAt > this.heardWithin) {
 			this.lost.delete(sender.name);
@@ -136,11 +186,17 @@
 		}
 	}
 
+	/** In a large fleet most boxes have never told this one, and what they say of the bucket is no news. */
+	private get otherMeeting(): Meeting {
+		return this.isLarge ? 'apart' : 'other';
+	}
+
 	private meet({uptime, incarnation}: GossipMessage, known: Peer | undefined, now: number): Meeting {
 		if (known?.last?.incarnation === incarnation) {
-			return now - known.heardAt <= this.heardWithin ? 'known' : 'other';
+			return now - known.heardAt <= this.heardWithin ? 'known' : this.otherMeeting;
 		}
 
-		return uptime < this.uptime ? 'younger' : 'other';
+		const isYounger = this.isLarge ? uptime < newcomerUptime : uptime < this.uptime;
+		return isYounger ? 'younger' : this.otherMeeting;
 	}
 }
--- /dev/null
+++ b/src/gossip/test/exchange-topology.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SilentEventLog} from '../../base/event-log.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {ExchangeTopology} from '../exchange-topology.js';
+import type {GossipMessage} from '../gossip-message.js';
+import {PeerTable} from '../peer-table.js';
+
+const nameOf = (index: number): string => `box-${index}`;
+const addressOf = (name: string) => ({name, host: '127.0.0.1', port: 1});
+
+const message = (name: string, sequence: number): GossipMessage => ({
+	sender: addressOf(name), incarnation: 'one', sequence, uptime: 5000, wall: 0, version: 1, isStopping: false, storeAge: 0,
+	quota: [], work: [], departed: [], usage: [], members: [],
+});
+
+/** How box 0 of a fleet sees it. */
+const viewOf = (self: string, boxes: number) => {
+	const clock = new MovedClock(1000);
+	const peers = PeerTable.create(self, clock, SilentEventLog.create());
+	peers.learn(Array.from({length: boxes}, (_, index) => addressOf(nameOf(index))));
+	return {clock, peers, topology: ExchangeTopology.create(self, peers)};
+};
+
+const namesOf = (peers: ReadonlyArray<{readonly address: {readonly name: string}}>): readonly string[] => peers.map(({address}) => address.name);
+
+test('in a small fleet every box tells all others and is told by them', () => {
+	const {topology} = viewOf('box-0', 9);
+	assert.equal(topology.isLarge, false);
+	assert.equal(topology.isAggregator, true);
+	assert.equal(topology.targets(1).length, 8);
+});
+
+test('in a large fleet all boxes agree on three aggregators without talking, and tell those alone', () => {
+	const views = Array.from({length: 87}, (_, index) => viewOf(nameOf(index), 87));
+	const aggregators = views.flatMap(({topology}, index) => topology.isAggregator ? [nameOf(index)] : []);
+	assert.equal(aggregators.length, 3);
+	for (const [index, {topology}] of views.entries()) {
+		const told = namesOf(topology.targets(1));
+		assert.ok(aggregators.filter(name => name !== nameOf(index)).every(name => told.includes(name)));
+		assert.ok(told.length <= 3);
+	}
+});
+
+test('aggregators that do not answer are passed over, are tried again, and come back once they answer', () => {
+	const {topology, peers} = viewOf('box-0', 87);
+	const before = namesOf(topology.targets(1));
+	for (let round = 0; round < 3; round++) {
+		peers.noteTold(before[0]!);
+	}
+
+	const after = namesOf(topology.targets(1));
+	assert.ok(!after.includes(before[0]!));
+	assert.equal(after.length, 3);
+	assert.ok(namesOf(topology.targets(5)).includes(before[0]!), 'one of those that were passed over is tried now and then');
+	peers.take(message(before[0]!, 1));
+	assert.deepEqual(namesOf(topology.targets(1)), before);
+});
+
+test('a box that is told how large the fleet is tells aggregators though it knows few boxes, and forgets it in the end', () => {
+	const {topology, peers, clock} = viewOf('box-0', 5);
+	peers.noteFleetSize(87);
+	assert.equal(topology.isLarge, true);
+	assert.equal(peers.boxes, 87);
+	assert.equal(topology.targets(1).length, 3);
+	clock.now += 25_000;
+	assert.equal(topology.isLarge, false);
+});
+
+test('rounds grow longer with the fleet, so that an aggregator hears no more messages a second', () => {
+	const messages = [100, 340, 1000].map(boxes => boxes * 1000 / viewOf('box-0', boxes).topology.interval);
+	assert.ok(messages.every(rate => rate <= 251), String(messages));
+});
+
+test('a message names the aggregators first, so that a newcomer finds them at once', () => {
+	const {topology, peers} = viewOf('box-0', 87);
+	for (const {address: {name}} of peers.all) {
+		peers.take(message(name, 1));
+	}
+
+	const aggregators = namesOf(topology.targets(1));
+	assert.deepEqual(namesOf(topology.namesToTell(6, 4)).slice(0, 3), aggregators);
+	assert.ok(topology.namesToTell(6, 4).length > 6);
+});
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -4,11 +4,11 @@
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
-import {HttpClient, jsonOf} from '../base/http-client.js';
 import {KindFollower} from '../follow/kind-follower.js';
 import type {StoredObject} from '../follow/metadata-store.js';
 import type {MemberAddress} from '../gossip/gossip-message.js';
 import type {RouteTableView, TableSource} from '../routes/route-table-view.js';
+import {PeerFetch} from './peer-fetch.js';
 import type {PlatformLink} from './platform-link.js';
 
 /** Milliseconds a proof may be old before this box asks the store itself. */
@@ -16,8 +16,11 @@
 /** Milliseconds by which boxes differ in that, so that mostly one asks for all. */
 const provingSpread = 500;
 const checkInterval = 100;
+/** The same for a box that leaves the questions to others. */
+const idleCheckInterval = 300;
+/** Milliseconds after the start before the first question. */
+const firstProof = 400;
 const failurePause = 400;
-const peerTimeout = 600;
 /** Path at which peers give out the configuration. */
 export const configurationPath = '/configuration';
 
@@ -27,6 +30,10 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly table: RouteTableView;
+	/** @returns Whether this box follows the store, though others may. */
+	readonly leads: () => boolean;
+	/** Milliseconds without a proof from others after which this box asks the store itself. */
+	readonly patience: number;
 };
 
 /** The role. */
@@ -41,10 +48,16 @@
 
 	/** What the store holds of the version in force, for peers. */
 	spec: unknown;
-	private isFetching = false;
 	private answeredAt = Number.NEGATIVE_INFINITY;
+	private readonly startedAt: number;
+	private readonly fetch: PeerFetch;
 
-	private constructor(private readonly services: ConfigurationServices) {}
+	private constructor(private readonly services: ConfigurationServices) {
+		this.startedAt = services.clock.monotonic();
+		this.fetch = PeerFetch.create(configurationPath, content => {
+			this.take(content, 'peer');
+		});
+	}
 
 	/** Milliseconds since the store last answered. */
 	get storeSilence(): number {
@@ -53,8 +66,10 @@
 
 	/** @returns Follows the store until interrupted. */
 	follow(): Effect.Effect<never> {
-		const {link: {store, names}, clock, log} = this.services;
-		return KindFollower.create(names.configurationKind, {store, clock, log}, {
+		const {link: {store, names}, clock, log, leads} = this.services;
+		return KindFollower.create(names.configurationKind, {
+			store, clock, log, isNeeded: leads,
+		}, {
 			onAnswer: () => {
 				this.answeredAt = clock.monotonic();
 			},
@@ -64,8 +79,8 @@
 					this.takeObject(object, sentAt);
 				}
 			},
-			change: ({object, isGone}) => {
-				if (!isGone && object.name === names.configurationName) {
+			change: ({changes}) => {
+				for (const {object} of changes.filter(({object: {name}, isGone}) => !isGone && name === names.configurationName)) {
 					this.take(object.spec, 'store');
 				}
 			},
@@ -74,7 +89,7 @@
 
 	/** @returns Asks the store whenever no proof is new enough, until interrupted. */
 	prove(): Effect.Effect<never> {
-		const {link: {store, names}, table, clock} = this.services;
+		const {link: {store, names}, clock} = this.services;
 		const ask = Effect.suspend(() => {
 			const sentAt = clock.monotonic();
 			return store.read(names.configurationKind, names.configurationName).pipe(
@@ -87,8 +102,17 @@
 				Effect.catchTag('StoreUnavailable', () => Effect.sleep(failurePause)),
 			);
 		});
-		return Effect.forever(Effect.suspend(() => table.proofAge > provingAge + (Math.random() * provingSpread) ? ask : Effect.void)
-			.pipe(Effect.andThen(Effect.sleep(checkInterval))));
+		const pause = Effect.suspend(() => Effect.sleep(this.services.leads() ? checkInterval : idleCheckInterval));
+		const turn = Effect.suspend(() => this.needsProof ? ask : Effect.void).pipe(Effect.andThen(pause));
+		// The first list proves as well.
+		return Effect.sleep(firstProof).pipe(Effect.andThen(Effect.forever(turn)));
+	}
+
+	/** A box that leads asks soon; another leaves it to those, for as long as their proofs come. */
+	private get needsProof(): boolean {
+		const {table, leads, patience, clock} = this.services;
+		const age = Math.min(table.proofAge, clock.monotonic() - this.startedAt);
+		return leads() ? table.proofAge > provingAge + (Math.random() * provingSpread) : age > patience;
 	}
 
 	/**
@@ -96,23 +120,8 @@
 	 *
 	 * @param peer - The peer.
 	 */
-	fetchFrom({host, port}: MemberAddress): void {
-		if (this.isFetching) {
-			return;
-		}
-
-		this.isFetching = true;
-		const client = HttpClient.create(host, port);
-		Effect.runFork(client.exchange({method: 'GET', path: configurationPath, timeout: peerTimeout}).pipe(
-			Effect.map(answer => {
-				this.take(jsonOf(answer), 'peer');
-			}),
-			Effect.catchCause(() => Effect.void),
-			Effect.ensuring(Effect.sync(() => {
-				this.isFetching = false;
-				client.close();
-			})),
-		));
+	fetchFrom(peer: MemberAddress): void {
+		this.fetch.from(peer);
 	}
 
 	private takeObject({spec}: StoredObject, sentAt: number): void {
--- a/src/node/control-listeners.ts
+++ b/src/node/control-listeners.ts
@@ -11,7 +11,7 @@
 export type SmallAnswer = {
 	readonly status: number;
 	readonly contentType: string;
-	readonly body: string;
+	readonly body: string | Uint8Array;
 };
 
 /** Answers a path; `undefined` where there is nothing there. */
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -12,6 +12,7 @@
 import {SurvivingDataCentresPolicy} from '../duties/fleet-plan.js';
 import {UsageDraft} from '../duties/usage-draft.js';
 import {UsageDuty} from '../duties/usage-duty.js';
+import type {ExchangeTopology} from '../gossip/exchange-topology.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 import type {RelayMetrics} from '../relay/relay-metrics.js';
 import type {RelayServices} from '../relay/relay-services.js';
@@ -20,6 +21,8 @@
 
 /** Milliseconds between two looks at what is due. */
 const stepInterval = 300;
+/** The same for a box that will not hold the duties. */
+const idleInterval = 1000;
 /** Milliseconds after the start in which other boxes are heard for the first time. */
 const settleTime = 900;
 const failurePause = 700;
@@ -34,6 +37,7 @@
 	readonly settings: () => RelaySettings;
 	readonly clock: Clock;
 	readonly peers: PeerTable;
+	readonly topology: ExchangeTopology;
 	readonly services: RelayServices;
 	/** @returns Milliseconds since the store last answered. */
 	readonly storeSilence: () => number;
@@ -85,8 +89,9 @@
 	}
 
 	run(): Effect.Effect<never> {
+		const {topology} = this.parts;
 		const step = Effect.suspend(() => this.step()).pipe(
-			Effect.andThen(Effect.sleep(stepInterval)),
+			Effect.andThen(Effect.suspend(() => Effect.sleep(topology.isAggregator ? stepInterval : idleInterval))),
 			Effect.catch(() => Effect.sleep(failurePause)),
 		);
 		return Effect.sleep(settleTime).pipe(Effect.andThen(Effect.forever(step)));
@@ -96,12 +101,13 @@
 		return Effect.gen({self: this}, function * () {
 			const {lease} = this;
 			this.parts.metrics.leaseHeld.set(lease.isHeld ? 1 : 0);
-			if (lease.isHeld && this.parts.isStopping()) {
+			// Only a box that all others tell can count what they did.
+			if (lease.isHeld && (this.parts.isStopping() || !this.parts.topology.isAggregator)) {
 				yield * lease.release();
 				return;
 			}
 
-			if (!lease.isHeld) {
+			if (!lease.isHeld && this.parts.topology.isAggregator) {
 				yield * this.campaign();
 			}
 
@@ -131,9 +137,18 @@
 	}
 
 	private facts(): CampaignFacts {
-		const {self, incarnation, peers, storeSilence, isStopping} = this.parts;
+		const {self, incarnation, peers, topology, storeSilence, isStopping} = this.parts;
+		const {aggregators} = topology;
 		return {
-			self, incarnation, record: this.lease.known, heard: peers.heard, heardPart: peers.heardPart, storeSilence: storeSilence(), isStopping: isStopping(),
+			self,
+			incarnation,
+			record: this.lease.known,
+			heard: peers.heard,
+			rivals: peers.heard.filter(peer => aggregators.some(({address}) => address.name === peer.address.name)),
+			heardPart: peers.heardPart,
+			storeSilence: storeSilence(),
+			isStopping: isStopping(),
+			isAggregator: topology.isAggregator,
 		};
 	}
 }
--- /dev/null
+++ b/src/node/exchange-state.ts
@@ -0,0 +1,184 @@
+/**
+ * What this box tells others in the exchange, and what it makes of what they tell.
+ */
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import type {ExchangeTopology} from '../gossip/exchange-topology.js';
+import type {LocalState} from '../gossip/gossip.js';
+import type {FleetDigest, GossipMessage} from '../gossip/gossip-message.js';
+import type {Meeting, Peer, PeerTable} from '../gossip/peer-table.js';
+import type {RelayServices} from '../relay/relay-services.js';
+import type {ConfigurationRole} from './configuration-role.js';
+import type {ReplicaRole} from './replica-role.js';
+
+/** Milliseconds told where the store has never answered. */
+const unknownAge = 1_000_000;
+/** Milliseconds for which the work of all boxes is not added up anew. */
+const workMemory = 100;
+/** Milliseconds since its start in which an aggregator still takes buckets from others, which know more. */
+const learningTime = 4000;
+
+type ReplicaLoad = FleetDigest['work'][number];
+
+/** What the state is made of. */
+export type ExchangeParts = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly services: RelayServices;
+	readonly peers: PeerTable;
+	readonly topology: ExchangeTopology;
+	readonly configuration: ConfigurationRole;
+	readonly replicaRole: ReplicaRole;
+	readonly isStopping: () => boolean;
+};
+
+const startOf = ({sender, incarnation}: GossipMessage): string => `${sender.name}/${incarnation}`;
+
+/** The state. */
+export class ExchangeState {
+	/**
+	 * @param parts - What it is made of.
+	 * @returns The state.
+	 */
+	static create(parts: ExchangeParts): ExchangeState {
+		return new ExchangeState(parts);
+	}
+
+	private work: {readonly loads: readonly ReplicaLoad[]; readonly at: number} = {loads: [], at: Number.NEGATIVE_INFINITY};
+	private wasAggregator: boolean | undefined;
+
+	private constructor(private readonly parts: ExchangeParts) {}
+
+	/** @returns What this box tells of itself. */
+	local(): LocalState {
+		const {services: {table, replicas, quota, usage}, configuration, replicaRole, isStopping} = this.parts;
+		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
+		this.noteRole();
+		return {
+			version: table.version,
+			...(Number.isFinite(table.proofAge) ? {proofAge: Math.ceil(table.proofAge)} : {}),
+			isStopping: isStopping(),
+			storeAge: Math.min(unknownAge, Math.round(configuration.storeSilence)),
+			quota: quota.counts,
+			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
+			departed: replicas.departed,
+			usage: usage.told,
+			...(replicaRole.told ? {replicas: replicaRole.told} : {}),
+		};
+	}
+
+	/**
+	 * @param peer - A box that asked.
+	 * @returns What this one knows of all others.
+	 */
+	digestFor({last}: Peer): FleetDigest {
+		const {services: {quota}, peers, replicaRole} = this.parts;
+		const own = new Map((last?.work ?? []).map(entry => [entry.replica, entry]));
+		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
+		return {
+			boxes: peers.knownBoxes,
+			quota: last ? quota.levelsFor(startOf(last)) : [],
+			work: this.allWork().map(load => without(load, own.get(load.replica))).filter(({requests}) => requests > 0),
+			...(changes ? {changes} : {}),
+		};
+	}
+
+	/**
+	 * Takes what a box tells of itself.
+	 *
+	 * @param message - What it tells.
+	 * @param meeting - How it is met.
+	 */
+	take(message: GossipMessage, meeting: Meeting): void {
+		const {services: {replicas, quota, usage}, topology} = this.parts;
+		const {sender, work} = message;
+		this.takeNews(message);
+		quota.takeCounts(startOf(message), message.quota, meeting);
+		usage.take(startOf(message), message.usage);
+		if (!topology.isAggregator) {
+			return;
+		}
+
+		const worked = new Map(work.map(entry => [entry.replica, entry]));
+		for (const replica of replicas.all) {
+			const found = worked.get(replica.entry.id);
+			if (found) {
+				replica.notePeerWork(sender.name, found);
+			} else {
+				replica.clearPeerWork(sender.name);
+			}
+		}
+	}
+
+	/**
+	 * Takes what an aggregator tells of all boxes.
+	 *
+	 * @param message - What it tells.
+	 * @param digest - The part of it that is about all boxes.
+	 */
+	takeDigest(message: GossipMessage, digest: FleetDigest): void {
+		const {services: {replicas, quota}, topology, peers} = this.parts;
+		this.takeNews(message);
+		if (!topology.isLarge) {
+			return;
+		}
+
+		const {isAggregator} = topology;
+		if (!isAggregator || peers.uptime < learningTime) {
+			quota.adopt(digest.quota);
+		}
+
+		if (isAggregator) {
+			return;
+		}
+
+		const worked = new Map(digest.work.map(entry => [entry.replica, entry]));
+		for (const replica of replicas.all) {
+			replica.noteOthersWork(worked.get(replica.entry.id) ?? {requests: 0, unreadTokens: 0});
+		}
+	}
+
+	/** What any message may bring: a newer configuration, a newer list, replicas that leave. */
+	private takeNews(message: GossipMessage): void {
+		const {services: {table, replicas}, configuration, replicaRole} = this.parts;
+		if (message.version > table.version) {
+			configuration.fetchFrom(message.sender);
+		}
+
+		for (const departure of message.departed) {
+			replicas.noteLeaving(departure, 'peer');
+		}
+
+		if (message.replicas) {
+			replicaRole.take(message.sender, message.replicas, message.digest?.changes);
+		}
+	}
+
+	private allWork(): readonly ReplicaLoad[] {
+		const {clock, services: {replicas}} = this.parts;
+		const now = clock.monotonic();
+		if (now - this.work.at > workMemory) {
+			this.work = {loads: replicas.all.map(replica => ({replica: replica.entry.id, ...replica.work})), at: now};
+		}
+
+		return this.work.loads;
+	}
+
+	private noteRole(): void {
+		const {topology, log, peers} = this.parts;
+		const isAggregator = topology.isLarge && topology.isAggregator;
+		if (isAggregator !== (this.wasAggregator ?? false)) {
+			log.write('aggregatorChanged', {isAggregator, boxes: peers.boxes});
+		}
+
+		this.wasAggregator = isAggregator;
+	}
+}
+
+function without(load: ReplicaLoad, part: ReplicaLoad | undefined): ReplicaLoad {
+	return part
+		? {
+			replica: load.replica, requests: Math.max(0, load.requests - part.requests), unreadTokens: Math.max(0, load.unreadTokens - part.unreadTokens),
+		}
+		: load;
+}
--- a/src/node/member-role.ts
+++ b/src/node/member-role.ts
@@ -7,7 +7,9 @@
 import * as Schema from 'effect/Schema';
 import type {EventLog} from '../base/event-log.js';
 import {createDecoder} from '../base/faults.js';
-import type {MetadataStore, StoredObject} from '../follow/metadata-store.js';
+import type {
+	MetadataStore, RevisionConflict, StoredObject, StoreUnavailable,
+} from '../follow/metadata-store.js';
 import type {MemberAddress} from '../gossip/gossip-message.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 
@@ -16,6 +18,12 @@
 /** Milliseconds between two looks. */
 const lookInterval = 10_000;
 const failurePause = 1000;
+/** Milliseconds until the look after writing itself: boxes that start together write past each other's first look. */
+const lookAgain = 300;
+/** Milliseconds after the start of the first look: the seeds mostly answer before. */
+const firstLook = 250;
+/** Milliseconds without a word after which a box counts as gone for good; one that lives writes itself again. */
+const deadAfter = 30_000;
 
 const Entry = Schema.Struct({host: Schema.String, port: Schema.Number});
 const decodeEntry = createDecoder(Entry, 'ignore');
@@ -26,6 +34,8 @@
 	readonly self: MemberAddress;
 	readonly peers: PeerTable;
 	readonly log: EventLog;
+	/** @returns Whether this box is to be found in the store: in a large fleet a few are enough. */
+	readonly isNeeded: () => boolean;
 };
 
 /** The role. */
@@ -42,25 +52,54 @@
 
 	/** @returns Runs until interrupted. */
 	run(): Effect.Effect<never> {
-		return Effect.forever(this.look().pipe(
-			Effect.andThen(Effect.sleep(lookInterval * (0.75 + (Math.random() / 2)))),
+		const looks = Effect.forever(this.look().pipe(
+			Effect.flatMap(hasWritten => Effect.sleep(hasWritten ? lookAgain : lookInterval * (0.75 + (Math.random() / 2)))),
 			Effect.catch(() => Effect.sleep(failurePause)),
 		));
+		return Effect.sleep(firstLook).pipe(Effect.andThen(looks));
 	}
 
-	private look() {
+	/**
+	 * Reads who is there, and writes this box where it is missing.
+	 *
+	 * @returns Whether it wrote; ends soon.
+	 */
+	look(): Effect.Effect<boolean, StoreUnavailable | RevisionConflict> {
 		return Effect.gen({self: this}, function * () {
-			const {store, self, peers} = this.services;
+			const {store, self, peers, isNeeded} = this.services;
+			if (!isNeeded()) {
+				return false;
+			}
+
 			const {objects} = yield * store.list(memberKind);
 			const members = objects.flatMap(object => memberOf(object));
-			peers.learn(members);
+			const dead = yield * this.removeDead(objects);
+			peers.learn(members.filter(({name}) => !dead.has(name)));
 			const own = members.find(({name}) => name === self.name);
 			const spec = {host: self.host, port: self.port};
-			if (!own) {
-				yield * store.create(memberKind, self.name, spec);
-			} else if (own.host !== self.host || own.port !== self.port) {
-				yield * store.replace(memberKind, self.name, spec, objects.find(({name}) => name === self.name)!.revision);
+			if (own?.host === self.host && own.port === self.port) {
+				return false;
 			}
+
+			const written = own
+				? store.replace(memberKind, self.name, spec, objects.find(({name}) => name === self.name)!.revision)
+				: store.create(memberKind, self.name, spec);
+			yield * written;
+			return true;
+		});
+	}
+
+	/** A box that went for good takes nothing out of the store; the others would wait for its word for ever. */
+	private removeDead(objects: readonly StoredObject[]) {
+		return Effect.gen({self: this}, function * () {
+			const {store, self, peers, log} = this.services;
+			const dead = peers.uptime < deadAfter || peers.heard.length === 0
+				? []
+				: objects.filter(({name}) => name !== self.name && !peers.wasHeardWithin(name, deadAfter));
+			yield * Effect.all(dead.map(({name, revision}) => store.remove(memberKind, name, revision).pipe(Effect.map(() => {
+				log.write('memberRemoved', {member: name});
+			}), Effect.ignore)), {discard: true});
+			return new Set(dead.map(({name}) => name));
 		});
 	}
 }
--- /dev/null
+++ b/src/node/peer-fetch.ts
@@ -0,0 +1,60 @@
+/**
+ * Fetches a document from a peer, one fetch at a time: several peers tell of the same news at once.
+ */
+import {promisify} from 'node:util';
+import {gunzip} from 'node:zlib';
+import * as Effect from 'effect/Effect';
+import {HttpClient} from '../base/http-client.js';
+import type {MemberAddress} from '../gossip/gossip-message.js';
+
+const gunzipAsync = promisify(gunzip);
+/** Milliseconds for a whole answer, which may be long and its link narrow. */
+const peerTimeout = 1500;
+const okStatus = 200;
+
+/** Fetches one document from whichever peer has it. */
+export class PeerFetch {
+	/**
+	 * @param path - Path of the document, which peers send compressed.
+	 * @param take - Takes the decoded JSON.
+	 * @returns The fetch, idle.
+	 */
+	static create(path: string, take: (content: unknown) => void): PeerFetch {
+		return new PeerFetch(path, take);
+	}
+
+	private isRunning = false;
+
+	private constructor(private readonly path: string, private readonly take: (content: unknown) => void) {}
+
+	/**
+	 * Starts to fetch, unless a fetch is running. A failure is no news: the next message tells of the document again.
+	 *
+	 * @param peer - Who has it.
+	 */
+	from({host, port}: MemberAddress): void {
+		if (this.isRunning) {
+			return;
+		}
+
+		this.isRunning = true;
+		const client = HttpClient.create(host, port);
+		Effect.runFork(this.fetch(client).pipe(
+			Effect.catchCause(() => Effect.void),
+			Effect.ensuring(Effect.sync(() => {
+				this.isRunning = false;
+				client.close();
+			})),
+		));
+	}
+
+	private fetch(client: HttpClient) {
+		return Effect.gen({self: this}, function * () {
+			const {status, body} = yield * client.exchange({method: 'GET', path: this.path, timeout: peerTimeout});
+			if (status === okStatus) {
+				const text = yield * Effect.tryPromise(async () => gunzipAsync(body));
+				this.take(JSON.parse(text.toString()));
+			}
+		});
+	}
+}
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -2,16 +2,17 @@
  * A relay: the supervisor tree of its roles, and how it starts and stops.
  */
 import {randomUUID} from 'node:crypto';
+import {gzipSync} from 'node:zlib';
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import {SystemClock, type Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
+import {hashText} from '../base/rendezvous.js';
 import {superviseRoles, type Role} from '../daemon/role.js';
 import {UsageCounts} from '../duties/usage-counts.js';
-import {KindFollower} from '../follow/kind-follower.js';
-import {Gossip, type LocalState} from '../gossip/gossip.js';
-import type {GossipMessage} from '../gossip/gossip-message.js';
-import {PeerTable, type Meeting} from '../gossip/peer-table.js';
+import {ExchangeTopology} from '../gossip/exchange-topology.js';
+import {Gossip} from '../gossip/gossip.js';
+import {PeerTable} from '../gossip/peer-table.js';
 import {QuotaLedger} from '../quota/quota-ledger.js';
 import {ConnectionBook} from '../relay/connection-book.js';
 import {FreshnessGuard} from '../relay/freshness-guard.js';
@@ -24,10 +25,12 @@
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
 import {ConfigurationRole, configurationPath} from './configuration-role.js';
-import {listen, openSmallListener} from './control-listeners.js';
+import {listen, openSmallListener, type SmallAnswer} from './control-listeners.js';
 import {openDuties} from './duty-roles.js';
+import {ExchangeState} from './exchange-state.js';
 import {MemberRole} from './member-role.js';
 import type {PlatformLink} from './platform-link.js';
+import {ReplicaRole, replicasPath} from './replica-role.js';
 
 /** Milliseconds for the balancer to notice that this box takes no new clients. */
 const balancerDelay = 3000;
@@ -37,8 +40,13 @@
 const endMargin = 900;
 const stopCheckInterval = 50;
 const sampleInterval = 1000;
-/** Milliseconds told where the store has never answered. */
-const unknownAge = 1_000_000;
+/**
+ * Milliseconds without news from the boxes that follow the store after which another asks it itself; boxes differ by
+ * their names, so that not all of them ask at once.
+ */
+const configurationPatience = {least: 2500, spread: 1300} as const;
+const replicaPatience = {least: 4500, spread: 4000} as const;
+const largestHash = 0xFF_FF_FF_FF;
 const millisecondsPerSecond = 1000;
 
 /** What a relay is made of. */
@@ -68,23 +76,41 @@
 	private readonly clock: Clock = SystemClock.create();
 	private readonly incarnation = randomUUID().slice(0, 8);
 	private readonly peers: PeerTable;
+	private readonly topology: ExchangeTopology;
 	private readonly services: RelayServices;
 	private readonly configuration: ConfigurationRole;
+	private readonly replicaRole: ReplicaRole;
+	private readonly exchange: ExchangeState;
 	private readonly door: FrontDoor;
 	private stoppingSince: number | undefined;
 
 	private constructor(private readonly parts: RelayParts) {
 		const {link, log, settings} = parts;
-		this.peers = PeerTable.create(settings().node, this.clock, log);
+		const {node} = settings();
+		this.peers = PeerTable.create(node, this.clock, log);
+		this.topology = ExchangeTopology.create(node, this.peers);
 		this.services = this.wire();
-		this.configuration = ConfigurationRole.create({
-			link, log, clock: this.clock, table: this.services.table,
+		const {table, replicas} = this.services;
+		const followed = {
+			link, log, clock: this.clock, leads: () => this.topology.isAggregator,
+		};
+		this.configuration = ConfigurationRole.create({...followed, table, patience: patienceOf(node, configurationPatience)});
+		this.replicaRole = ReplicaRole.create({...followed, replicas, patience: patienceOf(node, replicaPatience)});
+		this.exchange = ExchangeState.create({
+			clock: this.clock,
+			log,
+			services: this.services,
+			peers: this.peers,
+			topology: this.topology,
+			configuration: this.configuration,
+			replicaRole: this.replicaRole,
+			isStopping: () => this.stoppingSince !== undefined,
 		});
 		this.door = FrontDoor.create(this.services, {
 			isStopping: () => this.stoppingSince !== undefined,
 			isClosing: () => this.stoppingFor > closingDelay,
 		});
-		this.services.replicas.onDidGo(replica => {
+		replicas.onDidGo(replica => {
 			this.services.connections.forget(replica);
 		});
 	}
@@ -132,7 +158,7 @@
 
 	private wire(): RelayServices {
 		const {link, log, metrics, settings} = this.parts;
-		const {clock, peers} = this;
+		const {clock, peers, topology} = this;
 		const table = RouteTableView.create(clock, log);
 		table.onDidApply(({version}) => {
 			metrics.configurationVersion.set(version);
@@ -146,11 +172,11 @@
 			format: link.format,
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas: ReplicaDirectory.create(clock, log),
-			choice: LeastWaitChoice.create(settings().dataCentre, () => clock.monotonic()),
+			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkOld: () => topology.isLarge}),
 			connections: ConnectionBook.create(clock),
 			quota: QuotaLedger.create({
 				bound: name => table.inForce?.content.clientAccounts.find(clientAccount => clientAccount.name === name),
-				heardPart: () => peers.heardPart,
+				heardPart: () => topology.isAggregator ? peers.heardPart : 1 / peers.boxes,
 			}, clock, settings().isFirstStart),
 			budgets: RepeatBudgets.create(
 				() => ({ratio: bounds().retryRatio, slack: bounds().retrySlack, window: bounds().retryWindow}),
@@ -168,9 +194,7 @@
 			yield * openSmallListener(ready, path => path === link.format.readyPath
 				? {status: this.isReady ? 200 : 503, contentType: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
 				: undefined);
-			yield * openSmallListener(control, path => path === configurationPath && this.configuration.spec !== undefined
-				? {status: 200, contentType: 'application/json', body: JSON.stringify(this.configuration.spec)}
-				: undefined);
+			yield * openSmallListener(control, path => compressed(this.documentAt(path)));
 			yield * openSmallListener(metricsAddress, async () => ({
 				status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics(),
 			}));
@@ -184,14 +208,20 @@
 		const {settings, link, log, metrics} = this.parts;
 		const {control, node} = settings();
 		const self = {name: node, ...control};
+		const {exchange, peers, topology} = this;
 		const gossip = Gossip.create({
 			self,
 			incarnation: this.incarnation,
 			clock: this.clock,
-			peers: this.peers,
-			state: () => this.localState(),
-			take: (message, meeting) => {
-				this.takeMessage(message, meeting);
+			peers,
+			topology,
+			state: () => exchange.local(),
+			digest: peer => exchange.digestFor(peer),
+			take(message, meeting) {
+				exchange.take(message, meeting);
+			},
+			takeDigest(message, digest) {
+				exchange.takeDigest(message, digest);
 			},
 			prove: (version, at) => {
 				this.services.table.prove(version, at);
@@ -199,17 +229,18 @@
 			seeds: () => settings().seeds,
 		});
 		const members = MemberRole.create({
-			store: link.store, self, peers: this.peers, log,
+			store: link.store, self, peers, log, isNeeded: () => topology.isAggregator || peers.heard.length === 0,
 		});
 		return [
 			{name: 'gossip', run: gossip.run()},
 			{name: 'configuration', run: this.configuration.follow()},
 			{name: 'configuration-proof', run: this.configuration.prove()},
-			{name: 'replicas', run: this.followReplicas()},
+			{name: 'replicas', run: this.replicaRole.follow()},
+			{name: 'lapsed-replicas', run: this.replicaRole.sweep()},
 			{name: 'members', run: members.run()},
 			{name: 'metrics', run: this.sampleMetrics()},
 			...openDuties({
-				link, log, settings, clock: this.clock, peers: this.peers, services: this.services, self: node, metrics,
+				link, log, settings, clock: this.clock, peers, topology, services: this.services, self: node, metrics,
 				incarnation: this.incarnation,
 				storeSilence: () => this.configuration.storeSilence,
 				isStopping: () => this.stoppingSince !== undefined,
@@ -217,61 +248,13 @@
 		];
 	}
 
-	private followReplicas(): Effect.Effect<never> {
-		const {link: {store, names}, log} = this.parts;
-		const {replicas} = this.services;
-		return KindFollower.create(names.replicaKind, {store, clock: this.clock, log}, {
-			list({objects, at}) {
-				replicas.replaceAll(objects.map(object => names.decodeReplica(object)), at);
-			},
-			change({object, isGone}) {
-				if (isGone) {
-					replicas.remove(object.name, object.revision);
-				} else {
-					replicas.put(names.decodeReplica(object));
-				}
-			},
-		}).run();
-	}
-
-	private localState(): LocalState {
-		const {table, replicas, quota, usage} = this.services;
-		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
-		return {
-			version: table.version,
-			...(Number.isFinite(table.proofAge) ? {proofAge: Math.ceil(table.proofAge)} : {}),
-			isStopping: this.stoppingSince !== undefined,
-			storeAge: Math.min(unknownAge, Math.round(this.configuration.storeSilence)),
-			quota: quota.counts,
-			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
-			departed: replicas.departed,
-			usage: usage.told,
+	/** What peers fetch at a path. */
+	private documentAt(path: string): unknown {
+		const documents: Readonly<Record<string, () => unknown>> = {
+			[configurationPath]: () => this.configuration.spec,
+			[replicasPath]: () => this.replicaRole.listing,
 		};
-	}
-
-	private takeMessage(message: GossipMessage, meeting: Meeting): void {
-		const {table, replicas, quota, usage} = this.services;
-		const {sender, incarnation, work} = message;
-		const start = `${sender.name}/${incarnation}`;
-		if (message.version > table.version) {
-			this.configuration.fetchFrom(sender);
-		}
-
-		quota.takeCounts(start, message.quota, meeting);
-		usage.take(start, message.usage);
-		for (const departure of message.departed) {
-			replicas.noteLeaving(departure, 'peer');
-		}
-
-		const worked = new Map(work.map(entry => [entry.replica, entry]));
-		for (const replica of replicas.all) {
-			const found = worked.get(replica.entry.id);
-			if (found) {
-				replica.notePeerWork(sender.name, found);
-			} else {
-				replica.clearPeerWork(sender.name);
-			}
-		}
+		return documents[path]?.();
 	}
 
 	private sampleMetrics(): Effect.Effect<never> {
@@ -287,3 +270,13 @@
 		}).pipe(Effect.andThen(Effect.sleep(sampleInterval))));
 	}
 }
+
+function patienceOf(box: string, {least, spread}: {readonly least: number; readonly spread: number}): number {
+	return least + (spread * hashText(box) / largestHash);
+}
+
+function compressed(document: unknown): SmallAnswer | undefined {
+	return document === undefined
+		? undefined
+		: {status: 200, contentType: 'application/json', body: gzipSync(JSON.stringify(document))};
+}
--- /dev/null
+++ b/src/node/replica-role.ts
@@ -0,0 +1,262 @@
+/**
+ * Keeps the list of replicas: follows it in the store, or learns it from a peer that does, and tells it to others.
+ */
+import * as Effect from 'effect/Effect';
+import type {Clock} from '../base/clock.js';
+import type {EventLog} from '../base/event-log.js';
+import {KindFollower} from '../follow/kind-follower.js';
+import type {
+	Change, Changes, Listing, StoredObject,
+} from '../follow/metadata-store.js';
+import type {GossipMessage, MemberAddress} from '../gossip/gossip-message.js';
+import type {ReplicaDirectory} from '../replicas/replica-directory.js';
+import {PeerFetch} from './peer-fetch.js';
+import type {PlatformLink} from './platform-link.js';
+
+/** Path at which peers give out the list. */
+export const replicasPath = '/replicas';
+/** Changes kept to be told one by one. */
+const historyLength = 512;
+/** Changes told in one message; a peer that misses more fetches the whole list. */
+const mostChangesTold = 32;
+/**
+ * Milliseconds after the store came back in which entries may be missing that lapsed meanwhile: a replica that lives
+ * writes its own again.
+ */
+const lapseGrace = 2000;
+const sweepInterval = 250;
+const calmInterval = 1000;
+
+/** What the role needs. */
+export type ReplicaServices = {
+	readonly link: PlatformLink;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly replicas: ReplicaDirectory;
+	/** @returns Whether this box follows the store, though others may. */
+	readonly leads: () => boolean;
+	/** Milliseconds without news from others after which this box asks the store itself. */
+	readonly patience: number;
+};
+
+type PastChange = {readonly revision: number; readonly change: Change};
+
+/** The role. */
+export class ReplicaRole {
+	/**
+	 * @param services - What it needs.
+	 * @returns The role; run its parts to begin.
+	 */
+	static create(services: ReplicaServices): ReplicaRole {
+		return new ReplicaRole(services);
+	}
+
+	/** Revision up to which the list is known; below zero before the first. */
+	private at = -1;
+	private provenAt: number;
+	private readonly objects = new Map<string, StoredObject>();
+	private history: readonly PastChange[] = [];
+	private historyFrom = Number.POSITIVE_INFINITY;
+	private regainedAt = Number.NEGATIVE_INFINITY;
+	/** Entries that may have lapsed while the store was away, and when they count as gone. */
+	private readonly lapsed = new Map<string, {readonly revision: number; readonly until: number}>();
+	private readonly fetch: PeerFetch;
+
+	private constructor(private readonly services: ReplicaServices) {
+		this.provenAt = services.clock.monotonic();
+		this.fetch = PeerFetch.create(replicasPath, content => {
+			const {at, objects, age} = content as Listing & {readonly age: number};
+			this.takeListing({at, objects}, services.clock.monotonic() - age);
+		});
+	}
+
+	/** What others are told of how new the list is; nothing before there is one. */
+	get told(): GossipMessage['replicas'] {
+		return this.at < 0 ? undefined : {at: this.at, age: Math.max(0, Math.round(this.age))};
+	}
+
+	/** The whole list for a peer; `undefined` before there is one. */
+	get listing(): (Listing & {readonly age: number}) | undefined {
+		return this.at < 0 ? undefined : {at: this.at, objects: [...this.objects.values()], age: this.age};
+	}
+
+	/** Milliseconds since the list was known to be whole. */
+	private get age(): number {
+		return this.services.clock.monotonic() - this.provenAt;
+	}
+
+	/** @returns Follows the store while that is needed, until interrupted. */
+	follow(): Effect.Effect<never> {
+		const {link: {store, names}, clock, log, leads, patience} = this.services;
+		return KindFollower.create(names.replicaKind, {
+			store, clock, log, isNeeded: () => leads() || this.age > patience,
+		}, {
+			onAnswer: isRegained => {
+				this.noteAnswer(isRegained);
+			},
+			list: (listing, sentAt) => {
+				this.takeListing(listing, sentAt);
+			},
+			change: (changes, sentAt) => {
+				this.takeChanges(changes);
+				this.prove(sentAt);
+			},
+		}).run();
+	}
+
+	/** @returns Drops entries that lapsed and have not come back, until interrupted. */
+	sweep(): Effect.Effect<never> {
+		const look = Effect.suspend(() => {
+			this.dropLapsed();
+			return Effect.sleep(this.lapsed.size > 0 ? sweepInterval : calmInterval);
+		});
+		return Effect.forever(look);
+	}
+
+	/** @param isRegained - Whether the store had not answered before. */
+	noteAnswer(isRegained: boolean): void {
+		this.regainedAt = isRegained ? this.services.clock.monotonic() : this.regainedAt;
+	}
+
+	/** Drops entries that lapsed and have not come back in time. */
+	dropLapsed(): void {
+		const now = this.services.clock.monotonic();
+		for (const [name, {revision, until}] of this.lapsed) {
+			if (until <= now) {
+				this.drop(name, revision);
+			}
+		}
+	}
+
+	/**
+	 * @param at - Revision up to which a peer knows the list.
+	 * @returns What it misses; `undefined` where that is not known or too much to tell.
+	 */
+	changesSince(at: number): Changes | undefined {
+		if (at < this.historyFrom) {
+			return undefined;
+		}
+
+		const missed = this.history.filter(({revision}) => revision > at);
+		return missed.length > mostChangesTold ? undefined : {at: this.at, changes: missed.map(({change}) => change)};
+	}
+
+	/**
+	 * Takes what a peer tells of the list.
+	 *
+	 * @param sender - The peer.
+	 * @param told - How new its list is.
+	 * @param changes - What this box misses, where the peer could tell it.
+	 */
+	take(sender: MemberAddress, told: NonNullable<GossipMessage['replicas']>, changes: Changes | undefined): void {
+		if (told.at > this.at && (!changes || this.at < 0)) {
+			this.fetch.from(sender);
+			return;
+		}
+
+		if (changes) {
+			this.takeChanges(changes);
+		}
+
+		if (told.at === this.at) {
+			this.prove(this.services.clock.monotonic() - told.age);
+		}
+	}
+
+	/**
+	 * Takes a whole list.
+	 *
+	 * @param listing - The list; one that is older than what is known changes nothing.
+	 * @param sentAt - Monotonic milliseconds at which it was asked for.
+	 */
+	takeListing({at, objects}: Listing, sentAt: number): void {
+		if (at < this.at) {
+			return;
+		}
+
+		const {replicas, link: {names}} = this.services;
+		const listed = new Set(objects.map(({name}) => name));
+		const missing = [...this.objects.values()].filter(({name}) => !listed.has(name));
+		const held = missing.filter(object => this.mayHaveLapsed(object));
+		for (const {name} of held) {
+			this.hold(name, at);
+		}
+
+		for (const {name} of missing.filter(object => !held.includes(object))) {
+			this.drop(name, at);
+		}
+
+		for (const object of objects) {
+			this.objects.set(object.name, object);
+			this.lapsed.delete(object.name);
+		}
+
+		this.at = at;
+		this.history = [];
+		this.historyFrom = at;
+		replicas.replaceAll([...this.objects.values()].map(object => names.decodeReplica(object)), at);
+		this.prove(sentAt);
+	}
+
+	private prove(at: number): void {
+		this.provenAt = Math.max(this.provenAt, at);
+	}
+
+	/** The same changes may come from the store and from peers, in batches that overlap. */
+	private takeChanges({at, changes}: Changes): void {
+		if (at <= this.at) {
+			return;
+		}
+
+		let revision = this.at + 1;
+		for (const change of changes) {
+			revision = Math.max(revision, change.object.revision);
+			this.takeChange(change, revision);
+		}
+
+		this.at = at;
+	}
+
+	private takeChange(change: Change, revision: number): void {
+		const {object, isGone} = change;
+		const known = this.objects.get(object.name);
+		if (isGone ? !known : known && known.revision >= object.revision) {
+			return;
+		}
+
+		if (isGone && known && this.mayHaveLapsed(known)) {
+			this.hold(object.name, revision);
+			return;
+		}
+
+		this.history = [...this.history, {revision, change}].slice(-historyLength);
+		this.historyFrom = this.history.length === historyLength ? Math.max(this.historyFrom, this.history[0]!.revision) : this.historyFrom;
+		if (isGone) {
+			this.drop(object.name, revision);
+			return;
+		}
+
+		this.lapsed.delete(object.name);
+		this.objects.set(object.name, object);
+		this.services.replicas.put(this.services.link.names.decodeReplica(object));
+	}
+
+	private mayHaveLapsed(object: StoredObject): boolean {
+		const {clock, link: {names}, replicas} = this.services;
+		const isLeaving = names.decodeReplica(object).isDraining || replicas.named(object.name)?.isLeaving === true;
+		return !isLeaving && clock.monotonic() - this.regainedAt < lapseGrace;
+	}
+
+	private hold(name: string, revision: number): void {
+		if (!this.lapsed.has(name)) {
+			this.services.log.write('replicaLapsed', {replica: name, revision});
+			this.lapsed.set(name, {revision, until: this.services.clock.monotonic() + lapseGrace});
+		}
+	}
+
+	private drop(name: string, revision: number): void {
+		this.objects.delete(name);
+		this.lapsed.delete(name);
+		this.services.replicas.remove(name, revision);
+	}
+}
--- /dev/null
+++ b/src/node/test/relay-large-fleet.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {RelayInstallation, routeTo, until} from '../../../development/relay/relay-installation.js';
+
+const boxes = 15;
+let installation: RelayInstallation;
+
+before(async () => {
+	installation = await RelayInstallation.start({
+		relays: boxes, replicas: ['i-1', 'i-2'], withDuties: true, bounds: {reportWindow: 2000, reportDelay: 9000},
+	});
+	// One knows of all others only after some rounds.
+	await until(() => aggregators().length === 3);
+});
+
+after(async () => installation.close());
+
+const isAggregator = (relay: RelayInstallation['relays'][number]): boolean => relay.log.lines
+	.findLast(({eventName}) => eventName === 'aggregatorChanged')?.isAggregator === true;
+const aggregators = () => installation.relays.filter(relay => isAggregator(relay));
+const versionsIn = () => installation.relays.map(({log}) => log.lines.findLast(({eventName}) => eventName === 'routesApplied')?.version);
+const pause = async (milliseconds: number) => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
+test('a few boxes ask the store for all', async () => {
+	// Boxes that followed the store before they knew the fleet end their last watch.
+	await pause(4500);
+	const before = installation.store.calls;
+	await pause(3000);
+	const calls = installation.store.calls - before;
+	assert.ok(calls < boxes * 3, `${calls} calls in 3 s`);
+});
+
+test('a configuration and a replica that leaves are known on every box, though few boxes ask', async () => {
+	const version = installation.configure({routes: [routeTo('/new/')]});
+	await until(() => versionsIn().every(known => known === version));
+	installation.list('i-2', {state: 'draining'});
+	await until(() => installation.relays.every(({log}) => log.lines.some(({eventName, replica}) => eventName === 'replicaLeaving' && replica === 'i-2')));
+	await installation.addReplica('i-3');
+	await until(() => installation.relays.every(({log}) => log.lines.some(({eventName, replica}) => eventName === 'replicaListed' && replica === 'i-3')));
+	const answers = await Promise.all(installation.relays.map(async relay => installation.call({path: '/new/x'}, relay)));
+	assert.deepEqual(answers.map(({status}) => status), answers.map(() => 200));
+});
+
+test('usage of all boxes is reported by one of the aggregators', async () => {
+	const reported = (): number => {
+		const reports = new Map(installation.store.dutyCalls.filter(({path}) => path === '/usage').map(({body}) => [body.window_id, body.counts as Record<string, number>]));
+		return [...reports.values()].reduce((total, counts) => total + (counts.basin ?? 0), 0);
+	};
+
+	await until(() => reported() === boxes);
+	const holder = installation.store.dutyCalls.findLast(({path}) => path === '/usage')?.holder;
+	assert.ok(aggregators().some(({name}) => name === holder), `${holder} hears few others`);
+});
+
+test('when all aggregators end others take their place, and a configuration still comes to every box', async () => {
+	const gone = aggregators();
+	await Promise.all(gone.map(async ({end}) => end()));
+	for (const relay of gone) {
+		installation.relays.splice(installation.relays.indexOf(relay), 1);
+	}
+
+	const version = installation.configure();
+	await until(() => versionsIn().every(known => known === version));
+	await until(() => installation.relays.every(({node}) => node.isReady));
+	const answers = await Promise.all(installation.relays.map(async relay => installation.call({path: '/calls/x'}, relay)));
+	assert.deepEqual(answers.map(({status}) => status), answers.map(() => 200));
+});
--- /dev/null
+++ b/src/node/test/replica-role.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SilentEventLog} from '../../base/event-log.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import type {Changes, StoredObject} from '../../follow/metadata-store.js';
+import {ReplicaDirectory} from '../../replicas/replica-directory.js';
+import type {PlatformLink} from '../platform-link.js';
+import {ReplicaRole} from '../replica-role.js';
+
+const sender = {name: 'aggregator', host: '127.0.0.1', port: 1};
+
+const object = (name: string, revision: number, isDraining = false): StoredObject => ({name, revision, spec: {isDraining}});
+const put = (name: string, revision: number, isDraining = false) => ({object: object(name, revision, isDraining), isGone: false});
+const gone = (name: string, revision: number) => ({object: object(name, revision), isGone: true});
+
+/** A role that learns from others alone, given a list to begin with. */
+const roleWith = (objects: readonly StoredObject[], at: number) => {
+	const clock = new MovedClock(1000);
+	const replicas = ReplicaDirectory.create(clock, SilentEventLog.create());
+	const link = {
+		names: {
+			decodeReplica: ({name, revision, spec}: StoredObject) => ({
+				id: name, revision, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 1, isReclaimable: false, leavesIn: undefined, ...spec as {readonly isDraining: boolean},
+			}),
+		},
+	} as unknown as PlatformLink;
+	const role = ReplicaRole.create({
+		link, clock, replicas, log: SilentEventLog.create(), leads: () => false, patience: 5000,
+	});
+	role.takeListing({at, objects}, clock.monotonic());
+	return {role, replicas, clock};
+};
+
+const ready = (replicas: ReplicaDirectory): readonly string[] => replicas.ready('s').map(({entry}) => entry.id).sort();
+const tell = (role: ReplicaRole, changes: Changes) => {
+	role.take(sender, {at: changes.at, age: 0}, changes);
+};
+
+test('changes that a peer tells are taken once and in order, also in batches that overlap', () => {
+	const {role, replicas} = roleWith([object('x', 1)], 10);
+	tell(role, {at: 20, changes: [put('y', 12), gone('x', 15)]});
+	assert.deepEqual(ready(replicas), ['y']);
+	tell(role, {at: 15, changes: [gone('y', 3)]});
+	assert.deepEqual(ready(replicas), ['y'], 'an old batch changes nothing');
+	tell(role, {at: 25, changes: [put('y', 12), gone('x', 15), put('z', 22)]});
+	assert.deepEqual(ready(replicas), ['y', 'z']);
+});
+
+test('what was told goes on to a third box, and one that misses too much gets no changes', () => {
+	const {role} = roleWith([object('x', 1)], 10);
+	tell(role, {at: 20, changes: [put('y', 12), gone('x', 3)]});
+	assert.deepEqual(role.changesSince(10)?.changes.map(({object: {name}}) => name), ['y', 'x']);
+	assert.equal(role.changesSince(10)?.at, 20);
+	assert.deepEqual(role.changesSince(20)?.changes, []);
+	assert.equal(role.changesSince(5), undefined, 'what came before the list is not known');
+	tell(role, {at: 500, changes: Array.from({length: 60}, (_, index) => put(`n${index}`, 100 + index))});
+	assert.equal(role.changesSince(20), undefined, 'too much for one message');
+});
+
+test('the list counts as new for as long as somebody who is as far says so', () => {
+	const {role, clock} = roleWith([object('x', 1)], 10);
+	clock.now += 3000;
+	assert.equal(role.told?.age, 3000);
+	role.take(sender, {at: 10, age: 200}, undefined);
+	assert.equal(role.told?.age, 200);
+	clock.now += 100;
+	role.take(sender, {at: 8, age: 0}, undefined);
+	assert.equal(role.told?.age, 300, 'one that is behind proves nothing');
+});
+
+test('an entry that is missing when the store comes back counts as gone only after a while, and not if it is written again', () => {
+	const {role, replicas, clock} = roleWith([object('x', 1), object('y', 2), object('z', 3, true)], 10);
+	role.noteAnswer(true);
+	role.takeListing({at: 30, objects: []}, clock.monotonic());
+	assert.deepEqual(ready(replicas), ['x', 'y'], 'what was draining is gone');
+	tell(role, {at: 40, changes: [put('y', 35)]});
+	clock.now += 2500;
+	role.dropLapsed();
+	assert.deepEqual(ready(replicas), ['y']);
+	role.takeListing({at: 50, objects: []}, clock.monotonic());
+	assert.equal(replicas.all.length, 0, 'a list in calm times is taken as it is');
+});
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -5,9 +5,11 @@
  * @remarks
  * What two boxes let pass at the same moment neither knows of; that excess is at most demand times the time
  * between two exchanges, and it is paid back, since the bucket goes below zero. Boxes that cannot hear each other
- * leave each other a fair part. Source: docs/PLATFORM.md, "QUOTA".
+ * leave each other a fair part. In a large fleet a few boxes hear all counters and tell the others how full the bucket
+ * is and how fast it is used, and those go on from there until they are told again. Source: docs/PLATFORM.md, "QUOTA".
  */
 import type {Clock} from '../base/clock.js';
+import {RateMeter} from './rate-meter.js';
 
 /** A client account's bound for all boxes together. */
 export type QuotaBound = {
@@ -24,6 +26,16 @@
 	readonly level: number;
 };
 
+/** How full a bucket is, as a box that hears all counters tells another. */
+export type QuotaLevel = {
+	readonly clientAccount: string;
+	readonly level: number;
+	/** Units a second that all boxes let pass lately. */
+	readonly passRate: number;
+	/** What the receiver let pass since its start, as far as the level holds it. */
+	readonly counted: number;
+};
+
 /** What is known of the other boxes. */
 export type QuotaFacts = {
 	/** @returns The client account's bound; `undefined` where there is no such client account. */
@@ -36,8 +48,16 @@
 	level: number;
 	refilledAt: number;
 	passed: number;
+	/** Units a second that the others let pass, as it was last told, and when. */
+	othersRate: number;
+	toldAt: number;
+	readonly ownMeter: RateMeter;
+	readonly othersMeter: RateMeter;
 };
 
+/** Milliseconds for which a level that was told is gone on from. */
+const toldLifetime = 1500;
+
 const millisecondsPerSecond = 1000;
 /** Part of the burst that a box has that starts anew: others, or its own last start, may just have used the rest. */
 const restartPart = 0.5;
@@ -92,6 +112,7 @@
 
 		bucket.level -= units;
 		bucket.passed += units;
+		bucket.ownMeter.note(units);
 		return 0;
 	}
 
@@ -106,6 +127,7 @@
 		if (bucket) {
 			bucket.level += units;
 			bucket.passed -= units;
+			bucket.ownMeter.note(-units);
 		}
 	}
 
@@ -115,9 +137,10 @@
 	 * @param peer - One start of one box.
 	 * @param counts - What it tells.
 	 * @param meeting - How it is met: `known` has been heard lately; `younger` is new and began after this one;
-	 * `other` is older, or was not heard for a while, so that its part was left to it.
+	 * `other` is older, or was not heard for a while, so that its part was left to it; `apart` is the same in a large
+	 * fleet, where its own idea of the bucket is no better than this box's.
 	 */
-	takeCounts(peer: string, counts: readonly QuotaCount[], meeting: 'known' | 'younger' | 'other'): void {
+	takeCounts(peer: string, counts: readonly QuotaCount[], meeting: 'known' | 'younger' | 'other' | 'apart'): void {
 		const known = this.peers.get(peer) ?? new Map<string, number>();
 		this.peers.set(peer, known);
 		for (const {clientAccount, passed, level} of counts) {
@@ -131,12 +154,46 @@
 			this.refill(clientAccount, bucket);
 			if (meeting === 'other') {
 				bucket.level = Math.min(bucket.level, level);
-			} else {
+			} else if (meeting !== 'apart') {
 				bucket.level -= passed - before;
+				bucket.othersMeter.note(passed - before);
 			}
 		}
 	}
 
+	/**
+	 * @param peer - One start of one box.
+	 * @returns What to tell it of all buckets.
+	 */
+	levelsFor(peer: string): readonly QuotaLevel[] {
+		const counted = this.peers.get(peer);
+		return [...this.buckets].map(([clientAccount, bucket]) => {
+			this.refill(clientAccount, bucket);
+			return {
+				clientAccount,
+				level: Math.round(bucket.level),
+				passRate: Math.round(Math.max(0, bucket.ownMeter.rate + bucket.othersMeter.rate)),
+				counted: counted?.get(clientAccount) ?? 0,
+			};
+		});
+	}
+
+	/**
+	 * Goes on from what a box tells that hears all counters.
+	 *
+	 * @param levels - What it tells.
+	 */
+	adopt(levels: readonly QuotaLevel[]): void {
+		for (const {clientAccount, level, passRate, counted} of levels) {
+			const bucket = this.bucketOf(clientAccount);
+			const now = this.clock.monotonic();
+			bucket.level = level - Math.max(0, bucket.passed - counted);
+			bucket.refilledAt = now;
+			bucket.toldAt = now;
+			bucket.othersRate = Math.max(0, passRate - bucket.ownMeter.rate);
+		}
+	}
+
 	/** @param peer - One start of one box, which is gone. */
 	forget(peer: string): void {
 		this.peers.delete(peer);
@@ -150,6 +207,7 @@
 
 		const bucket: Bucket = {
 			level: (this.facts.bound(clientAccount)?.burst ?? 0) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
+			othersRate: 0, toldAt: Number.NEGATIVE_INFINITY, ownMeter: RateMeter.create(this.clock), othersMeter: RateMeter.create(this.clock),
 		};
 		this.buckets.set(clientAccount, bucket);
 		return bucket;
@@ -160,7 +218,13 @@
 		const elapsed = now - bucket.refilledAt;
 		const bound = this.facts.bound(clientAccount);
 		bucket.refilledAt = now;
-		if (bound) {
+		if (!bound) {
+			return;
+		}
+
+		if (now - bucket.toldAt < toldLifetime) {
+			bucket.level = Math.min(bound.burst, bucket.level + (elapsed * (bound.rate - bucket.othersRate) / millisecondsPerSecond));
+		} else {
 			const part = this.facts.heardPart();
 			bucket.level = Math.min(bound.burst * part, bucket.level + (elapsed * bound.rate * part / millisecondsPerSecond));
 		}
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -119,3 +119,91 @@
 	ledger.giveBack(clientAccount, 6);
 	assert.equal(ledger.take(clientAccount, 1), 0);
 });
+
+/** A large fleet: boxes tell one aggregator, which tells each how full the bucket is. */
+class LargeFleet {
+	readonly clock = new MovedClock();
+	readonly aggregator: QuotaLedger;
+	readonly boxes: readonly QuotaLedger[];
+
+	constructor(boxes: number, startsFull = true) {
+		this.aggregator = QuotaLedger.create({bound: () => bound, heardPart: () => 1}, this.clock, startsFull);
+		this.boxes = Array.from({length: boxes}, () => QuotaLedger.create({bound: () => bound, heardPart: () => 1 / boxes}, this.clock, startsFull));
+	}
+
+	exchange(meeting: 'known' | 'apart' = 'known'): void {
+		for (const [index, box] of this.boxes.entries()) {
+			this.aggregator.takeCounts(String(index), box.counts, meeting);
+			box.adopt(this.aggregator.levelsFor(String(index)));
+		}
+	}
+}
+
+test('in a large fleet a client account inside its quota is never refused, also where one box has all its requests', () => {
+	for (const boxOf of [(step: number) => (step * 7) % 80, () => 3]) {
+		const fleet = new LargeFleet(80);
+		fleet.boxes[0]!.take(clientAccount, 0.001);
+		fleet.exchange();
+		for (let step = 0; step < 400; step++) {
+			fleet.clock.now += 20;
+			if (step % 20 === 0) {
+				fleet.exchange();
+			}
+
+			assert.equal(fleet.boxes[boxOf(step)]!.take(clientAccount, 1.8), 0, `step ${step}`);
+		}
+	}
+});
+
+test('in a large fleet a client account far past its quota gets little more than it in any window', () => {
+	const fleet = new LargeFleet(80);
+	const passed: number[] = [];
+	for (let step = 0; step < 4000; step++) {
+		fleet.clock.now += 5;
+		if (step % 80 === 0) {
+			fleet.exchange();
+		}
+
+		// Eight times the quota is asked for.
+		if (fleet.boxes[(step * 13) % 80]!.take(clientAccount, 4) === 0) {
+			passed.push(fleet.clock.now);
+		}
+	}
+
+	const window = 8000;
+	for (const at of passed) {
+		const units = passed.filter(other => other >= at && other < at + window).length * 4;
+		assert.ok(units <= ((bound.rate * 8) + bound.burst) * 1.35, `${units} units in a window`);
+	}
+});
+
+test('a box that loses the aggregators of a large fleet spends its fair part alone', () => {
+	const fleet = new LargeFleet(80);
+	fleet.exchange();
+	fleet.clock.now += 60_000;
+	const box = fleet.boxes[5]!;
+	let units = 0;
+	for (let step = 0; step < 1000; step++) {
+		fleet.clock.now += 10;
+		units += box.take(clientAccount, 0.1) === 0 ? 0.1 : 0;
+	}
+
+	assert.ok(units <= ((bound.rate * 10) + bound.burst) / 80 * 1.2, `${units} units in 10 s`);
+});
+
+test('a box that an aggregator hears for the first time, or again, does not have its whole past taken from the bucket', () => {
+	const clock = new MovedClock();
+	const facts = {bound: () => bound, heardPart: () => 1};
+	const box = QuotaLedger.create(facts, clock, true);
+	for (let step = 0; step < 50; step++) {
+		clock.now += 1000;
+		assert.equal(box.take(clientAccount, 50), 0);
+	}
+
+	const aggregator = QuotaLedger.create(facts, clock, true);
+	aggregator.takeCounts('box', box.counts, 'apart');
+	assert.equal(aggregator.take(clientAccount, 90), 0);
+	box.take(clientAccount, 20);
+	aggregator.takeCounts('box', box.counts, 'known');
+	assert.ok(aggregator.take(clientAccount, 1) > 0, 'what comes after that counts');
+});
--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -50,16 +50,38 @@
 /** Milliseconds of penalty for a replica that fails all its requests. */
 const errorCost = 400;
 
-/** Takes the replica with the least expected wait: work there, prompt tokens to read, data centre and errors. */
+/** Replicas drawn by lot where what is known of their work is old. */
+const drawnCount = 4;
+/** Replicas looked at besides those because they keep the last shared part. */
+const mostKeepers = 3;
+
+/** What the choice needs. */
+export type ChoiceServices = {
+	/** Data centre of this box. */
+	readonly dataCentre: string;
+	/** @returns Monotonic milliseconds. */
+	readonly now: () => number;
+	/** @returns A number from 0 to 1. */
+	readonly random?: () => number;
+	/** @returns Whether many boxes act on the same old word of the replicas' work. */
+	readonly isWorkOld?: () => boolean;
+};
+
+/**
+ * Takes the replica with the least expected wait: work there, prompt tokens to read, data centre and errors.
+ *
+ * @remarks
+ * Where boxes know of each other's work by old words alone, all of them would run to the same replica. Then only a few
+ * drawn by lot are compared, with those that keep the prompt. Source: M. Mitzenmacher, "How useful is old
+ * information?", IEEE Transactions on Parallel and Distributed Systems, 2000; measured in docs/DESIGN.md.
+ */
 export class LeastWaitChoice extends ReplicaChoice {
 	/**
-	 * @param dataCentre - Data centre of this box.
-	 * @param now - Monotonic milliseconds.
-	 * @param random - Numbers from 0 to 1.
+	 * @param services - What it needs.
 	 * @returns The choice.
 	 */
-	static create(dataCentre: string, now: () => number, random: () => number = Math.random): LeastWaitChoice {
-		return new LeastWaitChoice(dataCentre, now, random);
+	static create({dataCentre, now, random = Math.random, isWorkOld = () => false}: ChoiceServices): LeastWaitChoice {
+		return new LeastWaitChoice(dataCentre, now, random, isWorkOld);
 	}
 
 	/** When a replica last read a part, by part and replica. */
@@ -69,6 +91,7 @@
 		private readonly dataCentre: string,
 		private readonly now: () => number,
 		private readonly random: () => number,
+		private readonly isWorkOld: () => boolean,
 	) {
 		super();
 	}
@@ -76,7 +99,7 @@
 	override choose(candidates: readonly Replica[], request: ChoiceRequest): Replica {
 		const home = homeOf(candidates, request);
 		const mean = meanErrorShare(candidates);
-		return candidates
+		return this.compared(candidates, request, home)
 			.map(replica => ({replica, cost: this.costOf(replica, request, home, mean)}))
 			.sort((left, right) => left.cost - right.cost)[0]!.replica;
 	}
@@ -96,6 +119,17 @@
 		}
 	}
 
+	private compared(candidates: readonly Replica[], {sharedParts}: ChoiceRequest, home: Replica | undefined): readonly Replica[] {
+		if (!this.isWorkOld() || candidates.length <= drawnCount) {
+			return candidates;
+		}
+
+		const drawn = Array.from({length: drawnCount}, () => candidates[Math.floor(this.random() * candidates.length) % candidates.length]!);
+		const readers = this.readAt.get(sharedParts.at(-1)?.id ?? '');
+		const keepers = readers ? candidates.filter(({entry}) => readers.has(entry.id)).slice(-mostKeepers) : [];
+		return [...new Set([...drawn, ...keepers, ...(home ? [home] : [])])];
+	}
+
 	private costOf(replica: Replica, request: ChoiceRequest, home: Replica | undefined, meanErrors: number): number {
 		const {requests, unreadTokens} = replica.work;
 		const {slots, dataCentre} = replica.entry;
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -101,7 +101,7 @@
 	 * @param id - Id of a replica.
 	 * @returns The replica; `undefined` where it is not listed.
 	 */
-	find(id: string): Replica | undefined {
+	named(id: string): Replica | undefined {
 		return this.replicas.get(id);
 	}
 
--- a/src/replicas/replica.ts
+++ b/src/replicas/replica.ts
@@ -38,8 +38,12 @@
 const silencePerLatency = 5;
 /** Milliseconds after which what a peer said of its work no longer counts. */
 const peerWorkLifetime = 1000;
+/** The same for what an aggregator told, which comes less often. */
+const othersWorkLifetime = 2000;
 
-type PeerWork = ReplicaWork & {readonly at: number};
+type PeerWork = ReplicaWork & {readonly until: number};
+/** Stands for all other boxes where an aggregator told their work in one. */
+const allOthers = '';
 
 /** One replica, as this box sees it. */
 export class Replica {
@@ -109,10 +113,10 @@
 
 	/** Work of all boxes there, as far as is known. */
 	get work(): ReplicaWork {
-		const since = this.clock.monotonic() - peerWorkLifetime;
+		const now = this.clock.monotonic();
 		let {requests, unreadTokens} = this.own;
 		for (const peer of this.peers.values()) {
-			if (peer.at >= since) {
+			if (peer.until >= now) {
 				requests += peer.requests;
 				unreadTokens += peer.unreadTokens;
 			}
@@ -144,7 +148,13 @@
 	 * @param work - Its work here.
 	 */
 	notePeerWork(peer: string, work: ReplicaWork): void {
-		this.peers.set(peer, {...work, at: this.clock.monotonic()});
+		this.peers.set(peer, {...work, until: this.clock.monotonic() + peerWorkLifetime});
+	}
+
+	/** @param work - Work of all other boxes here, as an aggregator tells it. */
+	noteOthersWork(work: ReplicaWork): void {
+		this.peers.clear();
+		this.peers.set(allOthers, {...work, until: this.clock.monotonic() + othersWorkLifetime});
 	}
 
 	/** @param peer - Name of a box that has no work here. */
--- /dev/null
+++ b/src/replicas/test/replica-choice.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {LeastWaitChoice} from '../replica-choice.js';
+import {Replica} from '../replica.js';
+
+const clock = new MovedClock(1000);
+const replicasOf = (count: number): readonly Replica[] => Array.from({length: count}, (_, index) => Replica.create({
+	id: `i-${index}`, revision: 1, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 4, isDraining: false, isReclaimable: false, leavesIn: undefined,
+}, clock));
+
+/** Numbers that look random and are the same in each run. */
+const seeded = () => {
+	let state = 1;
+	return () => {
+		state = (state * 48_271) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+};
+
+/** Most requests that one replica gets where many boxes choose by one old word: every replica is loaded but a few. */
+const mostAtOne = (isWorkOld: boolean): number => {
+	const replicas = replicasOf(40);
+	for (const replica of replicas.slice(2)) {
+		replica.noteOthersWork({requests: 3, unreadTokens: 5000});
+	}
+
+	const random = seeded();
+	const counts = new Map<string, number>();
+	for (let box = 0; box < 200; box++) {
+		const choice = LeastWaitChoice.create({
+			dataCentre: 'a', now: () => clock.monotonic(), random, isWorkOld: () => isWorkOld,
+		});
+		const {entry} = choice.choose(replicas, {promptTokens: 1000, sharedParts: []});
+		counts.set(entry.id, (counts.get(entry.id) ?? 0) + 1);
+	}
+
+	return Math.max(...counts.values());
+};
+
+test('boxes that act on the same old word do not all run to the same replicas', () => {
+	assert.ok(mostAtOne(false) >= 80, 'with what is known taken at its word, two replicas share all');
+	assert.ok(mostAtOne(true) <= 40, String(mostAtOne(true)));
+});
+
+test('the home of a prompt is looked at also where few are drawn', () => {
+	const replicas = replicasOf(40);
+	const random = seeded();
+	const chosen = Array.from({length: 20}, () => LeastWaitChoice.create({
+		dataCentre: 'a', now: () => clock.monotonic(), random, isWorkOld: () => true,
+	}).choose(replicas, {promptTokens: 9000, sharedParts: [{id: 'part', tokens: 8000}]}).entry.id);
+	assert.equal(new Set(chosen).size, 1, 'all boxes send the session to one replica without talking');
+});
--- a/src/replicas/test/replica-directory.test.ts
+++ b/src/replicas/test/replica-directory.test.ts
@@ -33,7 +33,7 @@
 	const {directory} = directoryOf([]);
 	directory.noteLeaving({id: 'a', revision: 10}, 'peer');
 	directory.put(entry('a', {revision: 9}));
-	assert.equal(directory.find('a')!.isLeaving, true);
+	assert.equal(directory.named('a')!.isLeaving, true);
 });
 
 test('a replica that drains never becomes ready again', () => {
@@ -53,7 +53,7 @@
 
 test('a replica that has requests and sends nothing counts as silent until it is heard', () => {
 	const {clock, directory} = directoryOf([entry('a')]);
-	const replica = directory.find('a')!;
+	const replica = directory.named('a')!;
 	clock.now += 5000;
 	assert.equal(replica.isSilent, false, 'without requests nothing is expected of it');
 	replica.begin(0);
