Fleet: kept replicas stand in for what is missing in a wave; the first fleet is counted sooner

Ruled out: more withdrawable replicas everywhere (all data centres but one go), orders elsewhere (none are had in a dry wave). Change: with the notice, kept replicas are ordered for what is missing to 0.75 of the first fleet, in the cheapest data centres, and given up when nothing is missing; whether the first fleet was given up stands in the record. It is counted after 1.2 s without a new one in place of 2.5, and those that list themselves within 10 s still count. No feedback from measured load yet.

--- a/src/daemon/record-hand-over.ts
+++ b/src/daemon/record-hand-over.ts
@@ -2,6 +2,7 @@
  * Hands the requests of a box that goes over to its peers.
  */
 import * as Effect from 'effect/Effect';
+import {sumOf} from '../base/sum.js';
 import type {EventLog} from '../base/event-log.js';
 import type {DataCentre} from '../base/identifiers.js';
 import {Refusal} from '../base/verdict.js';
@@ -109,14 +110,7 @@
 		const sent = Effect.all(parts.map((part, index) => peers[index % peers.length]!.peer
 			.adoptRecords(part.map(record => snapshotOf(record)))
 			.pipe(Effect.catch(() => Effect.succeed(0)))), {concurrency: 'unbounded'});
-		return sent.pipe(Effect.map(counts => {
-			let total = 0;
-			for (const count of counts) {
-				total += count;
-			}
-
-			return total;
-		}));
+		return sent.pipe(Effect.map(counts => sumOf(counts)));
 	}
 
 	/** Peers that stay, those of other data centres first: a whole data centre may be going. */
--- a/src/duties/duty-record.ts
+++ b/src/duties/duty-record.ts
@@ -33,9 +33,16 @@
 	report: Schema.optionalKey(DecidedReport),
 	orders: Schema.Array(StandingOrder),
 	/** Replicas that each service had when the system first started. */
-	baseline: Schema.Array(Schema.Struct({service: Schema.String, replicas: Schema.Number})),
+	baseline: Schema.Array(Schema.Struct({
+		service: Schema.String,
+		replicas: Schema.Number,
+		/** Whether that first fleet has been given up. */
+		isSettled: Schema.optionalKey(Schema.Boolean),
+	})),
 });
 export type DutyRecord = typeof DutyRecord.Type;
+/** The first fleet of one service. */
+export type FirstFleet = DutyRecord['baseline'][number];
 
 /** The record before anybody held the duties. */
 export const firstRecord: DutyRecord = {
--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -3,6 +3,7 @@
  */
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
+import {sumOf} from '../base/sum.js';
 import type {EventLog} from '../base/event-log.js';
 import type {StoreUnavailable} from '../follow/metadata-store.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
@@ -10,7 +11,7 @@
 import type {Service} from '../routes/route-table.js';
 import type {DutyCalls, DutyRefusal, ReplicaOrder} from './duty-calls.js';
 import type {ActPermit, DutyLease, DutyTaken} from './duty-lease.js';
-import type {StandingOrder} from './duty-record.js';
+import type {DutyRecord, FirstFleet, StandingOrder} from './duty-record.js';
 import type {FleetFacts, FleetPolicy} from './fleet-plan.js';
 
 /** Milliseconds before an order that was not taken is tried again. */
@@ -18,7 +19,9 @@
 /** Milliseconds beyond the boot time after which replicas that are still missing are ordered again. */
 const missingPause = 3000;
 /** Milliseconds without a new replica after which the first fleet counts as whole: replicas list themselves in turn. */
-const settleTime = 2500;
+const settleTime = 1200;
+/** Milliseconds after it was counted in which replicas of the first fleet may still list themselves. */
+const lateListing = 10_000;
 
 /** What the duty needs. */
 export type FleetDutyServices = {
@@ -52,6 +55,10 @@
 	}
 
 	private readonly states = new Map<string, OrderState>();
+	/** Kept replicas of the first fleet that were listed, by service. */
+	private readonly seen = new Map<string, ReadonlySet<string>>();
+	/** Monotonic milliseconds until which the first fleet is counted; only who finds none counted counts it. */
+	private countingUntil: number | undefined;
 
 	private constructor(private readonly services: FleetDutyServices) {}
 
@@ -66,20 +73,33 @@
 				return Effect.void;
 			}
 
-			const baseline = scaled.map(({name}) => record.baseline.find(({service}) => service === name) ?? {service: name, replicas: this.readyCount(name)});
-			const plans = scaled.flatMap(service => this.planOf(service, baseline.find(entry => entry.service === service.name)!.replicas, record.orders));
+			const first = scaled.map(({name}) => this.firstFleet(record, name));
+			const plans = scaled.flatMap(service => this.planOf(service, first.find(entry => entry.service === service.name)!, record.orders));
 			const due = plans.flatMap(order => this.ordersOf(order)).filter(order => this.isDue(order));
+			const baseline = first.map(entry => settledBy(plans, entry));
 			return due.length === 0
 				? Effect.void
 				: lease.decide(before => ({...before, baseline, orders: plans})).pipe(Effect.flatMap(permit => this.orderAll(permit, due)));
 		});
 	}
 
-	private readyCount(service: string): number {
-		return this.services.replicas.ready(service).length;
+	/** Replicas of the first fleet may list themselves late; those that come later were ordered by somebody. */
+	private firstFleet({baseline}: DutyRecord, service: string): FirstFleet {
+		const {replicas, clock} = this.services;
+		const known = baseline.find(entry => entry.service === service);
+		const now = clock.monotonic();
+		this.countingUntil ??= known ? now : now + lateListing;
+		if (now > this.countingUntil) {
+			return known ?? {service, replicas: 0};
+		}
+
+		const listed = replicas.all.filter(({entry}) => entry.service === service && !entry.isReclaimable).map(({entry}) => entry.id);
+		const seen = new Set([...this.seen.get(service) ?? [], ...listed]);
+		this.seen.set(service, seen);
+		return {...known, service, replicas: Math.max(known?.replicas ?? 0, seen.size)};
 	}
 
-	private planOf({name, scaling}: Service, baseline: number, standing: readonly StandingOrder[]): readonly StandingOrder[] {
+	private planOf({name, scaling}: Service, first: FirstFleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
 		const {replicas, policy} = this.services;
 		const ready = replicas.ready(name).filter(({entry}) => entry.isReclaimable);
 		const dataCentres = [...scaling!.dataCentrePrices.keys()];
@@ -87,11 +107,12 @@
 		const facts: FleetFacts = {
 			service: name,
 			scaling: scaling!,
-			baseline,
+			baseline: first.replicas,
 			dataCentres,
 			reclaimableReady: new Map(dataCentres.map(dataCentre => [dataCentre, ready.filter(({entry}) => entry.dataCentre === dataCentre).length])),
 			isIdle: replicas.ready(name).every(({work}) => work.requests === 0),
-			isSettled: before.length > 0 && before.every(({kept}) => kept === 0),
+			keptOrdered: sumOf(before.map(({kept}) => kept)),
+			isSettled: first.isSettled === true,
 		};
 		return policy.plan(facts);
 	}
@@ -152,3 +173,8 @@
 		);
 	}
 }
+
+/** The first fleet is given up by the plan that orders none of it. */
+function settledBy(plans: readonly StandingOrder[], first: FirstFleet): FirstFleet {
+	return {...first, isSettled: first.isSettled === true || plans.every(({service, kept}) => service !== first.service || kept === 0)};
+}
--- a/src/duties/fleet-plan.ts
+++ b/src/duties/fleet-plan.ts
@@ -3,6 +3,7 @@
  *
  * @remarks Source: docs/DESIGN.md, "The fleet".
  */
+import {sumOf} from '../base/sum.js';
 import type {Scaling} from '../routes/route-table.js';
 import type {StandingOrder} from './duty-record.js';
 
@@ -14,9 +15,11 @@
 	readonly baseline: number;
 	/** Data centres in which it runs. */
 	readonly dataCentres: readonly string[];
-	/** Replicas by data centre that may be withdrawn and that serve. */
+	/** Replicas by data centre that may be withdrawn and that serve, without those that are leaving. */
 	readonly reclaimableReady: ReadonlyMap<string, number>;
-	/** Whether the others have been given up before. */
+	/** Kept replicas that are ordered now. */
+	readonly keptOrdered: number;
+	/** Whether the first fleet has been given up for replicas that may be withdrawn. */
 	readonly isSettled: boolean;
 	/** Whether nothing runs at its replicas, so that none would be missed. */
 	readonly isIdle: boolean;
@@ -33,16 +36,17 @@
 
 /** Part of the first fleet that must still stand when data centres are withdrawn. */
 const survivingPart = 0.8;
-/** Part of the first fleet below which others are ordered again. */
-const leastPart = 0.35;
-/** Part of the first fleet that must serve before the others are given up. */
+/** Part of the first fleet that must serve; what is missing is bridged by kept replicas. */
+const neededPart = 0.75;
+/** Part of the first fleet that must serve before it is given up. */
 const firstPart = 0.6;
 /** Data centres that may be withdrawn one upon the other, before the first comes back. */
 const dataCentresLost = 2;
 
 /**
- * As many withdrawable replicas in each data centre as carry the load when data centres are withdrawn; the others are given up
- * once those serve.
+ * As many withdrawable replicas in each data centre as carry the load when data centres are withdrawn. Where more of
+ * them go, and no others are to be had for a while, kept replicas stand in for exactly what is missing, ordered with the
+ * notice and given up when the others are back.
  */
 export class SurvivingDataCentresPolicy extends FleetPolicy {
 	/** @returns The policy. */
@@ -51,31 +55,46 @@
 	}
 
 	override plan(facts: FleetFacts): readonly StandingOrder[] {
-		const {service, scaling, baseline, dataCentres} = facts;
+		const {service, scaling, baseline, dataCentres, isSettled} = facts;
 		const surviving = Math.max(1, dataCentres.length - dataCentresLost);
 		const each = Math.ceil(baseline * survivingPart / surviving);
 		const wanted = Math.min(scaling.maximum, Math.max(scaling.minimum, each));
-		const kept = this.needsKept(facts, wanted) ? Math.min(scaling.maximum, Math.ceil(baseline / Math.max(1, dataCentres.length))) : 0;
-		// The maximum holds for both sorts together.
-		const reclaimable = Math.min(wanted, scaling.maximum - kept);
-		return dataCentres.map(dataCentre => ({
-			service, dataCentre, reclaimable, kept,
-		}));
+		const kept = isSettled ? this.bridge(facts, wanted) : this.firstFleet(facts, wanted);
+		return dataCentres.map(dataCentre => {
+			const keptHere = kept.get(dataCentre) ?? 0;
+			// The maximum holds for both sorts together.
+			return {
+				service, dataCentre, reclaimable: Math.min(wanted, scaling.maximum - keptHere), kept: keptHere,
+			};
+		});
 	}
 
-	/** Kept replicas stay until the others serve, and come back where too few of those are left. */
-	private needsKept({baseline, dataCentres, reclaimableReady, isSettled, isIdle}: FleetFacts, wanted: number): boolean {
+	/** The first fleet stays until enough of the others serve, unless nothing runs yet. */
+	private firstFleet({scaling, baseline, dataCentres, reclaimableReady, isIdle}: FleetFacts, wanted: number): ReadonlyMap<string, number> {
 		const serving = sumOf(dataCentres.map(dataCentre => Math.min(wanted, reclaimableReady.get(dataCentre) ?? 0)));
-		const isShort = serving < baseline * (isSettled ? leastPart : firstPart);
-		return isShort && (isSettled || !isIdle);
+		const isKept = !isIdle && serving < baseline * firstPart;
+		const each = Math.min(scaling.maximum, Math.ceil(baseline / Math.max(1, dataCentres.length)));
+		return new Map(isKept ? dataCentres.map(dataCentre => [dataCentre, each]) : []);
 	}
-}
 
-function sumOf(numbers: readonly number[]): number {
-	let total = 0;
-	for (const number of numbers) {
-		total += number;
+	/** The cheapest data centres first: kept replicas are not withdrawn, so they need no spreading. */
+	private bridge(facts: FleetFacts, wanted: number): ReadonlyMap<string, number> {
+		const {scaling, dataCentres} = facts;
+		const priceOf = (dataCentre: string) => scaling.dataCentrePrices.get(dataCentre) ?? 1;
+		const byPrice = [...dataCentres].sort((left, right) => priceOf(left) - priceOf(right));
+		const room = Math.max(0, scaling.maximum - wanted);
+		let missing = this.missing(facts);
+		return new Map(byPrice.map(dataCentre => {
+			const here = Math.min(room, missing);
+			missing -= here;
+			return [dataCentre, here];
+		}));
 	}
 
-	return total;
+	/** Nothing is given up for as long as anything is missing. */
+	private missing({baseline, dataCentres, reclaimableReady, keptOrdered}: FleetFacts): number {
+		const serving = sumOf(dataCentres.map(dataCentre => reclaimableReady.get(dataCentre) ?? 0));
+		const missing = Math.ceil((baseline * neededPart) - serving);
+		return missing > 0 ? Math.max(missing, keptOrdered) : 0;
+	}
 }
--- a/src/duties/usage-duty.ts
+++ b/src/duties/usage-duty.ts
@@ -4,6 +4,7 @@
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
+import {sumOf} from '../base/sum.js';
 import type {StoreUnavailable} from '../follow/metadata-store.js';
 import type {DutyCalls} from './duty-calls.js';
 import type {DutyLease, DutyTaken} from './duty-lease.js';
@@ -91,7 +92,7 @@
 			yield * calls.reportUsage(permit.signer, report).pipe(
 				Effect.map(() => {
 					this.taken = report.window;
-					log.write('usageReported', {window: report.window, fence: permit.signer.fence, requests: totalOf(report.counts)});
+					log.write('usageReported', {window: report.window, fence: permit.signer.fence, requests: sumOf(report.counts.map(([, requests]) => requests))});
 				}),
 				Effect.catchTag('DutyRefusal', ({reason, detail}) => Effect.sync(() => {
 					log.write('dutyCallFailed', {
@@ -105,12 +106,3 @@
 		});
 	}
 }
-
-function totalOf(counts: ReadonlyArray<readonly [string, number]>): number {
-	let total = 0;
-	for (const [, requests] of counts) {
-		total += requests;
-	}
-
-	return total;
-}
--- a/src/limits/ceiling-owner.ts
+++ b/src/limits/ceiling-owner.ts
@@ -2,6 +2,7 @@
  * The side of a ceiling that grants: one box for each row, by rendezvous hash. It keeps nothing that would
  * be missed: what it does not know it reserves.
  */
+import {sumOf} from '../base/sum.js';
 import type {Clock} from '../base/clock.js';
 import type {BoxId} from '../base/identifiers.js';
 import {
@@ -70,11 +71,11 @@
 		const isActive = (other: BoxId) => now - (members.get(other)?.seenAt ?? Number.NEGATIVE_INFINITY) <= grantLifetime;
 		const others = everyone.filter(other => other !== box);
 		const reserve = (other: BoxId) => reserveFor(members.get(other), listed.includes(other) ? fairPart : 0, now);
-		const budget = ceiling - sum(others.filter(other => !isActive(other)).map(other => reserve(other)));
+		const budget = ceiling - sumOf(others.filter(other => !isActive(other)).map(other => reserve(other)));
 		const active = [box, ...others.filter(other => isActive(other))];
 		const parts = divideByDemand(budget, active.map(key => ({key, rate: members.get(key)!.demand})));
 		const wanted = parts.find(({key}) => key === box)!.rate;
-		const unreserved = ceiling - sum(others.map(other => reserve(other)));
+		const unreserved = ceiling - sumOf(others.map(other => reserve(other)));
 		const rate = Math.max(0, Math.min(this.isNew(now) ? fairPart : wanted, unreserved));
 		members.set(box, {demand, rate, seenAt: now});
 		this.forget(members, listed, now);
@@ -108,12 +109,3 @@
 
 	return age <= fallbackDelay + fallbackMargin ? Math.max(member.rate, fairPart) : fairPart;
 }
-
-const sum = (numbers: readonly number[]): number => {
-	let total = 0;
-	for (const number of numbers) {
-		total += number;
-	}
-
-	return total;
-};
--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -2,6 +2,7 @@
  * Decides which replica gets a request.
  */
 import {hashText} from '../base/rendezvous.js';
+import {sumOf} from '../base/sum.js';
 import type {Replica} from './replica.js';
 
 /** A part of a prompt, as far as the choice is concerned. */
@@ -147,12 +148,7 @@
 		const since = this.now() - partLifetime;
 		const firstMissing = sharedParts.findIndex(({id}) => (this.readAt.get(id)?.get(replica.entry.id) ?? Number.NEGATIVE_INFINITY) < since);
 		const kept = replica === home || firstMissing === -1 ? sharedParts : sharedParts.slice(0, firstMissing);
-		let tokens = 0;
-		for (const part of kept) {
-			tokens += part.tokens;
-		}
-
-		return tokens;
+		return sumOf(kept.map(({tokens}) => tokens));
 	}
 }
 
@@ -165,10 +161,5 @@
 }
 
 function meanErrorShare(replicas: readonly Replica[]): number {
-	let total = 0;
-	for (const {errorShare} of replicas) {
-		total += errorShare;
-	}
-
-	return total / Math.max(1, replicas.length);
+	return sumOf(replicas.map(({errorShare}) => errorShare)) / Math.max(1, replicas.length);
 }
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -3,6 +3,7 @@
  *
  * @remarks Source: docs/PLATFORM.md, "The way of a configuration".
  */
+import {sumOf} from '../base/sum.js';
 
 /** What may be done with a request whose first try brought nothing. */
 export type RouteKind = 'repeatable' | 'once' | 'stream';
@@ -176,12 +177,3 @@
 	});
 	return (picked ?? targets.at(-1))!.service;
 }
-
-function sumOf(numbers: readonly number[]): number {
-	let total = 0;
-	for (const number of numbers) {
-		total += number;
-	}
-
-	return total;
-}
