Boxes that take a large fleet for a small one are told better; kept replicas take the places of those that are gone

And with a maximum of six a data centre no place was left for kept replicas beside six that were ordered and gone. Ruled out: lost datagrams (the same boxes in each round), a wrong rank (all agree on the three). Change: who tells its state without asking is answered with the size of the fleet; kept replicas take the places of those that are gone, never of those that serve; nothing is bridged until the first ones have booted; the first fleet is counted 0.6 s after the last one of the services that are scaled (those that list themselves within 10 s still count).

--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -8,7 +8,7 @@
 import type {StoreUnavailable} from '../follow/metadata-store.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
-import type {Service} from '../routes/route-table.js';
+import type {Scaling, Service} from '../routes/route-table.js';
 import type {DutyCalls, DutyRefusal, ReplicaOrder} from './duty-calls.js';
 import type {ActPermit, DutyLease, DutyTaken} from './duty-lease.js';
 import type {DutyRecord, FirstFleet, StandingOrder} from './duty-record.js';
@@ -18,8 +18,8 @@
 const refusalPause = 1500;
 /** Milliseconds beyond the boot time after which replicas that are still missing are ordered again. */
 const missingPause = 3000;
-/** Milliseconds without a new replica after which the first fleet counts as whole: replicas list themselves in turn. */
-const settleTime = 1200;
+/** Milliseconds without a new replica of the services that are scaled after which the first fleet is counted. */
+const settleTime = 600;
 /** Milliseconds after it was counted in which replicas of the first fleet may still list themselves. */
 const lateListing = 10_000;
 
@@ -59,6 +59,8 @@
 	private readonly seen = new Map<string, ReadonlySet<string>>();
 	/** Monotonic milliseconds until which the first fleet is counted; only who finds none counted counts it. */
 	private countingUntil: number | undefined;
+	/** Monotonic milliseconds until which the replicas that take the first fleet's place boot, by service. */
+	private readonly bootingUntil = new Map<string, number>();
 
 	private constructor(private readonly services: FleetDutyServices) {}
 
@@ -68,7 +70,7 @@
 			const {lease, table} = this.services;
 			const record = lease.known;
 			const scaled = (table.inForce?.content.services ?? []).filter(({scaling}) => scaling !== undefined);
-			const isWhole = record?.baseline.length !== 0 || this.services.replicas.settledFor > settleTime;
+			const isWhole = record?.baseline.length !== 0 || scaled.every(({name}) => this.services.replicas.settledFor(name) > settleTime);
 			if (!record || scaled.length === 0 || !isWhole) {
 				return Effect.void;
 			}
@@ -113,10 +115,21 @@
 			isIdle: replicas.ready(name).every(({work}) => work.requests === 0),
 			keptOrdered: sumOf(before.map(({kept}) => kept)),
 			isSettled: first.isSettled === true,
+			isBooting: this.isBooting(name, scaling!, first),
 		};
 		return policy.plan(facts);
 	}
 
+	/** Right after the first fleet was given up the others are on their way, and nothing is missing that others could bridge sooner. */
+	private isBooting(service: string, {bootTime}: Scaling, {isSettled}: FirstFleet): boolean {
+		const now = this.services.clock.monotonic();
+		if (!isSettled) {
+			this.bootingUntil.set(service, now + bootTime + missingPause);
+		}
+
+		return now < (this.bootingUntil.get(service) ?? 0);
+	}
+
 	/** What is added goes first: what is given up is given up when the order before it was taken. */
 	private ordersOf({service, dataCentre, reclaimable, kept}: StandingOrder): readonly ReplicaOrder[] {
 		return [
--- a/src/duties/fleet-plan.ts
+++ b/src/duties/fleet-plan.ts
@@ -21,6 +21,8 @@
 	readonly keptOrdered: number;
 	/** Whether the first fleet has been given up for replicas that may be withdrawn. */
 	readonly isSettled: boolean;
+	/** Whether the replicas that take the first fleet's place may still be booting. */
+	readonly isBooting: boolean;
 	/** Whether nothing runs at its replicas, so that none would be missed. */
 	readonly isIdle: boolean;
 };
@@ -40,6 +42,8 @@
 const neededPart = 0.75;
 /** Part of the first fleet that must serve before it is given up. */
 const firstPart = 0.6;
+/** Part of the kept replicas that is missing still below which some of them are given up. */
+const leastDecrease = 0.5;
 /** Data centres that may be withdrawn one upon the other, before the first comes back. */
 const dataCentresLost = 2;
 
@@ -59,7 +63,7 @@
 		const surviving = Math.max(1, dataCentres.length - dataCentresLost);
 		const each = Math.ceil(baseline * survivingPart / surviving);
 		const wanted = Math.min(scaling.maximum, Math.max(scaling.minimum, each));
-		const kept = isSettled ? this.bridge(facts, wanted) : this.firstFleet(facts, wanted);
+		const kept = isSettled ? this.bridge(facts) : this.firstFleet(facts, wanted);
 		return dataCentres.map(dataCentre => {
 			const keptHere = kept.get(dataCentre) ?? 0;
 			// The maximum holds for both sorts together.
@@ -78,23 +82,32 @@
 	}
 
 	/** The cheapest data centres first: kept replicas are not withdrawn, so they need no spreading. */
-	private bridge(facts: FleetFacts, wanted: number): ReadonlyMap<string, number> {
-		const {scaling, dataCentres} = facts;
+	private bridge(facts: FleetFacts): ReadonlyMap<string, number> {
+		const {scaling, dataCentres, reclaimableReady} = facts;
 		const priceOf = (dataCentre: string) => scaling.dataCentrePrices.get(dataCentre) ?? 1;
 		const byPrice = [...dataCentres].sort((left, right) => priceOf(left) - priceOf(right));
-		const room = Math.max(0, scaling.maximum - wanted);
 		let missing = this.missing(facts);
 		return new Map(byPrice.map(dataCentre => {
+			// Those that are gone leave their places to kept ones.
+			const room = Math.max(0, scaling.maximum - (reclaimableReady.get(dataCentre) ?? 0));
 			const here = Math.min(room, missing);
 			missing -= here;
 			return [dataCentre, here];
 		}));
 	}
 
-	/** Nothing is given up for as long as anything is missing. */
-	private missing({baseline, dataCentres, reclaimableReady, keptOrdered}: FleetFacts): number {
+	/** Less is ordered only where that is much less: withdrawable replicas come back one after the other. */
+	private missing({baseline, dataCentres, reclaimableReady, keptOrdered, isBooting}: FleetFacts): number {
+		if (isBooting) {
+			return keptOrdered;
+		}
+
 		const serving = sumOf(dataCentres.map(dataCentre => reclaimableReady.get(dataCentre) ?? 0));
 		const missing = Math.ceil((baseline * neededPart) - serving);
-		return missing > 0 ? Math.max(missing, keptOrdered) : 0;
+		if (missing <= 0) {
+			return 0;
+		}
+
+		return missing < keptOrdered && missing > keptOrdered * leastDecrease ? keptOrdered : missing;
 	}
 }
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -149,7 +149,9 @@
 
 	private hear(socket: Socket, data: Uint8Array): void {
 		const message = parse(data);
-		const {peers, self, take, takeDigest, incarnation} = this.services;
+		const {
+			peers, topology, self, take, takeDigest, incarnation,
+		} = this.services;
 		if (!message || message.sender.name === self.name) {
 			return;
 		}
@@ -168,7 +170,8 @@
 			take(message, meeting);
 		}
 
-		if (message.asksDigest) {
+		// Who tells its state without asking takes the fleet for a small one.
+		if (message.asksDigest === true || (topology.isLarge && !message.digest)) {
 			this.answer(socket, message.sender.name);
 		}
 	}
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -10,6 +10,8 @@
 
 /** Milliseconds for which the size of the fleet counts that others told. */
 const toldSizeLifetime = 20_000;
+/** Milliseconds for which a smaller size that is told does not take its place. */
+const largerSizeLifetime = 2000;
 /** Milliseconds since its start up to which a box of a large fleet is taken to have told nobody else before. */
 const newcomerUptime = 2500;
 
@@ -116,7 +118,11 @@
 
 	/** @param boxes - How many boxes another one knows of. */
 	noteFleetSize(boxes: number): void {
-		this.toldSize = {boxes, at: this.clock.monotonic()};
+		const now = this.clock.monotonic();
+		// A box that hears few others may answer as well; the larger word counts for a while.
+		if (boxes >= this.toldSize.boxes || now - this.toldSize.at > largerSizeLifetime) {
+			this.toldSize = {boxes, at: now};
+		}
 	}
 
 	/** @param name - A box that a message is sent to. */
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -72,11 +72,11 @@
 	 * @returns What this one knows of all others.
 	 */
 	digestFor({last}: Peer): FleetDigest {
-		const {services: {quota}, peers, replicaRole} = this.parts;
+		const {services: {quota}, peers, topology, replicaRole} = this.parts;
 		const own = new Map((last?.work ?? []).map(entry => [entry.replica, entry]));
 		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
 		return {
-			boxes: peers.knownBoxes,
+			boxes: topology.isAggregator ? peers.knownBoxes : peers.boxes,
 			quota: last ? quota.levelsFor(startOf(last)) : [],
 			work: this.allWork().map(load => without(load, own.get(load.replica))).filter(({requests}) => requests > 0),
 			...(changes ? {changes} : {}),
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -39,10 +39,12 @@
 	private lately: readonly Replica[] = [];
 	private readonly goneListeners: ReplicaListener[] = [];
 	private known = false;
-	private lastListedAt: number;
+	/** When a replica was last listed for the first time, by service. */
+	private readonly lastListedAt = new Map<string, number>();
+	private readonly startedAt: number;
 
 	private constructor(private readonly clock: Clock, private readonly log: EventLog) {
-		this.lastListedAt = clock.monotonic();
+		this.startedAt = clock.monotonic();
 	}
 
 	/** Whether a list has been read. */
@@ -50,11 +52,6 @@
 		return this.known;
 	}
 
-	/** Milliseconds since a replica was last listed for the first time. */
-	get settledFor(): number {
-		return this.clock.monotonic() - this.lastListedAt;
-	}
-
 	/** All that are listed. */
 	get all(): readonly Replica[] {
 		return [...this.replicas.values()];
@@ -72,6 +69,14 @@
 		return [...this.departures.values()].map(({id, revision}) => ({id, revision}));
 	}
 
+	/**
+	 * @param service - Name of a service.
+	 * @returns Milliseconds since one of its replicas was last listed for the first time.
+	 */
+	settledFor(service: string): number {
+		return this.clock.monotonic() - (this.lastListedAt.get(service) ?? this.startedAt);
+	}
+
 	/** @param listener - Called with a replica that is listed no longer. */
 	onDidGo(listener: ReplicaListener): void {
 		this.goneListeners.push(listener);
@@ -144,7 +149,7 @@
 		}
 
 		this.replicas.set(entry.id, added);
-		this.lastListedAt = this.clock.monotonic();
+		this.lastListedAt.set(entry.service, this.clock.monotonic());
 		this.log.write('replicaListed', {
 			replica: entry.id, service: entry.service, dataCentre: entry.dataCentre, address: `${entry.host}:${entry.port}`, isDraining: entry.isDraining,
 		});
