A relay outlives signals in quick succession, also before its listener is back

Cause, found by the new test of the process: the listener for SIGHUP was taken off while the settings were read, and a SIGHUP in that moment ended the process (Node's default). The same held for a second SIGTERM, which cut what the first one lets end. Ruled out: the settings file (bad ones were told and left what was in force). Change: listeners that stay for the life of the process. Before: 20 SIGHUPs in a row ended the process.

--- a/src/command/relay-command.ts
+++ b/src/command/relay-command.ts
@@ -15,7 +15,7 @@
 import {decodeRelaySettings, type RelaySettings} from '../settings/relay-settings.js';
 import {exitCode, type ExitCode} from './exit-code.js';
 import {reachPlatform} from './reach-platform.js';
-import {signalled} from './signals.js';
+import {onSignal, signalled} from './signals.js';
 
 /** Milliseconds between two looks at the settings file, which may change without a signal. */
 const settingsInterval = 1000;
@@ -65,8 +65,12 @@
 		settings.read();
 	});
 	const serving = Effect.gen(function * () {
+		yield * onSignal('SIGHUP', () => {
+			settings.read();
+		});
+		// A second one must not cut what the first one lets end.
+		yield * onSignal('SIGTERM', ignore);
 		yield * Effect.forkScoped(Effect.repeat(reading, Schedule.spaced(settingsInterval)));
-		yield * Effect.forkScoped(Effect.forever(signalled('SIGHUP').pipe(Effect.andThen(reading))));
 		settings.read();
 		// Bad settings end nothing: they may be mended while the process waits.
 		while (!settings.current) {
@@ -83,3 +87,5 @@
 	await Effect.runPromise(Effect.scoped(serving));
 	return exitCode.done;
 }
+
+const ignore = () => undefined;
--- /dev/null
+++ b/src/command/test/relay-process.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {request} from 'node:http';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {afterEach, beforeEach, test} from 'node:test';
+import {Child} from '../../../development/harness/child.js';
+import {RelayInstallation, until} from '../../../development/relay/relay-installation.js';
+
+let folder: string;
+let child: Child | undefined;
+let installation: RelayInstallation | undefined;
+
+beforeEach(() => {
+	folder = mkdtempSync(path.join(tmpdir(), 'waydrift-relay-'));
+});
+
+afterEach(async () => {
+	await child?.kill();
+	await installation?.close();
+	child = undefined;
+	installation = undefined;
+	rmSync(folder, {recursive: true});
+});
+
+const freePort = async (): Promise<number> => {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return port;
+};
+
+type Ports = {readonly front: number; readonly ready: number; readonly control: number; readonly metrics: number};
+
+const portsOf = async (): Promise<Ports> => {
+	const [front, ready, control, metrics] = await Promise.all(Array.from({length: 4}, async () => freePort()));
+	return {
+		front: front!, ready: ready!, control: control!, metrics: metrics!,
+	};
+};
+
+const settingsText = (ports: Ports, store: number, grace = 8): string => `
+node: box-1
+dataCentre: a
+listen: {front: "127.0.0.1:${ports.front}", ready: "127.0.0.1:${ports.ready}", control: "127.0.0.1:${ports.control}"}
+metrics: {port: ${ports.metrics}}
+seeds: []
+isFirstStart: true
+store: {address: "127.0.0.1:${store}"}
+duties: {address: null, kinds: null}
+bounds: {grace: ${grace}, revoke: 5000, isRevocationStrict: true, retryRatio: 0.2, retryWindow: 10, retrySlack: 60, lease: 3000, reportWindow: 5, reportDelay: 10}
+`;
+
+const file = (): string => path.join(folder, 'settings.yaml');
+const write = (text: string) => {
+	writeFileSync(file(), text);
+};
+
+const statusOf = async (port: number, target: string): Promise<number> => new Promise(resolve => {
+	request({host: '127.0.0.1', port, path: target}, answer => {
+		answer.resume();
+		resolve(answer.statusCode ?? 0);
+	}).on('error', () => {
+		resolve(0);
+	}).end();
+});
+
+const linesOf = (name: string) => child!.lines.filter(({eventName}) => eventName === name);
+const start = () => {
+	child = Child.start('src/command/main.js', ['relay', '--settings', file()]);
+};
+
+test('bad settings and settings that are missing are told and end nothing; mended without a signal the relay serves', async () => {
+	installation = await RelayInstallation.start({relays: 0, replicas: ['i-1']});
+	const ports = await portsOf();
+	start();
+	const missing = await child!.line(({eventName}) => eventName === 'settingsInvalid');
+	assert.match(String(missing.detail), /ENOENT/v);
+	write(settingsText(ports, installation.store.port).replace('grace: 8', 'grace: soon'));
+	const bad = await child!.line(({eventName, detail}) => eventName === 'settingsInvalid' && !String(detail).includes('ENOENT'));
+	assert.match(String(bad.detail), /bounds\.grace/v);
+	write(settingsText(ports, installation.store.port));
+	await child!.line(({eventName}) => eventName === 'relayStarted');
+	let status = 0;
+	await until(() => {
+		void statusOf(ports.ready, '/api/readyz').then(found => {
+			status = found;
+		});
+		return status === 200;
+	});
+	assert.equal(child!.isEnded, false);
+});
+
+test('a store that cannot be reached at the start means 503, a line that says so, and no end', async () => {
+	const ports = await portsOf();
+	write(settingsText(ports, await freePort()));
+	start();
+	await child!.line(({eventName}) => eventName === 'storeLost');
+	assert.equal(await statusOf(ports.ready, '/api/readyz'), 503);
+	assert.equal(await statusOf(ports.front, '/calls/x'), 503);
+	assert.equal(child!.isEnded, false);
+});
+
+test('SIGHUP after SIGHUP reloads the settings and ends nothing, and bad ones leave what was in force', async () => {
+	const ports = await portsOf();
+	write(settingsText(ports, await freePort()));
+	start();
+	await child!.line(({eventName}) => eventName === 'relayStarted');
+	write(settingsText(ports, 1, 9));
+	for (let signal = 0; signal < 20; signal++) {
+		child!.signal('SIGHUP');
+	}
+
+	await child!.line(({eventName, isReload}) => eventName === 'settingsApplied' && isReload === true);
+	write('node: [');
+	child!.signal('SIGHUP');
+	await child!.line(({eventName}) => eventName === 'settingsInvalid');
+	assert.equal(linesOf('settingsApplied').length, 2);
+	assert.equal(child!.isEnded, false);
+	child!.signal('SIGTERM');
+	await child!.line(({eventName}) => eventName === 'relayStopping');
+	child!.signal('SIGTERM');
+	await child!.exited;
+	assert.equal(linesOf('relayStopped').length, 1, 'it ends by itself when asked to');
+});
