Duties: the lesser part of a fleet that is cut in two looks for signs of life first; drafts from the first moment

In calm the order of aggregators wavered, because one that was slow for 1.2 s was passed over. Ruled out: a third machine holding the duties (the fences rise by one each time), a draft that does not decode. Change: who hears less than half of the boxes takes the duties over only when the draft, which the holder writes every second, has not changed for 4 s; a holder gives up after 2 s out of hearing; five unanswered messages in place of three; the draft is written as soon as the duties are held, in the step that reads it.

--- a/src/duties/duty-campaign.ts
+++ b/src/duties/duty-campaign.ts
@@ -26,8 +26,8 @@
 const candidateSilence = 2500;
 /** Milliseconds of silence after which a holder is taken to be out of the store's reach. */
 const holderSilence = 4500;
-/** Part of the boxes that must be heard: a box that is cut off leaves the duties to the others. */
-const leastHeardPart = 0.25;
+/** Part of the boxes that must be heard to take the duties over from a box that may only be out of hearing. */
+const majorityPart = 0.5;
 
 /**
  * @param facts - What the decision rests on.
@@ -51,8 +51,8 @@
  * @returns Whether this box is the one to take the duties over: the box that held them last, where it is
  * there again, since its own acts need not be waited out; else the first by name.
  */
-export function isCandidate({self, record, rivals, heardPart, storeSilence, isStopping, isAggregator}: CampaignFacts): boolean {
-	if (isStopping || !isAggregator || storeSilence > candidateSilence || heardPart < leastHeardPart) {
+export function isCandidate({self, record, rivals, storeSilence, isStopping, isAggregator}: CampaignFacts): boolean {
+	if (isStopping || !isAggregator || storeSilence > candidateSilence) {
 		return false;
 	}
 
@@ -63,3 +63,14 @@
 
 	return !others.includes(record?.holder ?? '') && others.every(name => self < name);
 }
+
+/**
+ * Two parts of a fleet may both reach the store and not each other. The greater one goes ahead; the lesser one takes the
+ * duties over only where nobody shows life in the store.
+ *
+ * @param facts - What the decision rests on.
+ * @returns Whether this box is to look for signs of life first.
+ */
+export function mustLookForLife({heardPart, record, self}: CampaignFacts): boolean {
+	return heardPart < majorityPart && record !== undefined && record.holder !== '' && record.holder !== self;
+}
--- /dev/null
+++ b/src/duties/test/duty-campaign.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {StoreStandin} from '../../../development/relay/store-standin.js';
+import {HttpMetadataStore} from '../../../platform/metadata-store.js';
+import {isCandidate, mustLookForLife, type CampaignFacts} from '../duty-campaign.js';
+import {firstRecord} from '../duty-record.js';
+import {HolderLife} from '../holder-life.js';
+
+const facts = (changes: Partial<CampaignFacts>): CampaignFacts => ({
+	self: 'box-2', incarnation: 'one', record: {
+		...firstRecord, holder: 'box-1', incarnation: 'x', fence: 3,
+	}, heard: [], rivals: [], heardPart: 1, storeSilence: 0,
+	isStopping: false, isAggregator: true, ...changes,
+});
+
+test('the lesser part of a fleet that is cut in two looks for signs of life before it takes the duties over, the greater one does not', () => {
+	assert.equal(mustLookForLife(facts({heardPart: 0.35})), true);
+	assert.equal(mustLookForLife(facts({heardPart: 0.65})), false);
+	assert.equal(mustLookForLife(facts({heardPart: 0.35, record: firstRecord})), false, 'nobody holds them');
+	assert.equal(mustLookForLife(facts({heardPart: 0.35, self: 'box-1'})), false, 'this box held them last');
+});
+
+test('a box that few others tell is no candidate', () => {
+	assert.equal(isCandidate(facts({})), true);
+	assert.equal(isCandidate(facts({isAggregator: false})), false);
+});
+
+test('a holder that writes its draft lives, and one that writes nothing for long does not', async () => {
+	const standin = await StoreStandin.start();
+	const clock = new MovedClock(10_000);
+	const life = HolderLife.create(HttpMetadataStore.create('127.0.0.1', standin.port), clock);
+	const look = async (write: boolean): Promise<boolean> => {
+		clock.now += 1100;
+		if (write) {
+			standin.put('waydrift-duties', 'usage', {starts: [], at: clock.now});
+		}
+
+		return Effect.runPromise(life.mayLive());
+	};
+
+	for (let round = 0; round < 8; round++) {
+		assert.equal(await look(true), true);
+	}
+
+	const silent = [await look(false), await look(false), await look(false), await look(false)];
+	assert.deepEqual(silent, [true, true, true, false]);
+	clock.now += 60_000;
+	assert.equal(await look(false), true, 'what was seen long ago says nothing');
+	await standin.close();
+});
--- a/src/duties/usage-draft.ts
+++ b/src/duties/usage-draft.ts
@@ -11,8 +11,8 @@
 import type {StartUsage, UsageCounts} from './usage-counts.js';
 
 /** Kind and name of the object. */
-const draftKind = 'waydrift-duties';
-const draftName = 'usage';
+export const draftKind = 'waydrift-duties';
+export const draftName = 'usage';
 /** Milliseconds between two writes. */
 const writeInterval = 1000;
 /** Windows that a draft holds; older ones have been reported. */
@@ -54,17 +54,13 @@
 
 	private constructor(private readonly services: UsageDraftServices) {}
 
-	/** @returns Takes over what stands in the store, once; then writes now and then. */
+	/** @returns Takes over what stands in the store, once, and writes now and then. */
 	step(): Effect.Effect<void, StoreUnavailable> {
-		return Effect.suspend(() => {
-			if (!this.isRead) {
-				return this.read();
-			}
-
-			return this.services.clock.monotonic() - this.writtenAt < writeInterval
-				? Effect.void
-				: this.write().pipe(Effect.catchTag('RevisionConflict', () => this.read()));
-		});
+		const reading = Effect.suspend(() => this.isRead ? Effect.void : this.read());
+		const writing = Effect.suspend(() => this.services.clock.monotonic() - this.writtenAt < writeInterval
+			? Effect.void
+			: this.write().pipe(Effect.catchTag('RevisionConflict', () => this.read())));
+		return reading.pipe(Effect.andThen(writing));
 	}
 
 	private read(): Effect.Effect<void, StoreUnavailable> {
--- a/src/gossip/exchange-topology.ts
+++ b/src/gossip/exchange-topology.ts
@@ -17,7 +17,7 @@
 /** Boxes from which rounds of a large fleet grow longer, so that an aggregator's work does not grow with the fleet. */
 const boxesAtLargeInterval = 100;
 /** Messages without an answer after which an aggregator is passed over. */
-const mostUnanswered = 3;
+const mostUnanswered = 5;
 /** Rounds after which one that was passed over is asked again. */
 const roundsBetweenTrials = 5;
 /** Rounds without a message after which a box counts as silent. */
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -5,11 +5,14 @@
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import type {Role} from '../daemon/role.js';
-import {isCandidate, isHolderAtWork, type CampaignFacts} from '../duties/duty-campaign.js';
+import {
+	isCandidate, isHolderAtWork, mustLookForLife, type CampaignFacts,
+} from '../duties/duty-campaign.js';
 import type {DutyCalls} from '../duties/duty-calls.js';
 import {DutyLease} from '../duties/duty-lease.js';
 import {FleetDuty} from '../duties/fleet-duty.js';
 import {SurvivingDataCentresPolicy} from '../duties/fleet-plan.js';
+import {HolderLife} from '../duties/holder-life.js';
 import {UsageDraft} from '../duties/usage-draft.js';
 import {UsageDuty} from '../duties/usage-duty.js';
 import type {ExchangeTopology} from '../gossip/exchange-topology.js';
@@ -26,6 +29,8 @@
 /** Milliseconds after the start in which other boxes are heard for the first time. */
 const settleTime = 900;
 const failurePause = 700;
+/** Milliseconds for which a holder may be told by few others before it gives the duties up. */
+const longestOutOfHearing = 2000;
 
 /** What the duties need. */
 export type DutyParts = {
@@ -63,6 +68,9 @@
 	private readonly usage: UsageDuty;
 	private readonly fleet: FleetDuty;
 	private readonly draft: UsageDraft;
+	private readonly life: HolderLife;
+	/** Monotonic milliseconds at which all others last told this box. */
+	private aggregatorAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly parts: DutyParts, calls: DutyCalls) {
 		const {self, incarnation, link: {store}, clock, log, settings, services, peers} = parts;
@@ -80,6 +88,7 @@
 			delay: () => settings().bounds.reportDelay,
 			hasHeardAll: within => peers.all.every(({heardAt}) => clock.monotonic() - heardAt <= within),
 		});
+		this.life = HolderLife.create(store, clock);
 		this.draft = UsageDraft.create({
 			start: `${self}/${incarnation}`, store, counts: services.usage, clock,
 		});
@@ -101,8 +110,7 @@
 		return Effect.gen({self: this}, function * () {
 			const {lease} = this;
 			this.parts.metrics.leaseHeld.set(lease.isHeld ? 1 : 0);
-			// Only a box that all others tell can count what they did.
-			if (lease.isHeld && (this.parts.isStopping() || !this.parts.topology.isAggregator)) {
+			if (lease.isHeld && (this.parts.isStopping() || this.isOutOfHearing())) {
 				yield * lease.release();
 				return;
 			}
@@ -111,14 +119,26 @@
 				yield * this.campaign();
 			}
 
-			if (lease.mayAct) {
+			// Counts are kept from the first moment on, also while the acts of the holder before are waited out.
+			if (lease.isHeld) {
 				yield * this.draft.step();
+			}
+
+			if (lease.mayAct) {
 				yield * this.usage.step();
 				yield * this.fleet.step();
 			}
 		});
 	}
 
+	/** Only a box that all others tell can count what they did; the order of boxes may waver for a moment. */
+	private isOutOfHearing(): boolean {
+		const {topology, clock} = this.parts;
+		const now = clock.monotonic();
+		this.aggregatorAt = topology.isAggregator ? now : this.aggregatorAt;
+		return now - this.aggregatorAt > longestOutOfHearing;
+	}
+
 	private campaign() {
 		return Effect.gen({self: this}, function * () {
 			if (!this.lease.known) {
@@ -130,9 +150,11 @@
 			}
 
 			yield * this.lease.look();
-			if (!isHolderAtWork(this.facts())) {
-				yield * this.lease.acquire();
+			if (isHolderAtWork(this.facts()) || (mustLookForLife(this.facts()) && (yield * this.life.mayLive()))) {
+				return;
 			}
+
+			yield * this.lease.acquire();
 		});
 	}
 
