A part of a large fleet that is cut off goes on knowing which part it is

Change: the size of the fleet that was told counts for 20 s, as long as a silent member does, and heardPart goes by it. Test: gossip-proof (fails before: the size shrank after 2 s).

--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -10,8 +10,6 @@
 
 /** Milliseconds for which the size of the fleet counts that others told. */
 const toldSizeLifetime = 20_000;
-/** Milliseconds for which a smaller size that is told does not take its place. */
-const largerSizeLifetime = 2000;
 /** Milliseconds since its start up to which a box of a large fleet is taken to have told nobody else before. */
 const newcomerUptime = 2500;
 
@@ -90,7 +88,7 @@
 
 	/** Part of all boxes that are heard of, this one too; above 0, at most 1. */
 	get heardPart(): number {
-		return (this.heard.length + 1) / (this.peers.size + 1);
+		return (this.heard.length + 1) / this.boxes;
 	}
 
 	/** How many boxes there are, this one too. */
@@ -119,8 +117,8 @@
 	/** @param boxes - How many boxes another one knows of. */
 	noteFleetSize(boxes: number): void {
 		const now = this.clock.monotonic();
-		// A box that hears few others may answer as well; the larger word counts for a while.
-		if (boxes >= this.toldSize.boxes || now - this.toldSize.at > largerSizeLifetime) {
+		// In a part of the fleet that is cut off all would soon know of few others, and each part would spend the whole quota.
+		if (boxes >= this.toldSize.boxes || now - this.toldSize.at > toldSizeLifetime) {
 			this.toldSize = {boxes, at: now};
 		}
 	}
--- a/src/gossip/test/gossip-proof.test.ts
+++ b/src/gossip/test/gossip-proof.test.ts
@@ -56,3 +56,22 @@
 	assert.equal(table.boxes, 1);
 	assert.equal(table.heardPart, 1);
 });
+
+test('a part of a large fleet that is cut off goes on knowing how large the fleet is, and so which part it is', () => {
+	const clock = new MovedClock(1000);
+	const table = PeerTable.create('self', clock, SilentEventLog.create());
+	table.noteFleetSize(86);
+	for (let second = 1; second < 12; second++) {
+		clock.now += 1000;
+		table.noteFleetSize(4);
+		for (const name of ['a', 'b', 'c']) {
+			table.take(message(name, {sequence: second}));
+		}
+
+		assert.ok(table.heardPart <= 4 / 86);
+	}
+
+	clock.now += 25_000;
+	table.noteFleetSize(4);
+	assert.equal(table.boxes, 4);
+});
