Quota of large fleets: boxes begin their shares out of phase, and leave a little of the rate in a rush

A bucket above zero lets a request pass whatever its size; 86 boxes that begin to spend shares, or fair parts when cut off, at the same moment each let one pass. Change: each begins as though it were somewhere between two requests; shares are spent at 0.85 of the rate, led by the level. Tests: quota-ledger, nine passed.

--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -47,6 +47,8 @@
 	readonly bound: (clientAccount: string) => QuotaBound | undefined;
 	/** @returns Part of all boxes that are heard of, this one too; above 0, at most 1. */
 	readonly heardPart: () => number;
+	/** @returns A number from 0 to 1. */
+	readonly random?: () => number;
 };
 
 type Bucket = {
@@ -60,6 +62,8 @@
 	share: number | undefined;
 	/** How much faster or slower than the rate the share is spent, so that the whole bucket is led back to zero. */
 	pace: number;
+	/** Mean units of a request. */
+	meanUnits: number;
 	readonly askMeter: RateMeter;
 	readonly ownMeter: RateMeter;
 	readonly othersMeter: RateMeter;
@@ -77,12 +81,15 @@
 const calmPart = 0.95;
 /** Milliseconds in which a bucket below zero is led back to it. */
 const recoveryTime = 2000;
-const slowestPace = 0.5;
-const fastestPace = 1.2;
+const slowestPace = 0.3;
+/** Where more is asked for than there is, a little is left for what boxes do not know of each other yet. */
+const usualPace = 0.85;
+const fastestPace = 1;
 /** Milliseconds for which a box may save its share. */
 const savingTime = 1000;
 /** Milliseconds over which what is asked for is measured: a rush must be seen within a round. */
 const askTimeConstant = 400;
+const meanWeight = 0.1;
 /** Milliseconds for which what a box asked for counts. */
 const askLifetime = 2000;
 
@@ -139,6 +146,7 @@
 		const bucket = this.bucketOf(clientAccount);
 		this.refill(clientAccount, bucket);
 		bucket.askMeter.note(units);
+		bucket.meanUnits += (units - bucket.meanUnits) * (bucket.meanUnits === 0 ? 1 : meanWeight);
 		if (bucket.level <= 0) {
 			return Math.max(1, -bucket.level / bound.rate * millisecondsPerSecond);
 		}
@@ -252,9 +260,17 @@
 
 		const own = bucket.askMeter.rate;
 		const share = own <= 0 ? 0 : own / Math.max(askRate, own);
-		bucket.level = bucket.share === undefined ? Math.max(0, left) * share : bucket.level;
+		bucket.level = bucket.share === undefined ? (Math.max(0, left) * share) - this.phaseOf(bucket) : bucket.level;
 		bucket.share = share;
-		bucket.pace = Math.min(fastestPace, Math.max(slowestPace, 1 + (level / Math.max(1, (bound?.rate ?? 0) * recoveryTime / millisecondsPerSecond))));
+		bucket.pace = Math.min(fastestPace, Math.max(slowestPace, usualPace + (level / Math.max(1, (bound?.rate ?? 0) * recoveryTime / millisecondsPerSecond))));
+	}
+
+	/**
+	 * A bucket that is above zero lets a request pass whatever its size. Where many boxes begin to spend small parts, all
+	 * would let one pass at once; each begins as though it were somewhere between two requests.
+	 */
+	private phaseOf({meanUnits}: Bucket): number {
+		return (this.facts.random ?? Math.random)() * meanUnits;
 	}
 
 	private askedAtOthers(clientAccount: string): number {
@@ -274,6 +290,7 @@
 			toldAt: Number.NEGATIVE_INFINITY,
 			share: undefined,
 			pace: 1,
+			meanUnits: 0,
 			askMeter: RateMeter.create(this.clock, askTimeConstant),
 			ownMeter: RateMeter.create(this.clock),
 			othersMeter: RateMeter.create(this.clock),
@@ -305,6 +322,12 @@
 			bucket.level = this.refilledLevel(bucket, bound, elapsed);
 		} else {
 			const part = this.facts.heardPart();
+			if (bucket.toldAt > Number.NEGATIVE_INFINITY) {
+				bucket.toldAt = Number.NEGATIVE_INFINITY;
+				bucket.share = undefined;
+				bucket.level = Math.min(bucket.level, bound.burst * part) - this.phaseOf(bucket);
+			}
+
 			bucket.level = Math.min(bound.burst * part, bucket.level + (elapsed * bound.rate * part / millisecondsPerSecond));
 		}
 	}
