Quota of large fleets: shares are shares of what the aggregator refills, not of the whole rate

Each box that lost an aggregator went on to the next that it knew of, so some fifteen boxes aggregated for parts of the fleet, and each box spent its share of its part's demand of the WHOLE rate. Change: a digest tells what the bucket is refilled with (the rate times the part that is heard), and shares and rushes go by it.

--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -36,6 +36,8 @@
 		clientAccount: Schema.String,
 		/** How full the bucket is. */
 		level: Schema.Number,
+		/** Units a second that the bucket is refilled with. */
+		refillRate: Schema.Number,
 		/** Units a second that all boxes let pass lately. */
 		passRate: Schema.Number,
 		/** Units a second that are asked for at all boxes. */
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -33,6 +33,8 @@
 export type QuotaLevel = {
 	readonly clientAccount: string;
 	readonly level: number;
+	/** Units a second that the bucket is refilled with: what is left to boxes that are not heard is not in it. */
+	readonly refillRate: number;
 	/** Units a second that all boxes let pass lately. */
 	readonly passRate: number;
 	/** Units a second that are asked for at all boxes. */
@@ -59,6 +61,8 @@
 	passed: number;
 	/** Units a second that the others let pass, as it was last told, and when. */
 	othersRate: number;
+	/** Units a second that the bucket is refilled with, as it was told. */
+	refillRate: number;
 	toldAt: number;
 	/** Part of the rate that is this box's where little is left; `undefined` where there is plenty for all. */
 	share: number | undefined;
@@ -216,6 +220,7 @@
 			return {
 				clientAccount,
 				level: Math.round(bucket.level),
+				refillRate: Math.round((this.facts.bound(clientAccount)?.rate ?? 0) * this.facts.heardPart()),
 				passRate: Math.round(Math.max(0, bucket.ownMeter.rate + bucket.othersMeter.rate)),
 				askRate: Math.round(bucket.askMeter.rate + this.askedAtOthers(clientAccount)),
 				counted: counted?.get(clientAccount) ?? 0,
@@ -244,16 +249,19 @@
 	 * Where there is plenty every box may pass what comes. Where little is left all boxes would see the last of it at
 	 * once, and each would let one more request pass; then each spends its share of the rate alone.
 	 */
-	private adoptOne({clientAccount, level, passRate, askRate, counted}: QuotaLevel): void {
+	private adoptOne({
+		clientAccount, level, refillRate, passRate, askRate, counted,
+	}: QuotaLevel): void {
 		const bound = this.facts.bound(clientAccount);
 		const bucket = this.bucketOf(clientAccount);
 		const now = this.clock.monotonic();
 		this.refill(clientAccount, bucket);
 		bucket.toldAt = now;
+		bucket.refillRate = refillRate;
 		bucket.othersRate = Math.max(0, passRate - bucket.ownMeter.rate);
 		const onItsWay = Math.min(askRate * inFlight / millisecondsPerSecond, (bound?.burst ?? 0) * mostInFlight);
 		const left = level - Math.max(0, bucket.passed - counted) - onItsWay;
-		const isRush = askRate > (bound?.rate ?? 0) * calmPart;
+		const isRush = askRate > refillRate * calmPart;
 		if (left > (isRush ? askRate * plentyTime / millisecondsPerSecond : 0)) {
 			bucket.level = left;
 			bucket.share = undefined;
@@ -264,7 +272,7 @@
 		const share = own <= 0 ? 0 : own / Math.max(askRate, own);
 		bucket.level = bucket.share === undefined ? (Math.max(0, left) * share) - this.phaseOf(bucket) : bucket.level;
 		bucket.share = share;
-		bucket.pace = Math.min(fastestPace, Math.max(slowestPace, usualPace + (level / Math.max(1, (bound?.rate ?? 0) * recoveryTime / millisecondsPerSecond))));
+		bucket.pace = Math.min(fastestPace, Math.max(slowestPace, usualPace + (level / Math.max(1, refillRate * recoveryTime / millisecondsPerSecond))));
 	}
 
 	/**
@@ -293,6 +301,7 @@
 		const bucket: Bucket = {
 			level: this.burstOf(this.facts.bound(clientAccount)) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
 			othersRate: 0,
+			refillRate: 0,
 			toldAt: Number.NEGATIVE_INFINITY,
 			share: undefined,
 			pace: 1,
@@ -306,13 +315,12 @@
 	}
 
 	/** The level that was told is gone on from. */
-	private refilledLevel({level, share, pace, othersRate}: Bucket, bound: QuotaBound, elapsed: number): number {
-		const {rate} = bound;
+	private refilledLevel({level, share, pace, othersRate, refillRate}: Bucket, bound: QuotaBound, elapsed: number): number {
 		if (share === undefined) {
-			return Math.min(this.burstOf(bound), level + (elapsed * (rate - othersRate) / millisecondsPerSecond));
+			return Math.min(this.burstOf(bound), level + (elapsed * (refillRate - othersRate) / millisecondsPerSecond));
 		}
 
-		const ownRate = rate * share * pace;
+		const ownRate = refillRate * share * pace;
 		return Math.min(Math.max(level, ownRate * savingTime / millisecondsPerSecond), level + (elapsed * ownRate / millisecondsPerSecond));
 	}
 
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -126,11 +126,11 @@
 	readonly aggregator: QuotaLedger;
 	readonly boxes: readonly QuotaLedger[];
 
-	constructor(boxes: number, startsFull = true) {
+	constructor(boxes: number, startsFull = true, heardPart = 1) {
 		const random = () => 0.5;
 		const burstPart = () => 0.7;
 		this.aggregator = QuotaLedger.create({
-			bound: () => bound, heardPart: () => 1, burstPart, random,
+			bound: () => bound, heardPart: () => heardPart, burstPart, random,
 		}, this.clock, startsFull);
 		this.boxes = Array.from({length: boxes}, () => QuotaLedger.create({
 			bound: () => bound, heardPart: () => 1 / boxes, burstPart, random,
@@ -202,6 +202,22 @@
 	assert.ok(passed <= ((bound.rate * 8) + bound.burst) * 1.1, `${passed} units in 8 s`);
 });
 
+test('a part of a large fleet that is cut off spends its part of the rate, however much is asked for', () => {
+	const fleet = new LargeFleet(13, true, 0.15);
+	fleet.boxes[0]!.take(clientAccount, 0.001);
+	let passed = 0;
+	for (let step = 0; step < 4000; step++) {
+		fleet.clock.now += 5;
+		if (step % 80 === 0) {
+			fleet.exchange();
+		}
+
+		passed += fleet.boxes[(step * 7) % 13]!.take(clientAccount, 2) === 0 ? 2 : 0;
+	}
+
+	assert.ok(passed <= ((bound.rate * 20) + bound.burst) * 0.15 * 1.2, `${passed} units in 20 s`);
+});
+
 test('boxes that begin to spend their shares at one moment do not all let a large request pass at once', () => {
 	const fleet = new LargeFleet(80);
 	fleet.boxes[0]!.take(clientAccount, 0.001);
