--- a/src/gossip/exchange-topology.ts
+++ b/src/gossip/exchange-topology.ts
@@ -11,6 +11,11 @@
 const largestSmallFleet = 12;
 /** Aggregators of a large fleet: two may go at once without a gap. */
 const aggregatorCount = 3;
+/**
+ * Boxes, first in order, that are named in a digest: those that lose their aggregators must go on to the same ones, or
+ * each would hear a few boxes alone.
+ */
+const successorsTold = 15;
 /** Milliseconds between two rounds. */
 const smallInterval = 200;
 const largeInterval = 400;
@@ -88,7 +93,7 @@
 	/** @returns Boxes to name to others: the aggregators first. */
 	namesToTell(count: number, round: number): readonly Peer[] {
 		const {heard} = this.peers;
-		const first = this.isLarge ? this.ranked().filter(({peer}) => heard.includes(peer)).slice(0, aggregatorCount * 2).map(({peer}) => peer) : [];
+		const first = this.isLarge ? this.ranked().filter(({peer}) => heard.includes(peer)).slice(0, successorsTold).map(({peer}) => peer) : [];
 		const all = this.isLarge ? heard : this.peers.all;
 		const start = all.length === 0 ? 0 : (round * count) % all.length;
 		const others = [...all, ...all].slice(start, start + Math.min(count, all.length));
--- a/src/gossip/test/exchange-topology.test.ts
+++ b/src/gossip/test/exchange-topology.test.ts
@@ -82,3 +82,22 @@
 	assert.deepEqual(namesOf(topology.namesToTell(6, 4)).slice(0, 3), aggregators);
 	assert.ok(topology.namesToTell(6, 4).length > 6);
 });
+
+test('boxes that learnt of the others by digests alone go on to the same aggregators when theirs are gone', () => {
+	const {topology, peers} = viewOf('box-0', 87);
+	for (const {address: {name}} of peers.all) {
+		peers.take(message(name, 1));
+	}
+
+	const after = [3, 17, 40].map(round => {
+		const leaf = viewOf('box-86', 0);
+		leaf.peers.learn(topology.namesToTell(6, round).map(({address}) => address));
+		leaf.peers.noteFleetSize(87);
+		for (const name of namesOf(leaf.topology.targets(1)).flatMap(gone => [gone, gone, gone, gone, gone])) {
+			leaf.peers.noteTold(name);
+		}
+
+		return namesOf(leaf.topology.targets(1)).join(' ');
+	});
+	assert.equal(new Set(after).size, 1);
+});
