Quota of large fleets: a few large requests are no rush

What is asked for was measured over 0.4 s and wavers by half, so client accounts inside their quota counted as rushing, and with 0.7 of the burst there was never plenty. Change: measured over 1 s, a rush begins at 1.15 of the rate, plenty is one round of it, 0.9 of the burst and of the rate are spent. The model tests hold (quota-ledger, eleven).

--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -47,7 +47,7 @@
 const configurationPatience = {least: 2500, spread: 1300} as const;
 const replicaPatience = {least: 4500, spread: 4000} as const;
 /** Part of a burst that a large fleet spends: a rush is some 0.6 s old before all boxes know of it. */
-const largeFleetBurst = 0.7;
+const largeFleetBurst = 0.9;
 const largestHash = 0xFF_FF_FF_FF;
 const millisecondsPerSecond = 1000;
 
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -81,20 +81,20 @@
 const inFlight = 200;
 /** Part of the burst that is set aside at most for what is in flight. */
 const mostInFlight = 0.5;
-/** Milliseconds for which what is asked for must be there to count as plenty: two rounds. */
-const plentyTime = 800;
-/** Part of the rate up to which what is asked for cannot use the bucket up. */
-const calmPart = 0.95;
+/** Milliseconds for which what is asked for must be there to count as plenty: a round. */
+const plentyTime = 400;
+/** What is asked for, as a part of the rate, up to which it is no rush: the measure wavers by so much. */
+const calmPart = 1.15;
 /** Milliseconds in which a bucket below zero is led back to it. */
 const recoveryTime = 2000;
 const slowestPace = 0.3;
 /** Where more is asked for than there is, a little is left for what boxes do not know of each other yet. */
-const usualPace = 0.75;
+const usualPace = 0.9;
 const fastestPace = 1;
 /** Milliseconds for which a box may save its share. */
 const savingTime = 1000;
-/** Milliseconds over which what is asked for is measured: a rush must be seen within a round. */
-const askTimeConstant = 400;
+/** Milliseconds over which what is asked for is measured: a few large requests are no rush. */
+const askTimeConstant = 1000;
 const meanWeight = 0.1;
 /** Milliseconds for which what a box asked for counts. */
 const askLifetime = 2000;
