--- a/src/node/test/relay-serving.test.ts
+++ b/src/node/test/relay-serving.test.ts
@@ -6,6 +6,7 @@
 import {
 	RelayInstallation, testKey, until,
 } from '../../../development/relay/relay-installation.js';
+import {systemHeader} from '../../../platform/names.js';
 import type {ReplicaConduct, ReplicaStandin, SeenRequest} from '../../../development/relay/replica-standin.js';
 
 let installation: RelayInstallation;
@@ -45,6 +46,19 @@
 	assert.ok(Number(request!.headers['deadline-ms']) <= 2000, 'the deadline handed on is what the route leaves');
 });
 
+test('headers that are the system\'s to set reach no replica as a client sent them', async () => {
+	const sent = Object.fromEntries(Object.values(systemHeader).map(name => [name, '31']));
+	// Each by itself too: one of them may hide another's passing.
+	await installation.call({path: '/calls/all', headers: sent});
+	await Promise.all(Object.entries(sent).map(async ([name, value]) => installation.call({path: `/calls/${name}`, headers: {[name]: value}})));
+	assert.equal(seen().length, 1 + Object.keys(sent).length);
+	for (const {headers, target} of seen()) {
+		const passed = Object.keys(sent).filter(name => headers[name.toLowerCase()] === '31' && name !== systemHeader.deadline);
+		assert.deepEqual(passed, [], target);
+		assert.ok(Number(headers['deadline-ms']) <= 31 || !target.endsWith('all'), 'the client\'s own deadline bounds what is handed on');
+	}
+});
+
 test('a body in chunks arrives whole, with a length', async () => {
 	const view = await installation.call({
 		path: '/calls/x', method: 'POST', body: 'chunked', headers: {'Transfer-Encoding': 'chunked'},
