Fleet by measured load, new holders act at once where fences are required, failed resumable streams are tried again

Ruled out: requests that wait as the measure of load (they grow without bound where replicas are short: 40 replicas asked for after a burst); the smoothed number in progress (the same). Change: load by arrivals and the durations of requests that did not wait, told in the exchange; reclaimable replicas for its peak of 25 s; kept ones with the first refusal, by the last 8 s; one probe at a time where none are to be had; four tenths of the quota's tolerance; time to come back until a replica has booted; changes of a list gathered for 200 ms; the relay loads without the operators' commands.

--- a/src/base/event-catalogue.ts
+++ b/src/base/event-catalogue.ts
@@ -63,6 +63,7 @@
 	dutyLost: event(6202, 'warn', 'This box holds the duties no longer.'),
 	usageReported: event(6203, 'info', 'The usage of a window was reported.'),
 	replicasOrdered: event(6204, 'info', 'Replicas were ordered.'),
+	fleetSized: event(6206, 'info', 'What the next orders of replicas rest on.'),
 	dutyCallFailed: event(6205, 'warn', 'A call of a duty was not taken.'),
 	callerRefused: event(7001, 'info', 'A request was refused.'),
 	requestFailed: event(7002, 'error', 'A request failed for a fault of the program.'),
--- a/src/quota/rate-meter.ts
+++ b/src/base/rate-meter.ts
@@ -1,7 +1,7 @@
 /**
  * Measures a rate as a decaying sum, so that neither windows nor lists of events are kept.
  */
-import type {Clock} from '../base/clock.js';
+import type {Clock} from './clock.js';
 
 const usualTimeConstant = 1000;
 const millisecondsPerSecond = 1000;
--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -2,12 +2,25 @@
  * Entry point of the program.
  */
 import process from 'node:process';
-import {runCommandLine} from './command-line.js';
 import {version} from './version.js';
 
+/**
+ * Each command line is loaded by itself: a relay that is killed is missed until it has loaded what it needs, and the
+ * operators' commands are not that.
+ */
+const run = async (words: readonly string[]): Promise<number> => {
+	if (words.length === 1 && words[0] === 'relay') {
+		const {relay} = await import('./relay-command.js');
+		return relay(undefined);
+	}
+
+	const {runCommandLine} = await import('./command-line.js');
+	return runCommandLine(words, version);
+};
+
 const start = async (): Promise<void> => {
 	// What is left open (an idle connection, a watch) must not keep a finished command alive.
-	process.exit(await runCommandLine(process.argv.slice(2), version));
+	process.exit(await run(process.argv.slice(2)));
 };
 
 void start();
--- a/src/duties/duty-campaign.ts
+++ b/src/duties/duty-campaign.ts
@@ -24,8 +24,8 @@
 
 /** Milliseconds of silence after which the store counts as out of a candidate's reach. */
 const candidateSilence = 2500;
-/** Milliseconds of silence after which a holder is taken to be out of the store's reach. */
-const holderSilence = 4500;
+/** Milliseconds of silence after which a holder, which writes each second, is taken to be out of the store's reach. */
+const holderSilence = 3000;
 /** Part of the boxes that must be heard to take the duties over from a box that may only be out of hearing. */
 const majorityPart = 0.5;
 
--- a/src/duties/duty-lease.ts
+++ b/src/duties/duty-lease.ts
@@ -39,8 +39,10 @@
 	readonly store: MetadataStore;
 	readonly clock: Clock;
 	readonly log: EventLog;
-	/** @returns Milliseconds a new holder waits before its first act. */
+	/** @returns Milliseconds in which the acts of a holder before may still be done. */
 	readonly wait: () => number;
+	/** @returns Whether the platform itself refuses acts of a holder that somebody has followed. */
+	readonly isFenced: () => boolean;
 };
 
 /** The duties, as this box sees them. */
@@ -101,11 +103,9 @@
 
 			const before = this.record!;
 			yield * this.write({
-				...before, holder: self, incarnation, fence: before.fence + 1, decision: before.decision + 1,
+				...before, holder: self, incarnation, fence: before.fence + 1, decision: before.decision + 1, ...formerHolder(before),
 			});
-			// What this box itself did before needs no waiting out.
-			const needsWait = before.fence > 0 && before.holder !== self;
-			this.actsFrom = clock.monotonic() + (needsWait ? this.services.wait() : 0);
+			this.actsFrom = clock.monotonic() + (this.needsWait(before) ? this.services.wait() : 0);
 			log.write('dutyAcquired', {fence: before.fence + 1, before: before.holder});
 		});
 	}
@@ -141,7 +141,9 @@
 	/** @returns Gives the duties up, so that another box need not find out. */
 	release(): Effect.Effect<void> {
 		return Effect.suspend(() => this.isHeld
-			? Effect.ignore(this.decide(record => ({...record, holder: '', incarnation: ''})).pipe(Effect.map(() => {
+			? Effect.ignore(this.decide(record => ({
+				...record, holder: '', incarnation: '', ...formerHolder(record),
+			})).pipe(Effect.map(() => {
 				this.noteLoss();
 			})))
 			: Effect.void);
@@ -154,6 +156,15 @@
 		this.isUnsure = true;
 	}
 
+	/**
+	 * What this box itself did before needs no waiting out, and neither does what the platform refuses by its fence. But
+	 * where boxes take turns, the one that comes back waits until the acts of the other are over.
+	 */
+	private needsWait({fence, holder, formerHolder: former}: DutyRecord): boolean {
+		const {self, isFenced} = this.services;
+		return fence > 0 && holder !== self && (!isFenced() || former === self);
+	}
+
 	private lookAfterConflict(): Effect.Effect<never, StoreUnavailable | DutyTaken> {
 		return this.look().pipe(Effect.andThen(Effect.suspend(() => Effect.fail(new DutyTaken({holder: this.record?.holder ?? ''})))));
 	}
@@ -179,3 +190,8 @@
 		this.services.log.write('dutyLost', {holder: this.record?.holder});
 	}
 }
+
+/** Nobody holds the duties between a release and the next holder: then the one that released them is the former. */
+function formerHolder({holder}: DutyRecord): Pick<DutyRecord, 'formerHolder'> {
+	return holder === '' ? {} : {formerHolder: holder};
+}
--- a/src/duties/duty-record.ts
+++ b/src/duties/duty-record.ts
@@ -26,6 +26,8 @@
 	/** Name of the box; empty where nobody holds the duties. */
 	holder: Schema.String,
 	incarnation: Schema.String,
+	/** Name of the box that held them before; absent where nobody did. */
+	formerHolder: Schema.optionalKey(Schema.String),
 	/** Rises with each holder. */
 	fence: Schema.Number,
 	/** Rises with each decision, so that each write changes something. */
@@ -38,6 +40,8 @@
 		replicas: Schema.Number,
 		/** Whether that first fleet has been given up. */
 		isSettled: Schema.optionalKey(Schema.Boolean),
+		/** Replicas that carry the load, as last measured; absent before any load. */
+		needed: Schema.optionalKey(Schema.Number),
 	})),
 });
 export type DutyRecord = typeof DutyRecord.Type;
--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -6,25 +6,29 @@
 import {sumOf} from '../base/sum.js';
 import type {EventLog} from '../base/event-log.js';
 import type {StoreUnavailable} from '../follow/metadata-store.js';
+import type {Replica} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
+import type {Demand} from '../replicas/service-demand.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
-import type {Scaling, Service} from '../routes/route-table.js';
+import type {Service} from '../routes/route-table.js';
 import type {DutyCalls, DutyRefusal, ReplicaOrder} from './duty-calls.js';
 import type {ActPermit, DutyLease, DutyTaken} from './duty-lease.js';
 import type {DutyRecord, FirstFleet, StandingOrder} from './duty-record.js';
-import type {FleetFacts, FleetPolicy} from './fleet-plan.js';
-
-/** Milliseconds before an order that was not taken is tried again. */
-const refusalPause = 1500;
-/** Milliseconds beyond the boot time after which replicas that are still missing are ordered again. */
-const missingPause = 3000;
-/**
- * Milliseconds without a new replica after which the first fleet is counted: replicas list themselves in turn, and those
- * that are given up before never do.
- */
-const settleTime = 2500;
-/** Milliseconds after it was counted in which replicas of the first fleet may still list themselves. */
-const lateListing = 10_000;
+import {FirstFleetCount} from './first-fleet-count.js';
+import {FleetLoad} from './fleet-load.js';
+import type {FleetPolicy} from './fleet-plan.js';
+import {OrderBook} from './order-book.js';
+
+/** Part of the first fleet that is taken to carry the load before any load was seen. */
+const assumedPart = 1;
+/** Less is ordered only where that is at least this part less: each change costs what replicas keep of prompts. */
+const leastDecrease = 0.15;
+
+/** What is asked of a service at all boxes together. */
+export type FleetDemand = Demand & {
+	/** Prompt tokens that a replica reads in a second beside its other work; zero where too little was seen. */
+	readonly readRate: number;
+};
 
 /** What the duty needs. */
 export type FleetDutyServices = {
@@ -32,21 +36,13 @@
 	readonly calls: DutyCalls;
 	readonly table: RouteTableView;
 	readonly replicas: ReplicaDirectory;
+	/** @returns What is asked of a service at all boxes together. */
+	readonly demand: (service: string) => FleetDemand;
 	readonly policy: FleetPolicy;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
 
-/** What became of an order. */
-type OrderState = {
-	readonly count: number;
-	readonly isTaken: boolean;
-	/** Monotonic milliseconds. */
-	readonly at: number;
-};
-
-const keyOf = ({service, dataCentre, isReclaimable}: ReplicaOrder): string => `${service}\n${dataCentre}\n${isReclaimable}`;
-
 /** The duty. */
 export class FleetDuty {
 	/**
@@ -57,15 +53,14 @@
 		return new FleetDuty(services);
 	}
 
-	private readonly states = new Map<string, OrderState>();
-	/** Kept replicas of the first fleet that were listed, by service. */
-	private readonly seen = new Map<string, ReadonlySet<string>>();
-	/** Monotonic milliseconds until which the first fleet is counted; only who finds none counted counts it. */
-	private countingUntil: number | undefined;
-	/** Monotonic milliseconds until which the replicas that take the first fleet's place boot, by service. */
-	private readonly bootingUntil = new Map<string, number>();
+	private readonly orders: OrderBook;
+	private readonly firstFleet: FirstFleetCount;
+	private readonly loads = new Map<string, FleetLoad>();
 
-	private constructor(private readonly services: FleetDutyServices) {}
+	private constructor(private readonly services: FleetDutyServices) {
+		this.orders = OrderBook.create(services.clock);
+		this.firstFleet = FirstFleetCount.create(services.replicas, services.clock);
+	}
 
 	/** @returns Does what is due; ends soon. */
 	step(): Effect.Effect<void, StoreUnavailable | DutyTaken> {
@@ -73,115 +68,116 @@
 			const {lease, table} = this.services;
 			const record = lease.known;
 			const scaled = (table.inForce?.content.services ?? []).filter(({scaling}) => scaling !== undefined);
-			const isWhole = record?.baseline.length !== 0 || this.services.replicas.settledFor > settleTime;
-			if (!record || scaled.length === 0 || !isWhole) {
+			if (!record || scaled.length === 0 || !this.firstFleet.isDue(record)) {
 				return Effect.void;
 			}
 
-			const first = scaled.map(({name}) => this.firstFleet(record, name));
-			const plans = scaled.flatMap(service => this.planOf(service, first.find(entry => entry.service === service.name)!, record.orders));
-			const due = plans.flatMap(order => this.ordersOf(order)).filter(order => this.isDue(order));
-			const baseline = first.map(entry => settledBy(plans, entry));
-			return due.length === 0
-				? Effect.void
-				: lease.decide(before => ({...before, baseline, orders: plans})).pipe(Effect.flatMap(permit => this.orderAll(permit, due)));
+			const fleets = scaled.map(({name}) => this.sized(this.firstFleet.of(record, name)));
+			const plans = scaled.flatMap(service => this.planOf(service, fleets.find(entry => entry.service === service.name)!, record.orders));
+			const due = plans.flatMap(order => ordersOf(order)).filter(order => this.isDue(order));
+			const baseline = fleets.map(entry => settledBy(plans, entry));
+			if (due.length === 0) {
+				return Effect.void;
+			}
+
+			for (const fleet of fleets) {
+				this.tellSize(fleet);
+			}
+
+			return lease.decide(before => ({...before, baseline, orders: plans})).pipe(Effect.flatMap(permit => this.orderAll(permit, due)));
+		});
+	}
+
+	/** What was ordered by load stands until as much was seen as allows less. */
+	private sized(fleet: FirstFleet): FirstFleet {
+		const load = this.measure(fleet.service);
+		const standing = fleet.needed ?? Math.ceil(fleet.replicas * assumedPart);
+		const isLess = load.isObserved && load.needed <= standing * (1 - leastDecrease);
+		const needed = isLess ? load.needed : Math.max(standing, load.needed);
+		return {...fleet, needed};
+	}
+
+	private tellSize({service, replicas, needed}: FirstFleet): void {
+		const {requests, slots, reading} = this.loadOf(service).last;
+		this.services.log.write('fleetSized', {
+			service, needed, baseline: replicas, requests, slots, reading, isScarce: this.orders.isScarce(service), serving: this.services.replicas.ready(service).length,
 		});
 	}
 
-	/** Replicas of the first fleet may list themselves late; those that come later were ordered by somebody. */
-	private firstFleet({baseline}: DutyRecord, service: string): FirstFleet {
-		const {replicas, clock} = this.services;
-		const known = baseline.find(entry => entry.service === service);
-		const now = clock.monotonic();
-		this.countingUntil ??= known ? now : now + lateListing;
-		if (now > this.countingUntil) {
-			return known ?? {service, replicas: 0};
-		}
-
-		const listed = replicas.all.filter(({entry}) => entry.service === service && !entry.isReclaimable).map(({entry}) => entry.id);
-		const seen = new Set([...this.seen.get(service) ?? [], ...listed]);
-		this.seen.set(service, seen);
-		return {...known, service, replicas: Math.max(known?.replicas ?? 0, seen.size)};
+	private loadOf(service: string): FleetLoad {
+		const load = this.loads.get(service) ?? FleetLoad.create(this.services.clock);
+		this.loads.set(service, load);
+		return load;
+	}
+
+	/** Notes the load of a service as it is now. */
+	private measure(service: string): FleetLoad {
+		const {demand, replicas} = this.services;
+		const load = this.loadOf(service);
+		const {requests, reading, readRate} = demand(service);
+		const slots = replicas.all.filter(({entry}) => entry.service === service).map(replica => replica.entry.slots);
+		load.note({requests, slots: slots.length === 0 ? load.last.slots : sumOf(slots) / slots.length, reading: readRate === 0 ? 0 : reading / readRate});
+		return load;
 	}
 
-	private planOf({name, scaling}: Service, first: FirstFleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
+	private planOf({name, scaling}: Service, fleet: FirstFleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
 		const {replicas, policy} = this.services;
-		const ready = replicas.ready(name).filter(({entry}) => entry.isReclaimable);
+		const ready = replicas.ready(name);
 		const dataCentres = [...scaling!.dataCentrePrices.keys()];
-		const before = standing.filter(({service}) => service === name);
-		const facts: FleetFacts = {
+		return policy.plan({
 			service: name,
 			scaling: scaling!,
-			baseline: first.replicas,
 			dataCentres,
-			reclaimableReady: new Map(dataCentres.map(dataCentre => [dataCentre, ready.filter(({entry}) => entry.dataCentre === dataCentre).length])),
-			isIdle: replicas.ready(name).every(({work}) => work.requests === 0),
-			keptOrdered: sumOf(before.map(({kept}) => kept)),
-			isSettled: first.isSettled === true,
-			isBooting: this.isBooting(name, scaling!, first),
-		};
-		return policy.plan(facts);
+			needed: fleet.needed ?? fleet.replicas,
+			neededNow: this.loadOf(name).isObservedBriefly ? this.loadOf(name).neededNow : fleet.needed ?? fleet.replicas,
+			baseline: fleet.replicas,
+			isSettled: fleet.isSettled === true,
+			isIdle: ready.every(({work}) => work.requests === 0),
+			isScarce: this.orders.isScarce(name),
+			reclaimableReady: new Map(dataCentres.map(dataCentre => [dataCentre, countOf(ready, dataCentre, true)])),
+			keptOrdered: new Map(standing.filter(({service}) => service === name).map(({dataCentre, kept}) => [dataCentre, kept])),
+			closedToKept: this.orders.closedToKept(name),
+		});
 	}
 
-	/** Right after the first fleet was given up the others are on their way, and nothing is missing that others could bridge sooner. */
-	private isBooting(service: string, {bootTime}: Scaling, {isSettled}: FirstFleet): boolean {
-		const now = this.services.clock.monotonic();
-		if (!isSettled) {
-			this.bootingUntil.set(service, now + bootTime + missingPause);
-		}
-
-		return now < (this.bootingUntil.get(service) ?? 0);
+	private isDue(order: ReplicaOrder): boolean {
+		const {table} = this.services;
+		return this.orders.isDue(order, {
+			present: this.presentOf(order),
+			bootTime: table.inForce?.service(order.service)?.scaling?.bootTime ?? 0,
+		});
 	}
 
-	/** What is added goes first: what is given up is given up when the order before it was taken. */
-	private ordersOf({service, dataCentre, reclaimable, kept}: StandingOrder): readonly ReplicaOrder[] {
-		return [
-			{
-				service, dataCentre, count: reclaimable, isReclaimable: true,
-			},
-			{
-				service, dataCentre, count: kept, isReclaimable: false,
-			},
-		];
+	/** What is added goes first: what is given up is given up when the orders before it were taken. */
+	private orderAll(permit: ActPermit, orders: readonly ReplicaOrder[]): Effect.Effect<void> {
+		const isMore = (order: ReplicaOrder) => order.count > this.presentOf(order);
+		const send = (some: readonly ReplicaOrder[]) => Effect.all(some.map(order => this.order(permit, order)), {discard: true, concurrency: 'unbounded'});
+		return send(orders.filter(order => isMore(order))).pipe(Effect.andThen(Effect.suspend(() => permit.isValid()
+			? send(orders.filter(order => !isMore(order) && !this.isPremature(order)))
+			: Effect.void)));
 	}
 
-	private isDue(order: ReplicaOrder): boolean {
-		const state = this.states.get(keyOf(order));
-		if (state?.count !== order.count) {
-			return true;
-		}
-
-		const age = this.services.clock.monotonic() - state.at;
-		if (!state.isTaken) {
-			return age > refusalPause;
-		}
-
-		const bootTime = this.services.table.inForce?.service(order.service)?.scaling?.bootTime ?? 0;
-		const present = this.services.replicas.ready(order.service)
-			.filter(({entry}) => entry.dataCentre === order.dataCentre && entry.isReclaimable === order.isReclaimable).length;
-		return present < order.count && age > bootTime + missingPause;
+	private presentOf({service, dataCentre, isReclaimable}: ReplicaOrder): number {
+		return countOf(this.services.replicas.ready(service), dataCentre, isReclaimable);
 	}
 
-	private orderAll(permit: ActPermit, orders: readonly ReplicaOrder[]): Effect.Effect<void> {
-		return Effect.all(orders.map(order => Effect.suspend(() => permit.isValid() ? this.order(permit, order) : Effect.void)), {discard: true});
+	/** Kept replicas are not given up in the step in which the others turn out not to be had. */
+	private isPremature({service, isReclaimable}: ReplicaOrder): boolean {
+		return !isReclaimable && this.orders.isScarce(service);
 	}
 
 	private order({signer}: ActPermit, order: ReplicaOrder): Effect.Effect<void> {
-		const {calls, clock, log} = this.services;
-		const note = (isTaken: boolean) => {
-			this.states.set(keyOf(order), {count: order.count, isTaken, at: clock.monotonic()});
-		};
-
+		const {calls, log} = this.services;
 		const fields = {
 			service: order.service, dataCentre: order.dataCentre, count: order.count, isReclaimable: order.isReclaimable, fence: signer.fence,
 		};
 		return calls.orderReplicas(signer, order).pipe(
 			Effect.map(() => {
-				note(true);
+				this.orders.noteTaken(order);
 				log.write('replicasOrdered', fields);
 			}),
 			Effect.catchTag('DutyRefusal', ({reason, detail}: DutyRefusal) => Effect.sync(() => {
-				note(false);
+				this.orders.noteRefused(order, reason);
 				log.write('dutyCallFailed', {
 					duty: 'fleet', reason, detail, ...fields,
 				});
@@ -190,6 +186,20 @@
 	}
 }
 
+const countOf = (replicas: readonly Replica[], dataCentre: string, isReclaimable: boolean): number => replicas
+	.filter(({entry}) => entry.dataCentre === dataCentre && entry.isReclaimable === isReclaimable).length;
+
+function ordersOf({service, dataCentre, reclaimable, kept}: StandingOrder): readonly ReplicaOrder[] {
+	return [
+		{
+			service, dataCentre, count: reclaimable, isReclaimable: true,
+		},
+		{
+			service, dataCentre, count: kept, isReclaimable: false,
+		},
+	];
+}
+
 /** The first fleet is given up by the plan that orders none of it. */
 function settledBy(plans: readonly StandingOrder[], first: FirstFleet): FirstFleet {
 	return {...first, isSettled: first.isSettled === true || plans.every(({service, kept}) => service !== first.service || kept === 0)};
--- a/src/duties/fleet-plan.ts
+++ b/src/duties/fleet-plan.ts
@@ -1,7 +1,7 @@
 /**
  * Decides how many replicas a service is to have, of which sort, in which data centre.
  *
- * @remarks Source: docs/DESIGN.md, "The fleet".
+ * @remarks Source: docs/DECISIONS.md, "The fleet".
  */
 import {sumOf} from '../base/sum.js';
 import type {Scaling} from '../routes/route-table.js';
@@ -11,20 +11,26 @@
 export type FleetFacts = {
 	readonly service: string;
 	readonly scaling: Scaling;
-	/** Replicas the service had when the system first started. */
-	readonly baseline: number;
 	/** Data centres in which it runs. */
 	readonly dataCentres: readonly string[];
-	/** Replicas by data centre that may be withdrawn and that serve, without those that are leaving. */
-	readonly reclaimableReady: ReadonlyMap<string, number>;
-	/** Kept replicas that are ordered now. */
-	readonly keptOrdered: number;
-	/** Whether the first fleet has been given up for replicas that may be withdrawn. */
+	/** Replicas that carry the load of the last while with headroom. */
+	readonly needed: number;
+	/** The same for the last seconds: kept replicas cost too much to be held for a peak that is over. */
+	readonly neededNow: number;
+	/** Replicas the service had when the system first started. */
+	readonly baseline: number;
+	/** Whether the first fleet has been given up for reclaimable replicas. */
 	readonly isSettled: boolean;
-	/** Whether the replicas that take the first fleet's place may still be booting. */
-	readonly isBooting: boolean;
 	/** Whether nothing runs at its replicas, so that none would be missed. */
 	readonly isIdle: boolean;
+	/** Whether reclaimable replicas were ordered that are not to be had. */
+	readonly isScarce: boolean;
+	/** Reclaimable replicas by data centre that serve, without those that are leaving. */
+	readonly reclaimableReady: ReadonlyMap<string, number>;
+	/** Kept replicas that are ordered now, by data centre. */
+	readonly keptOrdered: ReadonlyMap<string, number>;
+	/** Data centres in which kept replicas were not to be had lately. */
+	readonly closedToKept: ReadonlySet<string>;
 };
 
 /** Decides. */
@@ -36,78 +42,114 @@
 	abstract plan(facts: FleetFacts): readonly StandingOrder[];
 }
 
-/** Part of the first fleet that must still stand when data centres are withdrawn. */
-const survivingPart = 0.8;
-/** Part of the first fleet that must serve; what is missing is bridged by kept replicas. */
-const neededPart = 0.75;
+/** Part of the needed replicas that must still stand when a data centre is reclaimed, until others have booted. */
+const survivingPart = 0.7;
+/** Part of the needed replicas that kept ones alone must be while reclaimable ones are not to be had. */
+const standbyPart = 0.75;
+/** Data centres that may be reclaimed before kept replicas have booted, while reclaimable ones are not to be had. */
+const dataCentresLost = 2;
+/** Part of the needed replicas that must serve before the kept ones are given up. */
+const servingPart = 0.9;
+/** Part of the kept replicas that is still needed above which all of them stay. */
+const leastKeptPart = 0.5;
 /** Part of the first fleet that must serve before it is given up. */
 const firstPart = 0.6;
-/** Part of the kept replicas that is missing still below which some of them are given up. */
-const leastDecrease = 0.5;
-/** Data centres that may be withdrawn one upon the other, before the first comes back. */
-const dataCentresLost = 2;
 
 /**
- * As many withdrawable replicas in each data centre as carry the load when data centres are withdrawn. Where more of
- * them go, and no others are to be had for a while, kept replicas stand in for exactly what is missing, ordered with the
- * notice and given up when the others are back.
+ * Reclaimable replicas for the measured load, spread over the data centres so that the loss of one is borne. Where they are
+ * reclaimed and no others are to be had, the rest may go within seconds, sooner than a replica boots: then kept ones are
+ * ordered at once that carry most of the load alone, and they stay until enough reclaimable ones serve again.
  */
-export class SurvivingDataCentresPolicy extends FleetPolicy {
+export class MeasuredLoadPolicy extends FleetPolicy {
 	/** @returns The policy. */
-	static create(): SurvivingDataCentresPolicy {
-		return new SurvivingDataCentresPolicy();
+	static create(): MeasuredLoadPolicy {
+		return new MeasuredLoadPolicy();
 	}
 
 	override plan(facts: FleetFacts): readonly StandingOrder[] {
-		const {service, scaling, baseline, dataCentres, isSettled} = facts;
-		const surviving = Math.max(1, dataCentres.length - dataCentresLost);
-		const each = Math.ceil(baseline * survivingPart / surviving);
-		const wanted = Math.min(scaling.maximum, Math.max(scaling.minimum, each));
-		const kept = isSettled ? this.bridge(facts) : this.firstFleet(facts, wanted);
+		const {service, scaling, dataCentres, isSettled} = facts;
+		const reclaimable = spread(facts, this.reclaimableTotal(facts));
+		const kept = isSettled ? keptPlaces(facts, reclaimable, this.keptTotal(facts)) : this.firstFleet(facts);
 		return dataCentres.map(dataCentre => {
 			const keptHere = kept.get(dataCentre) ?? 0;
 			// The maximum holds for both sorts together.
 			return {
-				service, dataCentre, reclaimable: Math.min(wanted, scaling.maximum - keptHere), kept: keptHere,
+				service, dataCentre, reclaimable: Math.min(reclaimable.get(dataCentre) ?? 0, scaling.maximum - keptHere), kept: keptHere,
 			};
 		});
 	}
 
 	/** The first fleet stays until enough of the others serve, unless nothing runs yet. */
-	private firstFleet({scaling, baseline, dataCentres, reclaimableReady, isIdle}: FleetFacts, wanted: number): ReadonlyMap<string, number> {
-		const serving = sumOf(dataCentres.map(dataCentre => Math.min(wanted, reclaimableReady.get(dataCentre) ?? 0)));
-		const isKept = !isIdle && serving < baseline * firstPart;
+	private firstFleet({scaling, baseline, dataCentres, reclaimableReady, isIdle, isScarce}: FleetFacts): ReadonlyMap<string, number> {
+		const isKept = isScarce || (!isIdle && sumOf([...reclaimableReady.values()]) < baseline * firstPart);
 		const each = Math.min(scaling.maximum, Math.ceil(baseline / Math.max(1, dataCentres.length)));
 		return new Map(isKept ? dataCentres.map(dataCentre => [dataCentre, each]) : []);
 	}
 
-	/** The cheapest data centres first: kept replicas are not withdrawn, so they need no spreading. */
-	private bridge(facts: FleetFacts): ReadonlyMap<string, number> {
-		const {scaling, dataCentres, reclaimableReady} = facts;
-		const priceOf = (dataCentre: string) => scaling.dataCentrePrices.get(dataCentre) ?? 1;
-		const byPrice = [...dataCentres].sort((left, right) => priceOf(left) - priceOf(right));
-		let missing = this.missing(facts);
-		return new Map(byPrice.map(dataCentre => {
-			// Those that are gone leave their places to kept ones.
-			const room = Math.max(0, scaling.maximum - (reclaimableReady.get(dataCentre) ?? 0));
-			const here = Math.min(room, missing);
-			missing -= here;
-			return [dataCentre, here];
-		}));
+	private reclaimableTotal({needed, dataCentres, scaling}: FleetFacts): number {
+		if (scaling.reclaimablePrice >= 1) {
+			return 0;
+		}
+
+		const remaining = Math.max(1, dataCentres.length - 1);
+		return Math.ceil(Math.max(needed, needed * survivingPart * dataCentres.length / remaining));
 	}
 
-	/** Less is ordered only where that is much less: withdrawable replicas come back one after the other. */
-	private missing({baseline, dataCentres, reclaimableReady, keptOrdered, isBooting}: FleetFacts): number {
-		if (isBooting) {
-			return keptOrdered;
+	private keptTotal({needed, neededNow, scaling, isScarce, reclaimableReady, keptOrdered}: FleetFacts): number {
+		if (scaling.reclaimablePrice >= 1) {
+			return Math.ceil(needed);
 		}
 
-		const serving = sumOf(dataCentres.map(dataCentre => reclaimableReady.get(dataCentre) ?? 0));
-		const missing = Math.ceil((baseline * neededPart) - serving);
-		if (missing <= 0) {
-			return 0;
+		const byDataCentre = [...reclaimableReady.values()].sort((left, right) => right - left);
+		const standing = sumOf([...keptOrdered.values()]);
+		if (isScarce) {
+			const lasting = sumOf(byDataCentre.slice(dataCentresLost));
+			const missing = Math.max(0, Math.ceil((neededNow * standbyPart) - lasting));
+			return missing < standing && missing > standing * leastKeptPart ? standing : missing;
 		}
 
-		return missing < keptOrdered && missing > keptOrdered * leastDecrease ? keptOrdered : missing;
+		const missing = Math.max(0, Math.ceil((needed * servingPart) - sumOf(byDataCentre)));
+		// Reclaimable ones come back one after the other, and each order costs a call.
+		return missing > standing * leastKeptPart ? standing : missing;
 	}
 }
+
+const byPrice = ({dataCentres, scaling}: FleetFacts): readonly string[] => {
+	const priceOf = (dataCentre: string) => scaling.dataCentrePrices.get(dataCentre) ?? 1;
+	return [...dataCentres].sort((left, right) => priceOf(left) - priceOf(right));
+};
+
+/** Alike over all data centres; what is left over goes where it costs least. */
+function spread(facts: FleetFacts, total: number): ReadonlyMap<string, number> {
+	const {scaling, dataCentres} = facts;
+	const each = Math.floor(total / Math.max(1, dataCentres.length));
+	const over = total - (each * dataCentres.length);
+	return new Map(byPrice(facts).map((dataCentre, index) => [
+		dataCentre, Math.min(scaling.maximum, Math.max(scaling.minimum, each + (index < over ? 1 : 0))),
+	]));
+}
+
+/**
+ * Those that stand stay where they are; others go where they cost least: they are not reclaimed, so they need no spreading.
+ * The places of reclaimable ones are left to them as far as there are others.
+ */
+function keptPlaces(facts: FleetFacts, reclaimable: ReadonlyMap<string, number>, total: number): ReadonlyMap<string, number> {
+	const {scaling, reclaimableReady, keptOrdered, closedToKept} = facts;
+	const order = byPrice(facts);
+	const places = new Map(order.map(dataCentre => [dataCentre, 0]));
+	let left = total;
+	const fill = (roomOf: (dataCentre: string) => number) => {
+		for (const dataCentre of order) {
+			const taken = places.get(dataCentre)!;
+			const more = Math.min(left, Math.max(0, roomOf(dataCentre) - taken));
+			left -= more;
+			places.set(dataCentre, taken + more);
+		}
+	};
+
+	const isOpen = (dataCentre: string) => !closedToKept.has(dataCentre);
+	fill(dataCentre => keptOrdered.get(dataCentre) ?? 0);
+	fill(dataCentre => isOpen(dataCentre) ? scaling.maximum - (reclaimable.get(dataCentre) ?? 0) : 0);
+	fill(dataCentre => isOpen(dataCentre) ? scaling.maximum - (reclaimableReady.get(dataCentre) ?? 0) : 0);
+	return places;
+}
--- /dev/null
+++ b/src/duties/test/duty-lease.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, beforeEach, test,
+} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {StoreStandin} from '../../../development/relay/store-standin.js';
+import {HttpMetadataStore} from '../../../platform/metadata-store.js';
+import {EventLog} from '../../base/event-log.js';
+import {DutyLease} from '../duty-lease.js';
+
+/** Keeps nothing. */
+class SilentLog extends EventLog {
+	override write(): void {
+		// Nothing is kept.
+	}
+}
+
+const wait = 3000;
+let standin: StoreStandin;
+let clock: MovedClock;
+
+before(async () => {
+	standin = await StoreStandin.start();
+});
+
+beforeEach(() => {
+	clock = new MovedClock(1000);
+	standin.remove('waydrift-duties', 'record');
+});
+
+after(async () => standin.close());
+
+const leaseOf = (self: string, isFenced: boolean, incarnation = 'one') => DutyLease.create({
+	self, incarnation, store: HttpMetadataStore.create('127.0.0.1', standin.port), clock, log: new SilentLog(), wait: () => wait, isFenced: () => isFenced,
+});
+const acquire = async (lease: DutyLease) => Effect.runPromise(lease.acquire());
+
+test('a new holder waits until the acts of the one before are over where the platform does not look at fences', async () => {
+	await acquire(leaseOf('a', false));
+	const next = leaseOf('b', false);
+	await acquire(next);
+	assert.ok(!next.mayAct);
+	clock.now += wait;
+	assert.ok(next.mayAct);
+});
+
+test('where the platform refuses what was fenced off a new holder acts at once', async () => {
+	await acquire(leaseOf('a', true));
+	const next = leaseOf('b', true);
+	await acquire(next);
+	assert.ok(next.mayAct);
+});
+
+test('a box that comes back to the duties waits until the acts of the other are over, also after a restart or a release', async () => {
+	await acquire(leaseOf('a', true));
+	const second = leaseOf('b', true);
+	await acquire(second);
+	const third = leaseOf('a', true, 'two');
+	await acquire(third);
+	assert.ok(!third.mayAct, 'a, b, a');
+	clock.now += wait;
+	assert.ok(third.mayAct);
+	await Effect.runPromise(third.release());
+	const fourth = leaseOf('b', true, 'two');
+	await acquire(fourth);
+	assert.ok(fourth.mayAct, 'the last to act was a');
+	await Effect.runPromise(fourth.release());
+	const fifth = leaseOf('b', true, 'three');
+	await acquire(fifth);
+	assert.ok(!fifth.mayAct, 'b released them itself, and nothing tells that nobody acted since');
+});
--- a/src/duties/usage-draft.ts
+++ b/src/duties/usage-draft.ts
@@ -36,6 +36,8 @@
 	readonly store: MetadataStore;
 	readonly counts: UsageCounts;
 	readonly clock: Clock;
+	/** Called when the store has taken a draft. */
+	readonly onAnswer?: () => void;
 };
 
 /** The draft, written by the box that holds the duties. */
@@ -87,6 +89,7 @@
 		return written.pipe(
 			Effect.map(({revision}) => {
 				this.revision = revision;
+				this.services.onAnswer?.();
 			}),
 			Effect.tapError(() => Effect.sync(() => {
 				this.isRead = false;
--- a/src/follow/kind-follower.ts
+++ b/src/follow/kind-follower.ts
@@ -14,7 +14,7 @@
 /** Milliseconds between two looks whether following is needed. */
 const idlePause = 400;
 /** Milliseconds after changes before the next watch: what changes together is told together. */
-const gatherPause = 60;
+const gatherPause = 200;
 
 /** Takes what is learnt of a kind. */
 export type KindListener = {
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -22,6 +22,9 @@
 /** Work of boxes at one replica. */
 const Work = Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number});
 
+/** What is asked of one service: requests in progress, and prompt tokens a second to read. */
+const ServiceDemand = Schema.Struct({service: Schema.String, requests: Schema.Number, reading: Schema.Number});
+
 /** A change of the list of replicas, as the store tells it. */
 const ReplicaChange = Schema.Struct({
 	object: Schema.Struct({name: Schema.String, revision: Schema.Number, spec: Schema.Unknown}),
@@ -76,6 +79,8 @@
 	})),
 	/** Work of the sender at replicas. */
 	work: Schema.Array(Work),
+	/** What is asked of services at the sender. */
+	demand: Schema.optionalKey(Schema.Array(ServiceDemand)),
 	/** Revision up to which the sender knows the list of replicas, and the milliseconds since it was known to be whole. */
 	replicas: Schema.optionalKey(Schema.Struct({at: Schema.Number, age: Schema.Number})),
 	/** Whether the sender asks for a digest. */
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -23,7 +23,7 @@
 const roundsBetweenSeeds = 25;
 
 /** What a message holds besides what the exchange itself adds. */
-export type LocalState = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'quota' | 'work' | 'departed' | 'usage' | 'replicas'>;
+export type LocalState = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'quota' | 'work' | 'demand' | 'departed' | 'usage' | 'replicas'>;
 
 /** What the exchange needs. */
 export type GossipServices = {
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -64,6 +64,11 @@
 		return this.services.clock.monotonic() - this.answeredAt;
 	}
 
+	/** Notes that the store has answered this box in another matter. */
+	noteStoreAnswer(): void {
+		this.answeredAt = this.services.clock.monotonic();
+	}
+
 	/** @returns Follows the store until interrupted. */
 	follow(): Effect.Effect<never> {
 		const {link: {store, names}, clock, log, leads} = this.services;
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -3,6 +3,7 @@
  */
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
+import {sumOf} from '../base/sum.js';
 import type {EventLog} from '../base/event-log.js';
 import type {Role} from '../daemon/role.js';
 import {
@@ -10,8 +11,8 @@
 } from '../duties/duty-campaign.js';
 import type {DutyCalls} from '../duties/duty-calls.js';
 import {DutyLease} from '../duties/duty-lease.js';
-import {FleetDuty} from '../duties/fleet-duty.js';
-import {SurvivingDataCentresPolicy} from '../duties/fleet-plan.js';
+import {FleetDuty, type FleetDemand} from '../duties/fleet-duty.js';
+import {MeasuredLoadPolicy} from '../duties/fleet-plan.js';
 import {HolderLife} from '../duties/holder-life.js';
 import {UsageDraft} from '../duties/usage-draft.js';
 import {UsageDuty} from '../duties/usage-duty.js';
@@ -46,6 +47,8 @@
 	readonly services: RelayServices;
 	/** @returns Milliseconds since the store last answered. */
 	readonly storeSilence: () => number;
+	/** Notes that the store has answered. */
+	readonly noteStoreAnswer: () => void;
 	readonly isStopping: () => boolean;
 };
 
@@ -75,7 +78,7 @@
 	private constructor(private readonly parts: DutyParts, calls: DutyCalls) {
 		const {self, incarnation, link: {store}, clock, log, settings, services, peers} = parts;
 		this.lease = DutyLease.create({
-			self, incarnation, store, clock, log, wait: () => settings().bounds.lease,
+			self, incarnation, store, clock, log, wait: () => settings().bounds.lease, isFenced: () => settings().bounds.isFenceRequired,
 		});
 		this.usage = UsageDuty.create({
 			lease: this.lease,
@@ -90,10 +93,11 @@
 		});
 		this.life = HolderLife.create(store, clock);
 		this.draft = UsageDraft.create({
-			start: `${self}/${incarnation}`, store, counts: services.usage, clock,
+			start: `${self}/${incarnation}`, store, counts: services.usage, clock, onAnswer: parts.noteStoreAnswer,
 		});
 		this.fleet = FleetDuty.create({
-			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: SurvivingDataCentresPolicy.create(),
+			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: MeasuredLoadPolicy.create(),
+			demand: service => this.demandFor(service),
 		});
 	}
 
@@ -106,6 +110,16 @@
 		return Effect.sleep(settleTime).pipe(Effect.andThen(Effect.forever(step)));
 	}
 
+	/** What is asked of a service at all boxes that are heard, and how fast its replicas read. */
+	private demandFor(service: string): FleetDemand {
+		const {peers, services: {demands}} = this.parts;
+		const own = demands.of(service);
+		const told = [own.now, ...peers.heard.flatMap(({last}) => last?.demand?.filter(entry => entry.service === service) ?? [])];
+		return {
+			requests: sumOf(told.map(({requests}) => requests)), reading: sumOf(told.map(({reading}) => reading)), readRate: own.readRate,
+		};
+	}
+
 	private step() {
 		return Effect.gen({self: this}, function * () {
 			const {lease} = this;
@@ -125,8 +139,8 @@
 			}
 
 			if (lease.mayAct) {
-				yield * this.usage.step();
 				yield * this.fleet.step();
+				yield * this.usage.step();
 			}
 		});
 	}
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -51,7 +51,7 @@
 
 	/** @returns What this box tells of itself. */
 	local(): LocalState {
-		const {services: {table, replicas, quota, usage}, configuration, replicaRole, isStopping} = this.parts;
+		const {services: {table, replicas, quota, usage, demands}, configuration, replicaRole, isStopping} = this.parts;
 		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
 		this.noteRole();
 		return {
@@ -61,6 +61,7 @@
 			storeAge: Math.min(unknownAge, Math.round(configuration.storeSilence)),
 			quota: quota.counts,
 			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
+			demand: demands.told,
 			departed: replicas.departed,
 			usage: usage.told,
 			...(replicaRole.told ? {replicas: replicaRole.told} : {}),
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -22,6 +22,7 @@
 import {RepeatBudgets} from '../relay/repeat-budgets.js';
 import {LeastWaitChoice} from '../replicas/replica-choice.js';
 import {ReplicaDirectory} from '../replicas/replica-directory.js';
+import {ServiceDemands} from '../replicas/service-demand.js';
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
 import {ConfigurationRole, configurationPath} from './configuration-role.js';
@@ -175,9 +176,11 @@
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas: ReplicaDirectory.create(clock, log),
 			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkOld: () => topology.isLarge}),
+			demands: ServiceDemands.create(clock),
 			connections: ConnectionBook.create(clock),
 			quota: QuotaLedger.create({
 				bound: name => table.inForce?.content.clientAccounts.find(clientAccount => clientAccount.name === name),
+				tolerance: () => topology.isLarge ? undefined : {window: bounds().quotaWindow, overage: bounds().quotaOverage, slack: bounds().quotaSlack},
 				heardPart: () => topology.isAggregator ? peers.heardPart : 1 / peers.boxes,
 				burstPart: () => topology.isLarge ? largeFleetBurst : 1,
 			}, clock, settings().isFirstStart),
@@ -246,6 +249,9 @@
 				link, log, settings, clock: this.clock, peers, topology, services: this.services, self: node, metrics,
 				incarnation: this.incarnation,
 				storeSilence: () => this.configuration.storeSilence,
+				noteStoreAnswer: () => {
+					this.configuration.noteStoreAnswer();
+				},
 				isStopping: () => this.stoppingSince !== undefined,
 			}),
 		];
--- a/src/node/test/relay-serving.test.ts
+++ b/src/node/test/relay-serving.test.ts
@@ -46,6 +46,18 @@
 	assert.ok(Number(request!.headers['deadline-ms']) <= 2000, 'the deadline handed on is what the route leaves');
 });
 
+test('a stream that may be resumed is begun elsewhere when its replica fails it before the first event, another is not', async () => {
+	for (const replica of [first, second]) {
+		replica.behave({fault: 'error'});
+	}
+
+	const failed = await installation.call({path: '/stream/x', method: 'POST', body: '1'});
+	assert.equal(failed.status, 500, 'the replica\'s own answer goes to the client where nothing better comes');
+	assert.deepEqual([first.runs.length, second.runs.length], [1, 1]);
+	await installation.call({path: '/whole/x', method: 'POST', body: '1'});
+	assert.equal(runs().length, 3);
+});
+
 test('headers that are the system\'s to set reach no replica as a client sent them', async () => {
 	const sent = Object.fromEntries(Object.values(systemHeader).map(name => [name, '31']));
 	// Each by itself too: one of them may hide another's passing.
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -6,6 +6,7 @@
 import type {QuotaLedger} from '../quota/quota-ledger.js';
 import type {ReplicaChoice} from '../replicas/replica-choice.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
+import type {ServiceDemands} from '../replicas/service-demand.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
 import type {UsageCounts} from '../duties/usage-counts.js';
 import type {ConnectionBook} from './connection-book.js';
@@ -24,6 +25,7 @@
 	readonly guard: FreshnessGuard;
 	readonly replicas: ReplicaDirectory;
 	readonly choice: ReplicaChoice;
+	readonly demands: ServiceDemands;
 	readonly connections: ConnectionBook;
 	readonly quota: QuotaLedger;
 	readonly budgets: RepeatBudgets;
--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -28,6 +28,13 @@
 	 */
 	abstract choose(candidates: readonly Replica[], request: ChoiceRequest): Replica;
 
+	/**
+	 * @param replica - A replica.
+	 * @param request - The request.
+	 * @returns Tokens of its prompt that the replica has to read, as far as is known.
+	 */
+	abstract unreadTokens(replica: Replica, request: ChoiceRequest): number;
+
 	/**
 	 * Notes that a replica has read a prompt.
 	 *
@@ -39,6 +46,8 @@
 
 /** Prompt tokens a replica reads in a millisecond, where nothing is known; only relations count. */
 const assumedReadRate = 50;
+/** How much more than its time a shared part counts that is read again: it takes the place of others, and is paid for. */
+const rereadWeight = 2;
 /** Milliseconds that a request beside others costs. */
 const costBeside = 3;
 /** Milliseconds a request holds a slot, where none was measured. */
@@ -105,6 +114,10 @@
 			.sort((left, right) => left.cost - right.cost)[0]!.replica;
 	}
 
+	override unreadTokens(replica: Replica, request: ChoiceRequest): number {
+		return Math.max(0, request.promptTokens - this.keptTokens(replica, request, undefined));
+	}
+
 	override noteRead(replica: Replica, {sharedParts}: ChoiceRequest): void {
 		for (const {id} of sharedParts) {
 			const replicas = this.readAt.get(id) ?? new Map<string, number>();
@@ -135,8 +148,10 @@
 		const {requests, unreadTokens} = replica.work;
 		const {slots, dataCentre} = replica.entry;
 		const serviceTime = replica.latency || assumedServiceTime;
-		const toRead = request.promptTokens - this.keptTokens(replica, request, home);
-		const read = (toRead + unreadTokens) / assumedReadRate;
+		const kept = this.keptTokens(replica, request, home);
+		const toRead = request.promptTokens - kept;
+		const sharedUnkept = sumOf(request.sharedParts.map(({tokens}) => tokens)) - kept;
+		const read = (toRead + unreadTokens + (sharedUnkept * rereadWeight)) / assumedReadRate;
 		const beside = request.promptTokens > 0 ? requests * costBeside : (requests / slots) * serviceTime / 2;
 		const queue = Math.max(0, requests + 1 - slots) * serviceTime / slots;
 		const errors = Math.max(0, replica.errorShare - meanErrors) * errorCost;
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -37,6 +37,8 @@
 	private readonly replicas = new Map<string, Replica>();
 	private readonly departures = new Map<string, KnownDeparture>();
 	private lately: readonly Replica[] = [];
+	/** When a replica of a service was last found ready. */
+	private readonly servedAt = new Map<string, number>();
 	private readonly goneListeners: ReplicaListener[] = [];
 	private known = false;
 	private lastListedAt: number;
@@ -84,11 +86,24 @@
 	 */
 	ready(service: string): readonly Replica[] {
 		const listed = this.all.filter(replica => replica.entry.service === service && !replica.isLeaving);
+		if (listed.length > 0) {
+			this.servedAt.set(service, this.clock.monotonic());
+		}
+
 		return listed.length > 0
 			? listed
 			: [...this.all, ...this.lately].filter(replica => replica.entry.service === service && this.mayBeSent(replica));
 	}
 
+	/**
+	 * @param service - Name of a service.
+	 * @returns Milliseconds since one of its replicas was last found ready; zero where none ever was.
+	 */
+	absentFor(service: string): number {
+		const now = this.clock.monotonic();
+		return now - (this.servedAt.get(service) ?? now);
+	}
+
 	/**
 	 * @param replica - A replica that was chosen.
 	 * @returns Whether a request may still be sent to it.
--- /dev/null
+++ b/src/replicas/service-demand.ts
@@ -0,0 +1,125 @@
+/**
+ * What is asked of a service at this box, measured by what comes and not by what waits: where replicas are short, what waits
+ * grows without bound and says little of how many would do.
+ */
+import type {Clock} from '../base/clock.js';
+import {RateMeter} from '../base/rate-meter.js';
+
+/** Milliseconds over which arrivals are measured: clumps of requests are shorter, waves longer. */
+const arrivalTime = 4000;
+/** Tokens of a prompt below which its time says more of the way than of the reading. */
+const leastTokens = 1000;
+/** The rate of reading that this part of the samples stays below counts: the others waited beside other work. */
+const quantile = 0.95;
+/** Part of the rate by which one sample moves it at most; the first ones move it more. */
+const leastStep = 0.03;
+/** Samples from which on a rate of reading is told. */
+const leastSamples = 20;
+/** Weight of one request in the mean duration: queues come and go within some hundred requests. */
+const durationWeight = 0.004;
+const millisecondsPerSecond = 1000;
+
+/** The demand for one service. */
+export type Demand = {
+	/** Requests that are in progress on average where replicas are not short. */
+	readonly requests: number;
+	/** Prompt tokens a second that replicas have to read. */
+	readonly reading: number;
+};
+
+/** The demand for one service at this box. */
+export class ServiceDemand {
+	/**
+	 * @param clock - For rates.
+	 * @returns A demand of which nothing was seen.
+	 */
+	static create(clock: Clock): ServiceDemand {
+		return new ServiceDemand(clock);
+	}
+
+	private readonly arrivals: RateMeter;
+	private readonly unread: RateMeter;
+	private meanDuration = 0;
+	private ended = 0;
+	private readingRate = 0;
+	private samples = 0;
+
+	private constructor(clock: Clock) {
+		this.arrivals = RateMeter.create(clock, arrivalTime);
+		this.unread = RateMeter.create(clock, arrivalTime);
+	}
+
+	/** What is asked now; by Little's law requests in progress are those that come, times how long they take. */
+	get now(): Demand {
+		return {requests: this.arrivals.rate * this.meanDuration / millisecondsPerSecond, reading: this.unread.rate};
+	}
+
+	/** Prompt tokens that a replica reads in a second beside its other work; zero where too little was seen. */
+	get readRate(): number {
+		return this.samples < leastSamples ? 0 : this.readingRate * millisecondsPerSecond;
+	}
+
+	/** @param unreadTokens - Tokens of its prompt that a replica has to read, of a request that comes. */
+	noteArrival(unreadTokens: number): void {
+		this.arrivals.note(1);
+		this.unread.note(unreadTokens);
+	}
+
+	/** @param duration - Milliseconds for which a request was at a replica that did not let it wait. */
+	noteEnd(duration: number): void {
+		this.ended++;
+		this.meanDuration += (duration - this.meanDuration) * Math.max(durationWeight, 1 / this.ended);
+	}
+
+	/**
+	 * @param tokens - Tokens of a prompt that its replica did not keep.
+	 * @param duration - Milliseconds from the sending to the first event.
+	 */
+	noteRead(tokens: number, duration: number): void {
+		if (tokens < leastTokens || duration <= 0) {
+			return;
+		}
+
+		const sample = tokens / duration;
+		this.samples++;
+		const step = Math.max(leastStep, 1 / this.samples);
+		this.readingRate = this.readingRate === 0 ? sample : this.readingRate * (1 + (step * (sample > this.readingRate ? quantile : quantile - 1)));
+	}
+}
+
+/** The demand for each service at this box. */
+export class ServiceDemands {
+	/**
+	 * @param clock - For rates.
+	 * @returns Demands of which nothing was seen.
+	 */
+	static create(clock: Clock): ServiceDemands {
+		return new ServiceDemands(clock);
+	}
+
+	private readonly demands = new Map<string, ServiceDemand>();
+
+	private constructor(private readonly clock: Clock) {}
+
+	/** What is asked of each service. */
+	get told(): ReadonlyArray<Demand & {readonly service: string}> {
+		return [...this.demands].map(([service, {now}]) => ({service, requests: roundTo(now.requests, 100), reading: Math.round(now.reading)}));
+	}
+
+	/**
+	 * @param service - Name of a service.
+	 * @returns Its demand.
+	 */
+	of(service: string): ServiceDemand {
+		const known = this.demands.get(service);
+		if (known) {
+			return known;
+		}
+
+		const demand = ServiceDemand.create(this.clock);
+		this.demands.set(service, demand);
+		return demand;
+	}
+}
+
+const roundTo = (value: number, parts: number): number => Math.round(value * parts) / parts;
