A box that starts anew holds no past counters against client accounts; kept replicas as if all reclaimable ones may go

Their first news of a peer was a digest; its counters came next and were taken as new, a million tokens at once. And the holder that had ordered three kept replicas was cut off from the store before the next data centres went. Ruled out: the bucket that a restarted box begins with (half of the burst, 44,000 to 150,000 tokens); a lost peer's part. Change: counters that were never taken are met anew; kept replicas are ordered for most of the load whatever still serves; a box that comes back to the duties waits only for its own last act. Test: relay-quota.test.ts fails without the first change; duty-lease.test.ts, fleet-plan.test.ts.

--- a/src/duties/duty-lease.ts
+++ b/src/duties/duty-lease.ts
@@ -58,9 +58,13 @@
 	private record: DutyRecord | undefined;
 	private revision: number | undefined;
 	private actsFrom = Number.POSITIVE_INFINITY;
+	/** Monotonic milliseconds up to which this box may have acted: another start of it until this one began. */
+	private actedUntil: number;
 	private isUnsure = false;
 
-	private constructor(private readonly services: DutyLeaseServices) {}
+	private constructor(private readonly services: DutyLeaseServices) {
+		this.actedUntil = services.clock.monotonic();
+	}
 
 	/** What was last read or written; `undefined` before the first. */
 	get known(): DutyRecord | undefined {
@@ -105,7 +109,7 @@
 			yield * this.write({
 				...before, holder: self, incarnation, fence: before.fence + 1, decision: before.decision + 1, ...formerHolder(before),
 			});
-			this.actsFrom = clock.monotonic() + (this.needsWait(before) ? this.services.wait() : 0);
+			this.actsFrom = this.firstActAfter(before);
 			log.write('dutyAcquired', {fence: before.fence + 1, before: before.holder});
 		});
 	}
@@ -128,6 +132,7 @@
 			}
 
 			const sentAt = clock.monotonic();
+			this.actedUntil = sentAt + actWithin;
 			const record = {...decide(this.record!), decision: this.record!.decision + 1};
 			yield * this.write(record).pipe(Effect.catchTag('RevisionConflict', () => this.lookAfterConflict()));
 			return {
@@ -158,11 +163,20 @@
 
 	/**
 	 * What this box itself did before needs no waiting out, and neither does what the platform refuses by its fence. But
-	 * where boxes take turns, the one that comes back waits until the acts of the other are over.
+	 * where boxes take turns, the one that comes back acts only when its own last act is long ago.
 	 */
-	private needsWait({fence, holder, formerHolder: former}: DutyRecord): boolean {
-		const {self, isFenced} = this.services;
-		return fence > 0 && holder !== self && (!isFenced() || former === self);
+	private firstActAfter({fence, holder, formerHolder: former}: DutyRecord): number {
+		const {self, isFenced, clock, wait} = this.services;
+		const now = clock.monotonic();
+		if (fence === 0 || holder === self) {
+			return now;
+		}
+
+		if (!isFenced()) {
+			return now + wait();
+		}
+
+		return former === self ? Math.max(now, this.actedUntil + wait()) : now;
 	}
 
 	private lookAfterConflict(): Effect.Effect<never, StoreUnavailable | DutyTaken> {
--- a/src/duties/fleet-plan.ts
+++ b/src/duties/fleet-plan.ts
@@ -46,8 +46,11 @@
 const survivingPart = 0.7;
 /** Part of the needed replicas that kept ones alone must be while reclaimable ones are not to be had. */
 const standbyPart = 0.75;
-/** Data centres that may be reclaimed before kept replicas have booted, while reclaimable ones are not to be had. */
-const dataCentresLost = 2;
+/**
+ * Data centres that may be reclaimed before more kept replicas are ordered, while reclaimable ones are not to be had: whoever
+ * orders may be out of reach for seconds, too.
+ */
+const dataCentresLost = 3;
 /** Part of the needed replicas that must serve before the kept ones are given up. */
 const servingPart = 0.9;
 /** Part of the kept replicas that is still needed above which all of them stay. */
--- a/src/duties/test/duty-lease.test.ts
+++ b/src/duties/test/duty-lease.test.ts
@@ -61,6 +61,7 @@
 	assert.ok(!third.mayAct, 'a, b, a');
 	clock.now += wait;
 	assert.ok(third.mayAct);
+	await Effect.runPromise(third.decide(record => record));
 	await Effect.runPromise(third.release());
 	const fourth = leaseOf('b', true, 'two');
 	await acquire(fourth);
@@ -68,5 +69,15 @@
 	await Effect.runPromise(fourth.release());
 	const fifth = leaseOf('b', true, 'three');
 	await acquire(fifth);
-	assert.ok(!fifth.mayAct, 'b released them itself, and nothing tells that nobody acted since');
+	assert.ok(!fifth.mayAct, 'b may have acted until this start of it began');
+});
+
+test('a box whose own last act is long ago acts at once when it holds the duties again', async () => {
+	const first = leaseOf('a', true);
+	await acquire(first);
+	await Effect.runPromise(first.decide(record => record));
+	clock.now += 20_000;
+	await acquire(leaseOf('b', true));
+	await acquire(first);
+	assert.ok(first.mayAct);
 });
--- a/src/duties/test/fleet-plan.test.ts
+++ b/src/duties/test/fleet-plan.test.ts
@@ -45,7 +45,7 @@
 	const prices = new Map([['a', 1], ['b', 0.8], ['c', 1.2], ['d', 0.9]]);
 	const scarce = {isScarce: true, scaling: {...scaling, maximum: 10, dataCentrePrices: prices}};
 	const afterFirst = plan({...scarce, reclaimableReady: ready(2, ['a', 'b', 'c'])});
-	assert.deepEqual(afterFirst.map(({kept}) => kept), [0, 6, 0, 0], 'eight of ten, less the two of the third data centre, where they cost least');
+	assert.deepEqual(afterFirst.map(({kept}) => kept), [0, 7, 0, 1], 'three quarters of ten, whatever still serves, where they cost least');
 	assert.equal(keptOf(scarce), 8);
 	assert.deepEqual(afterFirst.map(({reclaimable}) => reclaimable), plan({scaling: scarce.scaling}).map(({reclaimable}) => reclaimable), 'the others stay ordered, so that they come back');
 });
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -173,6 +173,15 @@
 		return meeting;
 	}
 
+	/**
+	 * @param message - What a box tells whose counters were never taken.
+	 * @returns How it is met, as though it had not been heard before.
+	 */
+	meetAnew({uptime}: GossipMessage): Meeting {
+		const isYounger = this.isLarge ? uptime < newcomerUptime : uptime < this.uptime;
+		return isYounger ? 'younger' : this.otherMeeting;
+	}
+
 	/** Drops boxes that have not been heard for long, and tells of losses. */
 	sweep(): void {
 		const now = this.clock.monotonic();
@@ -195,12 +204,11 @@
 		return this.isLarge ? 'apart' : 'other';
 	}
 
-	private meet({uptime, incarnation}: GossipMessage, known: Peer | undefined, now: number): Meeting {
-		if (known?.last?.incarnation === incarnation) {
+	private meet(message: GossipMessage, known: Peer | undefined, now: number): Meeting {
+		if (known?.last?.incarnation === message.incarnation) {
 			return now - known.heardAt <= this.heardWithin ? 'known' : this.otherMeeting;
 		}
 
-		const isYounger = this.isLarge ? uptime < newcomerUptime : uptime < this.uptime;
-		return isYounger ? 'younger' : this.otherMeeting;
+		return this.meetAnew(message);
 	}
 }
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -91,11 +91,13 @@
 	 * @param meeting - How it is met.
 	 */
 	take(message: GossipMessage, meeting: Meeting): void {
-		const {services: {replicas, quota, usage}, topology} = this.parts;
+		const {services: {replicas, quota, usage}, topology, peers} = this.parts;
 		const {sender, work} = message;
+		const start = startOf(message);
 		this.takeNews(message);
-		quota.takeCounts(startOf(message), message.quota, meeting);
-		usage.take(startOf(message), message.usage);
+		// Its digests may have come before: what it let pass until now is no news, though it is known.
+		quota.takeCounts(start, message.quota, quota.knows(start) ? meeting : peers.meetAnew(message));
+		usage.take(start, message.usage);
 		if (!topology.isAggregator) {
 			return;
 		}
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -192,6 +192,14 @@
 		}
 	}
 
+	/**
+	 * @param peer - One start of one box.
+	 * @returns Whether its counters were taken before.
+	 */
+	knows(peer: string): boolean {
+		return this.peers.has(peer);
+	}
+
 	/**
 	 * Takes what another box tells.
 	 *
