Fleet sized by goals, admission by urgency, increases bounded, nothing given up while none are to be had

Change: places by square-root staffing, reading by the wait that a goal allows; kept ones by the last 8 s, for half of the data centres left, for all where half are gone; at most a quarter more in a boot time; all boxes observe the load; the less urgent are refused at once, with when to come back, where the best replica would let them wait past their goal.

--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -10,24 +10,23 @@
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import type {Demand} from '../replicas/service-demand.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
-import type {Service} from '../routes/route-table.js';
+import type {Scaling, Service} from '../routes/route-table.js';
 import type {DutyCalls, DutyRefusal, ReplicaOrder} from './duty-calls.js';
 import type {ActPermit, DutyLease, DutyTaken} from './duty-lease.js';
 import type {DutyRecord, FirstFleet, StandingOrder} from './duty-record.js';
 import {FirstFleetCount} from './first-fleet-count.js';
-import {FleetLoad} from './fleet-load.js';
 import type {FleetPolicy} from './fleet-plan.js';
+import {FleetSizes, type FleetSize} from './fleet-size.js';
 import {OrderBook} from './order-book.js';
 
-/** Part of the first fleet that is taken to carry the load before any load was seen. */
-const assumedPart = 1;
-/** Less is ordered only where that is at least this part less: each change costs what replicas keep of prompts. */
-const leastDecrease = 0.15;
-
 /** What is asked of a service at all boxes together. */
 export type FleetDemand = Demand & {
 	/** Prompt tokens that a replica reads in a second beside its other work; zero where too little was seen. */
 	readonly readRate: number;
+	/** Milliseconds within which answers are to begin. */
+	readonly goal: number;
+	/** Milliseconds that a replica still reads when a request finds it reading. */
+	readonly residualReading: number;
 };
 
 /** What the duty needs. */
@@ -43,6 +42,14 @@
 	readonly log: EventLog;
 };
 
+/** The fleet of one service. */
+type Fleet = {
+	readonly service: string;
+	readonly scaling: Scaling;
+	readonly first: FirstFleet;
+	readonly size: FleetSize;
+};
+
 /** The duty. */
 export class FleetDuty {
 	/**
@@ -55,31 +62,39 @@
 
 	private readonly orders: OrderBook;
 	private readonly firstFleet: FirstFleetCount;
-	private readonly loads = new Map<string, FleetLoad>();
+	private readonly sizes: FleetSizes;
 
 	private constructor(private readonly services: FleetDutyServices) {
 		this.orders = OrderBook.create(services.clock);
 		this.firstFleet = FirstFleetCount.create(services.replicas, services.clock);
+		this.sizes = FleetSizes.create(services.clock);
+	}
+
+	/** Notes the load as it is now; a box that takes the duties over knows of it then. */
+	observe(): void {
+		for (const {name} of this.scaled) {
+			this.measure(name);
+		}
 	}
 
 	/** @returns Does what is due; ends soon. */
 	step(): Effect.Effect<void, StoreUnavailable | DutyTaken> {
 		return Effect.suspend(() => {
-			const {lease, table} = this.services;
+			const {lease} = this.services;
 			const record = lease.known;
-			const scaled = (table.inForce?.content.services ?? []).filter(({scaling}) => scaling !== undefined);
+			const {scaled} = this;
 			if (!record || scaled.length === 0 || !this.firstFleet.isDue(record)) {
 				return Effect.void;
 			}
 
-			const fleets = scaled.map(({name}) => this.sized(this.firstFleet.of(record, name)));
-			const plans = scaled.flatMap(service => this.planOf(service, fleets.find(entry => entry.service === service.name)!, record.orders));
+			const fleets = scaled.map(service => this.fleetOf(service, record));
+			const plans = fleets.flatMap(fleet => this.planOf(fleet, record.orders));
 			const due = plans.flatMap(order => ordersOf(order)).filter(order => this.isDue(order));
-			const baseline = fleets.map(entry => settledBy(plans, entry));
 			if (due.length === 0) {
 				return Effect.void;
 			}
 
+			const baseline = fleets.map(({first, size: {needed}}) => settledBy(plans, {...first, needed}));
 			for (const fleet of fleets) {
 				this.tellSize(fleet);
 			}
@@ -88,50 +103,48 @@
 		});
 	}
 
-	/** What was ordered by load stands until as much was seen as allows less. */
-	private sized(fleet: FirstFleet): FirstFleet {
-		const load = this.measure(fleet.service);
-		const standing = fleet.needed ?? Math.ceil(fleet.replicas * assumedPart);
-		const isLess = load.isObserved && load.needed <= standing * (1 - leastDecrease);
-		const needed = isLess ? load.needed : Math.max(standing, load.needed);
-		return {...fleet, needed};
+	private get scaled(): readonly Service[] {
+		return (this.services.table.inForce?.content.services ?? []).filter(({scaling}) => scaling !== undefined);
 	}
 
-	private tellSize({service, replicas, needed}: FirstFleet): void {
-		const {requests, slots, reading} = this.loadOf(service).last;
-		this.services.log.write('fleetSized', {
-			service, needed, baseline: replicas, requests, slots, reading, isScarce: this.orders.isScarce(service), serving: this.services.replicas.ready(service).length,
-		});
+	private fleetOf({name, scaling}: Service, record: DutyRecord): Fleet {
+		const first = this.firstFleet.of(record, name);
+		const size = this.sizes.of({fleet: first, isScarce: this.orders.isScarce(name), bootTime: scaling!.bootTime});
+		return {
+			service: name, scaling: scaling!, first, size,
+		};
 	}
 
-	private loadOf(service: string): FleetLoad {
-		const load = this.loads.get(service) ?? FleetLoad.create(this.services.clock);
-		this.loads.set(service, load);
-		return load;
+	private tellSize({service, first, size: {needed, leastNow}}: Fleet): void {
+		this.services.log.write('fleetSized', {
+			service, needed, leastNow, baseline: first.replicas, ...this.sizes.lastLoad(service), isScarce: this.orders.isScarce(service), serving: this.services.replicas.ready(service).length,
+		});
 	}
 
 	/** Notes the load of a service as it is now. */
-	private measure(service: string): FleetLoad {
+	private measure(service: string): void {
 		const {demand, replicas} = this.services;
-		const load = this.loadOf(service);
-		const {requests, reading, readRate} = demand(service);
+		const {requests, reading, readRate, goal, residualReading} = demand(service);
 		const slots = replicas.all.filter(({entry}) => entry.service === service).map(replica => replica.entry.slots);
-		load.note({requests, slots: slots.length === 0 ? load.last.slots : sumOf(slots) / slots.length, reading: readRate === 0 ? 0 : reading / readRate});
-		return load;
+		this.sizes.note(service, {
+			requests,
+			slots: slots.length === 0 ? this.sizes.lastLoad(service).slots : sumOf(slots) / slots.length,
+			reading: readRate === 0 ? 0 : reading / readRate,
+			waits: residualReading === 0 ? 0 : goal / residualReading,
+		});
 	}
 
-	private planOf({name, scaling}: Service, fleet: FirstFleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
+	private planOf({service: name, scaling, first, size}: Fleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
 		const {replicas, policy} = this.services;
 		const ready = replicas.ready(name);
-		const dataCentres = [...scaling!.dataCentrePrices.keys()];
+		const dataCentres = [...scaling.dataCentrePrices.keys()];
 		return policy.plan({
 			service: name,
-			scaling: scaling!,
+			scaling,
 			dataCentres,
-			needed: fleet.needed ?? fleet.replicas,
-			neededNow: this.loadOf(name).isObservedBriefly ? this.loadOf(name).neededNow : fleet.needed ?? fleet.replicas,
-			baseline: fleet.replicas,
-			isSettled: fleet.isSettled === true,
+			...size,
+			baseline: first.replicas,
+			isSettled: first.isSettled === true,
 			isIdle: ready.every(({work}) => work.requests === 0),
 			isScarce: this.orders.isScarce(name),
 			reclaimableReady: new Map(dataCentres.map(dataCentre => [dataCentre, countOf(ready, dataCentre, true)])),
--- a/src/duties/fleet-load.ts
+++ b/src/duties/fleet-load.ts
@@ -5,10 +5,18 @@
  */
 import type {Clock} from '../base/clock.js';
 
-/** Part of the places of a replica that is taken on average where requests hardly wait for each other. */
-const targetOccupancy = 0.36;
-/** Part of its time for which a replica reads prompts on average where requests hardly wait for each other. */
-const targetReading = 0.42;
+/** How much is left to spare. */
+type Comfort = {
+	/** Part of the goal that requests wait for the reading of others, on average: its inverse. */
+	readonly waitPart: number;
+	/** Standard deviations of the number of requests at a replica that its places have room for. */
+	readonly deviations: number;
+};
+
+/** Where replicas are cheap: requests hardly wait. */
+const ample: Comfort = {waitPart: 3, deviations: 4};
+/** Where they are dear. */
+const sparse: Comfort = {waitPart: 2, deviations: 2};
 /** Milliseconds for which a peak counts, so that less is ordered only after the trough of a wave. */
 const peakLifetime = 25_000;
 /** Milliseconds for which a peak counts where replicas are dear. */
@@ -26,9 +34,28 @@
 	readonly slots: number;
 	/** Replicas that would do nothing but read prompts. */
 	readonly reading: number;
+	/** Milliseconds within which answers are to begin, as a multiple of what a replica still reads that is found reading. */
+	readonly waits: number;
 };
 
-type Peak = {readonly replicas: number; readonly at: number};
+type Peak = {readonly value: number; readonly at: number};
+
+/** The greatest value of the last while. */
+class PeakHold {
+	/** Falling from the first to the last: what is followed by something greater no longer counts. */
+	private peaks: readonly Peak[] = [];
+
+	constructor(private readonly lifetime: number) {}
+
+	get value(): number {
+		return this.peaks[0]?.value ?? 0;
+	}
+
+	note(value: number, now: number): void {
+		const lasting = this.peaks.filter(peak => peak.value > value && now - peak.at < this.lifetime);
+		this.peaks = [...lasting, {value, at: now}];
+	}
+}
 
 /** The load of one service. */
 export class FleetLoad {
@@ -41,23 +68,25 @@
 	}
 
 	/** The last sample. */
-	last: LoadSample = {requests: 0, slots: 1, reading: 0};
+	last: LoadSample = {
+		requests: 0, slots: 1, reading: 0, waits: 0,
+	};
+
 	private sampledAt = Number.NEGATIVE_INFINITY;
 	private observedFor = 0;
-	/** Falling from the first to the last: what is followed by something greater no longer counts. */
-	private peaks: readonly Peak[] = [];
+	private readonly ample = new PeakHold(peakLifetime);
+	private readonly sparse = new PeakHold(recentPeakLifetime);
 
 	private constructor(private readonly clock: Clock) {}
 
 	/** Replicas that carry the load of the last while with headroom; zero before any. */
 	get needed(): number {
-		return this.peaks[0]?.replicas ?? 0;
+		return this.ample.value;
 	}
 
-	/** The same for the last seconds. */
-	get neededNow(): number {
-		const since = this.clock.monotonic() - recentPeakLifetime;
-		return this.peaks.find(({at}) => at >= since)?.replicas ?? 0;
+	/** Replicas that carry the load of the last seconds with little to spare. */
+	get leastNow(): number {
+		return this.sparse.value;
 	}
 
 	/** Whether enough was seen to order less than stands. */
@@ -74,12 +103,30 @@
 	note(sample: LoadSample): void {
 		const now = this.clock.monotonic();
 		const elapsed = now - this.sampledAt;
-		const {requests, slots, reading} = sample;
 		this.last = sample;
 		this.sampledAt = now;
-		this.observedFor += requests > 0 && elapsed <= longestGap ? elapsed : 0;
-		const replicas = Math.max(requests / (Math.max(1, slots) * targetOccupancy), reading / targetReading);
-		const lasting = this.peaks.filter(peak => peak.replicas > replicas && now - peak.at < peakLifetime);
-		this.peaks = [...lasting, {replicas, at: now}];
+		this.observedFor += sample.requests > 0 && elapsed <= longestGap ? elapsed : 0;
+		this.ample.note(replicasFor(sample, ample), now);
+		this.sparse.note(replicasFor(sample, sparse), now);
 	}
 }
+
+/** Whichever asks for more: places for requests in progress, or time to read prompts. */
+function replicasFor({requests, slots, reading, waits}: LoadSample, {waitPart, deviations}: Comfort): number {
+	return Math.max(requests / meanTaken(slots, deviations), reading === 0 ? 0 : reading / busyPart(waits / waitPart));
+}
+
+/**
+ * The number of requests at a replica varies as its square root: the mean, and some of that, fill its places.
+ *
+ * @remarks Square-root staffing, as for servers of a queue.
+ */
+function meanTaken(slots: number, deviations: number): number {
+	const root = (Math.sqrt((deviations ** 2) + (4 * Math.max(1, slots))) - deviations) / 2;
+	return root ** 2;
+}
+
+/** A replica that reads for a part b of its time lets requests wait b / (1 - b) times what it still reads, on average. */
+function busyPart(waits: number): number {
+	return waits / (1 + waits);
+}
--- a/src/duties/fleet-plan.ts
+++ b/src/duties/fleet-plan.ts
@@ -15,8 +15,8 @@
 	readonly dataCentres: readonly string[];
 	/** Replicas that carry the load of the last while with headroom. */
 	readonly needed: number;
-	/** The same for the last seconds: kept replicas cost too much to be held for a peak that is over. */
-	readonly neededNow: number;
+	/** Replicas that carry the load of the last seconds with little to spare: kept ones cost too much for more. */
+	readonly leastNow: number;
 	/** Replicas the service had when the system first started. */
 	readonly baseline: number;
 	/** Whether the first fleet has been given up for reclaimable replicas. */
@@ -42,26 +42,23 @@
 	abstract plan(facts: FleetFacts): readonly StandingOrder[];
 }
 
-/** Part of the needed replicas that must still stand when a data centre is reclaimed, until others have booted. */
-const survivingPart = 0.7;
-/** Part of the needed replicas that kept ones alone must be while reclaimable ones are not to be had. */
-const standbyPart = 0.75;
-/**
- * Data centres that may be reclaimed before more kept replicas are ordered, while reclaimable ones are not to be had: whoever
- * orders may be out of reach for seconds, too.
- */
-const dataCentresLost = 3;
+/** Part of the needed replicas that carries the load with little to spare. */
+const sparsePart = 0.65;
+/** Data centres that may be reclaimed one upon the other before kept replicas are ordered: others are cheap meanwhile. */
+const dataCentresLost = 2;
+/** Part of the data centres left that may be reclaimed while kept replicas boot; where as many are gone already, all may. */
+const partLostInBoot = 0.5;
 /** Part of the needed replicas that must serve before the kept ones are given up. */
 const servingPart = 0.9;
 /** Part of the kept replicas that is still needed above which all of them stay. */
-const leastKeptPart = 0.5;
+const leastKeptPart = 0.75;
 /** Part of the first fleet that must serve before it is given up. */
 const firstPart = 0.6;
 
 /**
- * Reclaimable replicas for the measured load, spread over the data centres so that the loss of one is borne. Where they are
- * reclaimed and no others are to be had, the rest may go within seconds, sooner than a replica boots: then kept ones are
- * ordered at once that carry most of the load alone, and they stay until enough reclaimable ones serve again.
+ * Reclaimable replicas for the measured load, spread over the data centres so that the loss of two is borne. Where they are
+ * reclaimed and no others are to be had, half of the rest or all may go sooner than a replica boots: then kept ones are
+ * ordered that carry the load with those that would be left, and they stay until enough reclaimable ones serve again.
  */
 export class MeasuredLoadPolicy extends FleetPolicy {
 	/** @returns The policy. */
@@ -94,20 +91,21 @@
 			return 0;
 		}
 
-		const remaining = Math.max(1, dataCentres.length - 1);
-		return Math.ceil(Math.max(needed, needed * survivingPart * dataCentres.length / remaining));
+		const remaining = Math.max(1, dataCentres.length - dataCentresLost);
+		return Math.ceil(Math.max(needed, needed * sparsePart * dataCentres.length / remaining));
 	}
 
-	private keptTotal({needed, neededNow, scaling, isScarce, reclaimableReady, keptOrdered}: FleetFacts): number {
+	private keptTotal({needed, leastNow, scaling, dataCentres, isScarce, reclaimableReady, keptOrdered}: FleetFacts): number {
 		if (scaling.reclaimablePrice >= 1) {
 			return Math.ceil(needed);
 		}
 
-		const byDataCentre = [...reclaimableReady.values()].sort((left, right) => right - left);
+		const byDataCentre = [...reclaimableReady.values()].filter(count => count > 0).sort((left, right) => right - left);
 		const standing = sumOf([...keptOrdered.values()]);
 		if (isScarce) {
-			const lasting = sumOf(byDataCentre.slice(dataCentresLost));
-			const missing = Math.max(0, Math.ceil((neededNow * standbyPart) - lasting));
+			const areMostGone = byDataCentre.length <= dataCentres.length * partLostInBoot;
+			const lasting = areMostGone ? 0 : sumOf(byDataCentre.slice(Math.ceil(byDataCentre.length * partLostInBoot)));
+			const missing = Math.max(0, Math.ceil(leastNow - lasting));
 			return missing < standing && missing > standing * leastKeptPart ? standing : missing;
 		}
 
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -74,6 +74,8 @@
 	private readonly life: HolderLife;
 	/** Monotonic milliseconds at which all others last told this box. */
 	private aggregatorAt = Number.NEGATIVE_INFINITY;
+	/** Monotonic milliseconds at which the load was last noted. */
+	private observedAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly parts: DutyParts, calls: DutyCalls) {
 		const {self, incarnation, link: {store}, clock, log, settings, services, peers} = parts;
@@ -110,19 +112,29 @@
 		return Effect.sleep(settleTime).pipe(Effect.andThen(Effect.forever(step)));
 	}
 
+	/** A box that does not hold the duties needs to know less exactly what it would order. */
+	private observe(): void {
+		const now = this.parts.clock.monotonic();
+		if (this.lease.isHeld || now - this.observedAt >= idleInterval) {
+			this.observedAt = now;
+			this.fleet.observe();
+		}
+	}
+
 	/** What is asked of a service at all boxes that are heard, and how fast its replicas read. */
 	private demandFor(service: string): FleetDemand {
 		const {peers, services: {demands}} = this.parts;
 		const own = demands.of(service);
 		const told = [own.now, ...peers.heard.flatMap(({last}) => last?.demand?.filter(entry => entry.service === service) ?? [])];
 		return {
-			requests: sumOf(told.map(({requests}) => requests)), reading: sumOf(told.map(({reading}) => reading)), readRate: own.readRate,
+			requests: sumOf(told.map(({requests}) => requests)), reading: sumOf(told.map(({reading}) => reading)), readRate: own.readRate, goal: own.goal, residualReading: own.residualReading,
 		};
 	}
 
 	private step() {
 		return Effect.gen({self: this}, function * () {
 			const {lease} = this;
+			this.observe();
 			this.parts.metrics.leaseHeld.set(lease.isHeld ? 1 : 0);
 			if (lease.isHeld && (this.parts.isStopping() || this.isOutOfHearing())) {
 				yield * lease.release();
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -9,6 +9,7 @@
 import type {ChoiceRequest} from '../replicas/replica-choice.js';
 import type {ServiceDemand} from '../replicas/service-demand.js';
 import {pickTarget} from '../routes/route-table.js';
+import {refusedFor} from './admission.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
@@ -158,7 +159,22 @@
 			return Effect.fail(this.refuse('no-upstream', `No replica of service ${this.request.service} can take the request.`, this.untilReplica));
 		}
 
-		return Effect.succeed(choice.choose(candidates, this.choiceRequest));
+		return this.admit(choice.choose(candidates, this.choiceRequest));
+	}
+
+	/** What was begun is not given up for others. */
+	private admit(replica: Replica): Effect.Effect<Replica, Refusal> {
+		const {route, service, urgency} = this.request;
+		if (this.story.tries > 0) {
+			return Effect.succeed(replica);
+		}
+
+		const wait = refusedFor({
+			replica, urgency, demand: this.demand, goal: route.goal, urgencies: this.services.table.inForce?.urgencies(service) ?? [],
+		});
+		return wait === undefined
+			? Effect.succeed(replica)
+			: Effect.fail(this.refuse('capacity-short', `Replicas of service ${service} are taken by more urgent requests.`, Math.max(comeBack, wait / millisecondsPerSecond)));
 	}
 
 	private tryReplica(replica: Replica): Effect.Effect<void, AttemptFailure> {
@@ -172,7 +188,7 @@
 		const beganAt = this.services.clock.monotonic();
 		return Effect.suspend(() => {
 			if (this.tried.size === 0) {
-				this.demand.noteArrival(tokens);
+				this.demand.noteArrival(tokens, this.request.route.goal);
 			}
 
 			this.tried.add(replica);
@@ -386,7 +402,7 @@
 		return Math.max(comeBack, (bootTime - replicas.absentFor(service)) / millisecondsPerSecond);
 	}
 
-	private refuse(reason: 'no-upstream' | 'upstream-refused' | 'configuration-stale', detail: string, retryAfter = comeBack): Refusal {
+	private refuse(reason: 'capacity-short' | 'no-upstream' | 'upstream-refused' | 'configuration-stale', detail: string, retryAfter = comeBack): Refusal {
 		return this.verdict === 'not-run'
 			? Refusal.create(reason, detail, {retryAfter})
 			: Refusal.create('upstream-cut', detail, {verdict: 'may-have-run'});
--- /dev/null
+++ b/src/relay/test/admission.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {Replica} from '../../replicas/replica.js';
+import {ServiceDemands} from '../../replicas/service-demand.js';
+import {refusedFor} from '../admission.js';
+
+const clock = new MovedClock(1000);
+const urgencies = [0, 1, 2];
+
+/** A replica with prompts to read and requests in progress, of a service that reads 100 tokens a millisecond. */
+const shortage = (unreadTokens: number, requests = 1) => {
+	const replica = Replica.create({
+		id: 'i-1', revision: 1, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 4, isDraining: false, isReclaimable: false, leavesIn: undefined,
+	}, clock);
+	replica.noteOthersWork({requests, unreadTokens});
+	const demand = ServiceDemands.create(clock).of('s');
+	for (let index = 0; index < 30; index++) {
+		demand.noteRead(10_000, 100);
+		demand.noteEnd(400);
+	}
+
+	return {replica, demand};
+};
+
+const refused = (urgency: number, unreadTokens: number, requests?: number) => refusedFor({
+	...shortage(unreadTokens, requests), goal: 200, urgency, urgencies,
+});
+
+test('the least urgent is refused first, the next much later, the most urgent never', () => {
+	assert.deepEqual([0, 1, 2].map(urgency => refused(urgency, 15_000)), [undefined, undefined, undefined]);
+	assert.deepEqual([0, 1, 2].map(urgency => refused(urgency, 32_000) !== undefined), [false, false, true]);
+	assert.deepEqual([0, 1, 2].map(urgency => refused(urgency, 400_000) !== undefined), [false, true, true]);
+});
+
+test('the time to come back is what is expected to be waited, for places as well', () => {
+	assert.ok(Math.abs(refused(2, 40_000)! - 400) < 40);
+	assert.equal(refused(2, 0, 4), undefined, 'a place is free within the goal');
+	assert.ok(Math.abs(refused(2, 0, 11)! - 800) < 10);
+});
+
+test('nobody is refused where all are alike, or where nothing is known of the service', () => {
+	assert.equal(refusedFor({
+		...shortage(400_000), goal: 200, urgency: 2, urgencies: [2],
+	}), undefined);
+	assert.equal(refusedFor({
+		...shortage(400_000), demand: ServiceDemands.create(clock).of('s'), goal: 200, urgency: 2, urgencies,
+	}), undefined);
+});
--- a/src/replicas/service-demand.ts
+++ b/src/replicas/service-demand.ts
@@ -11,10 +11,13 @@
 const leastTokens = 1000;
 /** The rate of reading that this part of the samples stays below counts: the others waited beside other work. */
 const quantile = 0.95;
-/** Part of the rate by which one sample moves it at most; the first ones move it more. */
+/** Part of the rate by which one sample moves it at most: the first ones more, since the very first may have waited. */
 const leastStep = 0.03;
+const largestStep = 0.08;
 /** Samples from which on a rate of reading is told. */
 const leastSamples = 20;
+/** Weight of one request in the means of what comes: rare long prompts must not sway them. */
+const arrivalWeight = 0.002;
 /** Weight of one request in the mean duration: queues come and go within some hundred requests. */
 const durationWeight = 0.004;
 const millisecondsPerSecond = 1000;
@@ -39,6 +42,10 @@
 
 	private readonly arrivals: RateMeter;
 	private readonly unread: RateMeter;
+	private arrived = 0;
+	private meanTokens = 0;
+	private meanSquare = 0;
+	private meanGoal = 0;
 	private meanDuration = 0;
 	private ended = 0;
 	private readingRate = 0;
@@ -59,10 +66,37 @@
 		return this.samples < leastSamples ? 0 : this.readingRate * millisecondsPerSecond;
 	}
 
-	/** @param unreadTokens - Tokens of its prompt that a replica has to read, of a request that comes. */
-	noteArrival(unreadTokens: number): void {
+	/** Milliseconds for which a request is at a replica that does not let it wait, on average; zero before any. */
+	get duration(): number {
+		return this.meanDuration;
+	}
+
+	/** Milliseconds within which an answer is to begin, on average. */
+	get goal(): number {
+		return this.meanGoal;
+	}
+
+	/** Milliseconds that a replica still reads when a request finds it reading, on average; zero where too little was seen. */
+	get residualReading(): number {
+		return this.readRate === 0 || this.meanTokens === 0
+			? 0
+			: this.meanSquare / (2 * this.meanTokens) / this.readRate * millisecondsPerSecond;
+	}
+
+	/**
+	 * Notes a request that comes.
+	 *
+	 * @param unreadTokens - Tokens of its prompt that a replica has to read.
+	 * @param goal - Milliseconds within which its answer is to begin.
+	 */
+	noteArrival(unreadTokens: number, goal: number): void {
 		this.arrivals.note(1);
 		this.unread.note(unreadTokens);
+		this.arrived++;
+		const weight = Math.max(arrivalWeight, 1 / this.arrived);
+		this.meanTokens += (unreadTokens - this.meanTokens) * weight;
+		this.meanSquare += ((unreadTokens ** 2) - this.meanSquare) * weight;
+		this.meanGoal += (goal - this.meanGoal) * weight;
 	}
 
 	/** @param duration - Milliseconds for which a request was at a replica that did not let it wait. */
@@ -82,7 +116,7 @@
 
 		const sample = tokens / duration;
 		this.samples++;
-		const step = Math.max(leastStep, 1 / this.samples);
+		const step = Math.min(largestStep, Math.max(leastStep, 1 / this.samples));
 		this.readingRate = this.readingRate === 0 ? sample : this.readingRate * (1 + (step * (sample > this.readingRate ? quantile : quantile - 1)));
 	}
 }
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -3,6 +3,7 @@
  *
  * @remarks Source: docs/PLATFORM.md, "The way of a configuration".
  */
+import {groupBy} from '../base/group-by.js';
 import {sumOf} from '../base/sum.js';
 
 /** What may be done with a request whose first try brought nothing. */
@@ -106,12 +107,15 @@
 	private readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
 	private readonly clientAccountsByKey: ReadonlyMap<string, ClientAccount>;
 	private readonly servicesByName: ReadonlyMap<string, Service>;
+	private readonly urgenciesByService: ReadonlyMap<string, readonly number[]>;
 
 	private constructor(readonly content: RouteTableContent) {
 		const byLength = [...content.routes].sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
 		const hosts = new Set(byLength.map(({host}) => host.toLowerCase()));
 		this.routesByHost = new Map([...hosts].map(host => [host, byLength.filter(route => route.host.toLowerCase() === host)]));
 		this.clientAccountsByKey = new Map(content.clientAccounts.flatMap(clientAccount => clientAccount.keys.map(key => [key, clientAccount] as const)));
+		const targets = content.routes.flatMap(({priority, targets: leadTo}) => leadTo.map(({service}) => ({service, priority})));
+		this.urgenciesByService = new Map([...groupBy(targets, ({service}) => service)].map(([service, some]) => [service, [...new Set(some.map(({priority}) => priority))]]));
 		this.servicesByName = new Map(content.services.map(service => [service.name, service]));
 	}
 
@@ -151,6 +155,14 @@
 		return this.servicesByName.get(name);
 	}
 
+	/**
+	 * @param service - Name of a service.
+	 * @returns Urgencies of the routes that lead to it.
+	 */
+	urgencies(service: string): readonly number[] {
+		return this.urgenciesByService.get(service) ?? [];
+	}
+
 	/**
 	 * @param route - The route of a request.
 	 * @param clientAccount - Its client account.
