--- /dev/null
+++ b/development/decisions/day-account.ts
@@ -0,0 +1,128 @@
+/**
+ * What was decided in each second of a run, and what came of it: requests by outcome, and the fleet.
+ */
+import type {DayEvent} from './day-log.js';
+
+/** One second of a run. */
+export type AccountedSecond = {
+	readonly second: number;
+	readonly answered: number;
+	/** Answered after the time that was asked about. */
+	readonly late: number;
+	/** Refused requests by reason. */
+	readonly refused: ReadonlyMap<string, number>;
+	readonly left: number;
+	/** Replicas that may get work at the end of the second, by sort. */
+	readonly ready: number;
+	/** Replicas that are ordered at its end. */
+	readonly reclaimable: number;
+	readonly kept: number;
+	/** Replicas that the load needed when orders were last weighed; `undefined` before. */
+	readonly needed: number | undefined;
+	/** Orders that were not taken. */
+	readonly refusedOrders: number;
+};
+
+/** Goes through a run. */
+class Walk {
+	readonly rows: AccountedSecond[] = [];
+	private answered = 0;
+	private late = 0;
+	private left = 0;
+	private refusedOrders = 0;
+	private refused = new Map<string, number>();
+	private needed: number | undefined;
+	private readonly ready = new Set<string>();
+	private readonly ordered = new Map<string, {readonly count: number; readonly isReclaimable: boolean}>();
+
+	constructor(private readonly lateAfter: number, private readonly scaled: string | undefined) {}
+
+	take({name, fields}: DayEvent): void {
+		const handlers: Readonly<Record<string, () => void>> = {
+			requestAnswered: () => {
+				this.answered++;
+				this.late += Number(fields.firstByte ?? 0) > this.lateAfter ? 1 : 0;
+			},
+			requestRefused: () => {
+				const reason = String(fields.reason);
+				this.refused.set(reason, (this.refused.get(reason) ?? 0) + 1);
+			},
+			clientLeft: () => {
+				this.left++;
+			},
+			replicaListed: () => {
+				if (fields.isDraining !== true && (this.scaled === undefined || fields.service === this.scaled)) {
+					this.ready.add(String(fields.replica));
+				}
+			},
+			replicaLeaving: () => {
+				this.ready.delete(String(fields.replica));
+			},
+			replicasOrdered: () => {
+				this.ordered.set(`${String(fields.service)}/${String(fields.dataCentre)}/${String(fields.isReclaimable)}`, {
+					count: Number(fields.count), isReclaimable: fields.isReclaimable === true,
+				});
+			},
+			fleetSized: () => {
+				this.needed = Number(fields.needed);
+			},
+			dutyCallFailed: () => {
+				this.refusedOrders += fields.duty === 'fleet' ? 1 : 0;
+			},
+		};
+		handlers[name]?.();
+	}
+
+	close(second: number): void {
+		const orders = [...this.ordered.values()];
+		const sum = (isReclaimable: boolean) => {
+			let total = 0;
+			for (const order of orders.filter(one => one.isReclaimable === isReclaimable)) {
+				total += order.count;
+			}
+
+			return total;
+		};
+
+		this.rows.push({
+			second, answered: this.answered, late: this.late, refused: this.refused, left: this.left, ready: this.ready.size,
+			reclaimable: sum(true), kept: sum(false), needed: this.needed, refusedOrders: this.refusedOrders,
+		});
+		this.answered = 0;
+		this.late = 0;
+		this.left = 0;
+		this.refusedOrders = 0;
+		this.refused = new Map();
+	}
+}
+
+/** What is asked of an account. */
+export type AccountQuestion = {
+	/** Milliseconds to the first byte after which an answer counts as late. */
+	readonly lateAfter: number;
+};
+
+/**
+ * @param events - A run, in order.
+ * @param question - What is asked.
+ * @returns Its seconds. Replicas are those of the services that are ordered, where any are.
+ */
+export function accountOf(events: readonly DayEvent[], {lateAfter}: AccountQuestion): readonly AccountedSecond[] {
+	const scaled = events.find(({name}) => name === 'fleetSized' || name === 'replicasOrdered')?.fields.service;
+	const walk = new Walk(lateAfter, typeof scaled === 'string' ? scaled : undefined);
+	let second = Math.floor(events[0]?.at ?? 0);
+	for (const event of events) {
+		while (event.at >= second + 1) {
+			walk.close(second);
+			second++;
+		}
+
+		walk.take(event);
+	}
+
+	if (events.length > 0) {
+		walk.close(second);
+	}
+
+	return walk.rows;
+}
--- /dev/null
+++ b/development/decisions/day-log.ts
@@ -0,0 +1,50 @@
+/**
+ * Reads the log lines of a recorded run: each holds one event as JSON, behind its time and box or by itself.
+ */
+
+/** Fields of an event. */
+type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** One event of a run. */
+export type DayEvent = {
+	/** Seconds. */
+	readonly at: number;
+	readonly box: string;
+	readonly name: string;
+	readonly fields: EventFields;
+};
+
+/** Seconds and box before the event, as a recorder of several boxes prints them. */
+const prefixed = /^\s*(?<at>-?\d+(?:\.\d+)?) (?<box>\S+) (?<json>\{.*\})\s*$/v;
+const millisecondsPerSecond = 1000;
+
+/**
+ * @param text - The log.
+ * @returns Its events in order; lines that are none are passed over.
+ */
+export function readDayLog(text: string): readonly DayEvent[] {
+	return text.split('\n').flatMap(line => {
+		const groups = prefixed.exec(line)?.groups;
+		const fields = parseFields(groups?.json ?? line);
+		if (!fields || typeof fields.eventName !== 'string') {
+			return [];
+		}
+
+		const at = groups ? Number(groups.at) : Date.parse(String(fields.time)) / millisecondsPerSecond;
+		return [{
+			at, box: groups?.box ?? String(fields.node ?? ''), name: fields.eventName, fields,
+		}];
+	}).sort((left, right) => left.at - right.at);
+}
+
+function parseFields(json: string): EventFields | undefined {
+	if (!json.startsWith('{')) {
+		return undefined;
+	}
+
+	try {
+		return JSON.parse(json) as EventFields;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/development/decisions/main.ts
@@ -0,0 +1,41 @@
+/**
+ * What was decided in a recorded run, second by second: `npm run decisions -- run.log --plot run.svg`.
+ */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import yargs from 'yargs';
+import {accountOf, type AccountedSecond} from './day-account.js';
+import {readDayLog} from './day-log.js';
+import {writeDayPlot} from './day-plot.js';
+
+const usualLateness = 500;
+
+const columns: ReadonlyArray<readonly [title: string, valueOf: (row: AccountedSecond) => number | string]> = [
+	['second', ({second}) => String(second).padStart(4)],
+	['answered', ({answered}) => answered],
+	['late', ({late}) => late],
+	['left', ({left}) => left],
+	['ready', ({ready}) => ready],
+	['reclaimable', ({reclaimable}) => reclaimable],
+	['kept', ({kept}) => kept],
+	['needed', ({needed}) => needed === undefined ? '-' : needed.toFixed(1)],
+	['refused orders', ({refusedOrders}) => refusedOrders],
+	['refused', ({refused}) => [...refused].map(([reason, count]) => `${reason} ${count}`).join(', ')],
+];
+
+const options = await yargs(process.argv.slice(2))
+	.scriptName('npm run decisions --')
+	.usage('$0 LOG\n\nPrints what was decided in each second of a recorded run, from the log lines of its boxes.')
+	.option('late-after', {type: 'number', default: usualLateness, describe: 'Milliseconds to the first byte after which an answer counts as late'})
+	.option('plot', {type: 'string', describe: 'Write a picture too, as SVG'})
+	.example('$0 run.log --plot run.svg', 'A table and a picture of a run')
+	.demandCommand(1, 1, 'Name one log.')
+	.strictOptions()
+	.help()
+	.parse();
+const rows = accountOf(readDayLog(readFileSync(String(options._[0]), 'utf8')), {lateAfter: options['late-after']});
+const lines = [columns.map(([title]) => title), ...rows.map(row => columns.map(([, valueOf]) => valueOf(row)))];
+process.stdout.write(lines.map(cells => `${cells.join('\t')}\n`).join(''));
+if (options.plot !== undefined) {
+	await writeDayPlot(options.plot, rows);
+}
