--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -180,7 +180,6 @@
 			connections: ConnectionBook.create(clock),
 			quota: QuotaLedger.create({
 				bound: name => table.inForce?.content.clientAccounts.find(clientAccount => clientAccount.name === name),
-				tolerance: () => topology.isLarge ? undefined : {window: bounds().quotaWindow, overage: bounds().quotaOverage, slack: bounds().quotaSlack},
 				heardPart: () => topology.isAggregator ? peers.heardPart : 1 / peers.boxes,
 				burstPart: () => topology.isLarge ? largeFleetBurst : 1,
 			}, clock, settings().isFirstStart),
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -20,16 +20,6 @@
 	readonly burst: number;
 };
 
-/** By how much a bound may be passed over a span, all boxes together. */
-export type QuotaTolerance = {
-	/** Milliseconds. */
-	readonly window: number;
-	/** Part of the bound. */
-	readonly overage: number;
-	/** Units. */
-	readonly slack: number;
-};
-
 /** What a box tells of a client account: units let pass since it started, and how full its copy of the bucket is. */
 export type QuotaCount = {
 	readonly clientAccount: string;
@@ -57,8 +47,6 @@
 export type QuotaFacts = {
 	/** @returns The client account's bound; `undefined` where there is no such client account. */
 	readonly bound: (clientAccount: string) => QuotaBound | undefined;
-	/** @returns By how much the bound may be passed; `undefined` where boxes know too little of each other to use it. */
-	readonly tolerance?: () => QuotaTolerance | undefined;
 	/** @returns Part of all boxes that are heard of, this one too; above 0, at most 1. */
 	readonly heardPart: () => number;
 	/** @returns Part of the burst that is spent; the rest is left for what boxes do not know of each other yet. */
@@ -112,8 +100,6 @@
 const askLifetime = 2000;
 
 const millisecondsPerSecond = 1000;
-/** Part of the tolerance that is used: what is within it is owed, and the rest is left for what boxes do not know of each other yet. */
-const usedTolerance = 0.4;
 /** Part of the burst that a box has that starts anew: others, or its own last start, may just have used the rest. */
 const restartPart = 0.5;
 
@@ -158,7 +144,7 @@
 	 * @returns Zero where it may pass; otherwise the milliseconds after which to come back.
 	 */
 	take(clientAccount: string, units: number): number {
-		const bound = this.boundOf(clientAccount);
+		const bound = this.facts.bound(clientAccount);
 		if (!bound || bound.rate <= 0) {
 			return 0;
 		}
@@ -216,7 +202,7 @@
 		for (const {clientAccount, passed, level} of counts) {
 			const before = known.get(clientAccount) ?? 0;
 			known.set(clientAccount, passed);
-			if (!this.boundOf(clientAccount)) {
+			if (!this.facts.bound(clientAccount)) {
 				continue;
 			}
 
@@ -242,7 +228,7 @@
 			return {
 				clientAccount,
 				level: Math.round(bucket.level),
-				refillRate: Math.round((this.boundOf(clientAccount)?.rate ?? 0) * this.facts.heardPart()),
+				refillRate: Math.round((this.facts.bound(clientAccount)?.rate ?? 0) * this.facts.heardPart()),
 				passRate: Math.round(Math.max(0, bucket.ownMeter.rate + bucket.othersMeter.rate)),
 				askRate: Math.round(bucket.askMeter.rate + this.askedAtOthers(clientAccount)),
 				counted: counted?.get(clientAccount) ?? 0,
@@ -274,7 +260,7 @@
 	private adoptOne({
 		clientAccount, level, refillRate, passRate, askRate, counted,
 	}: QuotaLevel): void {
-		const bound = this.boundOf(clientAccount);
+		const bound = this.facts.bound(clientAccount);
 		const bucket = this.bucketOf(clientAccount);
 		const now = this.clock.monotonic();
 		this.refill(clientAccount, bucket);
@@ -305,19 +291,6 @@
 		return (this.facts.random ?? Math.random)() * meanUnits;
 	}
 
-	/** The bound with what is used of the tolerance. */
-	private boundOf(clientAccount: string): QuotaBound | undefined {
-		const bound = this.facts.bound(clientAccount);
-		const tolerance = this.facts.tolerance?.();
-		if (!bound || !tolerance || bound.rate <= 0) {
-			return bound;
-		}
-
-		const {window, overage, slack} = tolerance;
-		const slackRate = slack * millisecondsPerSecond / window;
-		return {rate: bound.rate + (usedTolerance * ((bound.rate * overage) + slackRate)), burst: bound.burst};
-	}
-
 	private burstOf(bound: QuotaBound | undefined): number {
 		return (bound?.burst ?? 0) * (this.facts.burstPart?.() ?? 1);
 	}
@@ -334,7 +307,7 @@
 		}
 
 		const bucket: Bucket = {
-			level: this.burstOf(this.boundOf(clientAccount)) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
+			level: this.burstOf(this.facts.bound(clientAccount)) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
 			othersRate: 0,
 			refillRate: 0,
 			toldAt: Number.NEGATIVE_INFINITY,
@@ -362,7 +335,7 @@
 	private refill(clientAccount: string, bucket: Bucket): void {
 		const now = this.clock.monotonic();
 		const elapsed = now - bucket.refilledAt;
-		const bound = this.boundOf(clientAccount);
+		const bound = this.facts.bound(clientAccount);
 		bucket.refilledAt = now;
 		if (!bound) {
 			return;
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import * as fc from 'fast-check';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
-import {QuotaLedger, type QuotaTolerance} from '../quota-ledger.js';
+import {QuotaLedger} from '../quota-ledger.js';
 
 const clientAccount = 'basin';
 const bound = {rate: 100, burst: 100};
@@ -14,11 +14,10 @@
 	readonly reaches: boolean[];
 	private readonly met = new Set<string>();
 
-	constructor(boxes: number, tolerance?: QuotaTolerance) {
+	constructor(boxes: number) {
 		this.reaches = Array.from({length: boxes}, () => true);
 		this.ledgers = Array.from({length: boxes}, (_, index) => QuotaLedger.create({
 			bound: () => bound,
-			tolerance: () => tolerance,
 			heardPart: () => this.reaches[index] ? this.reaches.filter(Boolean).length / boxes : 1 / boxes,
 		}, this.clock, true));
 	}
@@ -92,29 +91,6 @@
 	), {numRuns: 12, seed: 7, endOnFailure: true});
 });
 
-test('part of what the bound may be passed by is given to a client account past its quota, and the whole never', () => {
-	const tolerance = {window: 8000, overage: 0.1, slack: 400};
-	const fleet = new Fleet(7, tolerance);
-	const passed: number[] = [];
-	for (let step = 0; step < 6000; step++) {
-		fleet.clock.now += 10;
-		if (step % 20 === 0) {
-			fleet.exchange();
-		}
-
-		if (fleet.ledgers[(step * 5) % 7]!.take(clientAccount, 4) === 0) {
-			passed.push(fleet.clock.now);
-		}
-	}
-
-	const unitsFrom = (at: number) => passed.filter(other => other >= at && other < at + tolerance.window).length * 4;
-	const most = Math.max(...passed.map(at => unitsFrom(at)));
-	const allowed = (((bound.rate * 8) + bound.burst) * (1 + tolerance.overage)) + tolerance.slack;
-	assert.ok(most <= allowed, `${most} units in a window, ${allowed} may pass`);
-	const late = unitsFrom(fleet.clock.now - tolerance.window);
-	assert.ok(late > (bound.rate * 8) + (0.3 * tolerance.slack), `${late} units in the last window`);
-});
-
 test('a box that starts among others takes the bucket as they know it, and one that starts anew has half of the burst', () => {
 	const clock = new MovedClock();
 	const facts = {bound: () => bound, heardPart: () => 1};
--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -29,9 +29,6 @@
 		retryRatio: Amount,
 		retryWindow: Amount,
 		retrySlack: Amount,
-		quotaWindow: Schema.optionalKey(Amount),
-		quotaOverage: Schema.optionalKey(Amount),
-		quotaSlack: Schema.optionalKey(Amount),
 		lease: Amount,
 		isFenceRequired: Schema.optionalKey(Flag),
 		reportWindow: Amount,
@@ -55,12 +52,6 @@
 	readonly retryWindow: number;
 	/** Repeats in a window. */
 	readonly retrySlack: number;
-	/** Span over which a quota's bound is counted. */
-	readonly quotaWindow: number;
-	/** Part of a quota by which it may be passed. */
-	readonly quotaOverage: number;
-	/** Units by which a quota may be passed in a window besides. */
-	readonly quotaSlack: number;
 	readonly lease: number;
 	/** Whether the platform refuses the calls of a holder that somebody has followed. */
 	readonly isFenceRequired: boolean;
@@ -85,7 +76,7 @@
 };
 
 const defaults = {
-	grace: 8, revoke: 5000, retryRatio: 0.1, retryWindow: 10, retrySlack: 10, quotaWindow: 8, lease: 3000, reportWindow: 5, reportDelay: 10,
+	grace: 8, revoke: 5000, retryRatio: 0.1, retryWindow: 10, retrySlack: 10, lease: 3000, reportWindow: 5, reportDelay: 10,
 } as const;
 const millisecondsPerSecond = 1000;
 
@@ -131,9 +122,6 @@
 			retryRatio: bounds.retryRatio ?? defaults.retryRatio,
 			retryWindow: (bounds.retryWindow ?? defaults.retryWindow) * millisecondsPerSecond,
 			retrySlack: bounds.retrySlack ?? defaults.retrySlack,
-			quotaWindow: (bounds.quotaWindow ?? defaults.quotaWindow) * millisecondsPerSecond,
-			quotaOverage: bounds.quotaOverage ?? 0,
-			quotaSlack: bounds.quotaSlack ?? 0,
 			lease: bounds.lease ?? defaults.lease,
 			isFenceRequired: bounds.isFenceRequired ?? false,
 			reportWindow: (bounds.reportWindow ?? defaults.reportWindow) * millisecondsPerSecond,
