--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -163,11 +163,12 @@
 
 	/** What is added goes first: what is given up is given up when the orders before it were taken. */
 	private orderAll(permit: ActPermit, orders: readonly ReplicaOrder[]): Effect.Effect<void> {
-		const isMore = (order: ReplicaOrder) => order.count > this.presentOf(order);
-		const send = (some: readonly ReplicaOrder[]) => Effect.all(some.map(order => this.order(permit, order)), {discard: true, concurrency: 'unbounded'});
-		return send(orders.filter(order => isMore(order))).pipe(Effect.andThen(Effect.suspend(() => permit.isValid()
-			? send(orders.filter(order => !isMore(order) && !this.isPremature(order)))
-			: Effect.void)));
+		const more = orders.filter(order => order.count > this.presentOf(order));
+		const others = orders.filter(order => !more.includes(order));
+		// The process may have stood still since the decision was written, or while others were ordered.
+		const send = (order: ReplicaOrder) => Effect.suspend(() => permit.isValid() && !this.isPremature(order) ? this.order(permit, order) : Effect.void);
+		const sendAll = (some: readonly ReplicaOrder[]) => Effect.all(some.map(order => send(order)), {discard: true, concurrency: 'unbounded'});
+		return sendAll(more).pipe(Effect.andThen(sendAll(others)));
 	}
 
 	private presentOf({service, dataCentre, isReclaimable}: ReplicaOrder): number {
@@ -175,8 +176,8 @@
 	}
 
 	/** Kept replicas are not given up in the step in which the others turn out not to be had. */
-	private isPremature({service, isReclaimable}: ReplicaOrder): boolean {
-		return !isReclaimable && this.orders.isScarce(service);
+	private isPremature(order: ReplicaOrder): boolean {
+		return !order.isReclaimable && order.count <= this.presentOf(order) && this.orders.isScarce(order.service);
 	}
 
 	private order({signer}: ActPermit, order: ReplicaOrder): Effect.Effect<void> {
--- a/src/duties/fleet-plan.ts
+++ b/src/duties/fleet-plan.ts
@@ -1,11 +1,12 @@
 /**
  * Decides how many replicas a service is to have, of which sort, in which data centre.
  *
- * @remarks Source: docs/DECISIONS.md, "The fleet".
+ * @remarks Source: docs/DECISIONS.md, "The fleet by measured load".
  */
 import {sumOf} from '../base/sum.js';
 import type {Scaling} from '../routes/route-table.js';
 import type {StandingOrder} from './duty-record.js';
+import {sparsePart} from './fleet-size.js';
 
 /** What a plan rests on. */
 export type FleetFacts = {
@@ -42,8 +43,6 @@
 	abstract plan(facts: FleetFacts): readonly StandingOrder[];
 }
 
-/** Part of the needed replicas that carries the load with little to spare. */
-const sparsePart = 0.65;
 /** Data centres that may be reclaimed one upon the other before kept replicas are ordered: others are cheap meanwhile. */
 const dataCentresLost = 2;
 /** Part of the data centres left that may be reclaimed while kept replicas boot; where as many are gone already, all may. */
@@ -95,6 +94,7 @@
 		return Math.ceil(Math.max(needed, needed * sparsePart * dataCentres.length / remaining));
 	}
 
+	/** Enough for the load without those that may go next; given up in larger steps, since each order costs a call. */
 	private keptTotal({needed, leastNow, scaling, dataCentres, isScarce, reclaimableReady, keptOrdered}: FleetFacts): number {
 		if (scaling.reclaimablePrice >= 1) {
 			return Math.ceil(needed);
@@ -110,7 +110,6 @@
 		}
 
 		const missing = Math.max(0, Math.ceil((needed * servingPart) - sumOf(byDataCentre)));
-		// Reclaimable ones come back one after the other, and each order costs a call.
 		return missing > standing * leastKeptPart ? standing : missing;
 	}
 }
--- a/src/duties/fleet-size.ts
+++ b/src/duties/fleet-size.ts
@@ -4,13 +4,14 @@
  * @remarks Source: docs/DECISIONS.md, "The fleet by measured load".
  */
 import type {Clock} from '../base/clock.js';
+import {getOrCreate} from '../base/get-or-create.js';
 import type {FirstFleet} from './duty-record.js';
 import {FleetLoad, type LoadSample} from './fleet-load.js';
 
 /** Part of the first fleet that is taken to carry the load before any load was seen. */
 const assumedPart = 1;
-/** Part of the needed replicas that carries the load with little to spare, before any load was seen. */
-const sparsePart = 0.65;
+/** Part of the needed replicas that carries the load with little to spare, where that was not measured. */
+export const sparsePart = 0.65;
 /** Less is ordered only where that is at least this part less: each change costs what replicas keep of prompts. */
 const leastDecrease = 0.15;
 /** More is ordered by at most this part at a time: caches that are still empty and clumps of requests look like load. */
@@ -91,13 +92,6 @@
 	}
 
 	private loadOf(service: string): FleetLoad {
-		const known = this.loads.get(service);
-		if (known) {
-			return known;
-		}
-
-		const load = FleetLoad.create(this.clock);
-		this.loads.set(service, load);
-		return load;
+		return getOrCreate(this.loads, service, () => FleetLoad.create(this.clock));
 	}
 }
--- /dev/null
+++ b/src/duties/test/fleet-duty.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {
+	MetadataStore, type Changes, type Listing, type StoredObject,
+} from '../../follow/metadata-store.js';
+import {ReplicaDirectory} from '../../replicas/replica-directory.js';
+import {RouteTableView} from '../../routes/route-table-view.js';
+import {DutyCalls, type ReplicaOrder} from '../duty-calls.js';
+import {DutyLease} from '../duty-lease.js';
+import {FleetDuty} from '../fleet-duty.js';
+import {MeasuredLoadPolicy} from '../fleet-plan.js';
+
+/** Holds one object; the process may stand still while its write is answered. */
+class PausingStore extends MetadataStore {
+	pause = 0;
+	private object: StoredObject | undefined;
+
+	constructor(private readonly clock: MovedClock) {
+		super();
+	}
+
+	override list(): Effect.Effect<Listing> {
+		return Effect.succeed({objects: [], at: 0});
+	}
+
+	override read(): Effect.Effect<StoredObject | undefined> {
+		return Effect.sync(() => this.object);
+	}
+
+	override watch(): Effect.Effect<Changes> {
+		return Effect.never;
+	}
+
+	override create(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
+		return this.write(name, spec);
+	}
+
+	override replace(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
+		return this.write(name, spec);
+	}
+
+	override remove(): Effect.Effect<void> {
+		return Effect.void;
+	}
+
+	private write(name: string, spec: unknown): Effect.Effect<StoredObject> {
+		return Effect.sync(() => {
+			this.object = {name, spec, revision: (this.object?.revision ?? 0) + 1};
+			this.clock.now += this.pause;
+			return this.object;
+		});
+	}
+}
+
+/** Keeps the orders that were given. */
+class KeepingCalls extends DutyCalls {
+	readonly orders: ReplicaOrder[] = [];
+
+	override reportUsage(): Effect.Effect<void> {
+		return Effect.void;
+	}
+
+	override orderReplicas(_signer: unknown, order: ReplicaOrder): Effect.Effect<void> {
+		return Effect.sync(() => {
+			this.orders.push(order);
+		});
+	}
+}
+
+test('a holder that stood still after its decision was written gives no orders for it', async () => {
+	const clock = new MovedClock(1000);
+	const log = SilentEventLog.create();
+	const store = new PausingStore(clock);
+	const calls = new KeepingCalls();
+	const replicas = ReplicaDirectory.create(clock, log);
+	const table = RouteTableView.create(clock, log);
+	const scaling = {
+		minimum: 1, maximum: 5, bootTime: 4000, reclaimablePrice: 0.2, dataCentrePrices: new Map([['a', 1], ['b', 1]]),
+	};
+	table.apply({
+		version: 1, routes: [], clientAccounts: [], limits: {body: 1, headerTimeout: 1, idleTimeout: 1},
+		services: [{
+			name: 's', maximumConnections: 1, isEngine: true, cacheCapacity: 1, scaling,
+		}],
+	}, 'store');
+	replicas.put({
+		id: 'i-1', revision: 1, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined,
+	});
+	const lease = DutyLease.create({
+		self: 'box', incarnation: 'one', store, clock, log, wait: () => 0, isFenced: () => false,
+	});
+	const duty = FleetDuty.create({
+		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(),
+		demand: () => ({
+			requests: 0, reading: 0, readRate: 0, goal: 0, residualReading: 0,
+		}),
+	});
+	await Effect.runPromise(lease.acquire());
+	clock.now += 5000;
+	store.pause = 30_000;
+	await Effect.runPromise(duty.step());
+	assert.deepEqual(calls.orders, []);
+	store.pause = 10;
+	await Effect.runPromise(duty.step());
+	assert.ok(calls.orders.some(({isReclaimable, count}) => isReclaimable && count > 0));
+});
--- a/src/relay/repeat-budgets.ts
+++ b/src/relay/repeat-budgets.ts
@@ -2,6 +2,7 @@
  * The budgets of repeats of this box, by service.
  */
 import type {Clock} from '../base/clock.js';
+import {getOrCreate} from '../base/get-or-create.js';
 import {RepeatBudget, type RepeatBound} from '../quota/repeat-budget.js';
 
 /** A budget for each service. */
@@ -29,13 +30,6 @@
 	 * @returns Its budget.
 	 */
 	of(service: string): RepeatBudget {
-		const known = this.byService.get(service);
-		if (known) {
-			return known;
-		}
-
-		const budget = RepeatBudget.create(this.bound, this.boxes, this.clock);
-		this.byService.set(service, budget);
-		return budget;
+		return getOrCreate(this.byService, service, () => RepeatBudget.create(this.bound, this.boxes, this.clock));
 	}
 }
--- a/src/replicas/service-demand.ts
+++ b/src/replicas/service-demand.ts
@@ -3,6 +3,7 @@
  * grows without bound and says little of how many would do.
  */
 import type {Clock} from '../base/clock.js';
+import {getOrCreate} from '../base/get-or-create.js';
 import {RateMeter} from '../base/rate-meter.js';
 
 /** Milliseconds over which arrivals are measured: clumps of requests are shorter, waves longer. */
@@ -145,14 +146,7 @@
 	 * @returns Its demand.
 	 */
 	of(service: string): ServiceDemand {
-		const known = this.demands.get(service);
-		if (known) {
-			return known;
-		}
-
-		const demand = ServiceDemand.create(this.clock);
-		this.demands.set(service, demand);
-		return demand;
+		return getOrCreate(this.demands, service, () => ServiceDemand.create(this.clock));
 	}
 }
 
