Fleet: made smaller only where all that was ordered serves and goals are kept, by steps; load pooled over boxes

Cause: a box that takes the duties over decided by what it alone had seen. Ruled out: the order book's refusals in the store (a new holder sees what is missing by the list and the record, also where nobody was refused yet).

--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -8,7 +8,7 @@
 import type {StoreUnavailable} from '../follow/metadata-store.js';
 import type {Replica} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
-import type {Demand} from '../replicas/service-demand.js';
+import type {FleetDemand} from '../replicas/fleet-demand.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
 import type {Scaling, Service} from '../routes/route-table.js';
 import type {DutyCalls, DutyRefusal, ReplicaOrder} from './duty-calls.js';
@@ -19,17 +19,8 @@
 import {FleetSizes, type FleetSize} from './fleet-size.js';
 import {OrderBook} from './order-book.js';
 
-/** What is asked of a service at all boxes together. */
-export type FleetDemand = Demand & {
-	/** Prompt tokens that a replica reads in a second beside its other work; zero where too little was seen. */
-	readonly readRate: number;
-	/** Milliseconds within which answers are to begin. */
-	readonly goal: number;
-	/** Milliseconds that a replica still reads when a request finds it reading. */
-	readonly residualReading: number;
-	/** Boxes whose demand is summed, this one too. */
-	readonly boxes: number;
-};
+/** Part of the replicas ordered in a data centre that must serve there: single ones crash and come back. */
+const wholePart = 0.75;
 
 /** What the duty needs. */
 export type FleetDutyServices = {
@@ -111,12 +102,25 @@
 
 	private fleetOf({name, scaling}: Service, record: DutyRecord): Fleet {
 		const first = this.firstFleet.of(record, name);
-		const size = this.sizes.of({fleet: first, isScarce: this.orders.isScarce(name), bootTime: scaling!.bootTime});
+		const size = this.sizes.of({
+			fleet: first, isScarce: this.orders.isScarce(name), isWhole: this.isWhole(name, record.orders), serving: this.services.replicas.ready(name).length, bootTime: scaling!.bootTime,
+		});
 		return {
 			service: name, scaling: scaling!, first, size,
 		};
 	}
 
+	/**
+	 * Whether what was ordered serves. A holder that has only begun knows of no order that was refused, but it sees what is
+	 * missing.
+	 */
+	private isWhole(name: string, orders: readonly StandingOrder[]): boolean {
+		const ready = this.services.replicas.ready(name);
+		return orders
+			.filter(({service}) => service === name)
+			.every(({dataCentre, reclaimable, kept}) => countOf(ready, dataCentre, true) + countOf(ready, dataCentre, false) >= (reclaimable + kept) * wholePart);
+	}
+
 	private tellSize({service, first, size: {needed, leastNow}}: Fleet): void {
 		const {log, replicas, demand} = this.services;
 		const {reading, readRate, goal, boxes} = demand(service);
@@ -129,13 +133,16 @@
 	/** Notes the load of a service as it is now. */
 	private measure(service: string): void {
 		const {demand, replicas} = this.services;
-		const {requests, reading, readRate, goal, residualReading} = demand(service);
+		const {
+			requests, reading, readRate, goal, residualReading, missedPart,
+		} = demand(service);
 		const slots = replicas.all.filter(({entry}) => entry.service === service).map(replica => replica.entry.slots);
 		this.sizes.note(service, {
 			requests,
 			slots: slots.length === 0 ? this.sizes.lastLoad(service).slots : sumOf(slots) / slots.length,
 			reading: readRate === 0 ? 0 : reading / readRate,
 			waits: residualReading === 0 ? 0 : goal / residualReading,
+			missedPart,
 		});
 	}
 
--- a/src/duties/fleet-load.ts
+++ b/src/duties/fleet-load.ts
@@ -25,6 +25,8 @@
 const leastObservation = 20_000;
 /** Milliseconds between two samples beyond which nothing is known of the time between them. */
 const longestGap = 2000;
+/** Part of the requests that may miss their goal where replicas are enough: the longest prompts do so by themselves. */
+const mostMissed = 0.2;
 
 /** The load of one service at one moment, all boxes together. */
 export type LoadSample = {
@@ -36,6 +38,8 @@
 	readonly reading: number;
 	/** Milliseconds within which answers are to begin, as a multiple of what a replica still reads that is found reading. */
 	readonly waits: number;
+	/** Part of the requests whose answers begin late, or that replicas are too short to serve. */
+	readonly missedPart: number;
 };
 
 type Peak = {readonly value: number; readonly at: number};
@@ -69,15 +73,31 @@
 
 	/** The last sample. */
 	last: LoadSample = {
-		requests: 0, slots: 1, reading: 0, waits: 0,
+		requests: 0, slots: 1, reading: 0, waits: 0, missedPart: 0,
 	};
 
 	private sampledAt = Number.NEGATIVE_INFINITY;
 	private observedFor = 0;
+	/** Monotonic milliseconds at which goals were last missed, and at which they were last kept. */
+	private missedAt: number;
+	private keptAt: number;
 	private readonly ample = new PeakHold(peakLifetime);
 	private readonly sparse = new PeakHold(recentPeakLifetime);
 
-	private constructor(private readonly clock: Clock) {}
+	private constructor(private readonly clock: Clock) {
+		this.missedAt = Number.NEGATIVE_INFINITY;
+		this.keptAt = clock.monotonic();
+	}
+
+	/** Milliseconds for which goals have been kept. */
+	get keptFor(): number {
+		return this.clock.monotonic() - this.missedAt;
+	}
+
+	/** Milliseconds for which goals have been missed; zero where they are kept. */
+	get missedFor(): number {
+		return this.clock.monotonic() - this.keptAt;
+	}
 
 	/** Replicas that carry the load of the last while with headroom; zero before any. */
 	get needed(): number {
@@ -106,6 +126,12 @@
 		this.last = sample;
 		this.sampledAt = now;
 		this.observedFor += sample.requests > 0 && elapsed <= longestGap ? elapsed : 0;
+		if (sample.missedPart > mostMissed) {
+			this.missedAt = now;
+		} else {
+			this.keptAt = now;
+		}
+
 		this.ample.note(replicasFor(sample, ample), now);
 		this.sparse.note(replicasFor(sample, sparse), now);
 	}
--- a/src/duties/fleet-size.ts
+++ b/src/duties/fleet-size.ts
@@ -16,14 +16,27 @@
 const leastDecrease = 0.15;
 /** More is ordered by at most this part at a time: caches that are still empty and clumps of requests look like load. */
 const mostIncrease = 0.25;
-/** Milliseconds beyond the boot time until more shows whether it was enough. */
-const increasePause = 2000;
+/** Less is ordered by at most this part at a time: what is left shows whether it is enough. */
+const mostDecrease = 0.4;
+/** Milliseconds beyond the boot time until a change shows whether it was enough. */
+const changePause = 2000;
+/** How many times what the load is taken to need is needed, where goals are missed with all of that serving; at most. */
+const correctionStep = 1.25;
+const largestCorrection = 4;
+/** Milliseconds for which goals must have been kept before a correction is taken back by a step. */
+const correctionLifetime = 25_000;
+/** Part of what is taken to be needed that must serve for missed goals to speak against the measure. */
+const servingPart = 0.9;
 
 /** What the size of a service's fleet rests on besides the load. */
 export type SizeFacts = {
 	readonly fleet: FirstFleet;
 	/** Whether reclaimable replicas were ordered that are not to be had. */
 	readonly isScarce: boolean;
+	/** Whether what was ordered serves. */
+	readonly isWhole: boolean;
+	/** Replicas that serve. */
+	readonly serving: number;
 	/** Milliseconds until a new replica serves. */
 	readonly bootTime: number;
 };
@@ -36,6 +49,14 @@
 	readonly leastNow: number;
 };
 
+/** A change of a fleet's size that is still to show whether it was enough. */
+type SizeChange = {
+	/** What was needed before. */
+	readonly from: number;
+	/** Monotonic milliseconds. */
+	readonly at: number;
+};
+
 /** The sizes of all services' fleets. */
 export class FleetSizes {
 	/**
@@ -47,8 +68,11 @@
 	}
 
 	private readonly loads = new Map<string, FleetLoad>();
-	/** What each service's fleet was increased from last, and when. */
-	private readonly increases = new Map<string, {readonly from: number; readonly at: number}>();
+	/** What each service's fleet was last made greater or smaller from, and when. */
+	private readonly increases = new Map<string, SizeChange>();
+	private readonly decreases = new Map<string, SizeChange>();
+	/** How far the measure of each service's load is off, as missed goals show, and when that was last weighed. */
+	private readonly corrections = new Map<string, {readonly factor: number; readonly at: number}>();
 
 	private constructor(private readonly clock: Clock) {}
 
@@ -69,26 +93,61 @@
 	}
 
 	/**
-	 * What was ordered by load stands until as much was seen as allows less. While some are not to be had none are given
-	 * up: others may go next.
+	 * What was ordered by load stands until as much was seen as allows less: the load for a while, goals kept, and all that
+	 * was ordered serving. While some are missing none are given up: others may go next.
 	 *
 	 * @param facts - What it rests on besides the load.
 	 * @returns The size of the service's fleet.
 	 */
-	of({fleet, isScarce, bootTime}: SizeFacts): FleetSize {
-		const load = this.loadOf(fleet.service);
+	of(facts: SizeFacts): FleetSize {
+		const {fleet, isScarce, isWhole, bootTime} = facts;
+		const {service} = fleet;
+		const load = this.loadOf(service);
+		const factor = this.correctionFor(facts, load);
+		const wanted = load.needed * factor;
 		const standing = fleet.needed ?? Math.ceil(fleet.replicas * assumedPart);
-		const isLess = load.isObserved && !isScarce && load.needed <= standing * (1 - leastDecrease);
-		const needed = isLess ? load.needed : this.increased(fleet.service, standing, load.needed, bootTime);
-		return {needed, leastNow: load.isObservedBriefly ? Math.min(load.leastNow, needed) : needed * sparsePart};
+		const isProven = load.isObserved && load.keptFor > bootTime + changePause;
+		const isLess = isProven && isWhole && !isScarce && wanted <= standing * (1 - leastDecrease);
+		const needed = isLess ? this.decreased(service, standing, wanted, bootTime) : this.increased(service, standing, wanted, bootTime);
+		return {needed, leastNow: load.isObservedBriefly ? Math.min(load.leastNow * factor, needed) : needed * sparsePart};
 	}
 
 	private increased(service: string, standing: number, wanted: number, bootTime: number): number {
+		const {from} = this.changeSince(this.increases, service, {standing, bootTime});
+		return Math.max(standing, Math.min(wanted, from * (1 + mostIncrease)));
+	}
+
+	private decreased(service: string, standing: number, wanted: number, bootTime: number): number {
+		const {from} = this.changeSince(this.decreases, service, {standing, bootTime});
+		return Math.min(standing, Math.max(wanted, from * (1 - mostDecrease)));
+	}
+
+	/** The change that is still to show whether it was enough, or one that begins now. */
+	private changeSince(changes: Map<string, SizeChange>, service: string, {standing, bootTime}: {readonly standing: number; readonly bootTime: number}): SizeChange {
 		const now = this.clock.monotonic();
-		const known = this.increases.get(service);
-		const before = known && now - known.at <= bootTime + increasePause ? known : {from: standing, at: now};
-		this.increases.set(service, before);
-		return Math.max(standing, Math.min(wanted, before.from * (1 + mostIncrease)));
+		const known = changes.get(service);
+		const change = known && now - known.at <= bootTime + changePause ? known : {from: standing, at: now};
+		changes.set(service, change);
+		return change;
+	}
+
+	/** Where goals are missed though as many replicas serve as the load is taken to need, it needs more than that. */
+	private correctionFor({fleet: {service}, serving, bootTime}: SizeFacts, load: FleetLoad): number {
+		const now = this.clock.monotonic();
+		const {factor, at} = this.corrections.get(service) ?? {factor: 1, at: Number.NEGATIVE_INFINITY};
+		const pause = bootTime + changePause;
+		const isRefuted = load.missedFor > pause / 2 && serving >= load.leastNow * factor * servingPart;
+		if (isRefuted && now - at > pause) {
+			return this.correct(service, Math.min(largestCorrection, factor * correctionStep));
+		}
+
+		const isConfirmed = factor > 1 && load.keptFor > correctionLifetime && now - at > correctionLifetime;
+		return isConfirmed ? this.correct(service, Math.max(1, factor / correctionStep)) : factor;
+	}
+
+	private correct(service: string, factor: number): number {
+		this.corrections.set(service, {factor, at: this.clock.monotonic()});
+		return factor;
 	}
 
 	private loadOf(service: string): FleetLoad {
--- a/src/duties/test/fleet-load.test.ts
+++ b/src/duties/test/fleet-load.test.ts
@@ -12,7 +12,7 @@
 };
 
 const calm: LoadSample = {
-	requests: 90, slots: 21, reading: 1, waits: 3,
+	requests: 90, slots: 21, reading: 1, waits: 3, missedPart: 0,
 };
 const neededFor = (sample: LoadSample): number => {
 	const load = FleetLoad.create(clock);
--- a/src/duties/test/fleet-take-over.test.ts
+++ b/src/duties/test/fleet-take-over.test.ts
@@ -15,7 +15,8 @@
 import {DutyCalls, DutyRefusal, type ReplicaOrder} from '../duty-calls.js';
 import {DutyLease} from '../duty-lease.js';
 import type {StandingOrder} from '../duty-record.js';
-import {FleetDuty, type FleetDemand} from '../fleet-duty.js';
+import type {FleetDemand} from '../../replicas/fleet-demand.js';
+import {FleetDuty} from '../fleet-duty.js';
 import {MeasuredLoadPolicy} from '../fleet-plan.js';
 
 const dataCentres = ['a', 'b', 'c', 'd'];
@@ -122,7 +123,7 @@
 
 /** What one box of eighty made of the load, second 23 of the day on which it was seen. */
 const demandSeen: FleetDemand = {
-	requests: 37, reading: 300_000, readRate: 30_000, goal: 1000, residualReading: 140, boxes: 80,
+	requests: 37, reading: 300_000, readRate: 30_000, goal: 1000, residualReading: 140, missedPart: 0, boxes: 80,
 };
 
 const takeOver = async ({clock, lease, duty, former}: ReturnType<typeof openFleet>) => {
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -22,8 +22,18 @@
 /** Work of boxes at one replica. */
 const Work = Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number});
 
-/** What is asked of one service: requests in progress, and prompt tokens a second to read. */
-const ServiceDemand = Schema.Struct({service: Schema.String, requests: Schema.Number, reading: Schema.Number});
+/** What is asked of one service at the sender; see `Demand`. */
+const ServiceDemand = Schema.Struct({
+	service: Schema.String,
+	requests: Schema.Number,
+	reading: Schema.Number,
+	readRate: Schema.Number,
+	goal: Schema.Number,
+	meanTokens: Schema.Number,
+	meanSquare: Schema.Number,
+	met: Schema.Number,
+	missed: Schema.Number,
+});
 
 /** A change of the list of replicas, as the store tells it. */
 const ReplicaChange = Schema.Struct({
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -3,7 +3,6 @@
  */
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
-import {sumOf} from '../base/sum.js';
 import type {EventLog} from '../base/event-log.js';
 import type {Role} from '../daemon/role.js';
 import {
@@ -11,7 +10,7 @@
 } from '../duties/duty-campaign.js';
 import type {DutyCalls} from '../duties/duty-calls.js';
 import {DutyLease} from '../duties/duty-lease.js';
-import {FleetDuty, type FleetDemand} from '../duties/fleet-duty.js';
+import {FleetDuty} from '../duties/fleet-duty.js';
 import {MeasuredLoadPolicy} from '../duties/fleet-plan.js';
 import {HolderLife} from '../duties/holder-life.js';
 import {UsageDraft} from '../duties/usage-draft.js';
@@ -20,6 +19,7 @@
 import type {PeerTable} from '../gossip/peer-table.js';
 import type {RelayMetrics} from '../relay/relay-metrics.js';
 import type {RelayServices} from '../relay/relay-services.js';
+import {pooledDemand, type FleetDemand} from '../replicas/fleet-demand.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
 import type {PlatformLink} from './platform-link.js';
 
@@ -112,10 +112,14 @@
 		return Effect.sleep(settleTime).pipe(Effect.andThen(Effect.forever(step)));
 	}
 
-	/** A box that does not hold the duties needs to know less exactly what it would order. */
+	/**
+	 * A box that does not hold the duties needs to know less exactly what it would order. One that most others do not tell
+	 * has seen nothing of the load.
+	 */
 	private observe(): void {
-		const now = this.parts.clock.monotonic();
-		if (this.lease.isHeld || now - this.observedAt >= idleInterval) {
+		const {topology, clock} = this.parts;
+		const now = clock.monotonic();
+		if (topology.isAggregator && (this.lease.isHeld || now - this.observedAt >= idleInterval)) {
 			this.observedAt = now;
 			this.fleet.observe();
 		}
@@ -124,16 +128,10 @@
 	/** What is asked of a service at all boxes that are heard, and how fast its replicas read. */
 	private demandFor(service: string): FleetDemand {
 		const {peers, services: {demands}} = this.parts;
-		const own = demands.of(service);
-		const told = [own.now, ...peers.heard.flatMap(({last}) => last?.demand?.filter(entry => entry.service === service) ?? [])];
-		return {
-			requests: sumOf(told.map(({requests}) => requests)),
-			reading: sumOf(told.map(({reading}) => reading)),
-			readRate: own.readRate,
-			goal: own.goal,
-			residualReading: own.residualReading,
-			boxes: told.length,
-		};
+		return pooledDemand([
+			demands.of(service).now,
+			...peers.heard.flatMap(({last}) => last?.demand?.filter(entry => entry.service === service) ?? []),
+		]);
 	}
 
 	private step() {
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -3,6 +3,7 @@
  * allowed.
  */
 import * as Effect from 'effect/Effect';
+import type {RefusalReason} from '../base/refusal-reason.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
 import type {Connection} from '../replicas/replica-connections.js';
@@ -28,6 +29,9 @@
 const comeBack = 0.5;
 const millisecondsPerSecond = 1000;
 
+/** Reasons that say that more replicas would have served. */
+const reasonsOfShortage: ReadonlySet<RefusalReason> = new Set(['capacity-short', 'no-upstream', 'upstream-refused', 'deadline-passed']);
+
 /** What became of a request, for its log line. */
 export type RunStory = {
 	tries: number;
@@ -69,6 +73,9 @@
 	/** An answer of a replica that failed the request, to be passed on where nothing better comes. */
 	private failedAnswer: (() => void) | undefined;
 	private hasCounted = false;
+	private hasOutcome = false;
+	/** Monotonic milliseconds. */
+	private readonly servedAt: number;
 
 	private constructor(
 		private readonly services: RelayServices,
@@ -76,6 +83,7 @@
 		private readonly client: ClientAnswer,
 	) {
 		const {head} = request;
+		this.servedAt = services.clock.monotonic();
 		this.passage = StreamPassage.create(client, services.format);
 		this.choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
 	}
@@ -93,7 +101,37 @@
 	serve(): Effect.Effect<void, Refusal> {
 		const timeLeft = Math.max(0, this.request.deadlineAt - this.services.clock.monotonic());
 		const late = Effect.sleep(timeLeft).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(this.lateness()))));
-		return Effect.raceFirst(this.tryReplicas(), late);
+		return Effect.raceFirst(this.tryReplicas(), late).pipe(
+			Effect.tapError(refusal => Effect.sync(() => {
+				this.noteRefusal(refusal);
+			})),
+			Effect.onInterrupt(() => Effect.sync(() => {
+				this.noteOutcome();
+			})),
+		);
+	}
+
+	/** What replicas are too short for is asked for all the same. */
+	private noteRefusal({reason}: Refusal): void {
+		if (!reasonsOfShortage.has(reason)) {
+			return;
+		}
+
+		if (this.story.tries === 0) {
+			this.demand.noteTurnedAway();
+		} else if (!this.hasOutcome) {
+			this.hasOutcome = true;
+			this.demand.noteOutcome(false);
+		}
+	}
+
+	/** Notes once whether the answer began in time, as far as that can be told by now. */
+	private noteOutcome(): void {
+		const isLate = this.services.clock.monotonic() - this.servedAt > this.request.route.goal;
+		if (!this.hasOutcome && (isLate || this.story.firstByteAt !== undefined)) {
+			this.hasOutcome = true;
+			this.demand.noteOutcome(!isLate);
+		}
 	}
 
 	private tryReplicas(): Effect.Effect<void, Refusal> {
@@ -260,6 +298,7 @@
 		const note = () => {
 			const now = this.services.clock.monotonic();
 			this.story.firstByteAt ??= now;
+			this.noteOutcome();
 			markRead();
 			replica.noteAnswer(now - sentAt, isError);
 			this.countUsage();
--- a/src/replicas/service-demand.ts
+++ b/src/replicas/service-demand.ts
@@ -23,12 +23,26 @@
 const durationWeight = 0.004;
 const millisecondsPerSecond = 1000;
 
-/** The demand for one service. */
+/** Milliseconds over which it is measured how many answers begin in time. */
+const outcomeTime = 2000;
+
+/** The demand for one service at one box. */
 export type Demand = {
 	/** Requests that are in progress on average where replicas are not short. */
 	readonly requests: number;
 	/** Prompt tokens a second that replicas have to read. */
 	readonly reading: number;
+	/** Prompt tokens that a replica reads in a second beside its other work; zero where too little was seen. */
+	readonly readRate: number;
+	/** Milliseconds within which answers are to begin, on average; zero before any. */
+	readonly goal: number;
+	/** Tokens of a prompt that a replica has to read, on average, and the mean of their squares. */
+	readonly meanTokens: number;
+	readonly meanSquare: number;
+	/** Requests a second whose answers begin in time. */
+	readonly met: number;
+	/** Requests a second whose answers begin late, or that replicas are too short to serve. */
+	readonly missed: number;
 };
 
 /** The demand for one service at this box. */
@@ -43,6 +57,8 @@
 
 	private readonly arrivals: RateMeter;
 	private readonly unread: RateMeter;
+	private readonly met: RateMeter;
+	private readonly missed: RateMeter;
 	private arrived = 0;
 	private meanTokens = 0;
 	private meanSquare = 0;
@@ -55,11 +71,17 @@
 	private constructor(clock: Clock) {
 		this.arrivals = RateMeter.create(clock, arrivalTime);
 		this.unread = RateMeter.create(clock, arrivalTime);
+		this.met = RateMeter.create(clock, outcomeTime);
+		this.missed = RateMeter.create(clock, outcomeTime);
 	}
 
 	/** What is asked now; by Little's law requests in progress are those that come, times how long they take. */
 	get now(): Demand {
-		return {requests: this.arrivals.rate * this.meanDuration / millisecondsPerSecond, reading: this.unread.rate};
+		const {meanTokens, meanSquare, readRate, goal} = this;
+		return {
+			requests: this.arrivals.rate * this.meanDuration / millisecondsPerSecond, reading: this.unread.rate,
+			readRate, goal, meanTokens, meanSquare, met: this.met.rate, missed: this.missed.rate,
+		};
 	}
 
 	/** Prompt tokens that a replica reads in a second beside its other work; zero where too little was seen. */
@@ -77,13 +99,6 @@
 		return this.meanGoal;
 	}
 
-	/** Milliseconds that a replica still reads when a request finds it reading, on average; zero where too little was seen. */
-	get residualReading(): number {
-		return this.readRate === 0 || this.meanTokens === 0
-			? 0
-			: this.meanSquare / (2 * this.meanTokens) / this.readRate * millisecondsPerSecond;
-	}
-
 	/**
 	 * Notes a request that comes.
 	 *
@@ -100,6 +115,18 @@
 		this.meanGoal += (goal - this.meanGoal) * weight;
 	}
 
+	/** Notes a request that no replica could be given: it is asked for all the same. */
+	noteTurnedAway(): void {
+		this.arrivals.note(1);
+		this.unread.note(this.meanTokens);
+		this.missed.note(1);
+	}
+
+	/** @param isInTime - Whether the answer to a request began within its goal. */
+	noteOutcome(isInTime: boolean): void {
+		(isInTime ? this.met : this.missed).note(1);
+	}
+
 	/** @param duration - Milliseconds for which a request was at a replica that did not let it wait. */
 	noteEnd(duration: number): void {
 		this.ended++;
@@ -138,7 +165,17 @@
 
 	/** What is asked of each service. */
 	get told(): ReadonlyArray<Demand & {readonly service: string}> {
-		return [...this.demands].map(([service, {now}]) => ({service, requests: roundTo(now.requests, 100), reading: Math.round(now.reading)}));
+		return [...this.demands].map(([service, {now}]) => ({
+			service,
+			requests: roundTo(now.requests, 100),
+			reading: Math.round(now.reading),
+			readRate: Math.round(now.readRate),
+			goal: Math.round(now.goal),
+			meanTokens: Math.round(now.meanTokens),
+			meanSquare: Math.round(now.meanSquare),
+			met: roundTo(now.met, 10),
+			missed: roundTo(now.missed, 10),
+		}));
 	}
 
 	/**
--- a/src/replicas/test/service-demand.test.ts
+++ b/src/replicas/test/service-demand.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {pooledDemand} from '../fleet-demand.js';
 import {ServiceDemands} from '../service-demand.js';
 
 test('requests in progress are those that come times how long they take, whatever waits', () => {
@@ -37,13 +38,61 @@
 
 test('what a replica still reads when it is found reading grows with the long prompts', () => {
 	const demand = ServiceDemands.create(new MovedClock()).of('s');
-	assert.equal(demand.residualReading, 0);
+	const residualReading = () => pooledDemand([demand.now]).residualReading;
+	assert.equal(residualReading(), 0);
 	for (let index = 0; index < 3000; index++) {
 		demand.noteArrival(index % 10 === 0 ? 10_000 : 1000, index % 2 === 0 ? 200 : 400);
 		demand.noteRead(2000, 20);
 	}
 
 	// 10.9 million over twice 1,900 tokens, at 100 a millisecond and what the quantile adds.
-	assert.ok(Math.abs(demand.residualReading - 28.7) < 4, String(demand.residualReading));
+	assert.ok(Math.abs(residualReading() - 28.7) < 4, String(residualReading()));
 	assert.ok(Math.abs(demand.goal - 300) < 10);
 });
+
+test('many boxes that see little each make the same of it as one that sees it all', () => {
+	const play = (boxes: number) => {
+		const clock = new MovedClock(1000);
+		const demands = Array.from({length: boxes}, () => ServiceDemands.create(clock).of('s'));
+		for (let index = 0; index < 4000; index++) {
+			clock.now += 20;
+			const demand = demands[index % boxes]!;
+			const tokens = index % 7 === 0 ? 10_000 : 2000;
+			demand.noteArrival(tokens, 500);
+			demand.noteRead(tokens, tokens / (index % 5 === 0 ? 60 : 30));
+			demand.noteEnd(300);
+			demand.noteOutcome(index % 4 !== 0);
+		}
+
+		return pooledDemand(demands.map(({now}) => now));
+	};
+
+	const one = play(1);
+	const many = play(64);
+	for (const key of ['requests', 'reading', 'goal', 'missedPart', 'residualReading', 'readRate'] as const) {
+		assert.ok(Math.abs(many[key] - one[key]) < one[key] * 0.35, `${key}: ${many[key]} of ${one[key]}`);
+	}
+
+	assert.equal(many.boxes, 64);
+});
+
+test('a request that no replica could be given is asked for all the same, and missed', () => {
+	const clock = new MovedClock(1000);
+	const demand = ServiceDemands.create(clock).of('s');
+	for (let index = 0; index < 1000; index++) {
+		clock.now += 20;
+		demand.noteArrival(1000, 500);
+		demand.noteOutcome(true);
+	}
+
+	const before = demand.now;
+	for (let index = 0; index < 1000; index++) {
+		clock.now += 20;
+		demand.noteTurnedAway();
+	}
+
+	assert.ok(Math.abs(demand.now.reading - before.reading) < before.reading * 0.05);
+	assert.ok(pooledDemand([demand.now]).missedPart > 0.95);
+	assert.equal(pooledDemand([before]).missedPart, 0);
+	assert.equal(pooledDemand([]).missedPart, 0);
+});
