--- /dev/null
+++ b/development/harness/exchange-fleet.ts
@@ -0,0 +1,155 @@
+/**
+ * A large fleet's exchange without sockets: one aggregator, and what all other boxes tell it. Development only.
+ */
+import {type EventLog, SilentEventLog} from '../../src/base/event-log.js';
+import type {Clock} from '../../src/base/clock.js';
+import {UsageCounts} from '../../src/duties/usage-counts.js';
+import {ExchangeTopology} from '../../src/gossip/exchange-topology.js';
+import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
+import type {GossipMessage, MemberAddress} from '../../src/gossip/gossip-message.js';
+import {PeerTable} from '../../src/gossip/peer-table.js';
+import {ExchangeState, type ExchangeParts} from '../../src/node/exchange-state.js';
+import {QuotaLedger} from '../../src/quota/quota-ledger.js';
+import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
+import {ServiceDemands} from '../../src/replicas/service-demand.js';
+
+/** What the fleet is like. */
+export type FleetShape = {
+	readonly boxes: number;
+	readonly replicas: number;
+	readonly clientAccounts: number;
+	/** Requests that a box has in progress, each at a replica of its own. */
+	readonly inProgress: number;
+};
+
+/** Bytes of the datagrams of one round at the aggregator. */
+export type RoundTraffic = {
+	readonly messages: number;
+	readonly heard: number;
+	readonly sent: number;
+};
+
+/** Boxes named in a message, as in the exchange. */
+const membersNamed = 6;
+const membersAcknowledged = 2;
+/** One aggregator of three is asked for all it knows. */
+const aggregators = 3;
+
+type Box = {
+	readonly address: MemberAddress;
+	readonly peers: PeerTable;
+	readonly topology: ExchangeTopology;
+	readonly state: ExchangeState;
+};
+
+/** The fleet. */
+export class ExchangeFleet {
+	/**
+	 * @param shape - What it is like.
+	 * @param clock - For all boxes.
+	 * @returns A fleet whose boxes have all served each client account.
+	 */
+	static create(shape: FleetShape, clock: Clock): ExchangeFleet {
+		return new ExchangeFleet(shape, clock);
+	}
+
+	private readonly boxes: readonly Box[];
+	private sequence = 0;
+
+	private constructor(private readonly shape: FleetShape, private readonly clock: Clock) {
+		const addresses = Array.from({length: shape.boxes}, (_, index) => ({name: `edge-zone-b-${index}`, host: `10.2.64.${index}`, port: 7600}));
+		this.boxes = addresses.map(address => this.boxAt(address, addresses));
+	}
+
+	/** Milliseconds between two rounds. */
+	get interval(): number {
+		return this.aggregator.topology.interval;
+	}
+
+	/** @returns What went over the aggregator's link in one round, in which every box told it its state and was answered. */
+	round(): RoundTraffic {
+		const {aggregator} = this;
+		const others = this.boxes.filter(box => box !== aggregator);
+		const heard = others.map(box => encodeGossip({...this.headOf(box, membersNamed, false), ...box.state.local(), asksDigest: true}));
+		const sent = heard.map((data, index) => this.answerTo(data, index % aggregators === 0));
+		const bytesOf = (datagrams: readonly Uint8Array[]) => datagrams.map(({length}) => length).reduce((total, length) => total + length, 0);
+		return {messages: others.length, heard: bytesOf(heard), sent: bytesOf(sent)};
+	}
+
+	private get aggregator(): Box {
+		return this.boxes.find(({topology}) => topology.isAggregator)!;
+	}
+
+	private answerTo(data: Uint8Array, isWhole: boolean): Uint8Array {
+		const {aggregator} = this;
+		const {peers, state} = aggregator;
+		const message = decodeGossip(data)!;
+		peers.learn(message.members);
+		const meeting = peers.take(message);
+		if (meeting !== undefined) {
+			state.take(message, meeting);
+		}
+
+		return encodeGossip({
+			...this.headOf(aggregator, isWhole ? membersNamed : membersAcknowledged, isWhole),
+			...state.news(),
+			quota: [], work: [], usage: [],
+			digest: state.digestFor(peers.named(message.sender.name)!, isWhole),
+		});
+	}
+
+	private headOf({address, topology}: Box, named: number, isSuccession: boolean): Pick<GossipMessage, 'sender' | 'incarnation' | 'sequence' | 'uptime' | 'wall' | 'members' | 'echo'> {
+		this.sequence++;
+		return {
+			sender: address, incarnation: 'c3b40934', sequence: this.sequence, uptime: 50_000, wall: this.clock.wall(),
+			echo: {incarnation: 'c3b40934', sequence: this.sequence, age: 100},
+			members: topology.namesToTell(named, this.sequence, isSuccession).map(peer => peer.address),
+		};
+	}
+
+	private boxAt(address: MemberAddress, addresses: readonly MemberAddress[]): Box {
+		const {clock, shape} = this;
+		const log: EventLog = SilentEventLog.create();
+		const peers = PeerTable.create(address.name, clock, log);
+		peers.learn(addresses);
+		const topology = ExchangeTopology.create(address, peers);
+		peers.isLarge = topology.isLarge;
+		peers.heardWithin = topology.heardWithin;
+		const replicas = ReplicaDirectory.create(clock, log);
+		for (let index = 0; index < shape.replicas; index++) {
+			replicas.put({
+				id: `i-9cef2861${String(index).padStart(2, '0')}`, revision: 1, service: 's', host: '10.1.0.1', port: 1, dataCentre: 'zone-b',
+				slots: 32, isDraining: false, isReclaimable: true, leavesIn: undefined,
+			});
+		}
+
+		const quota = QuotaLedger.create({
+			bound: () => ({rate: 100_000, burst: 200_000}), heardPart: () => topology.isAggregator ? peers.heardPart : 1 / peers.boxes, burstPart: () => 0.9,
+		}, clock, true);
+		const demands = ServiceDemands.create(clock);
+		const usage = UsageCounts.create(() => clock.wall(), () => 5000);
+		for (let index = 0; index < shape.clientAccounts; index++) {
+			quota.take(`acct${index}`, 5000);
+			usage.note(`acct${index}`);
+		}
+
+		const first = addresses.indexOf(address) * shape.inProgress;
+		for (let index = 0; index < shape.inProgress; index++) {
+			replicas.all[(first + index) % shape.replicas]!.begin(3000);
+			demands.of(`service-${index % 2}`).noteArrival(3000, 1000);
+		}
+
+		const table = {version: 33, proofAge: 420};
+		const configuration = {storeSilence: 120, fetchFrom: () => undefined};
+		const replicaRole = {told: {at: 812, age: 95}, take: () => undefined, changesSince: () => ({at: 812, changes: []})};
+		const parts = {
+			clock, log, peers, topology, services: {
+				replicas, quota, demands, usage, table,
+			}, configuration, replicaRole, isStopping: () => false,
+		};
+		// Only what the exchange asks of the other parts is there.
+		return {
+			address, peers, topology, state: ExchangeState.create(parts as unknown as ExchangeParts),
+		};
+	}
+}
--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -199,6 +199,7 @@
 			store: loopback(this.store.port),
 			duties: this.plan.withDuties ? loopback(this.store.port) : undefined,
 			dutyKinds: [],
+			limits: {},
 			bounds: {...bounds, ...this.plan.bounds},
 		};
 		const log = new KeepingLog();
--- a/src/duties/usage-counts.ts
+++ b/src/duties/usage-counts.ts
@@ -48,6 +48,11 @@
 		return usageOf(this.own).slice(-windowsTold);
 	}
 
+	/** The same of the window that runs and the one before alone, whose counts still change. */
+	get recent(): readonly WindowUsage[] {
+		return this.told.filter(({window}) => window >= this.currentWindow - 1);
+	}
+
 	/** What every start of every box counted, but for this one's own counts. */
 	get heard(): readonly StartUsage[] {
 		return [...this.others].map(([start, windows]) => ({start, usage: usageOf(windows)}));
--- a/src/gossip/exchange-topology.ts
+++ b/src/gossip/exchange-topology.ts
@@ -4,7 +4,9 @@
  *
  * @remarks Source: docs/DESIGN.md, "The exchange".
  */
+import {getOrCreate} from '../base/get-or-create.js';
 import {hashText} from '../base/rendezvous.js';
+import type {MemberAddress} from './gossip-message.js';
 import type {Peer, PeerTable} from './peer-table.js';
 
 /** Boxes up to which each tells all others. */
@@ -23,29 +25,35 @@
 const boxesAtLargeInterval = 100;
 /** Messages without an answer after which an aggregator is passed over. */
 const mostUnanswered = 5;
+/** Hashes of names are below this. */
+const hashRange = 2 ** 32;
 /** Rounds after which one that was passed over is asked again. */
 const roundsBetweenTrials = 5;
 /** Rounds without a message after which a box counts as silent. */
 const roundsHeardWithin = 5;
 const leastHeardWithin = 1000;
 
-const rankOf = (name: string): number => hashText(`aggregator\n${name}`);
+/** A peer and its place in the order; lower ones come first. */
+type Ranked = {readonly peer: Peer; readonly rank: number};
 
 /** The topology, as one box sees it. No box is set aside: the order follows from the names of those that answer. */
 export class ExchangeTopology {
 	/**
-	 * @param self - Name of this box.
+	 * @param self - This box.
 	 * @param peers - The other boxes.
 	 * @returns The topology.
 	 */
-	static create(self: string, peers: PeerTable): ExchangeTopology {
-		return new ExchangeTopology(self, peers);
+	static create({name, capacity}: Pick<MemberAddress, 'name' | 'capacity'>, peers: PeerTable): ExchangeTopology {
+		return new ExchangeTopology({name, capacity: capacity ?? 0}, peers);
 	}
 
 	private readonly ownRank: number;
+	/** The order is asked for with each message and each request; a hash of a name never changes. */
+	private readonly ranks = new Map<string, number>();
+	private order: {readonly ranked: readonly Ranked[]; readonly isFirst: boolean; readonly changes: number} | undefined;
 
-	private constructor(self: string, private readonly peers: PeerTable) {
-		this.ownRank = rankOf(self);
+	private constructor(self: {readonly name: string; readonly capacity: number}, private readonly peers: PeerTable) {
+		this.ownRank = this.rankOf(self);
 	}
 
 	/** Whether digests of aggregators take the place of each box's own word. */
@@ -55,7 +63,7 @@
 
 	/** Whether this box is told by all others and follows the store. */
 	get isAggregator(): boolean {
-		return !this.isLarge || this.ranked().filter(({rank}) => rank < this.ownRank).length < aggregatorCount;
+		return !this.isLarge || this.orderNow().isFirst;
 	}
 
 	/** The other boxes that are told by all; in a small fleet all others. */
@@ -86,14 +94,19 @@
 		const passedOver = round % roundsBetweenTrials === 0
 			? this.peers.all.filter(({unanswered}) => unanswered >= mostUnanswered)
 			: [];
-		const [trial] = passedOver.sort((left, right) => rankOf(left.address.name) - rankOf(right.address.name));
+		const [trial] = passedOver.sort((left, right) => this.rankOf(left.address) - this.rankOf(right.address));
 		return trial ? [...aggregators, trial] : aggregators;
 	}
 
-	/** @returns Boxes to name to others: the aggregators first. */
-	namesToTell(count: number, round: number): readonly Peer[] {
+	/**
+	 * @param count - Boxes to name.
+	 * @param round - Number of the round: others are named in the next one.
+	 * @param isSuccession - Whether the aggregators and those that would follow them are named too, first.
+	 * @returns Boxes to name to others.
+	 */
+	namesToTell(count: number, round: number, isSuccession = true): readonly Peer[] {
 		const {heard} = this.peers;
-		const first = this.isLarge ? this.ranked().filter(({peer}) => heard.includes(peer)).slice(0, successorsTold).map(({peer}) => peer) : [];
+		const first = this.isLarge && isSuccession ? this.ranked().filter(({peer}) => heard.includes(peer)).slice(0, successorsTold).map(({peer}) => peer) : [];
 		const all = this.isLarge ? heard : this.peers.all;
 		const start = all.length === 0 ? 0 : (round * count) % all.length;
 		const others = [...all, ...all].slice(start, start + Math.min(count, all.length));
@@ -101,10 +114,26 @@
 	}
 
 	/** Those that answer as far as is known, in the order that all boxes agree on. */
-	private ranked(): ReadonlyArray<{readonly peer: Peer; readonly rank: number}> {
-		return this.peers.all
-			.filter(({unanswered, last}) => unanswered < mostUnanswered && last?.isStopping !== true)
-			.map(peer => ({peer, rank: rankOf(peer.address.name)}))
-			.sort((left, right) => left.rank - right.rank);
+	private ranked(): readonly Ranked[] {
+		return this.orderNow().ranked;
+	}
+
+	private orderNow(): NonNullable<typeof this.order> {
+		const {changes} = this.peers;
+		if (this.order?.changes !== changes) {
+			const ranked = this.peers.all
+				.filter(({unanswered, last}) => unanswered < mostUnanswered && last?.isStopping !== true)
+				.map(peer => ({peer, rank: this.rankOf(peer.address)}))
+				.sort((left, right) => left.rank - right.rank);
+			const before = ranked.findIndex(({rank}) => rank >= this.ownRank);
+			this.order = {ranked, isFirst: (before === -1 ? ranked.length : before) < aggregatorCount, changes};
+		}
+
+		return this.order;
+	}
+
+	/** Boxes that bear the work better come first, and among their like the hash of the name decides. */
+	private rankOf({name, capacity = 0}: Pick<MemberAddress, 'name' | 'capacity'>): number {
+		return getOrCreate(this.ranks, name, () => hashText(`aggregator\n${name}`)) - (capacity * hashRange);
 	}
 }
--- /dev/null
+++ b/src/gossip/gossip-codec.ts
@@ -0,0 +1,153 @@
+/**
+ * Lays messages out for their datagrams, and reads them: lists of like things as rows without names, since an aggregator
+ * of a large fleet sends and hears hundreds of them a second over a small link.
+ */
+import {Buffer} from 'node:buffer';
+import * as Result from 'effect/Result';
+import * as Schema from 'effect/Schema';
+import {createDecoder} from '../base/faults.js';
+import type {GossipMessage, MemberAddress, ReplicaLoad} from './gossip-message.js';
+
+/** Name, host, port, capacity. */
+const MemberRow = Schema.Tuple([Schema.String, Schema.String, Schema.Number, Schema.Number]);
+/** Replica, requests, unread tokens. */
+const WorkRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number]);
+/** Client account, passed, level, asked. */
+const CountRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number]);
+/** Client account, level, refill rate, pass rate, ask rate, counted. */
+const LevelRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number]);
+/** Service, requests, reading, read rate, goal, mean tokens, mean square, met, missed. */
+const DemandRow = Schema.Tuple([
+	Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number,
+]);
+/** Window; client account and requests in turn. */
+const UsageRow = Schema.Tuple([Schema.Number, Schema.Array(Schema.Tuple([Schema.String, Schema.Number]))]);
+
+const ReplicaChange = Schema.Struct({
+	object: Schema.Struct({name: Schema.String, revision: Schema.Number, spec: Schema.Unknown}),
+	isGone: Schema.Boolean,
+});
+
+const DigestLayout = Schema.Struct({
+	boxes: Schema.Number,
+	quota: Schema.optionalKey(Schema.Array(LevelRow)),
+	work: Schema.optionalKey(Schema.Array(WorkRow)),
+	changes: Schema.optionalKey(Schema.Struct({at: Schema.Number, changes: Schema.Array(ReplicaChange)})),
+});
+
+const MessageLayout = Schema.Struct({
+	sender: MemberRow,
+	incarnation: Schema.String,
+	sequence: Schema.Number,
+	uptime: Schema.Number,
+	wall: Schema.Number,
+	echo: Schema.optionalKey(Schema.Struct({incarnation: Schema.String, sequence: Schema.Number, age: Schema.Number})),
+	version: Schema.Number,
+	proofAge: Schema.optionalKey(Schema.Number),
+	isStopping: Schema.Boolean,
+	storeAge: Schema.Number,
+	quota: Schema.Array(CountRow),
+	work: Schema.Array(WorkRow),
+	demand: Schema.optionalKey(Schema.Array(DemandRow)),
+	replicas: Schema.optionalKey(Schema.Struct({at: Schema.Number, age: Schema.Number})),
+	asksDigest: Schema.optionalKey(Schema.Boolean),
+	digest: Schema.optionalKey(DigestLayout),
+	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
+	usage: Schema.Array(UsageRow),
+	members: Schema.Array(MemberRow),
+});
+type Layout = typeof MessageLayout.Type;
+
+/** What a newer program adds is skipped. */
+const decodeLayout = createDecoder(MessageLayout, 'ignore');
+
+const rowOf = ({name, host, port, capacity = 0}: MemberAddress) => [name, host, port, capacity] as const;
+const memberOf = ([name, host, port, capacity]: typeof MemberRow.Type): MemberAddress => ({
+	name, host, port, capacity,
+});
+const workRowOf = ({replica, requests, unreadTokens}: ReplicaLoad) => [replica, requests, unreadTokens] as const;
+const workOf = ([replica, requests, unreadTokens]: typeof WorkRow.Type): ReplicaLoad => ({replica, requests, unreadTokens});
+
+/**
+ * @param message - A message.
+ * @returns Its datagram.
+ */
+export function encodeGossip(message: GossipMessage): Uint8Array {
+	const {sender, quota, work, demand, digest, usage, members, ...plain} = message;
+	const layout: Layout = {
+		...plain,
+		sender: rowOf(sender),
+		quota: quota.map(({clientAccount, passed, level, asked}) => [clientAccount, passed, level, asked] as const),
+		work: work.map(load => workRowOf(load)),
+		...(demand ? {demand: demand.map(load => demandRowOf(load))} : {}),
+		...(digest ? {digest: digestLayoutOf(digest)} : {}),
+		usage: usage.map(({window, counts}) => [window, counts] as const),
+		members: members.map(member => rowOf(member)),
+	};
+	return Buffer.from(JSON.stringify(layout));
+}
+
+/**
+ * @param data - A datagram.
+ * @returns The message; `undefined` where it is none.
+ */
+export function decodeGossip(data: Uint8Array): GossipMessage | undefined {
+	try {
+		const decoded = decodeLayout(JSON.parse(Buffer.from(data).toString()));
+		return Result.isSuccess(decoded) ? messageOf(decoded.success) : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function messageOf(layout: Layout): GossipMessage {
+	const {sender, quota, work, demand, digest, usage, members, ...plain} = layout;
+	return {
+		...plain,
+		sender: memberOf(sender),
+		quota: quota.map(([clientAccount, passed, level, asked]) => ({
+			clientAccount, passed, level, asked,
+		})),
+		work: work.map(row => workOf(row)),
+		...(demand ? {demand: demand.map(row => demandOf(row))} : {}),
+		...(digest ? {digest: digestOf(digest)} : {}),
+		usage: usage.map(([window, counts]) => ({window, counts})),
+		members: members.map(row => memberOf(row)),
+	};
+}
+
+function demandRowOf({service, requests, reading, readRate, goal, meanTokens, meanSquare, met, missed}: NonNullable<GossipMessage['demand']>[number]) {
+	return [service, requests, reading, readRate, goal, meanTokens, meanSquare, met, missed] as const;
+}
+
+function demandOf([service, requests, reading, readRate, goal, meanTokens, meanSquare, met, missed]: typeof DemandRow.Type): NonNullable<GossipMessage['demand']>[number] {
+	return {
+		service, requests, reading, readRate, goal, meanTokens, meanSquare, met, missed,
+	};
+}
+
+function digestLayoutOf({quota, work, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
+	return {
+		...plain,
+		...(quota
+			? {
+				quota: quota.map(({clientAccount, level, refillRate, passRate, askRate, counted}) => [clientAccount, level, refillRate, passRate, askRate, counted] as const),
+			}
+			: {}),
+		...(work ? {work: work.map(load => workRowOf(load))} : {}),
+	};
+}
+
+function digestOf({quota, work, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
+	return {
+		...plain,
+		...(quota
+			? {
+				quota: quota.map(([clientAccount, level, refillRate, passRate, askRate, counted]) => ({
+					clientAccount, level, refillRate, passRate, askRate, counted,
+				})),
+			}
+			: {}),
+		...(work ? {work: work.map(row => workOf(row))} : {}),
+	};
+}
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -1,109 +1,95 @@
 /**
- * What boxes tell each other, one datagram at a time.
+ * What boxes tell each other, one datagram at a time; gossip-codec.ts lays it out.
  */
-import * as Schema from 'effect/Schema';
-import {createDecoder} from '../base/faults.js';
+import type {ReplicaWork} from '../replicas/replica.js';
+import type {Demand} from '../replicas/service-demand.js';
+import type {Changes} from '../follow/metadata-store.js';
 
 /** Where a box hears the others. */
-const MemberAddress = Schema.Struct({
-	name: Schema.String,
-	host: Schema.String,
-	port: Schema.Number,
-});
-export type MemberAddress = typeof MemberAddress.Type;
-
-/** Requests of client accounts in one window. */
-const WindowCounts = Schema.Struct({
-	window: Schema.Number,
-	counts: Schema.Array(Schema.Tuple([Schema.String, Schema.Number])),
-});
-export type WindowCounts = typeof WindowCounts.Type;
+export type MemberAddress = {
+	readonly name: string;
+	readonly host: string;
+	readonly port: number;
+	/** See `aggregatorCapacity`; absent where nothing is known. */
+	readonly capacity?: number;
+};
 
 /** Work of boxes at one replica. */
-const Work = Schema.Struct({replica: Schema.String, requests: Schema.Number, unreadTokens: Schema.Number});
+export type ReplicaLoad = ReplicaWork & {readonly replica: string};
+
+/** What is asked of one service at the sender. */
+export type ServiceLoad = Demand & {readonly service: string};
 
-/** What is asked of one service at the sender; see `Demand`. */
-const ServiceDemand = Schema.Struct({
-	service: Schema.String,
-	requests: Schema.Number,
-	reading: Schema.Number,
-	readRate: Schema.Number,
-	goal: Schema.Number,
-	meanTokens: Schema.Number,
-	meanSquare: Schema.Number,
-	met: Schema.Number,
-	missed: Schema.Number,
-});
+/** Requests of client accounts that began in one window. */
+export type WindowCounts = {
+	readonly window: number;
+	readonly counts: ReadonlyArray<readonly [clientAccount: string, requests: number]>;
+};
 
-/** A change of the list of replicas, as the store tells it. */
-const ReplicaChange = Schema.Struct({
-	object: Schema.Struct({name: Schema.String, revision: Schema.Number, spec: Schema.Unknown}),
-	isGone: Schema.Boolean,
-});
+/** What the sender let pass of a client account's quota; see `QuotaCount`. */
+export type AccountCount = {
+	readonly clientAccount: string;
+	readonly passed: number;
+	readonly level: number;
+	readonly asked: number;
+};
+
+/** How full a client account's bucket is; see `QuotaLevel`. */
+export type AccountLevel = {
+	readonly clientAccount: string;
+	readonly level: number;
+	readonly refillRate: number;
+	readonly passRate: number;
+	readonly askRate: number;
+	readonly counted: number;
+};
 
 /** What an aggregator knows of all boxes, told to one of them. */
-export const FleetDigest = Schema.Struct({
+export type FleetDigest = {
 	/** Boxes that the sender knows of, itself too. */
-	boxes: Schema.Number,
-	quota: Schema.Array(Schema.Struct({
-		clientAccount: Schema.String,
-		/** How full the bucket is. */
-		level: Schema.Number,
-		/** Units a second that the bucket is refilled with. */
-		refillRate: Schema.Number,
-		/** Units a second that all boxes let pass lately. */
-		passRate: Schema.Number,
-		/** Units a second that are asked for at all boxes. */
-		askRate: Schema.Number,
-		/** What the receiver let pass since its start, as far as the level holds it. */
-		counted: Schema.Number,
-	})),
-	/** Work of all boxes but the receiver. */
-	work: Schema.Array(Work),
+	readonly boxes: number;
+	/** How full the buckets of client accounts are; absent where the receiver did not ask. */
+	readonly quota?: readonly AccountLevel[];
+	/** Work of all boxes but the receiver; absent where the receiver did not ask. */
+	readonly work?: readonly ReplicaLoad[];
 	/** Changes of the list of replicas that the receiver does not have yet; absent where the sender cannot tell them. */
-	changes: Schema.optionalKey(Schema.Struct({at: Schema.Number, changes: Schema.Array(ReplicaChange)})),
-});
-export type FleetDigest = typeof FleetDigest.Type;
+	readonly changes?: Changes;
+};
 
 /** One box's state, as it tells it. */
-export const GossipMessage = Schema.Struct({
-	sender: MemberAddress,
+export type GossipMessage = {
+	readonly sender: MemberAddress;
 	/** Names one start of the box's process. */
-	incarnation: Schema.String,
-	sequence: Schema.Number,
+	readonly incarnation: string;
+	readonly sequence: number;
 	/** Milliseconds since the process started. */
-	uptime: Schema.Number,
+	readonly uptime: number;
 	/** The box's time of day. */
-	wall: Schema.Number,
+	readonly wall: number;
 	/** The newest message of the receiver that the sender has, and the milliseconds since it came. */
-	echo: Schema.optionalKey(Schema.Struct({incarnation: Schema.String, sequence: Schema.Number, age: Schema.Number})),
+	readonly echo?: {readonly incarnation: string; readonly sequence: number; readonly age: number};
 	/** Version of the configuration in force. */
-	version: Schema.Number,
+	readonly version: number;
 	/** Milliseconds since that version is known to have been the newest; absent where it never was. */
-	proofAge: Schema.optionalKey(Schema.Number),
-	isStopping: Schema.Boolean,
+	readonly proofAge?: number;
+	readonly isStopping: boolean;
 	/** Milliseconds since the store last answered the sender. */
-	storeAge: Schema.Number,
-	quota: Schema.Array(Schema.Struct({
-		clientAccount: Schema.String, passed: Schema.Number, level: Schema.Number, asked: Schema.Number,
-	})),
+	readonly storeAge: number;
+	/** What the sender let pass; in a large fleet of the client accounts that it served lately, and now and then of all. */
+	readonly quota: readonly AccountCount[];
 	/** Work of the sender at replicas. */
-	work: Schema.Array(Work),
+	readonly work: readonly ReplicaLoad[];
 	/** What is asked of services at the sender. */
-	demand: Schema.optionalKey(Schema.Array(ServiceDemand)),
+	readonly demand?: readonly ServiceLoad[];
 	/** Revision up to which the sender knows the list of replicas, and the milliseconds since it was known to be whole. */
-	replicas: Schema.optionalKey(Schema.Struct({at: Schema.Number, age: Schema.Number})),
-	/** Whether the sender asks for a digest. */
-	asksDigest: Schema.optionalKey(Schema.Boolean),
+	readonly replicas?: {readonly at: number; readonly age: number};
+	/** Whether the sender asks for all that an aggregator knows of the other boxes. */
+	readonly asksDigest?: boolean;
 	/** Present in the answer of an aggregator, which then tells nothing of its own counters. */
-	digest: Schema.optionalKey(FleetDigest),
+	readonly digest?: FleetDigest;
 	/** Replicas that began to leave lately. */
-	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
-	usage: Schema.Array(WindowCounts),
+	readonly departed: ReadonlyArray<{readonly id: string; readonly revision: number}>;
+	readonly usage: readonly WindowCounts[];
 	/** Some of the boxes that the sender knows. */
-	members: Schema.Array(MemberAddress),
-});
-export type GossipMessage = typeof GossipMessage.Type;
-
-/** Decodes a message; what a newer program adds is skipped. */
-export const decodeGossip = createDecoder(GossipMessage, 'ignore');
+	readonly members: readonly MemberAddress[];
+};
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -3,28 +3,32 @@
  *
  * @remarks Source: docs/DESIGN.md, "The exchange".
  */
-import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
 import * as Effect from 'effect/Effect';
-import * as Result from 'effect/Result';
 import type * as Scope from 'effect/Scope';
 import type {Clock} from '../base/clock.js';
 import type {ExchangeTopology} from './exchange-topology.js';
 import type {ExchangeTraffic} from './exchange-traffic.js';
-import {
-	decodeGossip, type FleetDigest, type GossipMessage, type MemberAddress,
-} from './gossip-message.js';
+import {decodeGossip, encodeGossip} from './gossip-codec.js';
+import type {FleetDigest, GossipMessage, MemberAddress} from './gossip-message.js';
 import type {Meeting, Peer, PeerTable} from './peer-table.js';
 
 /** Boxes named in one message, besides the aggregators. */
 const membersNamed = 6;
+/** The same in an answer to a box that did not ask. */
+const membersAcknowledged = 2;
 /** Milliseconds for which the moment of sending a message is kept, to date what others prove. */
 const sentMemory = 15_000;
+/** By how much of its length a pause between two rounds varies. */
+const pauseSpread = 0.5;
 /** Rounds after which the seeds are told again, whoever is heard. */
 const roundsBetweenSeeds = 25;
 
-/** What a message holds besides what the exchange itself adds. */
-export type LocalState = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'quota' | 'work' | 'demand' | 'departed' | 'usage' | 'replicas'>;
+/** What every message holds besides what the exchange itself adds. */
+export type LocalNews = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'departed' | 'replicas'>;
+
+/** What a box tells of its own work. */
+export type LocalState = LocalNews & Pick<GossipMessage, 'quota' | 'work' | 'demand' | 'usage'>;
 
 /** What the exchange needs. */
 export type GossipServices = {
@@ -35,16 +39,20 @@
 	readonly peers: PeerTable;
 	readonly topology: ExchangeTopology;
 	readonly traffic: ExchangeTraffic;
-	/** @returns What to tell. */
+	/** @returns What to tell in any message. */
+	readonly news: () => LocalNews;
+	/** @returns What to tell of this box's own work, too. */
 	readonly state: () => LocalState;
-	/** @returns What to tell one box of all others. */
-	readonly digest: (peer: Peer) => FleetDigest;
+	/** @returns What to tell one box of all others: all that is known, or only what is new. */
+	readonly digest: (peer: Peer, isWhole: boolean) => FleetDigest;
 	/** Takes what a box tells of itself. */
 	readonly take: (message: GossipMessage, meeting: Meeting) => void;
 	/** Takes what an aggregator tells of all boxes. */
 	readonly takeDigest: (message: GossipMessage, digest: FleetDigest) => void;
 	/** Takes the moment at which a version is known to have been the newest, by this box's monotonic clock. */
 	readonly prove: (version: number, at: number) => void;
+	/** @returns A number from 0 to 1. */
+	readonly random?: () => number;
 	/** Addresses at which boxes may be, before any is known. */
 	readonly seeds: () => ReadonlyArray<Omit<MemberAddress, 'name'>>;
 };
@@ -60,7 +68,8 @@
 	}
 
 	private sequence = 0;
-	private rounds = 0;
+	/** Counted from anywhere: what is done every few rounds is done by boxes in turn. */
+	private rounds = Math.floor(Math.random() * roundsBetweenSeeds);
 	private readonly sentAt = new Map<number, number>();
 
 	private constructor(private readonly services: GossipServices) {}
@@ -71,12 +80,21 @@
 			const socket = yield * this.open();
 			for (;;) {
 				this.round(socket);
-				yield * Effect.sleep(this.services.topology.interval);
+				yield * Effect.sleep(this.pause);
 			}
 		});
 		return Effect.scoped(rounds);
 	}
 
+	/**
+	 * Boxes that start together would tell an aggregator all at once, and its answers would fill the queue of its link: those
+	 * of the last boxes would be lost in each round. The pauses differ, so that rounds drift apart.
+	 */
+	private get pause(): number {
+		const {topology, random = Math.random} = this.services;
+		return topology.interval * (1 + (pauseSpread * (random() - 0.5)));
+	}
+
 	private open(): Effect.Effect<Socket, never, Scope.Scope> {
 		const {self} = this.services;
 		return Effect.acquireRelease(Effect.sync(() => {
@@ -102,21 +120,33 @@
 		this.rounds++;
 		traffic.tell({boxes: peers.boxes, heard: peers.heard.length, isAggregator: topology.isLarge && topology.isAggregator});
 		const isLonely = peers.heard.length === 0;
-		const message: GossipMessage = {...this.head(), ...this.services.state(), ...(isLonely || topology.isLarge ? {asksDigest: true} : {})};
-		for (const peer of topology.targets(this.rounds)) {
+		const message: GossipMessage = {...this.head(membersNamed), ...this.services.state()};
+		const targets = topology.targets(this.rounds);
+		const asked = this.askedFor(targets);
+		for (const peer of targets) {
 			peers.noteTold(peer.address.name);
-			this.tell(socket, peer.address, {...message, ...this.echoOf(peer)});
+			this.tell(socket, peer.address, {...message, ...this.echoOf(peer), ...(asked.includes(peer) ? {asksDigest: true} : {})});
 		}
 
 		if (isLonely || this.rounds % roundsBetweenSeeds === 0) {
 			for (const address of seeds()) {
-				this.tell(socket, address, message);
+				this.tell(socket, address, {...message, asksDigest: true});
 			}
 		}
 	}
 
+	/** Aggregators of a large fleet know the same: one of them is asked for it, each in turn. */
+	private askedFor(targets: readonly Peer[]): readonly Peer[] {
+		const {peers, topology} = this.services;
+		if (peers.heard.length === 0) {
+			return targets;
+		}
+
+		return topology.isLarge ? targets.slice(this.rounds % Math.max(1, targets.length)).slice(0, 1) : [];
+	}
+
 	/** What every message begins with; it has a number of its own. */
-	private head(): Pick<GossipMessage, 'sender' | 'incarnation' | 'sequence' | 'uptime' | 'wall' | 'members'> {
+	private head(named: number, isSuccession = false): Pick<GossipMessage, 'sender' | 'incarnation' | 'sequence' | 'uptime' | 'wall' | 'members'> {
 		const {self, incarnation, peers, clock, topology} = this.services;
 		return {
 			sender: self,
@@ -124,7 +154,7 @@
 			sequence: this.nextSequence(),
 			uptime: Math.round(peers.uptime),
 			wall: clock.wall(),
-			members: topology.namesToTell(membersNamed, this.rounds).map(({address}) => address),
+			members: topology.namesToTell(named, this.rounds, isSuccession).map(({address}) => address),
 		};
 	}
 
@@ -150,13 +180,13 @@
 	}
 
 	private tell(socket: Socket, {host, port}: Omit<MemberAddress, 'name'>, message: GossipMessage): void {
-		const data = Buffer.from(JSON.stringify(message));
+		const data = encodeGossip(message);
 		this.services.traffic.note('sent', data.length);
 		socket.send(data, port, host, ignore);
 	}
 
 	private hear(socket: Socket, data: Uint8Array): void {
-		const message = parse(data);
+		const message = decodeGossip(data);
 		const {
 			peers, topology, self, take, takeDigest, incarnation,
 		} = this.services;
@@ -178,28 +208,30 @@
 			take(message, meeting);
 		}
 
-		// Who tells its state without asking takes the fleet for a small one.
 		if (message.asksDigest === true || (topology.isLarge && !message.digest)) {
-			this.answer(socket, message.sender.name);
+			this.answer(socket, message.sender.name, message.asksDigest === true);
 		}
 	}
 
-	/** The answer comes at once, so that it is as new as can be and needs no list of whom to tell. */
-	private answer(socket: Socket, name: string): void {
-		const {peers, state, digest, clock} = this.services;
+	/**
+	 * The answer comes at once, so that it is as new as can be and needs no list of whom to tell. Who does not ask for all
+	 * that is known is told how large the fleet is and what is new, so that it knows that this box hears it.
+	 */
+	private answer(socket: Socket, name: string, isWhole: boolean): void {
+		const {peers, news, digest, clock} = this.services;
 		const peer = peers.named(name);
 		if (!peer) {
 			return;
 		}
 
 		this.tell(socket, peer.address, {
-			...this.head(),
-			...state(),
+			...this.head(isWhole ? membersNamed : membersAcknowledged, isWhole),
+			...news(),
 			// The middle of many clocks: a box that hears few others cannot tell which of them is off.
 			wall: Math.round(clock.monotonic() + peers.wallOffset),
 			quota: [], work: [], usage: [],
 			...this.echoOf(peer),
-			digest: digest(peer),
+			digest: digest(peer, isWhole),
 		});
 	}
 
@@ -219,13 +251,4 @@
 	}
 }
 
-function parse(data: Uint8Array): GossipMessage | undefined {
-	try {
-		const decoded = decodeGossip(JSON.parse(Buffer.from(data).toString()));
-		return Result.isSuccess(decoded) ? decoded.success : undefined;
-	} catch {
-		return undefined;
-	}
-}
-
 const ignore = () => undefined;
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -8,6 +8,9 @@
 /** Milliseconds after which a box of which nothing is heard no longer counts as one of the system's. */
 const memberLifetime = 20_000;
 
+/** Milliseconds for which the boxes heard lately are not looked through anew, unless one is heard or told. */
+const viewLifetime = 20;
+
 /** Milliseconds for which the size of the fleet counts that others told. */
 const toldSizeLifetime = 20_000;
 /** Milliseconds since its start up to which a box of a large fleet is taken to have told nobody else before. */
@@ -46,7 +49,12 @@
 	heardWithin = 1000;
 	/** Whether the fleet is so large that a box hears only some of the others. */
 	isLarge = false;
+	/** Rises with each change of what is known of a box. */
+	changes = 0;
 	private readonly peers = new Map<string, Peer>();
+	/** Lists that are asked for many times between two messages; dropped with each change. */
+	private listed: readonly Peer[] | undefined;
+	private heardLately: {readonly peers: readonly Peer[]; readonly at: number; readonly within: number} | undefined;
 	/** When each box was last heard, also those that count as gone. */
 	private readonly heardLast = new Map<string, number>();
 	private readonly lost = new Set<string>();
@@ -59,7 +67,8 @@
 
 	/** All other boxes that may be there. */
 	get all(): readonly Peer[] {
-		return [...this.peers.values()];
+		this.listed ??= [...this.peers.values()];
+		return this.listed;
 	}
 
 	/**
@@ -82,8 +91,16 @@
 
 	/** Those that were heard lately. */
 	get heard(): readonly Peer[] {
-		const since = this.clock.monotonic() - this.heardWithin;
-		return this.all.filter(({heardAt}) => heardAt >= since);
+		const now = this.clock.monotonic();
+		const known = this.heardLately;
+		if (known?.within === this.heardWithin && now - known.at < viewLifetime) {
+			return known.peers;
+		}
+
+		const since = now - this.heardWithin;
+		const peers = this.all.filter(({heardAt}) => heardAt >= since);
+		this.heardLately = {peers, at: now, within: this.heardWithin};
+		return peers;
 	}
 
 	/** Part of all boxes that are heard of, this one too; above 0, at most 1. */
@@ -127,7 +144,7 @@
 	noteTold(name: string): void {
 		const peer = this.peers.get(name);
 		if (peer) {
-			this.peers.set(name, {...peer, unanswered: peer.unanswered + 1});
+			this.put({...peer, unanswered: peer.unanswered + 1});
 		}
 	}
 
@@ -136,9 +153,9 @@
 		const now = this.clock.monotonic();
 		for (const address of members) {
 			const known = this.peers.get(address.name);
-			const isElsewhere = known && (known.address.host !== address.host || known.address.port !== address.port);
+			const isElsewhere = known && (known.address.host !== address.host || known.address.port !== address.port || known.address.capacity !== address.capacity);
 			if (address.name !== this.self && (!known || (isElsewhere && now - known.heardAt > this.heardWithin))) {
-				this.peers.set(address.name, {
+				this.put({
 					address, last: undefined, heardAt: Number.NEGATIVE_INFINITY, listedAt: now, wallOffset: 0, unanswered: 0,
 				});
 			}
@@ -162,7 +179,7 @@
 
 		const meeting = this.meet(message, known, now);
 		this.heardLast.set(sender.name, now);
-		this.peers.set(sender.name, {
+		this.put({
 			address: sender, last: message, heardAt: now, listedAt: known?.listedAt ?? now, wallOffset: message.wall - now, unanswered: 0,
 		});
 		if (!known || now - known.heardAt > this.heardWithin) {
@@ -195,10 +212,22 @@
 			if (silence > memberLifetime) {
 				this.peers.delete(name);
 				this.lost.delete(name);
+				this.dropViews();
 			}
 		}
 	}
 
+	private put(peer: Peer): void {
+		this.peers.set(peer.address.name, peer);
+		this.dropViews();
+	}
+
+	private dropViews(): void {
+		this.changes++;
+		this.listed = undefined;
+		this.heardLately = undefined;
+	}
+
 	/** In a large fleet most boxes have never told this one, and what they say of the bucket is no news. */
 	private get otherMeeting(): Meeting {
 		return this.isLarge ? 'apart' : 'other';
--- a/src/gossip/test/exchange-topology.test.ts
+++ b/src/gossip/test/exchange-topology.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {SilentEventLog} from '../../base/event-log.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {aggregatorCapacity} from '../aggregator-capacity.js';
 import {ExchangeTopology} from '../exchange-topology.js';
 import type {GossipMessage} from '../gossip-message.js';
 import {PeerTable} from '../peer-table.js';
@@ -19,7 +20,7 @@
 	const clock = new MovedClock(1000);
 	const peers = PeerTable.create(self, clock, SilentEventLog.create());
 	peers.learn(Array.from({length: boxes}, (_, index) => addressOf(nameOf(index))));
-	return {clock, peers, topology: ExchangeTopology.create(self, peers)};
+	return {clock, peers, topology: ExchangeTopology.create({name: self}, peers)};
 };
 
 const namesOf = (peers: ReadonlyArray<{readonly address: {readonly name: string}}>): readonly string[] => peers.map(({address}) => address.name);
@@ -42,6 +43,35 @@
 	}
 });
 
+test('boxes that bear the work better are aggregators before others, as all boxes agree', () => {
+	const strong = new Set(['box-7', 'box-30', 'box-31', 'box-80']);
+	const capacityOf = (name: string) => strong.has(name) ? 3 : 1;
+	const aggregatorsAt = (self: string) => {
+		const peers = PeerTable.create(self, new MovedClock(1000), SilentEventLog.create());
+		peers.learn(Array.from({length: 87}, (_, index) => ({...addressOf(nameOf(index)), capacity: capacityOf(nameOf(index))})));
+		const topology = ExchangeTopology.create({name: self, capacity: capacityOf(self)}, peers);
+		return {names: namesOf(topology.aggregators), topology, peers};
+	};
+
+	const {names, topology, peers} = aggregatorsAt('box-0');
+	assert.ok(names.every(name => strong.has(name)));
+	assert.deepEqual(aggregatorsAt('box-1').names, names);
+	assert.equal([...strong].filter(name => aggregatorsAt(name).topology.isAggregator).length, 3);
+	for (const name of [...strong].flatMap(gone => [gone, gone, gone, gone, gone])) {
+		peers.noteTold(name);
+	}
+
+	assert.equal(topology.aggregators.length, 3, 'others follow where none of them answers');
+});
+
+test('what a box is given says how often an aggregator\'s work could double on it', () => {
+	assert.equal(aggregatorCapacity({}), 0);
+	assert.equal(aggregatorCapacity({processor: 0.227, link: 7}), aggregatorCapacity({processor: 0.3, link: 8}), 'alike');
+	assert.ok(aggregatorCapacity({processor: 0.94, link: 140}) > aggregatorCapacity({processor: 0.227, link: 7}));
+	assert.equal(aggregatorCapacity({processor: 16, link: 1}), 0, 'the scarcest of both decides');
+	assert.equal(aggregatorCapacity({processor: 16, link: 1000}), aggregatorCapacity({processor: 4, link: 1000}), 'enough is enough');
+});
+
 test('aggregators that do not answer are passed over, are tried again, and come back once they answer', () => {
 	const {topology, peers} = viewOf('box-0', 87);
 	const before = namesOf(topology.targets(1));
--- /dev/null
+++ b/src/gossip/test/gossip-codec.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {decodeGossip, encodeGossip} from '../gossip-codec.js';
+import type {GossipMessage} from '../gossip-message.js';
+
+const message: GossipMessage = {
+	sender: {
+		name: 'box-1', host: '10.0.0.1', port: 7600, capacity: 2,
+	},
+	incarnation: 'one', sequence: 7, uptime: 5000, wall: 1_700_000_000_000, echo: {incarnation: 'two', sequence: 3, age: 12}, version: 33, proofAge: 210, isStopping: false, storeAge: 90,
+	quota: [{
+		clientAccount: 'basin', passed: 12_000, level: -300, asked: 2500,
+	}],
+	work: [{replica: 'i-1', requests: 3, unreadTokens: 9000}],
+	demand: [{
+		service: 's', requests: 1.25, reading: 8000, readRate: 31_000, goal: 900, meanTokens: 2100, meanSquare: 9_000_000, met: 2.5, missed: 0.1,
+	}],
+	replicas: {at: 812, age: 95},
+	asksDigest: true,
+	departed: [{id: 'i-2', revision: 800}],
+	usage: [{window: 355_302_201, counts: [['basin', 12]]}],
+	members: [{
+		name: 'box-2', host: '10.0.0.2', port: 7600, capacity: 0,
+	}],
+};
+const digest: NonNullable<GossipMessage['digest']> = {
+	boxes: 86,
+	quota: [{
+		clientAccount: 'basin', level: 5, refillRate: 6, passRate: 7, askRate: 8, counted: 9,
+	}],
+	work: [{replica: 'i-1', requests: 30, unreadTokens: 1}],
+	changes: {at: 812, changes: [{object: {name: 'i-3', revision: 811, spec: {state: 'ready'}}, isGone: false}]},
+};
+
+test('what is read is what was laid out', () => {
+	assert.deepEqual(decodeGossip(encodeGossip(message)), message);
+	assert.deepEqual(decodeGossip(encodeGossip({...message, digest})), {...message, digest});
+	assert.deepEqual(decodeGossip(encodeGossip({...message, digest: {boxes: 86}}))?.digest, {boxes: 86}, 'an answer to a box that did not ask');
+});
+
+test('what is no message is none, and what a newer program adds is skipped', () => {
+	assert.equal(decodeGossip(Buffer.from('{')), undefined);
+	assert.equal(decodeGossip(Buffer.from('{}')), undefined);
+	const text = JSON.parse(Buffer.from(encodeGossip(message)).toString()) as Record<string, unknown>;
+	assert.deepEqual(decodeGossip(Buffer.from(JSON.stringify({...text, hue: 'green'}))), message);
+	assert.equal(decodeGossip(Buffer.from(JSON.stringify({...text, work: [['i-1', 'three', 0]]}))), undefined);
+});
--- a/src/gossip/test/gossip-exchange.test.ts
+++ b/src/gossip/test/gossip-exchange.test.ts
@@ -24,10 +24,13 @@
 const startBox = async (name: string) => {
 	const clock = SystemClock.create();
 	const peers = PeerTable.create(name, clock, SilentEventLog.create());
-	const topology = ExchangeTopology.create(name, peers);
+	const topology = ExchangeTopology.create({name}, peers);
 	const self = {name, host: '127.0.0.1', port: await freePort()};
 	const gossip = Gossip.create({
 		self, incarnation: 'one', clock, peers, topology, traffic: ExchangeTraffic.create(clock, SilentEventLog.create()),
+		news: () => ({
+			version: 1, isStopping: false, storeAge: 0, departed: [],
+		}),
 		state: () => ({
 			version: 1, isStopping: false, storeAge: 0, quota: [], work: [], departed: [], usage: [],
 		}),
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -4,8 +4,8 @@
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import type {ExchangeTopology} from '../gossip/exchange-topology.js';
-import type {LocalState} from '../gossip/gossip.js';
-import type {FleetDigest, GossipMessage} from '../gossip/gossip-message.js';
+import type {LocalNews, LocalState} from '../gossip/gossip.js';
+import type {FleetDigest, GossipMessage, ReplicaLoad} from '../gossip/gossip-message.js';
 import type {Meeting, Peer, PeerTable} from '../gossip/peer-table.js';
 import type {RelayServices} from '../relay/relay-services.js';
 import type {ConfigurationRole} from './configuration-role.js';
@@ -15,11 +15,16 @@
 const unknownAge = 1_000_000;
 /** Milliseconds for which the work of all boxes is not added up anew. */
 const workMemory = 100;
+/** Rounds of a large fleet after which a box tells all its counters, not those alone that changed lately. */
+const roundsBetweenWholeStates = 8;
+/**
+ * Milliseconds for which a large fleet is told of a replica that leaves: some rounds. Whoever misses that hears it from the list;
+ * where a whole data centre leaves, each message would carry it for long.
+ */
+const newsTime = 2500;
 /** Milliseconds since its start in which an aggregator still takes buckets from others, which know more. */
 const learningTime = 4000;
 
-type ReplicaLoad = FleetDigest['work'][number];
-
 /** What the state is made of. */
 export type ExchangeParts = {
 	readonly clock: Clock;
@@ -46,41 +51,62 @@
 
 	private work: {readonly loads: readonly ReplicaLoad[]; readonly at: number} = {loads: [], at: Number.NEGATIVE_INFINITY};
 	private wasAggregator: boolean | undefined;
+	private rounds = 0;
 
 	private constructor(private readonly parts: ExchangeParts) {}
 
-	/** @returns What this box tells of itself. */
-	local(): LocalState {
-		const {services: {table, replicas, quota, usage, demands}, configuration, replicaRole, isStopping} = this.parts;
-		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
-		this.noteRole();
+	/** @returns What this box tells in any message. */
+	news(): LocalNews {
+		const {
+			services: {table, replicas}, configuration, replicaRole, isStopping, topology,
+		} = this.parts;
 		return {
 			version: table.version,
 			...(Number.isFinite(table.proofAge) ? {proofAge: Math.ceil(table.proofAge)} : {}),
 			isStopping: isStopping(),
 			storeAge: Math.min(unknownAge, Math.round(configuration.storeSilence)),
-			quota: quota.counts,
+			departed: replicas.departedWithin(topology.isLarge ? newsTime : undefined),
+			...(replicaRole.told ? {replicas: replicaRole.told} : {}),
+		};
+	}
+
+	/** @returns What this box tells of itself. */
+	local(): LocalState {
+		const {services: {replicas, quota, usage, demands}, topology} = this.parts;
+		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
+		const isWhole = !topology.isLarge || this.rounds % roundsBetweenWholeStates === 0;
+		this.rounds++;
+		this.noteRole();
+		return {
+			...this.news(),
+			quota: isWhole ? quota.counts : quota.recentCounts,
 			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
 			demand: demands.told,
-			departed: replicas.departed,
-			usage: usage.told,
-			...(replicaRole.told ? {replicas: replicaRole.told} : {}),
+			usage: isWhole ? usage.told : usage.recent,
 		};
 	}
 
 	/**
 	 * @param peer - A box that asked.
+	 * @param isWhole - Whether it asked for all that is known of the other boxes.
 	 * @returns What this one knows of all others.
 	 */
-	digestFor({last}: Peer): FleetDigest {
+	digestFor({last}: Peer, isWhole: boolean): FleetDigest {
 		const {services: {quota}, peers, topology, replicaRole} = this.parts;
-		const own = new Map((last?.work ?? []).map(entry => [entry.replica, entry]));
 		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
-		return {
+		const news = {
 			boxes: topology.isAggregator ? peers.knownBoxes : peers.boxes,
+			...(changes ? {changes} : {}),
+		};
+		if (!isWhole) {
+			return news;
+		}
+
+		const own = new Map((last?.work ?? []).map(entry => [entry.replica, entry]));
+		return {
+			...news,
 			quota: last ? quota.levelsFor(startOf(last)) : [],
 			work: this.allWork().map(load => without(load, own.get(load.replica))).filter(({requests}) => requests > 0),
-			...(changes ? {changes} : {}),
 		};
 	}
 
@@ -128,10 +154,10 @@
 
 		const {isAggregator} = topology;
 		if (!isAggregator || peers.uptime < learningTime) {
-			quota.adopt(digest.quota);
+			quota.adopt(digest.quota ?? []);
 		}
 
-		if (isAggregator) {
+		if (isAggregator || !digest.work) {
 			return;
 		}
 
--- a/src/node/member-role.ts
+++ b/src/node/member-role.ts
@@ -25,7 +25,7 @@
 /** Milliseconds without a word after which a box counts as gone for good; one that lives writes itself again. */
 const deadAfter = 30_000;
 
-const Entry = Schema.Struct({host: Schema.String, port: Schema.Number});
+const Entry = Schema.Struct({host: Schema.String, port: Schema.Number, capacity: Schema.optionalKey(Schema.Number)});
 const decodeEntry = createDecoder(Entry, 'ignore');
 
 /** What the role needs. */
@@ -76,8 +76,8 @@
 			const dead = yield * this.removeDead(objects);
 			peers.learn(members.filter(({name}) => !dead.has(name)));
 			const own = members.find(({name}) => name === self.name);
-			const spec = {host: self.host, port: self.port};
-			if (own?.host === self.host && own.port === self.port) {
+			const spec = {host: self.host, port: self.port, capacity: self.capacity ?? 0};
+			if (own?.host === self.host && own.port === self.port && own.capacity === spec.capacity) {
 				return false;
 			}
 
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -10,9 +10,11 @@
 import {hashText} from '../base/rendezvous.js';
 import {superviseRoles, type Role} from '../daemon/role.js';
 import {UsageCounts} from '../duties/usage-counts.js';
+import {aggregatorCapacity} from '../gossip/aggregator-capacity.js';
 import {ExchangeTopology} from '../gossip/exchange-topology.js';
 import {ExchangeTraffic} from '../gossip/exchange-traffic.js';
 import {Gossip} from '../gossip/gossip.js';
+import type {MemberAddress} from '../gossip/gossip-message.js';
 import {PeerTable} from '../gossip/peer-table.js';
 import {QuotaLedger} from '../quota/quota-ledger.js';
 import {ConnectionBook} from '../relay/connection-book.js';
@@ -79,6 +81,7 @@
 
 	private readonly clock: Clock = SystemClock.create();
 	private readonly incarnation = randomUUID().slice(0, 8);
+	private readonly self: MemberAddress;
 	private readonly peers: PeerTable;
 	private readonly topology: ExchangeTopology;
 	private readonly services: RelayServices;
@@ -90,9 +93,10 @@
 
 	private constructor(private readonly parts: RelayParts) {
 		const {link, log, settings} = parts;
-		const {node} = settings();
+		const {node, control, limits} = settings();
+		this.self = {name: node, ...control, capacity: aggregatorCapacity(limits)};
 		this.peers = PeerTable.create(node, this.clock, log);
-		this.topology = ExchangeTopology.create(node, this.peers);
+		this.topology = ExchangeTopology.create(this.self, this.peers);
 		this.services = this.wire();
 		const {table, replicas} = this.services;
 		const followed = {
@@ -212,9 +216,9 @@
 
 	private roles(): readonly Role[] {
 		const {settings, link, log, metrics} = this.parts;
-		const {control, node} = settings();
-		const self = {name: node, ...control};
-		const {exchange, peers, topology} = this;
+		const {
+			exchange, peers, topology, self,
+		} = this;
 		const gossip = Gossip.create({
 			self,
 			incarnation: this.incarnation,
@@ -225,8 +229,9 @@
 				metrics.exchangeMessages.inc({direction});
 				metrics.exchangeBytes.inc({direction}, bytes);
 			}),
+			news: () => exchange.news(),
 			state: () => exchange.local(),
-			digest: peer => exchange.digestFor(peer),
+			digest: (peer, isWhole) => exchange.digestFor(peer, isWhole),
 			take(message, meeting) {
 				exchange.take(message, meeting);
 			},
@@ -250,7 +255,7 @@
 			{name: 'members', run: members.run()},
 			{name: 'metrics', run: this.sampleMetrics()},
 			...openDuties({
-				link, log, settings, clock: this.clock, peers, topology, services: this.services, self: node, metrics,
+				link, log, settings, clock: this.clock, peers, topology, services: this.services, self: self.name, metrics,
 				incarnation: this.incarnation,
 				storeSilence: () => this.configuration.storeSilence,
 				noteStoreAnswer: () => {
--- /dev/null
+++ b/src/node/test/exchange-load.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ExchangeFleet, type FleetShape} from '../../../development/harness/exchange-fleet.js';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+
+/** Bytes a second of the smallest link on which the incident SHORT was seen: 7 Mbit/s. */
+const smallestLink = 875_000;
+/** Part of such a link that the exchange may fill in either direction, beside what the box is there for. */
+const largestPart = 0.5;
+
+const trafficOf = (shape: FleetShape) => {
+	const fleet = ExchangeFleet.create(shape, new MovedClock(1000));
+	fleet.round();
+	const {heard, sent} = fleet.round();
+	return {heard: heard * 1000 / fleet.interval, sent: sent * 1000 / fleet.interval};
+};
+
+for (const shape of [
+	{
+		boxes: 86, replicas: 84, clientAccounts: 16, inProgress: 3,
+	},
+	{
+		boxes: 340, replicas: 84, clientAccounts: 16, inProgress: 3,
+	},
+]) {
+	test(`what an aggregator of ${shape.boxes} boxes sends and hears leaves room on a small link`, () => {
+		const {heard, sent} = trafficOf(shape);
+		assert.ok(heard < smallestLink * largestPart, `${heard} bytes a second heard`);
+		assert.ok(sent < smallestLink * largestPart, `${sent} bytes a second sent`);
+	});
+}
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -9,7 +9,6 @@
  * is and how fast it is used, and those go on from there until they are told again. Source: docs/PLATFORM.md, "QUOTA".
  */
 import type {Clock} from '../base/clock.js';
-import {sumOf} from '../base/sum.js';
 import {RateMeter} from '../base/rate-meter.js';
 
 /** A client account's bound for all boxes together. */
@@ -71,6 +70,8 @@
 	level: number;
 	refilledAt: number;
 	passed: number;
+	/** Monotonic milliseconds at which this box was last asked for some, or took some back. */
+	changedAt: number;
 	/** Units a second that the others let pass, as it was last told, and when. */
 	othersRate: number;
 	/** Units a second that the bucket is refilled with, as it was told. */
@@ -108,6 +109,8 @@
 /** Milliseconds over which what is asked for is measured: a few large requests are no rush. */
 const askTimeConstant = 1000;
 const meanWeight = 0.1;
+/** Milliseconds for which what this box was asked for is told each time, so that a message may be lost. */
+const recentTime = 2500;
 /** Milliseconds for which what a box asked for counts. */
 const askLifetime = 2000;
 
@@ -140,12 +143,13 @@
 
 	/** What this box tells the others. */
 	get counts(): readonly QuotaCount[] {
-		return [...this.buckets].map(([clientAccount, bucket]) => {
-			this.refill(clientAccount, bucket);
-			return {
-				clientAccount, passed: Math.round(bucket.passed), level: Math.round(bucket.level), asked: Math.round(bucket.askMeter.rate),
-			};
-		});
+		return this.countsOf([...this.buckets]);
+	}
+
+	/** The same of those client accounts alone that it was asked for lately. */
+	get recentCounts(): readonly QuotaCount[] {
+		const since = this.clock.monotonic() - recentTime;
+		return this.countsOf([...this.buckets].filter(([, {changedAt}]) => changedAt >= since));
 	}
 
 	/**
@@ -163,6 +167,7 @@
 
 		const bucket = this.bucketOf(clientAccount);
 		this.refill(clientAccount, bucket);
+		bucket.changedAt = this.clock.monotonic();
 		bucket.askMeter.note(units);
 		bucket.meanUnits += (units - bucket.meanUnits) * (bucket.meanUnits === 0 ? 1 : meanWeight);
 		if (bucket.level <= 0) {
@@ -184,6 +189,7 @@
 	giveBack(clientAccount: string, units: number): void {
 		const bucket = this.buckets.get(clientAccount);
 		if (bucket) {
+			bucket.changedAt = this.clock.monotonic();
 			bucket.level += units;
 			bucket.passed -= units;
 			bucket.ownMeter.note(-units);
@@ -254,14 +260,16 @@
 	 */
 	levelsFor(peer: string): readonly QuotaLevel[] {
 		const counted = this.peers.get(peer);
+		const part = this.facts.heardPart();
+		const asked = this.askedAtOthers();
 		return [...this.buckets].map(([clientAccount, bucket]) => {
 			this.refill(clientAccount, bucket);
 			return {
 				clientAccount,
 				level: Math.round(bucket.level),
-				refillRate: Math.round((this.facts.bound(clientAccount)?.rate ?? 0) * this.facts.heardPart()),
+				refillRate: Math.round((this.facts.bound(clientAccount)?.rate ?? 0) * part),
 				passRate: Math.round(Math.max(0, bucket.ownMeter.rate + bucket.othersMeter.rate)),
-				askRate: Math.round(bucket.askMeter.rate + this.askedAtOthers(clientAccount)),
+				askRate: Math.round(bucket.askMeter.rate + (asked.get(clientAccount) ?? 0)),
 				counted: counted?.get(clientAccount) ?? 0,
 			};
 		});
@@ -322,13 +330,30 @@
 		return (this.facts.random ?? Math.random)() * meanUnits;
 	}
 
+	private countsOf(buckets: ReadonlyArray<readonly [string, Bucket]>): readonly QuotaCount[] {
+		return buckets.map(([clientAccount, bucket]) => {
+			this.refill(clientAccount, bucket);
+			return {
+				clientAccount, passed: Math.round(bucket.passed), level: Math.round(bucket.level), asked: Math.round(bucket.askMeter.rate),
+			};
+		});
+	}
+
 	private burstOf(bound: QuotaBound | undefined): number {
 		return (bound?.burst ?? 0) * (this.facts.burstPart?.() ?? 1);
 	}
 
-	private askedAtOthers(clientAccount: string): number {
+	/** What is asked for at the others, by client account. */
+	private askedAtOthers(): ReadonlyMap<string, number> {
 		const since = this.clock.monotonic() - askLifetime;
-		return sumOf([...this.asks.values()].filter(({at}) => at >= since).map(({rates}) => rates.get(clientAccount) ?? 0));
+		const totals = new Map<string, number>();
+		for (const {rates} of [...this.asks.values()].filter(({at}) => at >= since)) {
+			for (const [clientAccount, rate] of rates) {
+				totals.set(clientAccount, (totals.get(clientAccount) ?? 0) + rate);
+			}
+		}
+
+		return totals;
 	}
 
 	private bucketOf(clientAccount: string): Bucket {
@@ -339,6 +364,7 @@
 
 		const bucket: Bucket = {
 			level: this.burstOf(this.facts.bound(clientAccount)) * (this.startsFull ? 1 : restartPart * this.facts.heardPart()), refilledAt: this.clock.monotonic(), passed: 0,
+			changedAt: Number.NEGATIVE_INFINITY,
 			othersRate: 0,
 			refillRate: 0,
 			toldAt: Number.NEGATIVE_INFINITY,
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -57,16 +57,19 @@
 		return [...this.replicas.values()];
 	}
 
-	/** Those that began to leave lately. */
-	get departed(): readonly Departure[] {
-		const since = this.clock.monotonic() - departureMemory;
+	/**
+	 * @param within - Milliseconds.
+	 * @returns Those that began to leave in that time.
+	 */
+	departedWithin(within = departureMemory): readonly Departure[] {
+		const now = this.clock.monotonic();
 		for (const [id, {at}] of this.departures) {
-			if (at < since) {
+			if (at < now - departureMemory) {
 				this.departures.delete(id);
 			}
 		}
 
-		return [...this.departures.values()].map(({id, revision}) => ({id, revision}));
+		return [...this.departures.values()].filter(({at}) => at >= now - within).map(({id, revision}) => ({id, revision}));
 	}
 
 	/** Milliseconds since a replica was last listed for the first time. */
--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -22,6 +22,7 @@
 	isFirstStart: Flag,
 	store: Schema.Struct({address: AddressText}),
 	duties: Schema.Struct({address: AddressText, kinds: Schema.NullOr(Schema.Array(Schema.String))}),
+	limits: Schema.optionalKey(Schema.Struct({processorShare: Amount, processorSpeed: Amount, link: Amount})),
 	bounds: Schema.Struct({
 		grace: Amount,
 		revoke: Amount,
@@ -59,6 +60,14 @@
 	readonly reportDelay: number;
 };
 
+/** What the platform gives the box; what it does not tell is absent. */
+export type BoxLimits = {
+	/** Cores of usual speed. */
+	readonly processor?: number;
+	/** Megabits a second. */
+	readonly link?: number;
+};
+
 /** Settings of a relay. */
 export type RelaySettings = {
 	readonly node: string;
@@ -72,6 +81,7 @@
 	readonly store: Address;
 	readonly duties: Address | undefined;
 	readonly dutyKinds: readonly string[];
+	readonly limits: BoxLimits;
 	readonly bounds: RelayBounds;
 };
 
@@ -115,6 +125,7 @@
 		store: addressOr(file.store.address, 0),
 		duties: file.duties.address === null ? undefined : readAddress(file.duties.address),
 		dutyKinds: file.duties.kinds ?? [],
+		limits: limitsOf(file),
 		bounds: {
 			grace: (bounds.grace ?? defaults.grace) * millisecondsPerSecond,
 			revoke: bounds.revoke ?? defaults.revoke,
@@ -129,3 +140,12 @@
 		},
 	};
 }
+
+/** A share of a core that is several times as fast is worth as many shares. */
+function limitsOf({limits}: typeof RelaySettingsFile.Type): BoxLimits {
+	const {processorShare, processorSpeed, link} = limits ?? {processorShare: null, processorSpeed: null, link: null};
+	return {
+		...(processorShare === null ? {} : {processor: processorShare * (processorSpeed ?? 1)}),
+		...(link === null ? {} : {link}),
+	};
+}
