Fleet: grows by as much as goals are missed

Cause: a fleet that is far too small grew by a quarter in a boot time and two seconds: 26 s from 15 to 40. Change: where goals are missed for half of that, by the part that is missed, and the measure is corrected by the same part, to 2.5 times at most.

--- a/src/duties/fleet-size.ts
+++ b/src/duties/fleet-size.ts
@@ -20,11 +20,11 @@
 const mostDecrease = 0.4;
 /** Milliseconds beyond the boot time until a change shows whether it was enough. */
 const changePause = 2000;
-/** How many times what the load is taken to need is needed, where goals are missed with all of that serving; at most. */
-const correctionStep = 1.25;
-const largestCorrection = 4;
-/** Milliseconds for which goals must have been kept before a correction is taken back by a step. */
+/** How many times what the load is taken to need is needed at most, where goals are missed with all of that serving. */
+const largestCorrection = 2.5;
+/** Milliseconds for which goals must have been kept before a correction is taken back by a step, and that step. */
 const correctionLifetime = 25_000;
+const correctionStep = 1.25;
 /** Part of what is taken to be needed that must serve for missed goals to speak against the measure. */
 const servingPart = 0.9;
 
@@ -112,9 +112,12 @@
 		return {needed, leastNow: load.isObservedBriefly ? Math.min(load.leastNow * factor, needed) : needed * sparsePart};
 	}
 
+	/** Where most requests miss their goals, the fleet would stay too small for as long as small steps take. */
 	private increased(service: string, standing: number, wanted: number, bootTime: number): number {
 		const {from} = this.changeSince(this.increases, service, {standing, bootTime});
-		return Math.max(standing, Math.min(wanted, from * (1 + mostIncrease)));
+		const load = this.loadOf(service);
+		const most = isShort(load, bootTime) ? Math.max(mostIncrease, load.last.missedPart) : mostIncrease;
+		return Math.max(standing, Math.min(wanted, from * (1 + most)));
 	}
 
 	private decreased(service: string, standing: number, wanted: number, bootTime: number): number {
@@ -135,10 +138,9 @@
 	private correctionFor({fleet: {service}, serving, bootTime}: SizeFacts, load: FleetLoad): number {
 		const now = this.clock.monotonic();
 		const {factor, at} = this.corrections.get(service) ?? {factor: 1, at: Number.NEGATIVE_INFINITY};
-		const pause = bootTime + changePause;
-		const isRefuted = load.missedFor > pause / 2 && serving >= load.leastNow * factor * servingPart;
-		if (isRefuted && now - at > pause) {
-			return this.correct(service, Math.min(largestCorrection, factor * correctionStep));
+		const isRefuted = isShort(load, bootTime) && serving >= load.leastNow * factor * servingPart;
+		if (isRefuted && now - at > bootTime + changePause) {
+			return this.correct(service, Math.min(largestCorrection, factor * (1 + load.last.missedPart)));
 		}
 
 		const isConfirmed = factor > 1 && load.keptFor > correctionLifetime && now - at > correctionLifetime;
@@ -154,3 +156,8 @@
 		return getOrCreate(this.loads, service, () => FleetLoad.create(this.clock));
 	}
 }
+
+/** Goals that are missed for a moment say nothing: a clump of requests, or replicas that have just gone. */
+function isShort({missedFor}: FleetLoad, bootTime: number): boolean {
+	return missedFor > (bootTime + changePause) / 2;
+}
