--- /dev/null
+++ b/development/bench/exchange.ts
@@ -0,0 +1,44 @@
+/**
+ * What an aggregator of a large fleet spends on a message, and what goes over its link: `npm run bench -- exchange`.
+ */
+import process from 'node:process';
+import {SystemClock} from '../../src/base/clock.js';
+import {ExchangeFleet} from '../harness/exchange-fleet.js';
+
+const sizes = [30, 86, 300, 340] as const;
+const replicas = 84;
+const clientAccounts = 16;
+/** Requests that each box has in progress. */
+const inProgress = 3;
+const roundsBefore = 10;
+const roundsMeasured = 30;
+const millisecondsPerSecond = 1000;
+const microsecondsPerMillisecond = 1000;
+
+/** Prints a row for each size of the fleet. */
+export async function benchExchange(): Promise<void> {
+	process.stdout.write('| Boxes | Messages/s | Heard | Sent | Processor time a message | Processor time |\n| --- | --- | --- | --- | --- | --- |\n');
+	for (const boxes of sizes) {
+		const fleet = ExchangeFleet.create({
+			boxes, replicas, clientAccounts, inProgress,
+		}, SystemClock.create());
+		for (let round = 0; round < roundsBefore; round++) {
+			fleet.round();
+		}
+
+		const before = fleet.spent;
+		const rounds = Array.from({length: roundsMeasured}, () => fleet.round());
+		const total = (key: 'messages' | 'heard' | 'sent') => rounds.map(round => round[key]).reduce((sum, value) => sum + value, 0);
+		const seconds = roundsMeasured * fleet.interval / millisecondsPerSecond;
+		const spent = fleet.spent - before;
+		const cells = [
+			boxes,
+			Math.round(total('messages') / seconds),
+			`${Math.round(total('heard') / seconds / millisecondsPerSecond)} KB/s`,
+			`${Math.round(total('sent') / seconds / millisecondsPerSecond)} KB/s`,
+			`${Math.round(spent / total('messages') * microsecondsPerMillisecond)} µs`,
+			`${Math.round(spent / seconds)} ms/s`,
+		];
+		process.stdout.write(`| ${cells.join(' | ')} |\n`);
+	}
+}
--- a/development/bench/main.ts
+++ b/development/bench/main.ts
@@ -1,12 +1,15 @@
 /**
- * Measurements: `npm run bench -- relay`, `capacity`, `leaving`.
+ * Measurements: `npm run bench -- relay`, `capacity`, `leaving`, `exchange`.
  */
 import process from 'node:process';
 import {benchCapacity} from './capacity.js';
+import {benchExchange} from './exchange.js';
 import {benchLeaving} from './leaving.js';
 import {benchRelay} from './relay.js';
 
-const benches: Readonly<Record<string, () => Promise<void>>> = {relay: benchRelay, capacity: benchCapacity, leaving: benchLeaving};
+const benches: Readonly<Record<string, () => Promise<void>>> = {
+	relay: benchRelay, capacity: benchCapacity, leaving: benchLeaving, exchange: benchExchange,
+};
 const name = process.argv[2] ?? '';
 const bench = benches[name];
 if (!bench) {
--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -53,6 +53,8 @@
 		return new ExchangeFleet(shape, clock);
 	}
 
+	/** Milliseconds that the aggregator spent on messages and their answers. */
+	spent = 0;
 	private readonly boxes: readonly Box[];
 	private sequence = 0;
 
@@ -71,7 +73,9 @@
 		const {aggregator} = this;
 		const others = this.boxes.filter(box => box !== aggregator);
 		const heard = others.map(box => encodeGossip({...this.headOf(box, membersNamed, false), ...box.state.local(), asksDigest: true}));
+		const beganAt = performance.now();
 		const sent = heard.map((data, index) => this.answerTo(data, index % aggregators === 0));
+		this.spent += performance.now() - beganAt;
 		const bytesOf = (datagrams: readonly Uint8Array[]) => datagrams.map(({length}) => length).reduce((total, length) => total + length, 0);
 		return {messages: others.length, heard: bytesOf(heard), sent: bytesOf(sent)};
 	}
