Relay run: what a request tells of demand stands in a module of its own; one store in memory for the tests of duties

Cause: relay-run.ts was the longest file and grew by the outcomes of requests; two tests had the same store. Behaviour is unchanged.

--- /dev/null
+++ b/development/harness/one-object-store.ts
@@ -0,0 +1,48 @@
+/**
+ * A store in memory that holds one object, for tests of what stands in it. Development only.
+ */
+import * as Effect from 'effect/Effect';
+import {
+	MetadataStore, type Changes, type Listing, type StoredObject,
+} from '../../src/follow/metadata-store.js';
+
+/** The store. */
+export class OneObjectStore extends MetadataStore {
+	private object: StoredObject | undefined;
+	/** @param afterWrite - Called when the object has been written, before that is answered. */
+	constructor(private readonly afterWrite: () => void = () => undefined) {
+		super();
+	}
+
+	override list(): Effect.Effect<Listing> {
+		return Effect.succeed({objects: [], at: 0});
+	}
+
+	override read(): Effect.Effect<StoredObject | undefined> {
+		return Effect.sync(() => this.object);
+	}
+
+	override watch(): Effect.Effect<Changes> {
+		return Effect.never;
+	}
+
+	override create(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
+		return this.write(name, spec);
+	}
+
+	override replace(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
+		return this.write(name, spec);
+	}
+
+	override remove(): Effect.Effect<void> {
+		return Effect.void;
+	}
+
+	private write(name: string, spec: unknown): Effect.Effect<StoredObject> {
+		return Effect.sync(() => {
+			this.object = {name, spec, revision: (this.object?.revision ?? 0) + 1};
+			this.afterWrite();
+			return this.object;
+		});
+	}
+}
--- a/src/duties/test/fleet-duty.test.ts
+++ b/src/duties/test/fleet-duty.test.ts
@@ -2,10 +2,8 @@
 import {test} from 'node:test';
 import * as Effect from 'effect/Effect';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {OneObjectStore} from '../../../development/harness/one-object-store.js';
 import {SilentEventLog} from '../../base/event-log.js';
-import {
-	MetadataStore, type Changes, type Listing, type StoredObject,
-} from '../../follow/metadata-store.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
 import {RouteTableView} from '../../routes/route-table-view.js';
 import {DutyCalls, type ReplicaOrder} from '../duty-calls.js';
@@ -13,48 +11,6 @@
 import {FleetDuty} from '../fleet-duty.js';
 import {MeasuredLoadPolicy} from '../fleet-plan.js';
 
-/** Holds one object; the process may stand still while its write is answered. */
-class PausingStore extends MetadataStore {
-	pause = 0;
-	private object: StoredObject | undefined;
-
-	constructor(private readonly clock: MovedClock) {
-		super();
-	}
-
-	override list(): Effect.Effect<Listing> {
-		return Effect.succeed({objects: [], at: 0});
-	}
-
-	override read(): Effect.Effect<StoredObject | undefined> {
-		return Effect.sync(() => this.object);
-	}
-
-	override watch(): Effect.Effect<Changes> {
-		return Effect.never;
-	}
-
-	override create(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
-		return this.write(name, spec);
-	}
-
-	override replace(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
-		return this.write(name, spec);
-	}
-
-	override remove(): Effect.Effect<void> {
-		return Effect.void;
-	}
-
-	private write(name: string, spec: unknown): Effect.Effect<StoredObject> {
-		return Effect.sync(() => {
-			this.object = {name, spec, revision: (this.object?.revision ?? 0) + 1};
-			this.clock.now += this.pause;
-			return this.object;
-		});
-	}
-}
-
 /** Keeps the orders that were given. */
 class KeepingCalls extends DutyCalls {
 	readonly orders: ReplicaOrder[] = [];
@@ -73,7 +29,10 @@
 test('a holder that stood still after its decision was written gives no orders for it', async () => {
 	const clock = new MovedClock(1000);
 	const log = SilentEventLog.create();
-	const store = new PausingStore(clock);
+	let pause = 0;
+	const store = new OneObjectStore(() => {
+		clock.now += pause;
+	});
 	const calls = new KeepingCalls();
 	const replicas = ReplicaDirectory.create(clock, log);
 	const table = RouteTableView.create(clock, log);
@@ -100,10 +59,11 @@
 	});
 	await Effect.runPromise(lease.acquire());
 	clock.now += 5000;
-	store.pause = 30_000;
+	// The process stands still while its write is answered.
+	pause = 30_000;
 	await Effect.runPromise(duty.step());
 	assert.deepEqual(calls.orders, []);
-	store.pause = 10;
+	pause = 10;
 	await Effect.runPromise(duty.step());
 	assert.ok(calls.orders.some(({isReclaimable, count}) => isReclaimable && count > 0));
 });
--- a/src/duties/test/fleet-take-over.test.ts
+++ b/src/duties/test/fleet-take-over.test.ts
@@ -6,10 +6,8 @@
 import {test} from 'node:test';
 import * as Effect from 'effect/Effect';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {OneObjectStore} from '../../../development/harness/one-object-store.js';
 import {SilentEventLog} from '../../base/event-log.js';
-import {
-	MetadataStore, type Changes, type Listing, type StoredObject,
-} from '../../follow/metadata-store.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
 import {RouteTableView} from '../../routes/route-table-view.js';
 import {DutyCalls, DutyRefusal, type ReplicaOrder} from '../duty-calls.js';
@@ -26,41 +24,6 @@
 }));
 const bootTime = 4000;
 
-class OneObjectStore extends MetadataStore {
-	private object: StoredObject | undefined;
-
-	override list(): Effect.Effect<Listing> {
-		return Effect.succeed({objects: [], at: 0});
-	}
-
-	override read(): Effect.Effect<StoredObject | undefined> {
-		return Effect.sync(() => this.object);
-	}
-
-	override watch(): Effect.Effect<Changes> {
-		return Effect.never;
-	}
-
-	override create(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
-		return this.write(name, spec);
-	}
-
-	override replace(_kind: string, name: string, spec: unknown): Effect.Effect<StoredObject> {
-		return this.write(name, spec);
-	}
-
-	override remove(): Effect.Effect<void> {
-		return Effect.void;
-	}
-
-	private write(name: string, spec: unknown): Effect.Effect<StoredObject> {
-		return Effect.sync(() => {
-			this.object = {name, spec, revision: (this.object?.revision ?? 0) + 1};
-			return this.object;
-		});
-	}
-}
-
 /** Keeps the orders that were taken; in one data centre no reclaimable replicas are to be had. */
 class ScarceCalls extends DutyCalls {
 	readonly taken: ReplicaOrder[] = [];
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -3,7 +3,6 @@
  * allowed.
  */
 import * as Effect from 'effect/Effect';
-import type {RefusalReason} from '../base/refusal-reason.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
 import type {Connection} from '../replicas/replica-connections.js';
@@ -14,6 +13,7 @@
 import type {AdmittedRequest} from './admitted-request.js';
 import {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
+import {DemandNotes} from './demand-notes.js';
 import type {RelayServices} from './relay-services.js';
 import {
 	abandon, openAnswer, readBody, type OpenAnswer,
@@ -29,9 +29,6 @@
 const comeBack = 0.5;
 const millisecondsPerSecond = 1000;
 
-/** Reasons that say that more replicas would have served. */
-const reasonsOfShortage: ReadonlySet<RefusalReason> = new Set(['capacity-short', 'no-upstream', 'upstream-refused', 'deadline-passed']);
-
 /** What became of a request, for its log line. */
 export type RunStory = {
 	tries: number;
@@ -73,9 +70,7 @@
 	/** An answer of a replica that failed the request, to be passed on where nothing better comes. */
 	private failedAnswer: (() => void) | undefined;
 	private hasCounted = false;
-	private hasOutcome = false;
-	/** Monotonic milliseconds. */
-	private readonly servedAt: number;
+	private readonly notes: DemandNotes;
 
 	private constructor(
 		private readonly services: RelayServices,
@@ -83,7 +78,7 @@
 		private readonly client: ClientAnswer,
 	) {
 		const {head} = request;
-		this.servedAt = services.clock.monotonic();
+		this.notes = DemandNotes.create({clock: services.clock, demand: () => this.demand, goal: () => this.request.route.goal});
 		this.passage = StreamPassage.create(client, services.format);
 		this.choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
 	}
@@ -103,37 +98,14 @@
 		const late = Effect.sleep(timeLeft).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(this.lateness()))));
 		return Effect.raceFirst(this.tryReplicas(), late).pipe(
 			Effect.tapError(refusal => Effect.sync(() => {
-				this.noteRefusal(refusal);
+				this.notes.noteRefusal(refusal);
 			})),
 			Effect.onInterrupt(() => Effect.sync(() => {
-				this.noteOutcome();
+				this.notes.noteLeaving();
 			})),
 		);
 	}
 
-	/** What replicas are too short for is asked for all the same. */
-	private noteRefusal({reason}: Refusal): void {
-		if (!reasonsOfShortage.has(reason)) {
-			return;
-		}
-
-		if (this.story.tries === 0) {
-			this.demand.noteTurnedAway();
-		} else if (!this.hasOutcome) {
-			this.hasOutcome = true;
-			this.demand.noteOutcome(false);
-		}
-	}
-
-	/** Notes once whether the answer began in time, as far as that can be told by now. */
-	private noteOutcome(): void {
-		const isLate = this.services.clock.monotonic() - this.servedAt > this.request.route.goal;
-		if (!this.hasOutcome && (isLate || this.story.firstByteAt !== undefined)) {
-			this.hasOutcome = true;
-			this.demand.noteOutcome(!isLate);
-		}
-	}
-
 	private tryReplicas(): Effect.Effect<void, Refusal> {
 		return Effect.gen({self: this}, function * () {
 			this.services.budgets.of(this.request.service).noteRequest();
@@ -225,17 +197,14 @@
 
 		const beganAt = this.services.clock.monotonic();
 		return Effect.suspend(() => {
-			if (this.tried.size === 0) {
-				this.demand.noteArrival(tokens, this.request.route.goal);
-			}
-
+			this.notes.noteChoice(tokens);
 			this.tried.add(replica);
 			replica.begin(tokens);
 			return this.connect(replica).pipe(Effect.flatMap(connection => this.send(replica, connection, {tokens, markRead})));
 		}).pipe(Effect.ensuring(Effect.sync(() => {
 			markRead();
 			replica.end();
-			this.noteEnd(beganAt);
+			this.notes.noteEnd(beganAt, this.story.firstByteAt);
 		})));
 	}
 
@@ -298,7 +267,7 @@
 		const note = () => {
 			const now = this.services.clock.monotonic();
 			this.story.firstByteAt ??= now;
-			this.noteOutcome();
+			this.notes.noteBeginning();
 			markRead();
 			replica.noteAnswer(now - sentAt, isError);
 			this.countUsage();
@@ -311,7 +280,7 @@
 				},
 				onFirstEvent: () => {
 					note();
-					this.noteReading(tokens, this.services.clock.monotonic() - sentAt);
+					this.notes.noteRead(tokens, this.services.clock.monotonic() - sentAt);
 					this.services.choice.noteRead(replica, this.choiceRequest);
 				},
 			});
@@ -337,20 +306,6 @@
 		}));
 	}
 
-	/** What waited at a replica says little of how long the work takes. */
-	private noteReading(tokens: number, duration: number): void {
-		if (duration <= this.request.route.goal) {
-			this.demand.noteRead(tokens, duration);
-		}
-	}
-
-	private noteEnd(beganAt: number): void {
-		const {firstByteAt} = this.story;
-		if (firstByteAt !== undefined && firstByteAt >= beganAt && firstByteAt - beganAt <= this.request.route.goal) {
-			this.demand.noteEnd(this.services.clock.monotonic() - beganAt);
-		}
-	}
-
 	private sendWhole(answer: OpenAnswer, body: Uint8Array): void {
 		const headers = this.services.format.answerHeaders(answer.message);
 		const isBodiless = this.request.incoming.method === 'HEAD' || answer.status === 204 || answer.status === 304;
