Tests of the exchange: who is asked in turn, pauses that vary, what changed lately

Change: the pause moved from Gossip into the topology, where it can be asked for; tests. Behaviour is unchanged.

--- a/src/gossip/exchange-topology.ts
+++ b/src/gossip/exchange-topology.ts
@@ -18,6 +18,8 @@
  * each would hear a few boxes alone.
  */
 const successorsTold = 15;
+/** By how much of its length a pause between two rounds varies. */
+const pauseSpread = 0.5;
 /** Milliseconds between two rounds. */
 const smallInterval = 200;
 const largeInterval = 400;
@@ -71,11 +73,22 @@
 		return this.isLarge ? this.ranked().slice(0, aggregatorCount).map(({peer}) => peer) : this.peers.all;
 	}
 
-	/** Milliseconds between two rounds. */
+	/** Milliseconds between two rounds, on average. */
 	get interval(): number {
 		return this.isLarge ? largeInterval * Math.max(1, this.peers.boxes / boxesAtLargeInterval) : smallInterval;
 	}
 
+	/**
+	 * Boxes that start together would tell an aggregator all at once, and its answers would fill the queue of its link: those
+	 * to the last boxes would be lost in each round. The pauses differ, so that rounds drift apart.
+	 *
+	 * @param random - A number from 0 to 1.
+	 * @returns Milliseconds until the next round.
+	 */
+	pause(random: number): number {
+		return this.interval * (1 + (pauseSpread * (random - 0.5)));
+	}
+
 	/** Milliseconds within which a box that tells this one has been heard. */
 	get heardWithin(): number {
 		return Math.max(leastHeardWithin, this.interval * roundsHeardWithin);
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -19,8 +19,6 @@
 const membersAcknowledged = 2;
 /** Milliseconds for which the moment of sending a message is kept, to date what others prove. */
 const sentMemory = 15_000;
-/** By how much of its length a pause between two rounds varies. */
-const pauseSpread = 0.5;
 /** Rounds after which the seeds are told again, whoever is heard. */
 const roundsBetweenSeeds = 25;
 
@@ -51,8 +49,6 @@
 	readonly takeDigest: (message: GossipMessage, digest: FleetDigest) => void;
 	/** Takes the moment at which a version is known to have been the newest, by this box's monotonic clock. */
 	readonly prove: (version: number, at: number) => void;
-	/** @returns A number from 0 to 1. */
-	readonly random?: () => number;
 	/** Addresses at which boxes may be, before any is known. */
 	readonly seeds: () => ReadonlyArray<Omit<MemberAddress, 'name'>>;
 };
@@ -80,21 +76,12 @@
 			const socket = yield * this.open();
 			for (;;) {
 				this.round(socket);
-				yield * Effect.sleep(this.pause);
+				yield * Effect.sleep(this.services.topology.pause(Math.random()));
 			}
 		});
 		return Effect.scoped(rounds);
 	}
 
-	/**
-	 * Boxes that start together would tell an aggregator all at once, and its answers would fill the queue of its link: those
-	 * of the last boxes would be lost in each round. The pauses differ, so that rounds drift apart.
-	 */
-	private get pause(): number {
-		const {topology, random = Math.random} = this.services;
-		return topology.interval * (1 + (pauseSpread * (random() - 0.5)));
-	}
-
 	private open(): Effect.Effect<Socket, never, Scope.Scope> {
 		const {self} = this.services;
 		return Effect.acquireRelease(Effect.sync(() => {
--- a/src/gossip/test/exchange-topology.test.ts
+++ b/src/gossip/test/exchange-topology.test.ts
@@ -102,6 +102,15 @@
 	assert.ok(messages.every(rate => rate <= 251), String(messages));
 });
 
+test('rounds of boxes that start together drift apart, and are as long on average as they should be', () => {
+	const {topology} = viewOf('box-0', 87);
+	const pauses = Array.from({length: 101}, (_, index) => topology.pause(index / 100));
+	const mean = pauses.reduce((total, pause) => total + pause, 0) / pauses.length;
+	assert.ok(Math.abs(mean - topology.interval) < 1);
+	assert.ok(Math.max(...pauses) - Math.min(...pauses) >= topology.interval / 2);
+	assert.ok(Math.max(...pauses) < topology.heardWithin / 3, 'some rounds may be lost before a box counts as silent');
+});
+
 test('a message names the aggregators first, so that a newcomer finds them at once', () => {
 	const {topology, peers} = viewOf('box-0', 87);
 	for (const {address: {name}} of peers.all) {
--- a/src/gossip/test/gossip-exchange.test.ts
+++ b/src/gossip/test/gossip-exchange.test.ts
@@ -9,6 +9,8 @@
 import {ExchangeTopology} from '../exchange-topology.js';
 import {ExchangeTraffic} from '../exchange-traffic.js';
 import {Gossip} from '../gossip.js';
+import {decodeGossip, encodeGossip} from '../gossip-codec.js';
+import type {GossipMessage} from '../gossip-message.js';
 import {PeerTable} from '../peer-table.js';
 
 const freePort = async (): Promise<number> => new Promise(resolve => {
@@ -65,3 +67,39 @@
 	assert.ok(unaware.peers.boxes >= 21);
 	await Promise.all([knowing.end(), unaware.end(), neighbour.end()]);
 });
+
+test('a box of a large fleet asks one of its aggregators in turn for all that is known, and tells the others its state alone', async () => {
+	const box = await startBox('asking');
+	const heard: GossipMessage[] = [];
+	const sockets = await Promise.all(['a', 'b', 'c'].map(async name => {
+		const socket = createSocket('udp4');
+		await new Promise<void>(resolve => {
+			socket.bind(0, '127.0.0.1', resolve);
+		});
+		const sender = {name, host: '127.0.0.1', port: socket.address().port};
+		let sequence = 0;
+		socket.on('message', data => {
+			const message = decodeGossip(data)!;
+			heard.push({...message, sender});
+			sequence++;
+			socket.send(encodeGossip({
+				sender, incarnation: 'one', sequence, uptime: 5000, wall: 0, version: 1, isStopping: false, storeAge: 0,
+				quota: [], work: [], departed: [], usage: [], members: [], digest: {boxes: 87},
+			}), box.self.port, '127.0.0.1');
+		});
+		return {socket, sender};
+	}));
+	box.peers.noteFleetSize(87);
+	box.peers.learn(sockets.map(({sender}) => sender));
+	await until(() => box.peers.heard.length === 3);
+	heard.length = 0;
+	await until(() => heard.length >= 21);
+	const told = heard.slice(0, 21);
+	const asked = told.filter(({asksDigest}) => asksDigest === true);
+	assert.ok(asked.length >= 6 && asked.length <= 8, `${asked.length} of 21`);
+	assert.equal(new Set(asked.map(({sender}) => sender.name)).size, 3, 'each in turn');
+	await box.end();
+	for (const {socket} of sockets) {
+		socket.close();
+	}
+});
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -267,3 +267,19 @@
 	aggregator.takeCounts('box', box.counts, 'known');
 	assert.ok(aggregator.take(clientAccount, 1) > 0, 'what comes after that counts');
 });
+
+test('what changed lately is told alone, also what was given back, and all of it where that is asked', () => {
+	const clock = new MovedClock();
+	const ledger = QuotaLedger.create({bound: () => bound, heardPart: () => 1}, clock, true);
+	const names = () => ledger.recentCounts.map(count => count.clientAccount);
+	ledger.take('basin', 5);
+	ledger.take('delta', 5);
+	assert.deepEqual(names(), ['basin', 'delta']);
+	clock.now += 2000;
+	ledger.giveBack('delta', 5);
+	clock.now += 1000;
+	assert.deepEqual(names(), ['delta'], 'a message may be lost, so that it is told for some rounds');
+	clock.now += 5000;
+	assert.deepEqual(names(), []);
+	assert.deepEqual(ledger.counts.map(count => count.clientAccount), ['basin', 'delta']);
+});
--- a/src/replicas/test/replica-directory.test.ts
+++ b/src/replicas/test/replica-directory.test.ts
@@ -62,3 +62,15 @@
 	replica.noteHeard();
 	assert.equal(replica.isSilent, false);
 });
+
+test('departures are told for as long as is asked, and are known for longer', () => {
+	const {clock, directory} = directoryOf([entry('a'), entry('b'), entry('c')]);
+	directory.remove('a', 10);
+	clock.now += 3000;
+	directory.put(entry('b', {revision: 12, isDraining: true}));
+	const ids = (within?: number) => directory.departedWithin(within).map(({id}) => id);
+	assert.deepEqual(ids(2500), ['b']);
+	assert.deepEqual(ids(), ['a', 'b']);
+	clock.now += 8000;
+	assert.deepEqual(ids(), ['b']);
+});
