--- a/src/gossip/test/gossip-exchange.test.ts
+++ b/src/gossip/test/gossip-exchange.test.ts
@@ -68,11 +68,15 @@
 	await Promise.all([knowing.end(), unaware.end(), neighbour.end()]);
 });
 
-test('a box of a large fleet asks one of its aggregators in turn for all that is known, and tells the others its state alone', async () => {
+test('a box of a large fleet asks one of its aggregators in turn for all that is known, and tells the others its state alone', async context => {
 	const box = await startBox('asking');
+	context.after(async () => box.end());
 	const heard: GossipMessage[] = [];
-	const sockets = await Promise.all(['a', 'b', 'c'].map(async name => {
+	const aggregators = await Promise.all(['a', 'b', 'c'].map(async name => {
 		const socket = createSocket('udp4');
+		context.after(() => {
+			socket.close();
+		});
 		await new Promise<void>(resolve => {
 			socket.bind(0, '127.0.0.1', resolve);
 		});
@@ -87,10 +91,10 @@
 				quota: [], work: [], departed: [], usage: [], members: [], digest: {boxes: 87},
 			}), box.self.port, '127.0.0.1');
 		});
-		return {socket, sender};
+		return sender;
 	}));
 	box.peers.noteFleetSize(87);
-	box.peers.learn(sockets.map(({sender}) => sender));
+	box.peers.learn(aggregators);
 	await until(() => box.peers.heard.length === 3);
 	heard.length = 0;
 	await until(() => heard.length >= 21);
@@ -98,8 +102,4 @@
 	const asked = told.filter(({asksDigest}) => asksDigest === true);
 	assert.ok(asked.length >= 6 && asked.length <= 8, `${asked.length} of 21`);
 	assert.equal(new Set(asked.map(({sender}) => sender.name)).size, 3, 'each in turn');
-	await box.end();
-	for (const {socket} of sockets) {
-		socket.close();
-	}
 });
