--- a/src/replicas/test/service-demand.test.ts
+++ b/src/replicas/test/service-demand.test.ts
@@ -96,3 +96,11 @@
 	assert.equal(pooledDemand([before]).missedPart, 0);
 	assert.equal(pooledDemand([]).missedPart, 0);
 });
+
+test('one box that saw only prompts that others had read before does not say how fast replicas read', () => {
+	const told = [90_000, 24_000, 0, 26_000, 25_000].map(readRate => ({
+		requests: 1, reading: 3000, readRate, goal: 900, meanTokens: 2000, meanSquare: 8_000_000, met: 2, missed: 0,
+	}));
+	assert.equal(pooledDemand(told).readRate, 26_000);
+	assert.equal(pooledDemand(told).reading, 15_000, 'what it was asked for counts');
+});
