Exchange: what was let pass before a box was heard is no news, though only recent counters are told

Cause, found on reading the change: since a box of a large fleet tells only counters that changed lately, a new aggregator met some of them for the first time in a later message, took all that was ever let pass for new, and refused that client account; and a box was told that none of its own past was counted, so that it refused at once. Ruled out: sending all counters always, half of the bytes heard. Change: a message says whether the counters it does not tell stand at zero; the first three messages to a new listener are whole; before that a counter's first word is no news, and a level is told without what is counted; a box that was not heard for a while is met anew.

--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -32,6 +32,8 @@
 /** Boxes named in a message, as in the exchange. */
 const membersNamed = 6;
 const membersAcknowledged = 2;
+/** Rounds after which all counters are told, as in the exchange. */
+const roundsBetweenWholeStates = 8;
 /** One aggregator of three is asked for all it knows. */
 const aggregators = 3;
 
@@ -57,6 +59,7 @@
 	spent = 0;
 	private readonly boxes: readonly Box[];
 	private sequence = 0;
+	private rounds = 0;
 
 	private constructor(private readonly shape: FleetShape, private readonly clock: Clock) {
 		const addresses = Array.from({length: shape.boxes}, (_, index) => ({name: `edge-zone-b-${index}`, host: `10.2.64.${index}`, port: 7600}));
@@ -71,8 +74,9 @@
 	/** @returns What went over the aggregator's link in one round, in which every box told it its state and was answered. */
 	round(): RoundTraffic {
 		const {aggregator} = this;
+		this.rounds++;
 		const others = this.boxes.filter(box => box !== aggregator);
-		const heard = others.map(box => encodeGossip({...this.headOf(box, membersNamed, false), ...box.state.local(), asksDigest: true}));
+		const heard = others.map(box => encodeGossip({...this.headOf(box, membersNamed, false), ...box.state.local(this.rounds % roundsBetweenWholeStates === 0), asksDigest: true}));
 		const beganAt = performance.now();
 		const sent = heard.map((data, index) => this.answerTo(data, index % aggregators === 0));
 		this.spent += performance.now() - beganAt;
@@ -97,7 +101,7 @@
 		return encodeGossip({
 			...this.headOf(aggregator, isWhole ? membersNamed : membersAcknowledged, isWhole),
 			...state.news(),
-			quota: [], work: [], usage: [],
+			quota: [], isWhole: false, work: [], usage: [],
 			digest: state.digestFor(peers.named(message.sender.name)!, isWhole),
 		});
 	}
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -15,7 +15,7 @@
 /** Client account, passed, level, asked. */
 const CountRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number]);
 /** Client account, level, refill rate, pass rate, ask rate, counted. */
-const LevelRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number]);
+const LevelRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.NullOr(Schema.Number)]);
 /** Service, requests, reading, read rate, goal, mean tokens, mean square, met, missed. */
 const DemandRow = Schema.Tuple([
 	Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number,
@@ -46,6 +46,7 @@
 	proofAge: Schema.optionalKey(Schema.Number),
 	isStopping: Schema.Boolean,
 	storeAge: Schema.Number,
+	isWhole: Schema.Boolean,
 	quota: Schema.Array(CountRow),
 	work: Schema.Array(WorkRow),
 	demand: Schema.optionalKey(Schema.Array(DemandRow)),
@@ -131,7 +132,7 @@
 		...plain,
 		...(quota
 			? {
-				quota: quota.map(({clientAccount, level, refillRate, passRate, askRate, counted}) => [clientAccount, level, refillRate, passRate, askRate, counted] as const),
+				quota: quota.map(({clientAccount, level, refillRate, passRate, askRate, counted}) => [clientAccount, level, refillRate, passRate, askRate, counted ?? null] as const),
 			}
 			: {}),
 		...(work ? {work: work.map(load => workRowOf(load))} : {}),
@@ -144,7 +145,7 @@
 		...(quota
 			? {
 				quota: quota.map(([clientAccount, level, refillRate, passRate, askRate, counted]) => ({
-					clientAccount, level, refillRate, passRate, askRate, counted,
+					clientAccount, level, refillRate, passRate, askRate, counted: counted ?? undefined,
 				})),
 			}
 			: {}),
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -41,7 +41,7 @@
 	readonly refillRate: number;
 	readonly passRate: number;
 	readonly askRate: number;
-	readonly counted: number;
+	readonly counted: number | undefined;
 };
 
 /** What an aggregator knows of all boxes, told to one of them. */
@@ -75,8 +75,10 @@
 	readonly isStopping: boolean;
 	/** Milliseconds since the store last answered the sender. */
 	readonly storeAge: number;
-	/** What the sender let pass; in a large fleet of the client accounts that it served lately, and now and then of all. */
+	/** What the sender let pass of the client accounts that it served: of all, or of those that it served lately. */
 	readonly quota: readonly AccountCount[];
+	/** Whether the counters that are not told stand at zero. */
+	readonly isWhole: boolean;
 	/** Work of the sender at replicas. */
 	readonly work: readonly ReplicaLoad[];
 	/** What is asked of services at the sender. */
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -11,6 +11,7 @@
 import type {ExchangeTraffic} from './exchange-traffic.js';
 import {decodeGossip, encodeGossip} from './gossip-codec.js';
 import type {FleetDigest, GossipMessage, MemberAddress} from './gossip-message.js';
+import {ListenerBook} from './listener-book.js';
 import type {Meeting, Peer, PeerTable} from './peer-table.js';
 
 /** Boxes named in one message, besides the aggregators. */
@@ -19,6 +20,8 @@
 const membersAcknowledged = 2;
 /** Milliseconds for which the moment of sending a message is kept, to date what others prove. */
 const sentMemory = 15_000;
+/** Rounds of a large fleet after which a box tells all its counters, not those alone that changed lately. */
+const roundsBetweenWholeStates = 8;
 /** Rounds after which the seeds are told again, whoever is heard. */
 const roundsBetweenSeeds = 25;
 
@@ -26,7 +29,7 @@
 export type LocalNews = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'departed' | 'replicas'>;
 
 /** What a box tells of its own work. */
-export type LocalState = LocalNews & Pick<GossipMessage, 'quota' | 'work' | 'demand' | 'usage'>;
+export type LocalState = LocalNews & Pick<GossipMessage, 'quota' | 'isWhole' | 'work' | 'demand' | 'usage'>;
 
 /** What the exchange needs. */
 export type GossipServices = {
@@ -39,8 +42,8 @@
 	readonly traffic: ExchangeTraffic;
 	/** @returns What to tell in any message. */
 	readonly news: () => LocalNews;
-	/** @returns What to tell of this box's own work, too. */
-	readonly state: () => LocalState;
+	/** @returns What to tell of this box's own work, too: all its counters, or those that changed lately. */
+	readonly state: (isWhole: boolean) => LocalState;
 	/** @returns What to tell one box of all others: all that is known, or only what is new. */
 	readonly digest: (peer: Peer, isWhole: boolean) => FleetDigest;
 	/** Takes what a box tells of itself. */
@@ -67,6 +70,7 @@
 	/** Counted from anywhere: what is done every few rounds is done by boxes in turn. */
 	private rounds = Math.floor(Math.random() * roundsBetweenSeeds);
 	private readonly sentAt = new Map<number, number>();
+	private readonly listeners = ListenerBook.create();
 
 	private constructor(private readonly services: GossipServices) {}
 
@@ -107,17 +111,21 @@
 		this.rounds++;
 		traffic.tell({boxes: peers.boxes, heard: peers.heard.length, isAggregator: topology.isLarge && topology.isAggregator});
 		const isLonely = peers.heard.length === 0;
-		const message: GossipMessage = {...this.head(membersNamed), ...this.services.state()};
+		const head = this.head(membersNamed);
 		const targets = topology.targets(this.rounds);
 		const asked = this.askedFor(targets);
+		const isWholeRound = !topology.isLarge || this.rounds % roundsBetweenWholeStates === 0;
+		const strangers = this.listeners.strangersAmong(targets);
+		const wholeState = {...head, ...this.services.state(true)};
+		const state = isWholeRound ? wholeState : {...head, ...this.services.state(false)};
 		for (const peer of targets) {
 			peers.noteTold(peer.address.name);
-			this.tell(socket, peer.address, {...message, ...this.echoOf(peer), ...(asked.includes(peer) ? {asksDigest: true} : {})});
+			this.tell(socket, peer.address, {...(strangers.has(peer) ? wholeState : state), ...this.echoOf(peer), ...(asked.includes(peer) ? {asksDigest: true} : {})});
 		}
 
 		if (isLonely || this.rounds % roundsBetweenSeeds === 0) {
 			for (const address of seeds()) {
-				this.tell(socket, address, {...message, asksDigest: true});
+				this.tell(socket, address, {...wholeState, asksDigest: true});
 			}
 		}
 	}
@@ -216,7 +224,7 @@
 			...news(),
 			// The middle of many clocks: a box that hears few others cannot tell which of them is off.
 			wall: Math.round(clock.monotonic() + peers.wallOffset),
-			quota: [], work: [], usage: [],
+			quota: [], isWhole: false, work: [], usage: [],
 			...this.echoOf(peer),
 			digest: digest(peer, isWhole),
 		});
--- a/src/gossip/test/exchange-topology.test.ts
+++ b/src/gossip/test/exchange-topology.test.ts
@@ -12,7 +12,7 @@
 
 const message = (name: string, sequence: number): GossipMessage => ({
 	sender: addressOf(name), incarnation: 'one', sequence, uptime: 5000, wall: 0, version: 1, isStopping: false, storeAge: 0,
-	quota: [], work: [], departed: [], usage: [], members: [],
+	quota: [], isWhole: true, work: [], departed: [], usage: [], members: [],
 });
 
 /** How box 0 of a fleet sees it. */
--- a/src/gossip/test/gossip-codec.test.ts
+++ b/src/gossip/test/gossip-codec.test.ts
@@ -12,6 +12,7 @@
 	quota: [{
 		clientAccount: 'basin', passed: 12_000, level: -300, asked: 2500,
 	}],
+	isWhole: true,
 	work: [{replica: 'i-1', requests: 3, unreadTokens: 9000}],
 	demand: [{
 		service: 's', requests: 1.25, reading: 8000, readRate: 31_000, goal: 900, meanTokens: 2100, meanSquare: 9_000_000, met: 2.5, missed: 0.1,
@@ -36,6 +37,8 @@
 test('what is read is what was laid out', () => {
 	assert.deepEqual(decodeGossip(encodeGossip(message)), message);
 	assert.deepEqual(decodeGossip(encodeGossip({...message, digest})), {...message, digest});
+	const uncounted = {...digest, quota: [{...digest.quota![0]!, counted: undefined}]};
+	assert.deepEqual(decodeGossip(encodeGossip({...message, digest: uncounted})), {...message, digest: uncounted});
 	assert.deepEqual(decodeGossip(encodeGossip({...message, digest: {boxes: 86}}))?.digest, {boxes: 86}, 'an answer to a box that did not ask');
 });
 
--- a/src/gossip/test/gossip-exchange.test.ts
+++ b/src/gossip/test/gossip-exchange.test.ts
@@ -34,7 +34,7 @@
 			version: 1, isStopping: false, storeAge: 0, departed: [],
 		}),
 		state: () => ({
-			version: 1, isStopping: false, storeAge: 0, quota: [], work: [], departed: [], usage: [],
+			version: 1, isStopping: false, storeAge: 0, quota: [], isWhole: true, work: [], departed: [], usage: [],
 		}),
 		digest: () => ({boxes: peers.boxes, quota: [], work: []}),
 		take() {
@@ -88,7 +88,7 @@
 			sequence++;
 			socket.send(encodeGossip({
 				sender, incarnation: 'one', sequence, uptime: 5000, wall: 0, version: 1, isStopping: false, storeAge: 0,
-				quota: [], work: [], departed: [], usage: [], members: [], digest: {boxes: 87},
+				quota: [], isWhole: false, work: [], departed: [], usage: [], members: [], digest: {boxes: 87},
 			}), box.self.port, '127.0.0.1');
 		});
 		return sender;
--- a/src/gossip/test/gossip-proof.test.ts
+++ b/src/gossip/test/gossip-proof.test.ts
@@ -9,7 +9,7 @@
 
 const message = (name: string, changes: Partial<GossipMessage> = {}): GossipMessage => ({
 	sender: {name, host: '127.0.0.1', port: 1}, incarnation: 'one', sequence: 1, uptime: 5000, wall: epoch + 1000, version: 1, isStopping: false, storeAge: 0,
-	quota: [], work: [], departed: [], usage: [], members: [], ...changes,
+	quota: [], isWhole: true, work: [], departed: [], usage: [], members: [], ...changes,
 });
 
 test('an old message that arrives late changes nothing', () => {
--- /dev/null
+++ b/src/gossip/test/listener-book.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ListenerBook} from '../listener-book.js';
+import type {Peer} from '../peer-table.js';
+
+const peer = (name: string, incarnation: string): Peer => ({
+	address: {name, host: '127.0.0.1', port: 1},
+	last: {
+		sender: {name, host: '127.0.0.1', port: 1}, incarnation, sequence: 1, uptime: 0, wall: 0, version: 1, isStopping: false, storeAge: 0,
+		quota: [], isWhole: true, work: [], departed: [], usage: [], members: [],
+	},
+	heardAt: 0, listedAt: 0, wallOffset: 0, unanswered: 0,
+});
+
+test('who begins to listen is a stranger for three rounds, and again after a gap or a restart', () => {
+	const book = ListenerBook.create();
+	const a = peer('a', 'one');
+	const b = peer('b', 'one');
+	const strangersIn = (...targets: readonly Peer[]) => [...book.strangersAmong(targets)].map(({address}) => address.name).join(' ');
+	assert.deepEqual([strangersIn(a), strangersIn(a), strangersIn(a, b), strangersIn(a, b)], ['a', 'a', 'a b', 'b']);
+	assert.equal(strangersIn(b), 'b');
+	assert.equal(strangersIn(a, b), 'a', 'it was not told in one round');
+	assert.equal(strangersIn(a, peer('b', 'two')), 'a b', 'its process has started anew');
+});
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -15,8 +15,6 @@
 const unknownAge = 1_000_000;
 /** Milliseconds for which the work of all boxes is not added up anew. */
 const workMemory = 100;
-/** Rounds of a large fleet after which a box tells all its counters, not those alone that changed lately. */
-const roundsBetweenWholeStates = 8;
 /**
  * Milliseconds for which a large fleet is told of a replica that leaves: some rounds. Whoever misses that hears it from the list;
  * where a whole data centre leaves, each message would carry it for long.
@@ -51,7 +49,6 @@
 
 	private work: {readonly loads: readonly ReplicaLoad[]; readonly at: number} = {loads: [], at: Number.NEGATIVE_INFINITY};
 	private wasAggregator: boolean | undefined;
-	private rounds = 0;
 
 	private constructor(private readonly parts: ExchangeParts) {}
 
@@ -70,16 +67,18 @@
 		};
 	}
 
-	/** @returns What this box tells of itself. */
-	local(): LocalState {
-		const {services: {replicas, quota, usage, demands}, topology} = this.parts;
+	/**
+	 * @param isWhole - Whether all counters are told, not those alone that changed lately.
+	 * @returns What this box tells of itself.
+	 */
+	local(isWhole: boolean): LocalState {
+		const {replicas, quota, usage, demands} = this.parts.services;
 		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
-		const isWhole = !topology.isLarge || this.rounds % roundsBetweenWholeStates === 0;
-		this.rounds++;
 		this.noteRole();
 		return {
 			...this.news(),
 			quota: isWhole ? quota.counts : quota.recentCounts,
+			isWhole,
 			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
 			demand: demands.told,
 			usage: isWhole ? usage.told : usage.recent,
@@ -122,7 +121,7 @@
 		const start = startOf(message);
 		this.takeNews(message);
 		// Its digests may have come before: what it let pass until now is no news, though it is known.
-		quota.takeCounts(start, message.quota, quota.knows(start) ? meeting : peers.meetAnew(message));
+		quota.takeCounts(start, message.quota, quota.knows(start) ? meeting : peers.meetAnew(message), message.isWhole);
 		usage.take(start, message.usage);
 		if (!topology.isAggregator) {
 			return;
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -230,7 +230,7 @@
 				metrics.exchangeBytes.inc({direction}, bytes);
 			}),
 			news: () => exchange.news(),
-			state: () => exchange.local(),
+			state: isWhole => exchange.local(isWhole),
 			digest: (peer, isWhole) => exchange.digestFor(peer, isWhole),
 			take(message, meeting) {
 				exchange.take(message, meeting);
--- a/src/node/test/member-role.test.ts
+++ b/src/node/test/member-role.test.ts
@@ -19,7 +19,7 @@
 const kind = 'waydrift-members';
 const heard = (name: string, sequence: number): GossipMessage => ({
 	sender: {name, host: '127.0.0.1', port: 1}, incarnation: 'one', sequence, uptime: 5000, wall: 0, version: 1, isStopping: false, storeAge: 0,
-	quota: [], work: [], departed: [], usage: [], members: [],
+	quota: [], isWhole: true, work: [], departed: [], usage: [], members: [],
 });
 
 test('a box that went for good is taken out of the store, and one that is heard stays', async () => {
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -38,8 +38,8 @@
 	readonly passRate: number;
 	/** Units a second that are asked for at all boxes. */
 	readonly askRate: number;
-	/** What the receiver let pass since its start, as far as the level holds it. */
-	readonly counted: number;
+	/** What the receiver let pass since its start, as far as the level holds it; `undefined` where it has not told that yet. */
+	readonly counted: number | undefined;
 };
 
 /** What is known of the other boxes. */
@@ -66,6 +66,16 @@
 	readonly heardPart: number;
 };
 
+/** How a box is met that tells its counters; see `QuotaLedger.takeCounts`. */
+type Meeting = 'known' | 'younger' | 'other' | 'apart';
+
+/** What one start of another box let pass, as far as it was told. */
+type PeerCounts = {
+	readonly passed: Map<string, number>;
+	/** Whether it told all its counters once: one that was not among them stood at zero. */
+	isWhole: boolean;
+};
+
 type Bucket = {
 	level: number;
 	refilledAt: number;
@@ -131,7 +141,7 @@
 	}
 
 	private readonly buckets = new Map<string, Bucket>();
-	private readonly peers = new Map<string, Map<string, number>>();
+	private readonly peers = new Map<string, PeerCounts>();
 	/** What the others are asked for, by box and client account. */
 	private readonly asks = new Map<string, {readonly at: number; readonly rates: ReadonlyMap<string, number>}>();
 
@@ -231,14 +241,15 @@
 	 * @param meeting - How it is met: `known` has been heard lately; `younger` is new and began after this one;
 	 * `other` is older, or was not heard for a while, so that its part was left to it; `apart` is the same in a large
 	 * fleet, where its own idea of the bucket is no better than this box's.
+	 * @param isWhole - Whether counters that it does not tell stand at zero.
 	 */
-	takeCounts(peer: string, counts: readonly QuotaCount[], meeting: 'known' | 'younger' | 'other' | 'apart'): void {
-		const known = this.peers.get(peer) ?? new Map<string, number>();
-		this.peers.set(peer, known);
+	takeCounts(peer: string, counts: readonly QuotaCount[], meeting: Meeting, isWhole = true): void {
+		const known = this.countsToTakeTo(peer, meeting);
 		this.asks.set(peer, {at: this.clock.monotonic(), rates: new Map(counts.map(({clientAccount, asked}) => [clientAccount, asked]))});
 		for (const {clientAccount, passed, level} of counts) {
-			const before = known.get(clientAccount) ?? 0;
-			known.set(clientAccount, passed);
+			// What was let pass before this box first heard of it is no news.
+			const before = known.passed.get(clientAccount) ?? (known.isWhole ? 0 : passed);
+			known.passed.set(clientAccount, passed);
 			if (!this.facts.bound(clientAccount)) {
 				continue;
 			}
@@ -252,6 +263,8 @@
 				bucket.othersMeter.note(passed - before);
 			}
 		}
+
+		known.isWhole ||= isWhole;
 	}
 
 	/**
@@ -270,7 +283,7 @@
 				refillRate: Math.round((this.facts.bound(clientAccount)?.rate ?? 0) * part),
 				passRate: Math.round(Math.max(0, bucket.ownMeter.rate + bucket.othersMeter.rate)),
 				askRate: Math.round(bucket.askMeter.rate + (asked.get(clientAccount) ?? 0)),
-				counted: counted?.get(clientAccount) ?? 0,
+				counted: counted?.passed.get(clientAccount) ?? (counted?.isWhole === true ? 0 : undefined),
 			};
 		});
 	}
@@ -307,7 +320,7 @@
 		bucket.refillRate = refillRate;
 		bucket.othersRate = Math.max(0, passRate - bucket.ownMeter.rate);
 		const onItsWay = Math.min(askRate * inFlight / millisecondsPerSecond, (bound?.burst ?? 0) * mostInFlight);
-		const left = level - Math.max(0, bucket.passed - counted) - onItsWay;
+		const left = level - Math.max(0, bucket.passed - (counted ?? bucket.passed)) - onItsWay;
 		const isRush = askRate > refillRate * calmPart;
 		if (left > (isRush ? askRate * plentyTime / millisecondsPerSecond : 0)) {
 			bucket.level = left;
@@ -339,6 +352,15 @@
 		});
 	}
 
+	/** What was known of a box that was not heard for a while says no longer what of its counters is news. */
+	private countsToTakeTo(peer: string, meeting: Meeting): PeerCounts {
+		const known = this.peers.get(peer);
+		const isHeardOn = meeting === 'known' || meeting === 'younger';
+		const counts = known && isHeardOn ? known : {passed: new Map<string, number>(), isWhole: isHeardOn};
+		this.peers.set(peer, counts);
+		return counts;
+	}
+
 	private burstOf(bound: QuotaBound | undefined): number {
 		return (bound?.burst ?? 0) * (this.facts.burstPart?.() ?? 1);
 	}
--- a/src/quota/test/quota-ledger.test.ts
+++ b/src/quota/test/quota-ledger.test.ts
@@ -283,3 +283,47 @@
 	assert.deepEqual(names(), []);
 	assert.deepEqual(ledger.counts.map(count => count.clientAccount), ['basin', 'delta']);
 });
+
+test('a box that begins to hear all takes no past of another for new, though that tells only what changed lately', () => {
+	const clock = new MovedClock();
+	const large = {rate: 1000, burst: 10_000};
+	const ledgerOf = () => QuotaLedger.create({bound: () => large, heardPart: () => 1}, clock, true);
+	const box = ledgerOf();
+	box.take('basin', 8000);
+	clock.now += 60_000;
+	box.take('delta', 1000);
+	const aggregator = ledgerOf();
+	const levelOf = (name: string) => aggregator.levelsFor('box').find(level => level.clientAccount === name);
+	aggregator.take('basin', 0);
+	aggregator.takeCounts('box', box.recentCounts, 'apart', false);
+	assert.equal(levelOf('basin')?.counted, undefined, 'it has not told that one yet');
+	box.adopt(aggregator.levelsFor('box'));
+	assert.equal(box.take('basin', 100), 0, 'and is not refused for what it let pass long ago');
+	clock.now += 400;
+	aggregator.takeCounts('box', box.recentCounts, 'known', false);
+	assert.equal(levelOf('basin')?.level, 10_000, 'the first word of it is no news');
+	clock.now += 400;
+	aggregator.takeCounts('box', box.counts, 'known', true);
+	box.take('basin', 300);
+	box.take('sigma', 200);
+	aggregator.takeCounts('box', box.recentCounts, 'known', false);
+	assert.equal(levelOf('basin')?.level, 9700, 'what comes after is');
+	assert.equal(levelOf('sigma')?.level, 9800, 'also of one that stood at zero when all were told');
+	assert.equal(levelOf('basin')?.counted, 8400);
+});
+
+test('what a box let pass while it was not heard is no news, whatever it tells first', () => {
+	const clock = new MovedClock();
+	const box = QuotaLedger.create({bound: () => ({rate: 1000, burst: 10_000}), heardPart: () => 1}, clock, true);
+	const aggregator = QuotaLedger.create({bound: () => ({rate: 1000, burst: 10_000}), heardPart: () => 1}, clock, true);
+	box.take('basin', 100);
+	box.take('delta', 100);
+	aggregator.takeCounts('box', box.counts, 'younger');
+	box.take('basin', 4000);
+	clock.now += 20_000;
+	box.take('delta', 50);
+	aggregator.takeCounts('box', box.recentCounts, 'apart', false);
+	clock.now += 400;
+	aggregator.takeCounts('box', box.counts, 'known', true);
+	assert.equal(aggregator.levelsFor('box').find(({clientAccount: name}) => name === 'basin')?.level, 10_000);
+});
