Fleet: a load whose reading nobody can measure yet is not observed; kept goals count as far as they were seen

At 25.1 s a holder with fewer than twenty samples took prompts to need no replica at all: 2.1 needed of 63. Unknown was counted as zero. In the mended code the rate is pooled, but none may be known after all boxes were lost, and in a spell the kept replicas would follow that. A box that saw no load for a while also took that time for one with goals kept or missed. Change: where prompts come and no rate is known nothing is noted; both times begin anew after a gap. Before and after: a test each in fleet-take-over.test.ts and fleet-load.test.ts; they fail without the change and pass with it.

--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -136,6 +136,11 @@
 		const {
 			requests, reading, readRate, goal, residualReading, missedPart,
 		} = demand(service);
+		// Prompts that are read at a rate nobody knows yet would count as no work at all.
+		if (reading > 0 && readRate === 0) {
+			return;
+		}
+
 		const slots = replicas.all.filter(({entry}) => entry.service === service).map(replica => replica.entry.slots);
 		this.sizes.note(service, {
 			requests,
--- a/src/duties/fleet-load.ts
+++ b/src/duties/fleet-load.ts
@@ -78,14 +78,14 @@
 
 	private sampledAt = Number.NEGATIVE_INFINITY;
 	private observedFor = 0;
-	/** Monotonic milliseconds at which goals were last missed, and at which they were last kept. */
+	/** Monotonic milliseconds at which goals were last missed, and last kept; both begin anew where nothing was seen for a while. */
 	private missedAt: number;
 	private keptAt: number;
 	private readonly ample = new PeakHold(peakLifetime);
 	private readonly sparse = new PeakHold(recentPeakLifetime);
 
 	private constructor(private readonly clock: Clock) {
-		this.missedAt = Number.NEGATIVE_INFINITY;
+		this.missedAt = clock.monotonic();
 		this.keptAt = clock.monotonic();
 	}
 
@@ -96,7 +96,7 @@
 
 	/** Milliseconds for which goals have been missed; zero where they are kept. */
 	get missedFor(): number {
-		return this.clock.monotonic() - this.keptAt;
+		return Math.max(0, this.sampledAt - this.keptAt);
 	}
 
 	/** Replicas that carry the load of the last while with headroom; zero before any. */
@@ -125,6 +125,11 @@
 		const elapsed = now - this.sampledAt;
 		this.last = sample;
 		this.sampledAt = now;
+		if (elapsed > longestGap) {
+			this.missedAt = now;
+			this.keptAt = now;
+		}
+
 		this.observedFor += sample.requests > 0 && elapsed <= longestGap ? elapsed : 0;
 		if (sample.missedPart > mostMissed) {
 			this.missedAt = now;
--- a/src/duties/test/fleet-load.test.ts
+++ b/src/duties/test/fleet-load.test.ts
@@ -55,3 +55,19 @@
 	play(load, 10, calm);
 	assert.ok(load.isObserved);
 });
+
+test('goals count as kept or missed only for as long as that was seen', () => {
+	const load = FleetLoad.create(clock);
+	assert.equal(load.missedFor, 0);
+	play(load, 10, calm);
+	assert.ok(load.keptFor >= 9000);
+	play(load, 3, {...calm, missedPart: 0.5});
+	assert.ok(load.missedFor >= 2900);
+	assert.equal(load.keptFor, 0);
+	clock.now += 60_000;
+	play(load, 1, {...calm, missedPart: 0.5});
+	assert.ok(load.missedFor <= 1000, 'nothing was seen in between');
+	clock.now += 60_000;
+	play(load, 1, calm);
+	assert.ok(load.keptFor <= 1000);
+});
--- a/src/duties/test/fleet-take-over.test.ts
+++ b/src/duties/test/fleet-take-over.test.ts
@@ -126,3 +126,9 @@
 
 	assert.ok(smallest() >= orderedEach / 2, `${smallest()} of ${orderedEach} within a boot time`);
 });
+
+test('prompts that are read at a rate nobody knows yet are no reason for fewer replicas', async () => {
+	const fleet = openFleet(undefined, () => ({...demandSeen, readRate: 0, residualReading: 0}));
+	await takeOver(fleet);
+	assert.deepEqual(fleet.calls.taken.filter(({count, isReclaimable}) => isReclaimable && count < orderedEach), []);
+});
