Fleet: missed goals speak against the measure only while enough replicas have served for a while

In a spell without reclaimable replicas goals are missed from 22 s on; at 28.17 s the last of eight kept ones come, and in the same moment the misses from before are held against the measure: 13 kept in place of 8, 20 reclaimable in place of 13, 421 for 344 seconds of replicas. Ruled out: fewer steps down (the fleet is at 13 until 35 s on both). Change: as many must have served as the load is taken to need for half a boot time and pause, with goals missed all the while.

--- a/src/duties/fleet-size.ts
+++ b/src/duties/fleet-size.ts
@@ -73,6 +73,8 @@
 	private readonly decreases = new Map<string, SizeChange>();
 	/** How far the measure of each service's load is off, as missed goals show, and when that was last weighed. */
 	private readonly corrections = new Map<string, {readonly factor: number; readonly at: number}>();
+	/** Since when as many replicas of each service serve as its load is taken to need. */
+	private readonly enoughSince = new Map<string, number>();
 
 	private constructor(private readonly clock: Clock) {}
 
@@ -134,11 +136,15 @@
 		return change;
 	}
 
-	/** Where goals are missed though as many replicas serve as the load is taken to need, it needs more than that. */
+	/**
+	 * Where goals are missed for a while in which as many replicas serve as the load is taken to need, it needs more than that.
+	 * Those that have just come find the requests that waited for them.
+	 */
 	private correctionFor({fleet: {service}, serving, bootTime}: SizeFacts, load: FleetLoad): number {
 		const now = this.clock.monotonic();
 		const {factor, at} = this.corrections.get(service) ?? {factor: 1, at: Number.NEGATIVE_INFINITY};
-		const isRefuted = isShort(load, bootTime) && serving >= load.leastNow * factor * servingPart;
+		const enoughFor = this.enoughFor(service, serving >= load.leastNow * factor * servingPart);
+		const isRefuted = isShort(load, bootTime) && enoughFor > (bootTime + changePause) / 2;
 		if (isRefuted && now - at > bootTime + changePause) {
 			return this.correct(service, Math.min(largestCorrection, factor * (1 + load.last.missedPart)));
 		}
@@ -147,6 +153,16 @@
 		return isConfirmed ? this.correct(service, Math.max(1, factor / correctionStep)) : factor;
 	}
 
+	private enoughFor(service: string, isEnough: boolean): number {
+		if (!isEnough) {
+			this.enoughSince.delete(service);
+			return 0;
+		}
+
+		const now = this.clock.monotonic();
+		return now - getOrCreate(this.enoughSince, service, () => now);
+	}
+
 	private correct(service: string, factor: number): number {
 		this.corrections.set(service, {factor, at: this.clock.monotonic()});
 		return factor;
