--- /dev/null
+++ b/src/settings/test/relay-settings.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Result from 'effect/Result';
+import {decodeRelaySettings} from '../relay-settings.js';
+
+const text = (limits: string): string => `
+node: "box-1"
+dataCentre: "a"
+listen: {front: "10.0.0.1:80", ready: null, control: null}
+metrics: {port: 7615}
+seeds: null
+isFirstStart: true
+store: {address: "10.0.0.2:90"}
+duties: {address: null, kinds: null}
+${limits}
+bounds: {grace: null, revoke: null, isRevocationStrict: null, retryRatio: null, retryWindow: null, retrySlack: null, lease: null, reportWindow: null, reportDelay: null}
+`;
+const limitsOf = (limits: string) => {
+	const decoded = decodeRelaySettings(text(limits));
+	return Result.isSuccess(decoded) ? decoded.success.limits : decoded.failure;
+};
+
+test('what the platform gives a box is a share of a core and how fast that is, and its link; what it does not tell is absent', () => {
+	assert.deepEqual(limitsOf('limits: {processorShare: 0.5, processorSpeed: 2, link: 200}'), {processor: 1, link: 200});
+	assert.deepEqual(limitsOf('limits: {processorShare: 0.5, processorSpeed: null, link: null}'), {processor: 0.5});
+	assert.deepEqual(limitsOf(''), {});
+	assert.ok(Array.isArray(limitsOf('limits: {processorShare: many, processorSpeed: 1, link: 1}')), 'a fault is told');
+});
