One copy of the counters' types and of the exchange's constants; all counters are built only for who gets them

Cause, found on reading the change as a whole: QuotaCount, QuotaLevel, Meeting and the window's counts stood twice, in the message and above it; the fixture of exchange-load.test.ts had copies of four constants of the exchange, so that it could have gone on measuring an exchange that is no more; each round of a large fleet built all counters, though seven of eight told none of them; two sums were written out beside sumOf. Change: the message's types are the ones used above it; the constants are exported; whole states are built when needed. What is sent is unchanged.

--- a/development/bench/exchange.ts
+++ b/development/bench/exchange.ts
@@ -3,6 +3,7 @@
  */
 import process from 'node:process';
 import {SystemClock} from '../../src/base/clock.js';
+import {sumOf} from '../../src/base/sum.js';
 import {ExchangeFleet} from '../harness/exchange-fleet.js';
 
 const sizes = [30, 86, 300, 340] as const;
@@ -28,7 +29,7 @@
 
 		const before = fleet.spent;
 		const rounds = Array.from({length: roundsMeasured}, () => fleet.round());
-		const total = (key: 'messages' | 'heard' | 'sent') => rounds.map(round => round[key]).reduce((sum, value) => sum + value, 0);
+		const total = (key: 'messages' | 'heard' | 'sent') => sumOf(rounds.map(round => round[key]));
 		const seconds = roundsMeasured * fleet.interval / millisecondsPerSecond;
 		const spent = fleet.spent - before;
 		const cells = [
--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -3,8 +3,10 @@
  */
 import {type EventLog, SilentEventLog} from '../../src/base/event-log.js';
 import type {Clock} from '../../src/base/clock.js';
+import {sumOf} from '../../src/base/sum.js';
 import {UsageCounts} from '../../src/duties/usage-counts.js';
-import {ExchangeTopology} from '../../src/gossip/exchange-topology.js';
+import {aggregatorCount, ExchangeTopology} from '../../src/gossip/exchange-topology.js';
+import {membersAcknowledged, membersNamed, roundsBetweenWholeStates} from '../../src/gossip/gossip.js';
 import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
 import type {GossipMessage, MemberAddress} from '../../src/gossip/gossip-message.js';
 import {PeerTable} from '../../src/gossip/peer-table.js';
@@ -29,14 +31,6 @@
 	readonly sent: number;
 };
 
-/** Boxes named in a message, as in the exchange. */
-const membersNamed = 6;
-const membersAcknowledged = 2;
-/** Rounds after which all counters are told, as in the exchange. */
-const roundsBetweenWholeStates = 8;
-/** One aggregator of three is asked for all it knows. */
-const aggregators = 3;
-
 type Box = {
 	readonly address: MemberAddress;
 	readonly peers: PeerTable;
@@ -78,9 +72,9 @@
 		const others = this.boxes.filter(box => box !== aggregator);
 		const heard = others.map(box => encodeGossip({...this.headOf(box, membersNamed, false), ...box.state.local(this.rounds % roundsBetweenWholeStates === 0), asksDigest: true}));
 		const beganAt = performance.now();
-		const sent = heard.map((data, index) => this.answerTo(data, index % aggregators === 0));
+		const sent = heard.map((data, index) => this.answerTo(data, index % aggregatorCount === 0));
 		this.spent += performance.now() - beganAt;
-		const bytesOf = (datagrams: readonly Uint8Array[]) => datagrams.map(({length}) => length).reduce((total, length) => total + length, 0);
+		const bytesOf = (datagrams: readonly Uint8Array[]) => sumOf(datagrams.map(({length}) => length));
 		return {messages: others.length, heard: bytesOf(heard), sent: bytesOf(sent)};
 	}
 
--- a/development/harness/one-object-store.ts
+++ b/development/harness/one-object-store.ts
@@ -9,6 +9,7 @@
 /** The store. */
 export class OneObjectStore extends MetadataStore {
 	private object: StoredObject | undefined;
+
 	/** @param afterWrite - Called when the object has been written, before that is answered. */
 	constructor(private readonly afterWrite: () => void = () => undefined) {
 		super();
--- a/src/duties/usage-counts.ts
+++ b/src/duties/usage-counts.ts
@@ -2,12 +2,7 @@
  * Requests that began, by client account and window of true time; every box keeps what the others counted too, so that
  * the counts of one that is lost survive.
  */
-
-/** Requests of client accounts in one window. */
-export type WindowUsage = {
-	readonly window: number;
-	readonly counts: ReadonlyArray<readonly [clientAccount: string, requests: number]>;
-};
+import type {WindowUsage} from '../gossip/gossip-message.js';
 
 /** What one start of one box counted. */
 export type StartUsage = {
--- a/src/gossip/exchange-topology.ts
+++ b/src/gossip/exchange-topology.ts
@@ -12,7 +12,7 @@
 /** Boxes up to which each tells all others. */
 const largestSmallFleet = 12;
 /** Aggregators of a large fleet: two may go at once without a gap. */
-const aggregatorCount = 3;
+export const aggregatorCount = 3;
 /**
  * Boxes, first in order, that are named in a digest: those that lose their aggregators must go on to the same ones, or
  * each would hear a few boxes alone.
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -21,26 +21,31 @@
 export type ServiceLoad = Demand & {readonly service: string};
 
 /** Requests of client accounts that began in one window. */
-export type WindowCounts = {
+export type WindowUsage = {
 	readonly window: number;
 	readonly counts: ReadonlyArray<readonly [clientAccount: string, requests: number]>;
 };
 
-/** What the sender let pass of a client account's quota; see `QuotaCount`. */
-export type AccountCount = {
+/** What a box tells of a client account: units let pass since it started, and how full its copy of the bucket is. */
+export type QuotaCount = {
 	readonly clientAccount: string;
 	readonly passed: number;
 	readonly level: number;
+	/** Units a second that are asked for, passed or not. */
 	readonly asked: number;
 };
 
-/** How full a client account's bucket is; see `QuotaLevel`. */
-export type AccountLevel = {
+/** How full a bucket is, as a box that hears all counters tells another. */
+export type QuotaLevel = {
 	readonly clientAccount: string;
 	readonly level: number;
+	/** Units a second that the bucket is refilled with: what is left to boxes that are not heard is not in it. */
 	readonly refillRate: number;
+	/** Units a second that all boxes let pass lately. */
 	readonly passRate: number;
+	/** Units a second that are asked for at all boxes. */
 	readonly askRate: number;
+	/** What the receiver let pass since its start, as far as the level holds it; `undefined` where it has not told that yet. */
 	readonly counted: number | undefined;
 };
 
@@ -49,7 +54,7 @@
 	/** Boxes that the sender knows of, itself too. */
 	readonly boxes: number;
 	/** How full the buckets of client accounts are; absent where the receiver did not ask. */
-	readonly quota?: readonly AccountLevel[];
+	readonly quota?: readonly QuotaLevel[];
 	/** Work of all boxes but the receiver; absent where the receiver did not ask. */
 	readonly work?: readonly ReplicaLoad[];
 	/** Changes of the list of replicas that the receiver does not have yet; absent where the sender cannot tell them. */
@@ -76,7 +81,7 @@
 	/** Milliseconds since the store last answered the sender. */
 	readonly storeAge: number;
 	/** What the sender let pass of the client accounts that it served: of all, or of those that it served lately. */
-	readonly quota: readonly AccountCount[];
+	readonly quota: readonly QuotaCount[];
 	/** Whether the counters that are not told stand at zero. */
 	readonly isWhole: boolean;
 	/** Work of the sender at replicas. */
@@ -91,7 +96,7 @@
 	readonly digest?: FleetDigest;
 	/** Replicas that began to leave lately. */
 	readonly departed: ReadonlyArray<{readonly id: string; readonly revision: number}>;
-	readonly usage: readonly WindowCounts[];
+	readonly usage: readonly WindowUsage[];
 	/** Some of the boxes that the sender knows. */
 	readonly members: readonly MemberAddress[];
 };
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -15,13 +15,13 @@
 import type {Meeting, Peer, PeerTable} from './peer-table.js';
 
 /** Boxes named in one message, besides the aggregators. */
-const membersNamed = 6;
+export const membersNamed = 6;
 /** The same in an answer to a box that did not ask. */
-const membersAcknowledged = 2;
+export const membersAcknowledged = 2;
 /** Milliseconds for which the moment of sending a message is kept, to date what others prove. */
 const sentMemory = 15_000;
 /** Rounds of a large fleet after which a box tells all its counters, not those alone that changed lately. */
-const roundsBetweenWholeStates = 8;
+export const roundsBetweenWholeStates = 8;
 /** Rounds after which the seeds are told again, whoever is heard. */
 const roundsBetweenSeeds = 25;
 
@@ -116,14 +116,16 @@
 		const asked = this.askedFor(targets);
 		const isWholeRound = !topology.isLarge || this.rounds % roundsBetweenWholeStates === 0;
 		const strangers = this.listeners.strangersAmong(targets);
-		const wholeState = {...head, ...this.services.state(true)};
-		const state = isWholeRound ? wholeState : {...head, ...this.services.state(false)};
+		const tellsSeeds = isLonely || this.rounds % roundsBetweenSeeds === 0;
+		const isWholeNeeded = isWholeRound || tellsSeeds || strangers.size > 0;
+		const state = {...head, ...this.services.state(isWholeRound)};
+		const wholeState = isWholeNeeded && !isWholeRound ? {...head, ...this.services.state(true)} : state;
 		for (const peer of targets) {
 			peers.noteTold(peer.address.name);
 			this.tell(socket, peer.address, {...(strangers.has(peer) ? wholeState : state), ...this.echoOf(peer), ...(asked.includes(peer) ? {asksDigest: true} : {})});
 		}
 
-		if (isLonely || this.rounds % roundsBetweenSeeds === 0) {
+		if (tellsSeeds) {
 			for (const address of seeds()) {
 				this.tell(socket, address, {...wholeState, asksDigest: true});
 			}
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -10,6 +10,8 @@
  */
 import type {Clock} from '../base/clock.js';
 import {RateMeter} from '../base/rate-meter.js';
+import type {QuotaCount, QuotaLevel} from '../gossip/gossip-message.js';
+import type {Meeting} from '../gossip/peer-table.js';
 
 /** A client account's bound for all boxes together. */
 export type QuotaBound = {
@@ -19,29 +21,6 @@
 	readonly burst: number;
 };
 
-/** What a box tells of a client account: units let pass since it started, and how full its copy of the bucket is. */
-export type QuotaCount = {
-	readonly clientAccount: string;
-	readonly passed: number;
-	readonly level: number;
-	/** Units a second that are asked for, passed or not. */
-	readonly asked: number;
-};
-
-/** How full a bucket is, as a box that hears all counters tells another. */
-export type QuotaLevel = {
-	readonly clientAccount: string;
-	readonly level: number;
-	/** Units a second that the bucket is refilled with: what is left to boxes that are not heard is not in it. */
-	readonly refillRate: number;
-	/** Units a second that all boxes let pass lately. */
-	readonly passRate: number;
-	/** Units a second that are asked for at all boxes. */
-	readonly askRate: number;
-	/** What the receiver let pass since its start, as far as the level holds it; `undefined` where it has not told that yet. */
-	readonly counted: number | undefined;
-};
-
 /** What is known of the other boxes. */
 export type QuotaFacts = {
 	/** @returns The client account's bound; `undefined` where there is no such client account. */
@@ -66,9 +45,6 @@
 	readonly heardPart: number;
 };
 
-/** How a box is met that tells its counters; see `QuotaLedger.takeCounts`. */
-type Meeting = 'known' | 'younger' | 'other' | 'apart';
-
 /** What one start of another box let pass, as far as it was told. */
 type PeerCounts = {
 	readonly passed: Map<string, number>;
