--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -5,7 +5,7 @@
  */
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
-import {rankOwners} from '../base/rendezvous.js';
+import {hashText, rankOwners} from '../base/rendezvous.js';
 import type {Replica} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import {blameFor, type Blame, type Suspect} from './blame.js';
@@ -31,10 +31,11 @@
 const mostQuarantineEnds = 5;
 /** Milliseconds before its last end in which ends without it tell how likely it stood beside by chance. */
 const chanceWindow = 10_000;
-/** Milliseconds until a request that is kept away is tried once more: it may have been innocent all the same. */
+/** Milliseconds until a request that is kept away is tried once more: it may have been innocent all the same. Up to twice as many by its fingerprint, so that those kept away together are not tried together. */
 const firstRelease = 20_000;
 /** How many times longer than the last pause the next one is. */
 const releaseGrowth = 10;
+const largestHash = 0xFF_FF_FF_FF;
 /** Milliseconds after an end from which bytes from that start of the replica prove that it goes on: those before may have waited in a buffer. */
 const contradictedAfter = 500;
 /** Milliseconds for which a judgement is kept while no news comes; what replicas answer meanwhile changes it too. */
@@ -137,7 +138,8 @@
 		const gap = last - before;
 		// A shorter gap is none that a release has ended.
 		const pause = gap < firstRelease ? firstRelease : gap * releaseGrowth;
-		return Math.max(0, last + Math.min(pause, endLifetime) - this.services.clock.monotonic());
+		const spread = 1 + (hashText(fingerprint) / largestHash);
+		return Math.max(0, last + Math.min(pause * spread, endLifetime) - this.services.clock.monotonic());
 	}
 
 	/**
