Entries of other writers name no replica and blind nobody; a replica that starts again under its id is a new one

The decoder of replicas read fields of whatever stood there and threw inside the follower: one odd entry kept a starting relay from being ready and a running one from learning of replicas. What was known of a replica outlived its process: one that had said that it leaves was never used again. A newer born under a known id is a new replica: nothing of before, connections by start, what is in progress at the old start is cut at once, what was chosen for it is not sent.

--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -15,7 +15,8 @@
 	/** Milliseconds between events. */
 	readonly gap: number;
 	/** How the answer goes wrong. */
-	readonly fault: 'none' | 'reset' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'elsewhere';
+	readonly fault:
+		'none' | 'reset' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'mute-stream' | 'elsewhere';
 };
 
 /** A fault of a replica that a request brings about: its process ends. */
@@ -215,6 +216,10 @@
 				return;
 			}
 
+			if (fault === 'mute-stream' && event > events / 2) {
+				return;
+			}
+
 			// What is resumed runs to its end.
 			if (fault === 'cut-stream' && first === 1 && event > events / 2) {
 				// The cut falls inside an event.
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -2,8 +2,10 @@
  * Keeps the configuration in force: follows it in the store, proves that it is the newest, and takes it from peers.
  */
 import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
+import {describeFault} from '../base/faults.js';
 import {KindFollower} from '../follow/kind-follower.js';
 import type {StoredObject} from '../follow/metadata-store.js';
 import type {MemberAddress} from '../gossip/gossip-message.js';
@@ -138,13 +140,14 @@
 
 	/** @returns Its version; nothing where it cannot be read. */
 	private take(spec: unknown, source: TableSource): number | undefined {
-		const {link, table, log} = this.services;
-		const content = link.names.decodeConfiguration(spec);
-		if (!content) {
-			log.write('routesUnreadable', {source});
+		const {link: {names}, table, log} = this.services;
+		const decoded = names.decodeConfiguration(spec);
+		if (Result.isFailure(decoded)) {
+			log.write('routesUnreadable', {source, fault: decoded.failure.map(fault => describeFault(names.configurationName, fault)).join('; ')});
 			return undefined;
 		}
 
+		const content = decoded.success;
 		if (content.version > table.version) {
 			this.spec = spec;
 			table.apply(content, source);
--- a/src/node/platform-link.ts
+++ b/src/node/platform-link.ts
@@ -1,6 +1,8 @@
 /**
  * What a relay reaches outside of itself; the adapter at the root implements it.
  */
+import type * as Result from 'effect/Result';
+import type {Fault} from '../base/faults.js';
 import type {DutyCalls} from '../duties/duty-calls.js';
 import type {MetadataStore, StoredObject} from '../follow/metadata-store.js';
 import type {RelayFormat} from '../relay/relay-format.js';
@@ -12,9 +14,10 @@
 	readonly configurationKind: string;
 	readonly configurationName: string;
 	readonly replicaKind: string;
-	/** @returns The version; `undefined` where it cannot be read. */
-	readonly decodeConfiguration: (spec: unknown) => RouteTableContent | undefined;
-	readonly decodeReplica: (object: StoredObject) => ReplicaEntry;
+	/** @returns The version, or what is wrong with it. */
+	readonly decodeConfiguration: (spec: unknown) => Result.Result<RouteTableContent, readonly Fault[]>;
+	/** @returns The entry, or what is wrong with it. */
+	readonly decodeReplica: (object: StoredObject) => Result.Result<ReplicaEntry, readonly Fault[]>;
 };
 
 /** The platform, as a relay reaches it. */
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -105,7 +105,14 @@
 			link, log, clock: this.clock, leads: () => this.topology.isAggregator,
 		};
 		this.configuration = ConfigurationRole.create({...followed, table, patience: patienceOf(node, configurationPatience)});
-		this.replicaRole = ReplicaRole.create({...followed, replicas, patience: patienceOf(node, replicaPatience)});
+		this.replicaRole = ReplicaRole.create({
+			...followed,
+			replicas,
+			patience: patienceOf(node, replicaPatience),
+			noteUnreadable(kind) {
+				parts.metrics.entriesUnreadable.inc({kind});
+			},
+		});
 		this.exchange = ExchangeState.create({
 			clock: this.clock,
 			log,
@@ -226,7 +233,9 @@
 				status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics(),
 			}));
 			yield * listen(this.door.server, front);
-			yield * superviseRoles(this.roles(), log);
+			yield * superviseRoles(this.roles(), log, role => {
+				metrics.roleFailures.inc({role});
+			});
 			log.write('relayStarted', {incarnation: this.incarnation, front: `${front.host}:${front.port}`});
 		});
 	}
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -2,13 +2,17 @@
  * Keeps the list of replicas: follows it in the store, or learns it from a peer that does, and tells it to others.
  */
 import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import * as Schema from 'effect/Schema';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
+import {createDecoder, describeFault} from '../base/faults.js';
 import {KindFollower} from '../follow/kind-follower.js';
 import type {
 	Change, Changes, Listing, StoredObject,
 } from '../follow/metadata-store.js';
 import type {GossipMessage, MemberAddress} from '../gossip/gossip-message.js';
+import type {ReplicaEntry} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import {PeerFetch} from './peer-fetch.js';
 import type {PlatformLink} from './platform-link.js';
@@ -37,8 +41,18 @@
 	readonly leads: () => boolean;
 	/** Milliseconds without news from others after which this box asks the store itself. */
 	readonly patience: number;
+	/** Counts an entry that cannot be read, by its kind. */
+	readonly noteUnreadable?: (kind: string) => void;
 };
 
+/** The list as peers give it out. */
+const Document = Schema.Struct({
+	at: Schema.Finite,
+	objects: Schema.Array(Schema.Struct({name: Schema.String, revision: Schema.Finite, spec: Schema.Unknown})),
+	age: Schema.Finite,
+});
+const decodeDocument = createDecoder(Document, 'ignore');
+
 type PastChange = {readonly revision: number; readonly change: Change};
 
 /** The role. */
@@ -60,13 +74,14 @@
 	private regainedAt = Number.NEGATIVE_INFINITY;
 	/** Entries that may have lapsed while the store was away, and when they count as gone. */
 	private readonly lapsed = new Map<string, {readonly revision: number; readonly until: number}>();
+	/** Entries that cannot be read, and the revision that the log has told of. */
+	private readonly unreadable = new Map<string, number>();
 	private readonly fetch: PeerFetch;
 
 	private constructor(private readonly services: ReplicaServices) {
 		this.provenAt = services.clock.monotonic();
 		this.fetch = PeerFetch.create(replicasPath, content => {
-			const {at, objects, age} = content as Listing & {readonly age: number};
-			this.takeListing({at, objects}, services.clock.monotonic() - age);
+			this.takeDocument(content);
 		});
 	}
 
@@ -174,7 +189,7 @@
 			return;
 		}
 
-		const {replicas, link: {names}} = this.services;
+		const {replicas} = this.services;
 		const listed = new Set(objects.map(({name}) => name));
 		const missing = [...this.objects.values()].filter(({name}) => !listed.has(name));
 		const held = missing.filter(object => this.mayHaveLapsed(object));
@@ -194,10 +209,23 @@
 		this.at = at;
 		this.history = [];
 		this.historyFrom = at;
-		replicas.replaceAll([...this.objects.values()].map(object => names.decodeReplica(object)), at);
+		replicas.replaceAll([...this.objects.values()].flatMap(object => this.entryOf(object) ?? []), at);
 		this.prove(sentAt);
 	}
 
+	/** Takes the list as a peer gives it out. */
+	private takeDocument(content: unknown): void {
+		const {clock, log, link: {names}} = this.services;
+		const decoded = decodeDocument(content);
+		if (Result.isFailure(decoded)) {
+			log.write('peerDocumentUnreadable', {path: replicasPath, fault: decoded.failure.map(fault => describeFault(names.replicaKind, fault)).join('; ')});
+			return;
+		}
+
+		const {at, objects, age} = decoded.success;
+		this.takeListing({at, objects}, clock.monotonic() - Math.max(0, age));
+	}
+
 	private prove(at: number): void {
 		this.provenAt = Math.max(this.provenAt, at);
 	}
@@ -220,7 +248,7 @@
 	private takeChange(change: Change, revision: number): void {
 		const {object, isGone} = change;
 		const known = this.objects.get(object.name);
-		if (isGone ? !known : known && known.revision >= object.revision) {
+		if (isGone ? !known || known.revision > object.revision : this.isOld(object, known)) {
 			return;
 		}
 
@@ -238,13 +266,43 @@
 
 		this.lapsed.delete(object.name);
 		this.objects.set(object.name, object);
-		this.services.replicas.put(this.services.link.names.decodeReplica(object));
+		const entry = this.entryOf(object);
+		if (entry) {
+			this.services.replicas.put(entry);
+		} else {
+			this.services.replicas.remove(object.name, revision);
+		}
+	}
+
+	/** @returns What an entry says; nothing where it cannot be read, since it then names no replica to use. */
+	private entryOf(object: StoredObject): ReplicaEntry | undefined {
+		const {link: {names}, log, noteUnreadable} = this.services;
+		const decoded = names.decodeReplica(object);
+		if (Result.isSuccess(decoded)) {
+			this.unreadable.delete(object.name);
+			return decoded.success;
+		}
+
+		if (this.unreadable.get(object.name) !== object.revision) {
+			this.unreadable.set(object.name, object.revision);
+			noteUnreadable?.(names.replicaKind);
+			log.write('replicaUnreadable', {
+				replica: object.name, revision: object.revision, fault: decoded.failure.map(fault => describeFault(names.replicaKind, fault)).join('; '),
+			});
+		}
+
+		return undefined;
+	}
+
+	/** What the list held or had lost when it was last whole is no news, though a batch of a peer begins before that. */
+	private isOld({revision}: StoredObject, known: StoredObject | undefined): boolean {
+		return revision <= Math.max(this.at, known?.revision ?? 0);
 	}
 
 	private mayHaveLapsed(object: StoredObject): boolean {
-		const {clock, link: {names}, replicas} = this.services;
-		const isLeaving = names.decodeReplica(object).isDraining || replicas.named(object.name)?.isLeaving === true;
-		return !isLeaving && clock.monotonic() - this.regainedAt < lapseGrace;
+		const {clock, replicas} = this.services;
+		const replica = replicas.named(object.name);
+		return replica?.isLeaving === false && clock.monotonic() - this.regainedAt < lapseGrace;
 	}
 
 	private hold(name: string, revision: number): void {
@@ -256,6 +314,7 @@
 
 	private drop(name: string, revision: number): void {
 		this.objects.delete(name);
+		this.unreadable.delete(name);
 		this.lapsed.delete(name);
 		this.services.replicas.remove(name, revision);
 	}
--- /dev/null
+++ b/src/node/test/odd-entries.test.ts
@@ -0,0 +1,135 @@
+/*
+ * An entry of another writer among the replicas' kept a starting relay from ever being ready, and a running one from learning of
+ * any replica after it: the decoder threw inside the follower. A replica that said that it leaves and started again under its id was never
+ * used again. Both are inputs that end or blind whatever handles them.
+ */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {replicaKind} from '../../../platform/formats.js';
+import {RelayInstallation, until, type RelayMember} from '../../../development/relay/relay-installation.js';
+
+let installation: RelayInstallation;
+
+before(async () => {
+	installation = await RelayInstallation.start({relays: 1, replicas: ['i-1']});
+});
+
+after(async () => installation.close());
+
+const good = {
+	service: 'plain', addr: '127.0.0.1:1', zone: 'zone-1', slots: 8, state: 'ready', seq: 1,
+};
+
+const odd: Readonly<Record<string, unknown>> = {
+	'no field': {},
+	'a text': 'ready',
+	nothing: null,
+	'a list': [good],
+	'a number for an address': {...good, addr: 7},
+	'an address without a port': {...good, addr: '127.0.0.1'},
+	'a port that is none': {...good, addr: '127.0.0.1:99999'},
+	'a text for slots': {...good, slots: 'many'},
+	'no slots at all': {...good, slots: 0},
+	'an unknown state': {...good, state: 'thinking'},
+	'a birth that is no whole number': {...good, born: 'today'},
+	'a service that is no text': {...good, service: {name: 'plain'}},
+};
+
+const hasLogged = ({log}: RelayMember, name: string, replica: string): boolean => log.lines.some(line => line.eventName === name && line.replica === replica);
+
+async function servedBy(relay: RelayMember): Promise<ReadonlySet<string>> {
+	const views = await Promise.all(Array.from({length: 20}, async () => installation.call({path: '/calls/x'}, relay)));
+	assert.deepEqual(views.map(({status}) => status), views.map(() => 200));
+	return new Set(views.map(({body}) => body));
+}
+
+async function holdOthers(index: number, spec: unknown): Promise<void> {
+	const [running] = installation.relays;
+	const name = `odd-${index}`;
+	installation.store.put(replicaKind, name, spec);
+	await until(() => hasLogged(running!, 'replicaUnreadable', name));
+	await installation.addReplica(`late-${index}`);
+	await until(() => hasLogged(running!, 'replicaListed', `late-${index}`));
+	const starting = await installation.startRelay(`starting-${index}`);
+	await until(() => starting.node.isReady);
+	for (const relay of [running!, starting]) {
+		const served = await servedBy(relay);
+		assert.ok(served.has(`answer of late-${index}`));
+		assert.equal(hasLogged(relay, 'replicaListed', name), false);
+	}
+
+	const lines = running!.log.lines.filter(({eventName, replica}) => eventName === 'replicaUnreadable' && replica === name);
+	assert.equal(lines.length, 1, 'told once a change');
+	await starting.end();
+	installation.unlist(name);
+	installation.unlist(`late-${index}`);
+}
+
+for (const [index, [what, spec]] of Object.entries(odd).entries()) {
+	test(`an entry that holds ${what} names no replica, and the others hold, at a relay that runs and at one that starts`, async () => {
+		await holdOthers(index, spec);
+	});
+}
+
+test('an entry that becomes unreadable takes its replica out, until it can be read again', async () => {
+	const [relay] = installation.relays;
+	await installation.addReplica('i-2');
+	await until(() => hasLogged(relay!, 'replicaListed', 'i-2'));
+	installation.list('i-2', {addr: null});
+	await until(() => hasLogged(relay!, 'replicaGone', 'i-2'));
+	assert.deepEqual([...await servedBy(relay!)], ['answer of i-1']);
+	installation.list('i-2', {seq: 3});
+	const listings = () => relay!.log.lines.filter(({eventName, replica}) => eventName === 'replicaListed' && replica === 'i-2').length;
+	await until(() => listings() === 2);
+	assert.ok((await servedBy(relay!)).has('answer of i-2'));
+});
+
+test('a configuration that cannot be read leaves the one in force in force', async () => {
+	const [relay] = installation.relays;
+	const unreadable = () => relay!.log.lines.filter(({eventName}) => eventName === 'routesUnreadable').length;
+	const broken: readonly unknown[] = [{routes: 7}, {routes: [{host: 1}]}, {tenants: [null]}, {services: [{name: 's', autoscale: {zone_prices: 3}}]}, {limits: 'none'}];
+	for (const [index, changes] of broken.entries()) {
+		installation.configure(changes as Readonly<Record<string, unknown>>);
+		await until(() => unreadable() > index);
+		await servedBy(relay!);
+	}
+
+	const version = installation.configure();
+	await until(() => relay!.log.lines.some(({eventName, version: applied}) => eventName === 'routesApplied' && applied === version));
+	await servedBy(relay!);
+});
+
+test('a replica that was leaving and starts again under its id is used at once, and has nothing of before', async () => {
+	const [relay] = installation.relays;
+	installation.list('i-2', {state: 'draining', seq: 9});
+	await until(() => hasLogged(relay!, 'replicaLeaving', 'i-2'));
+	assert.deepEqual([...await servedBy(relay!)], ['answer of i-1']);
+	installation.list('i-2', {state: 'ready', seq: 1, born: Date.now() + 1000});
+	await until(() => hasLogged(relay!, 'replicaStartedAgain', 'i-2'));
+	assert.ok((await servedBy(relay!)).has('answer of i-2'));
+	installation.list('i-2', {state: 'draining', seq: 8, born: 5});
+	installation.list('i-1', {seq: 2, cold_left_ms: 3});
+	installation.store.put(replicaKind, 'marker', {...good, state: 'draining'});
+	await until(() => hasLogged(relay!, 'replicaListed', 'marker'));
+	assert.ok((await servedBy(relay!)).has('answer of i-2'), 'what an older start still says changes nothing');
+});
+
+test('a stream at a start that is replaced goes on elsewhere at once, though its connection stays silent', async () => {
+	const [relay] = installation.relays;
+	const silent = await installation.addReplica('i-3');
+	await until(() => hasLogged(relay!, 'replicaListed', 'i-3'));
+	for (const id of ['i-1', 'i-2']) {
+		installation.list(id, {state: 'draining', seq: 20, born: Date.now() + 2000});
+	}
+
+	silent.behave({events: 4, fault: 'mute-stream'});
+	const streaming = installation.call({path: '/stream/x', method: 'POST', body: 'p'}, relay);
+	await until(() => silent.seen.length === 1);
+	await installation.addReplica('i-4');
+	await until(() => hasLogged(relay!, 'replicaListed', 'i-4'));
+	installation.replicas.get('i-4')!.behave({events: 4});
+	installation.list('i-3', {born: Date.now() + 5000, state: 'draining'});
+	const {isWhole, body} = await streaming;
+	assert.ok(isWhole);
+	assert.deepEqual([...body.matchAll(/^id: (?<id>\d+)$/gmv)].map(match => match.groups!.id), ['1', '2', '3', '4']);
+});
--- a/src/node/test/replica-role.test.ts
+++ b/src/node/test/replica-role.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import * as Result from 'effect/Result';
 import {SilentEventLog} from '../../base/event-log.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import type {Changes, StoredObject} from '../../follow/metadata-store.js';
@@ -19,7 +20,7 @@
 	const replicas = ReplicaDirectory.create(clock, SilentEventLog.create());
 	const link = {
 		names: {
-			decodeReplica: ({name, revision, spec}: StoredObject) => ({
+			decodeReplica: ({name, revision, spec}: StoredObject) => Result.succeed({
 				id: name, bornAt: undefined, software: '', revision,
 				service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 1, isReclaimable: false, leavesIn: undefined, ...spec as {readonly isDraining: boolean},
 			}),
--- a/src/relay/connection-book.ts
+++ b/src/relay/connection-book.ts
@@ -15,6 +15,7 @@
 		return new ConnectionBook(clock);
 	}
 
+	/** By start: connections to the one before are not used for the next. */
 	private readonly byReplica = new Map<string, ReplicaConnections>();
 
 	private constructor(private readonly clock: Clock) {}
@@ -23,21 +24,29 @@
 	 * @param replica - A replica.
 	 * @returns Its connections.
 	 */
-	of({entry}: Replica): ReplicaConnections {
-		const known = this.byReplica.get(entry.id);
+	of({start, entry}: Replica): ReplicaConnections {
+		const known = this.byReplica.get(start);
 		if (known) {
 			return known;
 		}
 
 		const connections = ReplicaConnections.create(entry.host, entry.port, this.clock);
-		this.byReplica.set(entry.id, connections);
+		this.byReplica.set(start, connections);
 		return connections;
 	}
 
-	/** @param replica - A replica that is listed no longer. */
-	forget({entry}: Replica): void {
-		this.byReplica.get(entry.id)?.close();
-		this.byReplica.delete(entry.id);
+	/**
+	 * @param replica - A replica that is listed no longer. What it still answers is read to its end, unless its process is known to be
+	 * gone: then what is in progress there has been cut.
+	 */
+	forget({start, isReplaced}: Replica): void {
+		const connections = this.byReplica.get(start);
+		connections?.close();
+		if (isReplaced) {
+			connections?.abandon();
+		}
+
+		this.byReplica.delete(start);
 	}
 
 	/** Closes all idle connections. */
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -62,6 +62,14 @@
 		name: 'waydrift_relay_replicas', help: 'Replicas by service and state.', labelNames: ['service', 'state'], registers: [this.registry],
 	});
 
+	readonly roleFailures = new Counter({
+		name: 'waydrift_relay_role_failures_total', help: 'Roles that failed and were started again, by name.', labelNames: ['role'], registers: [this.registry],
+	});
+
+	readonly entriesUnreadable = new Counter({
+		name: 'waydrift_relay_entries_unreadable_total', help: 'Entries of the store that cannot be read, once a change, by kind.', labelNames: ['kind'], registers: [this.registry],
+	});
+
 	readonly replicaEnds = new Counter({
 		name: 'waydrift_relay_replica_ends_total', help: 'Replicas that ended under requests of this box, by service.', labelNames: ['service'], registers: [this.registry],
 	});
--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -94,7 +94,7 @@
 		return new LeastWaitChoice(dataCentre, now, random, isWorkOld);
 	}
 
-	/** When a replica last read a part, by part and replica. */
+	/** When a replica last read a part, by part and start of the replica. */
 	private readonly readAt = new Map<string, Map<string, number>>();
 
 	private constructor(
@@ -121,7 +121,7 @@
 	override noteRead(replica: Replica, {sharedParts}: ChoiceRequest): void {
 		for (const {id} of sharedParts) {
 			const replicas = this.readAt.get(id) ?? new Map<string, number>();
-			replicas.set(replica.entry.id, this.now());
+			replicas.set(replica.start, this.now());
 			// Set anew, so that the parts used last stand last.
 			this.readAt.delete(id);
 			this.readAt.set(id, replicas);
@@ -140,7 +140,7 @@
 
 		const drawn = Array.from({length: drawnCount}, () => candidates[Math.floor(this.random() * candidates.length) % candidates.length]!);
 		const readers = this.readAt.get(sharedParts.at(-1)?.id ?? '');
-		const keepers = readers ? candidates.filter(({entry}) => readers.has(entry.id)).slice(-mostKeepers) : [];
+		const keepers = readers ? candidates.filter(({start}) => readers.has(start)).slice(-mostKeepers) : [];
 		return [...new Set([...drawn, ...keepers, ...(home ? [home] : [])])];
 	}
 
@@ -161,7 +161,7 @@
 	/** Tokens at the start of the prompt that the replica is believed to keep. */
 	private keptTokens(replica: Replica, {sharedParts}: ChoiceRequest, home: Replica | undefined): number {
 		const since = this.now() - partLifetime;
-		const firstMissing = sharedParts.findIndex(({id}) => (this.readAt.get(id)?.get(replica.entry.id) ?? Number.NEGATIVE_INFINITY) < since);
+		const firstMissing = sharedParts.findIndex(({id}) => (this.readAt.get(id)?.get(replica.start) ?? Number.NEGATIVE_INFINITY) < since);
 		const kept = replica === home || firstMissing === -1 ? sharedParts : sharedParts.slice(0, firstMissing);
 		return sumOf(kept.map(({tokens}) => tokens));
 	}
--- a/src/replicas/replica-connections.ts
+++ b/src/replicas/replica-connections.ts
@@ -56,6 +56,8 @@
 	/** Connections opened so far. */
 	opened = 0;
 	private idle: readonly Idle[] = [];
+	/** Those that carry a request. */
+	private readonly inUse = new Set<Socket>();
 	private isClosed = false;
 
 	private constructor(private readonly host: string, private readonly port: number, private readonly clock: Clock) {}
@@ -68,7 +70,9 @@
 		return Effect.suspend(() => {
 			const socket = this.takeIdle(needsFresh);
 			return socket ? Effect.succeed({socket, isReused: true}) : this.open();
-		});
+		}).pipe(Effect.tap(({socket}) => Effect.sync(() => {
+			this.inUse.add(socket);
+		})));
 	}
 
 	/**
@@ -93,6 +97,7 @@
 	 * @param lifetime - Milliseconds for which the replica keeps it; `undefined` where it did not say.
 	 */
 	release(socket: Socket, lifetime: number | undefined): void {
+		this.inUse.delete(socket);
 		const keep = Math.max(0, (lifetime ?? assumedIdleLifetime) * idleLifetimePart);
 		if (this.isClosed || socket.destroyed || keep === 0 || this.idle.length >= largestIdleCount) {
 			socket.destroy();
@@ -136,6 +141,13 @@
 		this.idle = [];
 	}
 
+	/** Cuts those in use: nobody answers on them any more. */
+	abandon(): void {
+		for (const socket of this.inUse) {
+			socket.destroy();
+		}
+	}
+
 	private takeIdle(needsFresh: boolean): Socket | undefined {
 		const now = this.clock.monotonic();
 		const usable = this.idle.filter(({socket, since, until}) => !socket.destroyed && now < until
@@ -176,6 +188,9 @@
 
 			const succeed = () => {
 				settle();
+				socket.once('close', () => {
+					this.inUse.delete(socket);
+				});
 				resume(Effect.succeed({socket, isReused: false}));
 			};
 
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -111,8 +111,8 @@
 	 * @param replica - A replica that was chosen.
 	 * @returns Whether a request may still be sent to it.
 	 */
-	mayBeSent({isLeaving, leavingFor}: Replica): boolean {
-		return !isLeaving || leavingFor < lastResort;
+	mayBeSent({isLeaving, leavingFor, isReplaced}: Replica): boolean {
+		return !isReplaced && (!isLeaving || leavingFor < lastResort);
 	}
 
 	/**
@@ -145,6 +145,15 @@
 	/** @param entry - A replica that is new or has changed. */
 	put(entry: ReplicaEntry): void {
 		const replica = this.replicas.get(entry.id);
+		if (replica && isOlder(entry, replica.entry)) {
+			return;
+		}
+
+		if (replica && isOlder(replica.entry, entry)) {
+			this.replace(replica, entry);
+			return;
+		}
+
 		if (replica) {
 			const wasLeaving = replica.isLeaving;
 			replica.update(entry);
@@ -204,6 +213,21 @@
 		}
 	}
 
+	/**
+	 * A replica that starts again under its id holds and knows nothing of before, and neither does what is believed of it. What
+	 * was chosen for the start before is not sent to it: its process is gone.
+	 */
+	private replace(replica: Replica, entry: ReplicaEntry): void {
+		replica.noteReplaced();
+		this.replicas.set(entry.id, Replica.create(entry, this.clock));
+		this.log.write('replicaStartedAgain', {
+			replica: entry.id, service: entry.service, bornAt: entry.bornAt, address: `${entry.host}:${entry.port}`, isDraining: entry.isDraining,
+		});
+		for (const listener of this.goneListeners) {
+			listener(replica);
+		}
+	}
+
 	private noteDeparture({id, revision}: Departure, source: string): void {
 		if (!this.departures.has(id)) {
 			this.log.write('replicaLeaving', {replica: id, source, revision});
@@ -212,3 +236,8 @@
 		this.departures.set(id, {id, revision, at: this.clock.monotonic()});
 	}
 }
+
+/** Whether an entry is of an earlier start; nobody can tell where one does not say when it was born. */
+function isOlder({bornAt: left}: ReplicaEntry, {bornAt: right}: ReplicaEntry): boolean {
+	return left !== undefined && right !== undefined && left < right;
+}
--- a/src/replicas/replica.ts
+++ b/src/replicas/replica.ts
@@ -67,6 +67,7 @@
 	private errorMean = 0;
 	private latencyMean = 0;
 	private leavingSince: number | undefined;
+	private hasSuccessor = false;
 	/** When it was last heard, or got a request after having none. */
 	private heardAt = 0;
 	private answeredAt = Number.NEGATIVE_INFINITY;
@@ -91,6 +92,11 @@
 		return this.leavingSince !== undefined;
 	}
 
+	/** Whether another start has taken its id: its process is gone. */
+	get isReplaced(): boolean {
+		return this.hasSuccessor;
+	}
+
 	/** Milliseconds since it began to leave; zero before. */
 	get leavingFor(): number {
 		return this.leavingSince === undefined ? 0 : this.clock.monotonic() - this.leavingSince;
@@ -154,6 +160,12 @@
 		this.leavingSince ??= this.clock.monotonic();
 	}
 
+	/** Notes that another start has taken its id. */
+	noteReplaced(): void {
+		this.hasSuccessor = true;
+		this.leave();
+	}
+
 	/** Notes that bytes came from it. */
 	noteHeard(): void {
 		this.heardAt = this.clock.monotonic();
--- a/src/replicas/test/replica-directory.test.ts
+++ b/src/replicas/test/replica-directory.test.ts
@@ -74,3 +74,26 @@
 	clock.now += 8000;
 	assert.deepEqual(ids(), ['b']);
 });
+
+test('a newer start under a known id has nothing of the one before, and an older one that arrives late changes nothing', () => {
+	const {clock, directory} = directoryOf([entry('a', {bornAt: 100}), entry('b')]);
+	const gone: string[] = [];
+	directory.onDidGo(({start}) => gone.push(start));
+	const before = directory.named('a')!;
+	before.begin(500);
+	before.noteAnswer(70, true);
+	before.noteFailure();
+	before.notePeerWork('box-2', {requests: 3, unreadTokens: 10});
+	directory.put(entry('a', {bornAt: 100, revision: 6, isDraining: true}));
+	assert.deepEqual(readyIds(directory), ['b']);
+	clock.now += 10;
+	directory.put(entry('a', {bornAt: 900, revision: 8}));
+	const after = directory.named('a')!;
+	assert.deepEqual(gone, ['a/100']);
+	assert.deepEqual([after.isLeaving, after.isAvoided, after.errorShare, after.latency, after.work], [false, false, 0, 0, {requests: 0, unreadTokens: 0}]);
+	assert.deepEqual([before.isReplaced, directory.mayBeSent(before)], [true, false], 'what was chosen for the start before is not sent');
+	directory.put(entry('a', {bornAt: 100, revision: 9, isDraining: true}));
+	directory.noteLeaving({id: 'a', revision: 6}, 'peer');
+	assert.deepEqual(readyIds(directory), ['a', 'b']);
+	assert.ok(directory.settledFor > 0, 'a replica that is back is no new one');
+});
