What was known before a suspension of the machine counts no more

Cause: the steady clock stands still while a machine is suspended; proofs, permits, ages and connections went on as if nothing had been. Ruled out: os.uptime as the sign.

--- a/development/fuzz/virtual-time.ts
+++ b/development/fuzz/virtual-time.ts
@@ -145,6 +145,10 @@
 		return this.time.now + this.offset;
 	}
 
+	override lastWake(): number {
+		return Number.NEGATIVE_INFINITY;
+	}
+
 	override wall(): number {
 		return this.time.now + this.wallStep;
 	}
--- a/development/harness/moved-clock.ts
+++ b/development/harness/moved-clock.ts
@@ -8,6 +8,8 @@
 	/** What the wall clock shows more than the monotonic one, in milliseconds. */
 	shift = 0;
 
+	private wokenAt = Number.NEGATIVE_INFINITY;
+
 	/** @param now - Monotonic milliseconds to begin with. */
 	constructor(public now = 0) {
 		super();
@@ -20,4 +22,15 @@
 	override wall(): number {
 		return this.now + this.shift;
 	}
+
+	override lastWake(): number {
+		return this.wokenAt;
+	}
+
+	/** @param time - Milliseconds for which the machine is suspended: the wall clock alone counts them. */
+	suspend(time: number): void {
+		this.shift += time;
+		this.now++;
+		this.wokenAt = this.now;
+	}
 }
--- a/src/base/event-catalogue.ts
+++ b/src/base/event-catalogue.ts
@@ -22,6 +22,7 @@
 	relayStopped: event(1203, 'info', 'The relay ends.'),
 	settingsApplied: event(1204, 'info', 'Settings were read and are in force.'),
 	settingsInvalid: event(1205, 'error', 'Settings cannot be used; what was in force stays so.'),
+	boxStoodStill: event(1207, 'warn', 'This process stood still or its machine was suspended, or the wall clock was set; what was known before is looked at anew.'),
 	logLinesLeftOut: event(1206, 'warn', 'Lines were left out because the reader of the log was too slow.'),
 	roleFailed: event(1101, 'error', 'A role failed; its supervisor starts it again.'),
 	tableApplied: event(2001, 'info', 'A higher version of the table is in force on this box.'),
--- a/src/duties/duty-lease.ts
+++ b/src/duties/duty-lease.ts
@@ -61,6 +61,8 @@
 	/** Monotonic milliseconds up to which this box may have acted: another start of it until this one began. */
 	private actedUntil: number;
 	private isUnsure = false;
+	/** Monotonic milliseconds at which the record was last read or written. */
+	private knownAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly services: DutyLeaseServices) {
 		this.actedUntil = services.clock.monotonic();
@@ -90,6 +92,7 @@
 			this.revision = object?.revision;
 			this.record = decoded && Result.isSuccess(decoded) ? decoded.success : firstRecord;
 			this.isUnsure = false;
+			this.knownAt = this.services.clock.monotonic();
 			if (wasHeld && !this.isHeld) {
 				this.noteLoss();
 			}
@@ -123,7 +126,7 @@
 	decide(decide: (record: DutyRecord) => DutyRecord): Effect.Effect<ActPermit, StoreUnavailable | DutyTaken> {
 		return Effect.gen({self: this}, function * () {
 			const {self, clock} = this.services;
-			if (this.isUnsure) {
+			if (this.isUnsure || this.knownAt <= clock.lastWake()) {
 				yield * this.look();
 			}
 
@@ -138,7 +141,7 @@
 			return {
 				record,
 				signer: {holder: self, fence: record.fence},
-				isValid: () => clock.monotonic() - sentAt < actWithin,
+				isValid: () => clock.monotonic() - sentAt < actWithin && sentAt > clock.lastWake(),
 			};
 		});
 	}
@@ -192,6 +195,7 @@
 			Effect.map(({revision}) => {
 				this.revision = revision;
 				this.record = record;
+				this.knownAt = this.services.clock.monotonic();
 			}),
 			Effect.tapError(() => Effect.sync(() => {
 				this.isUnsure = true;
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -93,11 +93,12 @@
 	get heard(): readonly Peer[] {
 		const now = this.clock.monotonic();
 		const known = this.heardLately;
-		if (known?.within === this.heardWithin && now - known.at < viewLifetime) {
+		const wokenAt = this.clock.lastWake();
+		if (known?.within === this.heardWithin && now - known.at < viewLifetime && known.at >= wokenAt) {
 			return known.peers;
 		}
 
-		const since = now - this.heardWithin;
+		const since = Math.max(now - this.heardWithin, wokenAt);
 		const peers = this.all.filter(({heardAt}) => heardAt >= since);
 		this.heardLately = {peers, at: now, within: this.heardWithin};
 		return peers;
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -63,7 +63,8 @@
 
 	/** Milliseconds since the store last answered. */
 	get storeSilence(): number {
-		return this.services.clock.monotonic() - this.answeredAt;
+		const {clock} = this.services;
+		return this.answeredAt > clock.lastWake() ? clock.monotonic() - this.answeredAt : Number.POSITIVE_INFINITY;
 	}
 
 	/** Notes that the store has answered this box in another matter. */
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -46,6 +46,8 @@
 const endMargin = 900;
 const stopCheckInterval = 50;
 const sampleInterval = 1000;
+/** Milliseconds between two samples above which this process stood still. */
+const longestSampleGap = 1800;
 /**
  * Milliseconds without news from the boxes that follow the store after which another asks it itself; boxes differ by
  * their names, so that not all of them ask at once.
@@ -92,9 +94,12 @@
 	private readonly exchange: ExchangeState;
 	private readonly door: FrontDoor;
 	private stoppingSince: number | undefined;
+	/** When the clocks were last read. */
+	private sampledAt: {readonly monotonic: number; readonly wall: number};
 
 	private constructor(private readonly parts: RelayParts) {
 		const {link, log, settings} = parts;
+		this.sampledAt = {monotonic: this.clock.monotonic(), wall: this.clock.wall()};
 		const {node, control, limits} = settings();
 		this.self = {name: node, ...control, capacity: aggregatorCapacity(limits)};
 		this.peers = PeerTable.create(node, this.clock, log);
@@ -301,8 +306,22 @@
 		return documents[path]?.();
 	}
 
+	/** Tells of a machine that was suspended and of a process that stood still: what it did before says little of what followed. */
+	private noteStandstill(): void {
+		const {clock, sampledAt} = this;
+		const now = clock.monotonic();
+		const wall = clock.wall();
+		const [gap, wallGap] = [now - sampledAt.monotonic, wall - sampledAt.wall];
+		if (Math.max(gap, wallGap) > longestSampleGap) {
+			this.parts.log.write('boxStoodStill', {steady: Math.round(gap), wall: Math.round(wallGap), isSuspension: clock.lastWake() > sampledAt.monotonic});
+		}
+
+		this.sampledAt = {monotonic: now, wall};
+	}
+
 	private sampleMetrics(): Effect.Effect<never> {
 		return Effect.forever(Effect.sync(() => {
+			this.noteStandstill();
 			const {metrics} = this.parts;
 			const {table, replicas} = this.services;
 			metrics.proofAge.set(table.proofAge / millisecondsPerSecond);
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -28,6 +28,8 @@
  * writes its own again.
  */
 const lapseGrace = 2000;
+/** Milliseconds told where nobody can tell how old the list is. */
+const unknownAge = 1_000_000;
 const sweepInterval = 250;
 const calmInterval = 1000;
 
@@ -97,7 +99,8 @@
 
 	/** Milliseconds since the list was known to be whole. */
 	private get age(): number {
-		return this.services.clock.monotonic() - this.provenAt;
+		const {clock} = this.services;
+		return this.provenAt >= clock.lastWake() ? clock.monotonic() - this.provenAt : unknownAge;
 	}
 
 	/** @returns Follows the store while that is needed, until interrupted. */
--- a/src/node/test/odd-entries.test.ts
+++ b/src/node/test/odd-entries.test.ts
@@ -122,6 +122,8 @@
 		installation.list(id, {state: 'draining', seq: 20, born: Date.now() + 2000});
 	}
 
+	const isLeavingAnew = (id: string) => relay!.log.lines.some(({eventName, replica, isDraining}) => eventName === 'replicaStartedAgain' && replica === id && isDraining === true);
+	await until(() => isLeavingAnew('i-1') && isLeavingAnew('i-2'));
 	silent.behave({events: 4, fault: 'mute-stream'});
 	const streaming = installation.call({path: '/stream/x', method: 'POST', body: 'p'}, relay);
 	await until(() => silent.seen.length === 1);
--- /dev/null
+++ b/src/node/test/suspension.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, beforeEach, mock, test,
+} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {StoreStandin} from '../../../development/relay/store-standin.js';
+import {ReplicaStandin} from '../../../development/relay/replica-standin.js';
+import {HttpMetadataStore} from '../../../platform/metadata-store.js';
+import {SystemClock} from '../../base/clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {DutyLease} from '../../duties/duty-lease.js';
+import {PeerTable} from '../../gossip/peer-table.js';
+import {FreshnessGuard} from '../../relay/freshness-guard.js';
+import {ReplicaConnections} from '../../replicas/replica-connections.js';
+import {ReplicaDirectory} from '../../replicas/replica-directory.js';
+import {RouteTableView} from '../../routes/route-table-view.js';
+import type {PlatformLink} from '../platform-link.js';
+import {ReplicaRole} from '../replica-role.js';
+
+const log = SilentEventLog.create();
+/** Milliseconds of suspensions, of which the steady clock shows nothing. */
+const suspensions = [1000, 5000, 30_000];
+let standin: StoreStandin;
+let clock: MovedClock;
+
+before(async () => {
+	standin = await StoreStandin.start();
+});
+
+beforeEach(() => {
+	clock = new MovedClock(10_000);
+	clock.shift = 1_700_000_000_000;
+	standin.remove('waydrift-duties', 'record');
+});
+
+after(async () => standin.close());
+
+const leaseOf = (self: string, ownClock: MovedClock) => DutyLease.create({
+	self, incarnation: 'one', store: HttpMetadataStore.create('127.0.0.1', standin.port), clock: ownClock, log, wait: () => 0, isFenced: () => true,
+});
+
+const checks: ReadonlyArray<readonly [what: string, check: (time: number) => void | Promise<void>]> = [
+	['no proof of the configuration counts, until one that was asked for after it', (time: number) => {
+		const table = RouteTableView.create(clock, log);
+		const guard = FreshnessGuard.create(table, () => ({isStrict: true, revoke: 5000}));
+		table.apply({
+			version: 3, routes: [], services: [], clientAccounts: [], limits: {body: 1, headerTimeout: 1, idleTimeout: 1},
+		}, 'store');
+		table.prove(3, clock.now);
+		assert.ok(guard.allowsKeys && guard.believesAbsence);
+		clock.suspend(time);
+		assert.deepEqual([guard.allowsKeys, guard.believesAbsence], [false, false]);
+		table.prove(3, clock.now - 5);
+		assert.equal(guard.allowsKeys, false, 'asked for before it');
+		clock.now += 20;
+		table.prove(3, clock.now - 4);
+		assert.ok(guard.allowsKeys && guard.believesAbsence);
+	}],
+	['no permit of a duty is valid, and a holder looks before it decides', async (time: number) => {
+		const lease = leaseOf('a', clock);
+		await Effect.runPromise(lease.acquire());
+		clock.now += 1;
+		const permit = await Effect.runPromise(lease.decide(record => record));
+		assert.ok(permit.isValid());
+		clock.suspend(time);
+		assert.equal(permit.isValid(), false);
+		clock.now += 1;
+		await Effect.runPromise(leaseOf('b', new MovedClock(500)).acquire());
+		const {calls} = standin;
+		await assert.rejects(Effect.runPromise(lease.decide(record => record)));
+		assert.equal(standin.calls, calls + 1, 'it looked, and wrote nothing');
+	}],
+	['no box counts as heard, and true time is the own clock\'s until one is', (time: number) => {
+		const peers = PeerTable.create('self', clock, log);
+		const message = (sequence: number) => ({
+			sender: {name: 'a', host: '127.0.0.1', port: 1}, incarnation: 'one', sequence, uptime: 5000, wall: clock.wall(), version: 1, isStopping: false, storeAge: 0,
+			quota: [], isWhole: true, work: [], departed: [], usage: [], members: [],
+		});
+		peers.take(message(1));
+		assert.equal(peers.heard.length, 1);
+		clock.suspend(time);
+		assert.equal(peers.heard.length, 0);
+		assert.equal(clock.now + peers.wallOffset, clock.wall());
+		clock.now += 30;
+		peers.take(message(2));
+		assert.equal(peers.heard.length, 1);
+	}],
+	['the list of replicas is not told as new', (time: number) => {
+		const role = ReplicaRole.create({
+			link: {names: {}} as unknown as PlatformLink, clock, log, replicas: ReplicaDirectory.create(clock, log), leads: () => false, patience: 5000,
+		});
+		role.takeListing({at: 4, objects: []}, clock.now);
+		assert.equal(role.told?.age, 0);
+		clock.suspend(time);
+		clock.now += 1;
+		assert.ok(role.told.age > 60_000 && Number.isFinite(role.told.age));
+	}],
+	['connections from before it are not used', async (time: number) => {
+		const replica = await ReplicaStandin.start('i-1');
+		const connections = ReplicaConnections.create('127.0.0.1', replica.port, clock);
+		const {socket} = await Effect.runPromise(connections.acquire(false));
+		connections.release(socket, 60_000);
+		clock.now += 1;
+		clock.suspend(time);
+		const {isReused} = await Effect.runPromise(connections.acquire(false));
+		assert.equal(isReused, false);
+		connections.close();
+		await replica.close();
+	}],
+];
+
+for (const [what, check] of checks) {
+	for (const time of suspensions) {
+		test(`after a suspension of ${time} ms ${what}`, async () => check(time));
+	}
+}
+
+test('a suspension is seen from the wall clock, which runs ahead of the steady one; a wall clock that is set back is none', () => {
+	let ahead = 0;
+	const wall = Date.now;
+	const mocked = mock.method(Date, 'now', () => wall() + ahead);
+	const system = SystemClock.create();
+	assert.equal(system.lastWake(), Number.NEGATIVE_INFINITY);
+	ahead = -5000;
+	assert.equal(system.lastWake(), Number.NEGATIVE_INFINITY);
+	const before = system.monotonic();
+	ahead = -4000;
+	const wokenAt = system.lastWake();
+	assert.ok(wokenAt >= before);
+	assert.equal(system.lastWake(), wokenAt, 'once');
+	mocked.mock.restore();
+});
--- a/src/relay/admitted-request.ts
+++ b/src/relay/admitted-request.ts
@@ -19,6 +19,8 @@
 	readonly units: number;
 	/** Zero is the most urgent. */
 	readonly urgency: number;
+	/** Monotonic milliseconds at which it came. */
+	readonly receivedAt: number;
 	/** Monotonic milliseconds. */
 	readonly deadlineAt: number;
 };
--- a/src/relay/front-door.ts
+++ b/src/relay/front-door.ts
@@ -164,7 +164,7 @@
 
 			const deadline = Math.min(head.deadline ?? route.timeout, route.timeout);
 			return {
-				incoming, head, body, route, clientAccount, units,
+				incoming, head, body, route, clientAccount, units, receivedAt,
 				version: table.version,
 				service: pickTarget(route, Math.random()),
 				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, clientAccount))),
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -121,6 +121,7 @@
 		return Effect.gen({self: this}, function * () {
 			this.services.budgets.of(this.request.service).noteRequest();
 			for (;;) {
+				yield * this.passWake();
 				yield * this.governAnew();
 				yield * this.passQuarantine();
 				const replica = yield * this.chooseReplica();
@@ -145,6 +146,13 @@
 		});
 	}
 
+	/** Nobody can tell how much time a request has left that came before the machine was suspended; its client has likely gone. */
+	private passWake(): Effect.Effect<void, Refusal> {
+		return Effect.suspend(() => this.services.clock.lastWake() > this.request.receivedAt
+			? Effect.fail(this.refuse('no-upstream', 'This box stood still while it held the request.'))
+			: Effect.void);
+	}
+
 	/** A request that is tried again goes as the configuration says that is in force by now. */
 	private governAnew(): Effect.Effect<void, Refusal> {
 		return Effect.suspend(() => {
--- a/src/replicas/replica-connections.ts
+++ b/src/replicas/replica-connections.ts
@@ -150,7 +150,9 @@
 
 	private takeIdle(needsFresh: boolean): Socket | undefined {
 		const now = this.clock.monotonic();
-		const usable = this.idle.filter(({socket, since, until}) => !socket.destroyed && now < until
+		const wokenAt = this.clock.lastWake();
+		// The replica has counted a suspension, and may have closed the connection.
+		const usable = this.idle.filter(({socket, since, until}) => !socket.destroyed && now < until && since >= wokenAt
 			&& (!needsFresh || now - since < freshIdleTime));
 		const taken = usable.at(-1);
 		if (!taken) {
--- a/src/routes/route-table-view.ts
+++ b/src/routes/route-table-view.ts
@@ -38,9 +38,9 @@
 		return this.table?.version ?? 0;
 	}
 
-	/** Milliseconds since the moment at which the version in force is known to have been the newest. */
+	/** Milliseconds since the moment at which the version in force is known to have been the newest; without end where that is not known. */
 	get proofAge(): number {
-		return this.clock.monotonic() - this.provenAt;
+		return this.provenAt > this.clock.lastWake() ? this.clock.monotonic() - this.provenAt : Number.POSITIVE_INFINITY;
 	}
 
 	/** @param listener - Called with each table that comes into force. */
