--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -150,7 +150,7 @@
 			incarnation,
 			sequence: this.nextSequence(),
 			uptime: Math.round(peers.uptime),
-			wall: clock.wall(),
+			wall: Math.round(peers.ownTime),
 			members: topology.namesToTell(named, this.rounds, isSuccession).map(({address}) => address),
 		};
 	}
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -60,9 +60,12 @@
 	private readonly lost = new Set<string>();
 	private toldSize = {boxes: 0, at: Number.NEGATIVE_INFINITY};
 	private readonly startedAt: number;
+	/** Time less the monotonic clock, and the wake after which it was found. */
+	private anchor: {readonly offset: number; readonly at: number};
 
 	private constructor(private readonly self: string, private readonly clock: Clock, private readonly log: EventLog) {
 		this.startedAt = clock.monotonic();
+		this.anchor = {offset: clock.wall() - clock.monotonic(), at: clock.lastWake()};
 	}
 
 	/** All other boxes that may be there. */
@@ -127,9 +130,26 @@
 
 	/** True time less this box's monotonic clock: the middle of all clocks, since some may be off. */
 	get wallOffset(): number {
-		const own = this.clock.wall() - this.clock.monotonic();
-		const offsets = [own, ...this.heard.map(({wallOffset}) => wallOffset)].sort((left, right) => left - right);
-		return offsets[Math.floor(offsets.length / 2)]!;
+		return middleOf([this.ownOffset, ...this.heard.map(({wallOffset}) => wallOffset)]);
+	}
+
+	/**
+	 * Time as this box tells it, in milliseconds since the epoch: its wall clock as it stood at the start, carried on by the steady one. A
+	 * wall clock that is set later, on whichever part of the boxes, moves nothing: usage windows were off by half while most were.
+	 */
+	get ownTime(): number {
+		return this.clock.monotonic() + this.ownOffset;
+	}
+
+	/** After a suspension, which the steady clock has not counted, the others tell how long it was. */
+	private get ownOffset(): number {
+		const wokenAt = this.clock.lastWake();
+		const {heard} = this;
+		if (wokenAt > this.anchor.at && heard.length > 0) {
+			this.anchor = {offset: middleOf(heard.map(({wallOffset}) => wallOffset)), at: wokenAt};
+		}
+
+		return this.anchor.offset;
 	}
 
 	/** @param boxes - How many boxes another one knows of. */
@@ -242,3 +262,7 @@
 		return this.meetAnew(message);
 	}
 }
+
+function middleOf(offsets: readonly number[]): number {
+	return [...offsets].sort((left, right) => left - right)[Math.floor(offsets.length / 2)]!;
+}
--- a/src/gossip/test/gossip-proof.test.ts
+++ b/src/gossip/test/gossip-proof.test.ts
@@ -43,6 +43,31 @@
 	assert.ok(Math.abs((clock.now + table.wallOffset) - truth) <= 5);
 });
 
+test('wall clocks that are set while boxes run move no time, though all are set at once', () => {
+	const clocks = [0, 1, 2].map(() => new MovedClock(1000));
+	const tables = clocks.map((clock, index) => {
+		clock.shift = epoch;
+		return PeerTable.create(`box-${index}`, clock, SilentEventLog.create());
+	});
+	const exchange = (sequence: number) => {
+		for (const [index, table] of tables.entries()) {
+			for (const other of tables.filter(one => one !== table)) {
+				other.take(message(`box-${index}`, {sequence, wall: table.ownTime}));
+			}
+		}
+	};
+
+	exchange(1);
+	for (const clock of clocks) {
+		clock.suspend(0);
+		clock.shift += 3000;
+		clock.now += 200;
+	}
+
+	exchange(2);
+	assert.deepEqual(clocks.map(({now}, index) => Math.round(now + tables[index]!.wallOffset - epoch)), clocks.map(({now}) => now));
+});
+
 test('boxes that are silent for long count no longer, and part of all that is heard is told', () => {
 	const clock = new MovedClock(1000);
 	clock.shift = epoch;
