--- /dev/null
+++ b/development/fuzz/decoder-suite.ts
@@ -0,0 +1,217 @@
+/**
+ * "Nothing from outside ends or blinds a box", over the real decoders and what stands behind them: entries of other writers,
+ * configurations, datagrams and documents of peers, mutated and generated, among good neighbours.
+ */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import * as Result from 'effect/Result';
+import fc from 'fast-check';
+import {decodeConfiguration, decodeReplica} from '../../platform/formats.js';
+import {SilentEventLog} from '../../src/base/event-log.js';
+import {decodeDutyRecord} from '../../src/duties/duty-record.js';
+import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
+import type {GossipMessage} from '../../src/gossip/gossip-message.js';
+import {ReplicaRole} from '../../src/node/replica-role.js';
+import type {PlatformLink} from '../../src/node/platform-link.js';
+import {EndLedger, mostEndsTold} from '../../src/quarantine/end-ledger.js';
+import {Fingerprint} from '../../src/quarantine/fingerprint.js';
+import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
+import {RouteTable} from '../../src/routes/route-table.js';
+import {step, type Suite} from './suite.js';
+import {VirtualClock, type VirtualTime} from './virtual-time.js';
+
+const largestPort = 65_535;
+const goodReplica = {
+	service: 's', addr: '10.0.0.1:80', zone: 'a', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq: 1, born: 1_700_000_000_000, spot: true, leaves_ms: 9000,
+};
+const goodConfiguration = {
+	version: 7,
+	routes: [{
+		name: 'r', host: 'a.example', path_prefix: '/x/', kind: 'idempotent', timeout_ms: 100, goal_ms: 50, priority: 1, max_attempts: 2, split: [{service: 's', weight: 3}],
+	}],
+	services: [{
+		name: 's', max_conns: 10, engine: {kv_capacity: 9}, autoscale: {
+			min: 1, max: 3, boot_s: 4, spot_price: 0.2, zone_prices: {a: 1},
+		},
+	}],
+	tenants: [{
+		name: 't', api_keys: ['k'], priority: 1, unit: 'token_count', plain_tokens: 2, rate_per_s: 3, burst: 4,
+	}],
+	limits: {max_body_bytes: 1, header_timeout_ms: 2, idle_timeout_ms: 3},
+};
+const goodMessage: GossipMessage = {
+	sender: {
+		name: 'box-2', host: '10.0.0.2', port: 7600, capacity: 1,
+	}, incarnation: 'one', sequence: 7, uptime: 5000, wall: 1_700_000_000_000, version: 3, isStopping: false, storeAge: 9, isWhole: true,
+	quota: [{
+		clientAccount: 't', passed: 1, level: 2, asked: 3,
+	}], work: [{replica: 'i', requests: 1, unreadTokens: 2}], departed: [{id: 'i', revision: 1}],
+	usage: [{window: 1, counts: [['t', 1]]}], members: [],
+	ends: {
+		ends: [{
+			start: 'i/1', service: 's', software: '1', age: 5, suspects: [{fingerprint: Fingerprint('abcdefghijkl'), ranFor: 60}],
+		}], completions: [{fingerprint: Fingerprint('abcdefghijkm'), age: 1}],
+	},
+	digest: {
+		boxes: 9, work: [], quota: [], changes: {at: 3, changes: [{object: {name: 'i', revision: 2, spec: goodReplica}, isGone: false}]},
+	},
+};
+const goodDuty = {
+	holder: 'a', incarnation: 'b', fence: 3, decision: 4, reported: 5, orders: [], baseline: [],
+};
+
+class DecoderWorld {
+	faults = 0;
+	readonly ledger: EndLedger;
+	readonly role: ReplicaRole;
+	private readonly replicas: ReplicaDirectory;
+	private revision = 10;
+
+	constructor(time: VirtualTime) {
+		const clock = VirtualClock.create(time);
+		const log = SilentEventLog.create();
+		this.ledger = EndLedger.create(clock);
+		this.replicas = ReplicaDirectory.create(clock, log);
+		this.role = ReplicaRole.create({
+			link: {names: {replicaKind: 'replicas', decodeReplica}} as unknown as PlatformLink, clock, log, replicas: this.replicas, leads: () => true, patience: 5000,
+		});
+		this.role.takeListing({at: this.revision, objects: ['good-1', 'good-2'].map(name => ({name, revision: 1, spec: goodReplica}))}, 0);
+	}
+
+	/** An entry of another writer arrives as a change that a peer tells, or in a list. */
+	takeEntry(spec: unknown, isList: boolean): void {
+		this.faults++;
+		this.revision++;
+		const object = {name: 'odd', revision: this.revision, spec};
+		if (isList) {
+			const good = ['good-1', 'good-2'].map(name => ({name, revision: 1, spec: goodReplica}));
+			this.role.takeListing({at: this.revision, objects: [good[0]!, object, good[1]!]}, 0);
+		} else {
+			this.role.take({name: 'peer', host: '127.0.0.1', port: 1}, {at: this.revision, age: 0}, {at: this.revision, changes: [{object, isGone: false}]});
+		}
+
+		// What is handed on can be read by others.
+		JSON.stringify(this.role.changesSince(this.revision - 1));
+		this.judge();
+	}
+
+	judge(): void {
+		const names = this.replicas.all.filter(({isLeaving}) => !isLeaving).map(({entry}) => entry.id);
+		assert.ok(names.includes('good-1') && names.includes('good-2'), `the good ones hold: ${names.join(' ')}`);
+		for (const {entry: {host, port, slots, service, bornAt, leavesIn}} of this.replicas.all) {
+			assert.ok(Number.isInteger(port) && port > 0 && port <= largestPort && /^[\d.]+$/v.test(host), `${host}:${port}`);
+			assert.ok(Number.isInteger(slots) && slots > 0 && service.length > 0);
+			assert.ok(bornAt === undefined || (Number.isInteger(bornAt) && bornAt >= 0));
+			assert.ok(leavesIn === undefined || Number.isFinite(leavesIn));
+		}
+	}
+
+	takeConfiguration(spec: unknown): void {
+		this.faults++;
+		const decoded = decodeConfiguration(spec);
+		if (Result.isSuccess(decoded)) {
+			const table = RouteTable.create(decoded.success);
+			table.route('a.example', '/x/y');
+			table.clientAccount('k');
+			assert.ok(Number.isFinite(decoded.success.version));
+			assert.ok(decoded.success.routes.every(({timeout, maximumAttempts}) => Number.isFinite(timeout) && Number.isFinite(maximumAttempts)));
+		}
+	}
+
+	takeDatagram(data: Uint8Array): void {
+		this.faults++;
+		const message = decodeGossip(data);
+		if (!message) {
+			return;
+		}
+
+		this.ledger.take(message.ends ?? {ends: [], completions: []});
+		const told = this.ledger.told(true, mostEndsTold.small);
+		const handedOn = decodeGossip(encodeGossip({...goodMessage, ...(told ? {ends: told} : {})}));
+		assert.ok(handedOn, 'what is handed on can be read');
+		for (const change of message.digest?.changes?.changes ?? []) {
+			decodeReplica(change.object);
+		}
+	}
+}
+
+const oddValue = fc.oneof(
+	fc.constantFrom<unknown>(null, true, '', 'ready', -1, 0, 0.5, 1e308, Number.NaN, [], {}, [[[[]]]], '\uFFFD\u0000', 'x'.repeat(10_000), '10.0.0.1', '10.0.0.1:99999', '127.0.0.1:0', -7e15),
+	fc.jsonValue({maxDepth: 3}),
+	fc.string({unit: 'binary'}),
+);
+
+/** Values of a good one with one part, at any depth, taken out or replaced. */
+function mutated(good: unknown): fc.Arbitrary<unknown> {
+	return fc.tuple(fc.array(fc.nat({max: 30}), {minLength: 1, maxLength: 5}), oddValue, fc.boolean()).map(([path, value, isTakenOut]) => mutate(good, path, value, isTakenOut));
+}
+
+function mutate(good: unknown, path: readonly number[], value: unknown, isTakenOut: boolean): unknown {
+	const [first, ...rest] = path;
+	if (first === undefined || typeof good !== 'object' || good === null) {
+		return value;
+	}
+
+	const entries = Object.entries(good);
+	if (entries.length === 0) {
+		return value;
+	}
+
+	const index = first % entries.length;
+	const changed = entries.flatMap(([key, part], place): Array<[string, unknown]> => {
+		if (place !== index) {
+			return [[key, part]];
+		}
+
+		return rest.length === 0 && isTakenOut ? [] : [[key, rest.length === 0 ? value : mutate(part, rest, value, isTakenOut)]];
+	});
+	return Array.isArray(good) ? changed.map(([, part]) => part) : Object.fromEntries(changed);
+}
+
+const bytesOf = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value) ?? '');
+const goodDatagram = JSON.parse(Buffer.from(encodeGossip(goodMessage)).toString()) as unknown;
+const datagram = fc.oneof(
+	mutated(goodDatagram).map(value => bytesOf(value)),
+	fc.nat({max: bytesOf(goodDatagram).length}).map(length => bytesOf(goodDatagram).subarray(0, length)),
+	fc.tuple(fc.nat({max: bytesOf(goodDatagram).length - 1}), fc.integer({min: 0, max: 255})).map(([at, byte]) => {
+		const data = Buffer.from(bytesOf(goodDatagram));
+		data[at] = byte;
+		return data;
+	}),
+	fc.uint8Array({maxLength: 300}),
+);
+const entry = fc.oneof({weight: 4, arbitrary: mutated(goodReplica)}, {weight: 1, arbitrary: oddValue});
+
+const steps = fc.oneof(
+	{
+		weight: 4, arbitrary: fc.tuple(entry, fc.boolean()).map(([spec, isList]) => step<DecoderWorld>(`entry ${JSON.stringify(spec)?.slice(0, 200)}${isList ? ' in a list' : ''}`, world => {
+			world.takeEntry(spec, isList);
+		})),
+	},
+	{
+		weight: 2, arbitrary: fc.oneof(mutated(goodConfiguration), oddValue).map(spec => step<DecoderWorld>(`configuration ${JSON.stringify(spec)?.slice(0, 400)}`, world => {
+			world.takeConfiguration(spec);
+		})),
+	},
+	{
+		weight: 3, arbitrary: datagram.map(data => step<DecoderWorld>(`datagram ${Buffer.from(data).toString('base64').slice(0, 200)}`, world => {
+			world.takeDatagram(data);
+		})),
+	},
+	{
+		weight: 1, arbitrary: fc.oneof(mutated(goodDuty), oddValue).map(record => step<DecoderWorld>(`duty record ${JSON.stringify(record)?.slice(0, 200)}`, () => {
+			decodeDutyRecord(record);
+		})),
+	},
+);
+
+/** One box, and whatever may come from outside. */
+export const decoderSuite: Suite<DecoderWorld> = {
+	name: 'decoders',
+	steps,
+	create: time => new DecoderWorld(time),
+	async judge(world) {
+		world.judge();
+	},
+	faults: world => world.faults,
+};
--- a/src/daemon/test/at-most-once.test.ts
+++ b/src/daemon/test/at-most-once.test.ts
@@ -29,12 +29,14 @@
 	service: 'orders', path: '/release', key, body: `{"order":"${key}"}`,
 });
 
-async function postOnce(port: number, key: string): Promise<{readonly status: number; readonly verdict: string | undefined}> {
+type Told = {readonly status: number; readonly verdict: string | undefined; readonly reason: string | undefined};
+
+async function postOnce(port: number, key: string): Promise<Told> {
 	const answer = await fetch(`http://127.0.0.1:${port}/v1/services/orders/release`, {
 		method: 'POST', body: release(key).body, headers: {Authorization: `Bearer ${testKeys.alpha}`, 'Idempotency-Key': key},
 	});
-	const {verdict} = await answer.json() as {readonly verdict?: string};
-	return {status: answer.status, verdict};
+	const {verdict, reason} = await answer.json() as {readonly verdict?: string; readonly reason?: string};
+	return {status: answer.status, verdict, reason};
 }
 
 test('the same key sent at once to three boxes runs once, and all are told so', async () => {
@@ -75,8 +77,8 @@
 	await faults({cutAnswers: 1});
 	const key = randomUUID();
 	const [first, second] = installation.entries;
-	assert.deepEqual(await postOnce(first!.box.port, key), {status: 502, verdict: 'may-have-run'});
-	assert.deepEqual(await postOnce(second!.box.port, key), {status: 409, verdict: 'may-have-run'});
+	assert.deepEqual(await postOnce(first!.box.port, key), {status: 502, verdict: 'may-have-run', reason: 'upstream-cut'});
+	assert.deepEqual(await postOnce(second!.box.port, key), {status: 409, verdict: 'may-have-run', reason: 'claim-held'});
 	assert.equal(await executionsOf(key), 1);
 });
 
@@ -114,7 +116,7 @@
 	await first!.child.kill();
 	assert.equal(await cut, 'cut');
 	await until(async () => await executionsOf(key) === 1);
-	assert.deepEqual(await postOnce(second!.box.port, key), {status: 409, verdict: 'may-have-run'});
+	assert.deepEqual(await postOnce(second!.box.port, key), {status: 409, verdict: 'may-have-run', reason: 'claim-held'});
 	assert.equal(await executionsOf(key), 1);
 	await faults({before: 2});
 });
