A soak of our own: relays as processes under overlapping faults, drawn from a seed

Nothing of ours ran relays as processes under faults that overlap. Relays as processes, each behind a proxy before the store; 23 sorts of faults (kills, stops, freezes, reloads; a store that is cut, frozen, slow, busy, loses answers, forgets; replicas that end, drain, err, cut, stay mute, refuse, garble; odd and spoilt entries; bad configurations; a key taken away; a request that ends replicas). Clients keep their connections until they are closed. Not built: datagrams behind proxies, clocks that jump, quota and duties in the judgement; mutations not run yet.

--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -121,7 +121,10 @@
 	}
 
 	readonly replicas = new Map<string, ReplicaStandin>();
+	/** Every start of every replica there ever was. */
+	readonly everyReplica: ReplicaStandin[] = [];
 	readonly relays: RelayMember[] = [];
+	private streamEvents = 0;
 	private version = 0;
 	/** When each replica was started, in milliseconds since the epoch. */
 	private readonly born = new Map<string, number>();
@@ -161,6 +164,8 @@
 	async addReplica(id: string, entry: Readonly<Record<string, unknown>> = {}): Promise<ReplicaStandin> {
 		const replica = await ReplicaStandin.start(id);
 		this.replicas.set(id, replica);
+		this.everyReplica.push(replica);
+		replica.streamEvents = this.streamEvents;
 		this.born.set(id, Date.now());
 		this.arm(id, replica);
 		this.list(id, entry);
@@ -179,6 +184,14 @@
 		});
 	}
 
+	/** @param events - Events of an answer to a path under `/stream/`, by replicas of now and later. */
+	setStreamEvents(events: number): void {
+		this.streamEvents = events;
+		for (const replica of this.replicas.values()) {
+			replica.streamEvents = events;
+		}
+	}
+
 	/**
 	 * Lets the replicas of now and later end under a body, lose their entries as after three heartbeats, and start again under
 	 * their ids.
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -37,6 +37,8 @@
 	readonly body: string;
 	readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
 	readonly hasRun: boolean;
+	/** Monotonic milliseconds at which it came. */
+	readonly at: number;
 	isAbandoned: boolean;
 };
 
@@ -77,6 +79,11 @@
 		return (this.server.address() as AddressInfo).port;
 	}
 
+	/** Whether it takes connections. */
+	get isUp(): boolean {
+		return this.server.listening;
+	}
+
 	/** Requests that it has run. */
 	get runs(): readonly SeenRequest[] {
 		return this.seen.filter(({hasRun}) => hasRun);
@@ -104,7 +111,7 @@
 		const isElsewhere = conduct.fault === 'elsewhere' || (headers[header.expectInstance] !== undefined && headers[header.expectInstance] !== this.id);
 		const hasRun = !isElsewhere && conduct.fault !== 'refuse';
 		const seen: SeenRequest = {
-			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, isAbandoned: false,
+			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, at: performance.now(), isAbandoned: false,
 		};
 		this.seen.push(seen);
 		response.once('close', () => {
--- /dev/null
+++ b/development/soak/soak-clients.ts
@@ -0,0 +1,116 @@
+/**
+ * Clients of a soak: they keep their connections until the relay closes them, and go to relays that a balancer would send
+ * them to.
+ */
+import {Agent} from 'node:http';
+import {
+	pause, testKey, type ClientView, type RelayInstallation,
+} from '../relay/relay-installation.js';
+import type {SoakRelay} from './soak-relay.js';
+
+/** What a client sends. */
+export type SoakRequestKind = 'calls' | 'once' | 'stream';
+
+/** One try of a client, and what came of it. */
+export type SoakAttempt = ClientView & {
+	readonly id: string;
+	readonly kind: SoakRequestKind;
+	readonly relay: SoakRelay;
+	readonly key: string;
+	/** Monotonic milliseconds. */
+	readonly sentAt: number;
+	readonly endedAt: number;
+};
+
+/** A key that may be taken away; the usual one never is. */
+export const spareKey = 'key-that-may-go';
+const kinds: readonly SoakRequestKind[] = ['calls', 'once', 'stream'];
+const clientPause = 25;
+const readyInterval = 250;
+/** Every so many requests of a client bears the spare key; and comes with the same body as before. */
+const spareEvery = 7;
+const sameBodyEvery = 3;
+
+/** The clients. */
+export class SoakClients {
+	/**
+	 * @param installation - Store and replicas.
+	 * @param relays - Where requests go.
+	 * @param random - Draws the relay of each new connection.
+	 * @returns Clients that send nothing yet.
+	 */
+	static create(installation: RelayInstallation, relays: readonly SoakRelay[], random: () => number): SoakClients {
+		return new SoakClients(installation, relays, random);
+	}
+
+	readonly attempts: SoakAttempt[] = [];
+	private ready: readonly SoakRelay[] = [];
+	private isOver = false;
+	private sent = 0;
+
+	private constructor(
+		private readonly installation: RelayInstallation,
+		private readonly relays: readonly SoakRelay[],
+		private readonly random: () => number,
+	) {}
+
+	/**
+	 * @param count - How many clients.
+	 * @param whileRunning - Runs beside them; they end after it.
+	 */
+	async run(count: number, whileRunning: () => Promise<void>): Promise<void> {
+		const balancing = this.balance();
+		const clients = Array.from({length: count}, async (_, index) => this.client(index));
+		await whileRunning();
+		this.isOver = true;
+		await Promise.all([...clients, balancing]);
+	}
+
+	/**
+	 * Sends one request.
+	 *
+	 * @param kind - What.
+	 * @param body - Its body.
+	 * @param place - Where to, by which connections, with which key.
+	 * @returns What came of it.
+	 */
+	async send(kind: SoakRequestKind, body: string, {relay, agent, key = testKey}: {readonly relay: SoakRelay; readonly agent?: Agent; readonly key?: string}): Promise<SoakAttempt> {
+		this.sent++;
+		const id = `soak-${this.sent}`;
+		const sentAt = performance.now();
+		const view = await this.installation.call({
+			path: `/${kind}/x`, method: 'POST', body, headers: {'Attempt-Id': id, Authorization: `Bearer ${key}`}, ...(agent ? {agent} : {}),
+		}, relay);
+		const attempt = {
+			...view, id, kind, relay, key, sentAt, endedAt: performance.now(),
+		};
+		this.attempts.push(attempt);
+		return attempt;
+	}
+
+	/** Asks as the balancer does; while nobody is ready all are used. */
+	private async balance(): Promise<void> {
+		while (!this.isOver) {
+			const ready = await Promise.all(this.relays.map(async relay => relay.isReady()));
+			this.ready = this.relays.filter((_, index) => ready[index]);
+			await pause(readyInterval);
+		}
+	}
+
+	private async client(index: number): Promise<void> {
+		const agents = new Map<SoakRelay, Agent>();
+		for (let count = 0; !this.isOver; count++) {
+			const among = this.ready.length > 0 ? this.ready : this.relays;
+			const relay = among[Math.floor(this.random() * among.length)]!;
+			const agent = agents.get(relay) ?? new Agent({keepAlive: true, maxSockets: 1});
+			agents.set(relay, agent);
+			const body = `question of ${index}${count % sameBodyEvery === 0 ? '' : ` number ${count}`}`;
+			await this.send(kinds[(index + count) % kinds.length]!, body, {relay, agent, key: count % spareEvery === 0 ? spareKey : testKey});
+			await pause(clientPause);
+		}
+
+		for (const agent of agents.values()) {
+			agent.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/development/soak/soak-faults.ts
@@ -0,0 +1,253 @@
+/**
+ * Brings the faults of a plan about, and heals them.
+ */
+import {configurationKind, configurationName, replicaKind} from '../../platform/formats.js';
+import type {ProxyFault} from '../harness/fault-proxy.js';
+import {pause, testKey, type RelayInstallation} from '../relay/relay-installation.js';
+import type {ReplicaConduct, ReplicaStandin} from '../relay/replica-standin.js';
+import {spareKey, type SoakClients} from './soak-clients.js';
+import type {SoakFault, SoakFaultKind} from './soak-plan.js';
+import type {SoakRelay} from './soak-relay.js';
+
+/** Milliseconds for which a replica that says that it leaves serves on. */
+export const drainTime = 2000;
+/** What a body holds under which replicas end. */
+export const poisonMark = 'poison of the soak';
+/** Milliseconds between two tries of the client that sends it, and how many. */
+const poisonPause = 250;
+const poisonTries = 20;
+
+const storeFaults: Partial<Readonly<Record<SoakFaultKind, ProxyFault>>> = {
+	'store-cut': {kind: 'cut'}, 'store-frozen': {kind: 'freeze'}, 'store-delayed': {kind: 'delay', milliseconds: 120},
+};
+const replicaFaults: Partial<Readonly<Record<SoakFaultKind, Partial<ReplicaConduct>>>> = {
+	'replica-errs': {fault: 'error'}, 'replica-cuts': {fault: 'cut'}, 'replica-mute': {fault: 'mute'}, 'replica-refuses': {fault: 'refuse'}, 'replica-garbles': {fault: 'wrong-id'},
+};
+const oddEntries: readonly unknown[] = [{}, null, 'ready', [1], {service: 'plain', addr: 7, state: 'ready'}, {
+	service: 'plain', addr: '127.0.0.1:99999', slots: 'many', state: 'ready',
+}];
+
+/** A replica that said that it leaves. */
+export type Drain = {readonly replica: ReplicaStandin; readonly at: number};
+
+/** The faults of one soak. */
+export class SoakFaults {
+	/**
+	 * @param installation - Store and replicas.
+	 * @param relays - The relays.
+	 * @param clients - Who sends the request that ends replicas.
+	 * @returns Nothing is wrong yet.
+	 */
+	static create(installation: RelayInstallation, relays: readonly SoakRelay[], clients: SoakClients): SoakFaults {
+		return new SoakFaults(installation, relays, clients);
+	}
+
+	readonly drains: Drain[] = [];
+	/** Monotonic milliseconds of each end of a replica under the request that ends them. */
+	readonly poisonEnds: number[] = [];
+	/** Monotonic milliseconds at which the spare key was taken away. */
+	keyTakenAt: number | undefined;
+	private odd = 0;
+	private isPoisoned = false;
+
+	private constructor(
+		private readonly installation: RelayInstallation,
+		private readonly relays: readonly SoakRelay[],
+		private readonly clients: SoakClients,
+	) {
+		installation.crashOn(poisonMark, () => {
+			this.poisonEnds.push(performance.now());
+		});
+	}
+
+	/** @param plan - Faults in order; ends when the last is healed. */
+	async run(plan: readonly SoakFault[]): Promise<void> {
+		const startedAt = performance.now();
+		const running: Array<Promise<void>> = [];
+		for (const fault of plan) {
+			await pause(Math.max(0, startedAt + fault.at - performance.now()));
+			running.push(this.strike(fault));
+		}
+
+		await Promise.all(running);
+	}
+
+	private async strike(fault: SoakFault): Promise<void> {
+		const relay = this.relays[fault.target % this.relays.length]!;
+		const ids = [...this.installation.replicas.keys()];
+		const id = ids[fault.target % ids.length]!;
+		const {kind, duration} = fault;
+		const [group] = kind.split('-');
+		switch (group) {
+			case 'relay': {
+				await this.strikeRelay(kind, relay, duration);
+				break;
+			}
+
+			case 'store': {
+				await this.strikeStore(kind, relay, duration);
+				break;
+			}
+
+			case 'replica': {
+				await this.strikeReplica(kind, id, duration);
+				break;
+			}
+
+			default: {
+				await this.strikeInput(kind, id, fault);
+			}
+		}
+	}
+
+	private async strikeRelay(kind: SoakFaultKind, relay: SoakRelay, duration: number): Promise<void> {
+		switch (kind) {
+			case 'relay-killed': {
+				await relay.kill();
+				break;
+			}
+
+			case 'relay-stopped': {
+				await relay.stop();
+				break;
+			}
+
+			case 'relay-frozen': {
+				relay.kills.push(performance.now());
+				relay.signal('SIGSTOP');
+				await pause(duration);
+				relay.signal('SIGCONT');
+				break;
+			}
+
+			default: {
+				relay.signal('SIGHUP');
+			}
+		}
+	}
+
+	private async strikeStore(kind: SoakFaultKind, relay: SoakRelay, duration: number): Promise<void> {
+		const {store} = this.installation;
+		const fault = storeFaults[kind];
+		if (fault) {
+			relay.store.fault = fault;
+			await pause(duration);
+			relay.store.fault = {kind: 'none'};
+			return;
+		}
+
+		if (kind === 'store-forgets') {
+			store.forgetHistory();
+			return;
+		}
+
+		store.faults = {...store.faults, ...(kind === 'store-busy' ? {isBusy: true} : {losesAnswers: true})};
+		await pause(duration);
+		store.heal();
+	}
+
+	private async strikeReplica(kind: SoakFaultKind, id: string, duration: number): Promise<void> {
+		const replica = this.installation.replicas.get(id)!;
+		if (!replica.isUp) {
+			return;
+		}
+
+		const conduct = replicaFaults[kind];
+		if (conduct) {
+			replica.behave({...replica.conduct, ...conduct});
+			await pause(duration);
+			replica.behave({});
+			return;
+		}
+
+		if (kind === 'replica-drains') {
+			this.installation.list(id, {state: 'draining', seq: 9});
+			this.drains.push({replica, at: performance.now()});
+			await pause(drainTime + duration);
+		}
+
+		if (replica.isUp && this.installation.replicas.get(id) === replica) {
+			await this.installation.end(id);
+		}
+	}
+
+	private async strikeInput(kind: SoakFaultKind, id: string, {duration, target}: SoakFault): Promise<void> {
+		const {installation} = this;
+		switch (kind) {
+			case 'entry-odd': {
+				this.odd++;
+				const name = `odd-${this.odd}`;
+				installation.store.put(replicaKind, name, oddEntries[target % oddEntries.length]);
+				await pause(duration);
+				installation.unlist(name);
+				break;
+			}
+
+			case 'entry-spoilt': {
+				await this.spoil(id, duration);
+				break;
+			}
+
+			case 'configuration-bad': {
+				const inForce = installation.store.spec(configurationKind, configurationName) as Readonly<Record<string, unknown>>;
+				installation.store.put(configurationKind, configurationName, {...inForce, version: Number(inForce.version) + 1, routes: 'none'});
+				await pause(duration);
+				this.configure();
+				break;
+			}
+
+			case 'key-taken': {
+				this.keyTakenAt ??= performance.now();
+				this.configure();
+				break;
+			}
+
+			case 'poison': {
+				await this.sendPoison();
+				break;
+			}
+
+			default: {
+				this.configure();
+			}
+		}
+	}
+
+	/** Another writer spoils an entry; its replica writes the same again, unless it has said something else or gone meanwhile. */
+	private async spoil(id: string, duration: number): Promise<void> {
+		const {store} = this.installation;
+		const own = store.spec(replicaKind, id);
+		if (own === undefined) {
+			return;
+		}
+
+		const spoilt = {...own, slots: 'many'};
+		store.put(replicaKind, id, spoilt);
+		await pause(duration);
+		if (store.spec(replicaKind, id) === spoilt) {
+			store.put(replicaKind, id, own);
+		}
+	}
+
+	private configure(): void {
+		this.installation.configure({
+			tenants: [{
+				name: 'basin', api_keys: this.keyTakenAt === undefined ? [testKey, spareKey] : [testKey], unit: 'requests', plain_tokens: 1, rate_per_s: 0, burst: 0,
+			}],
+		});
+	}
+
+	/** One request comes again and again at relays in turn, whatever it is told. */
+	private async sendPoison(): Promise<void> {
+		if (this.isPoisoned) {
+			return;
+		}
+
+		this.isPoisoned = true;
+		const sending = Array.from({length: poisonTries}, async (_, index) => {
+			await pause(index * poisonPause);
+			await this.clients.send('calls', poisonMark, {relay: this.relays[index % this.relays.length]!});
+		});
+		await Promise.all(sending);
+	}
+}
--- /dev/null
+++ b/development/soak/soak-relay.ts
@@ -0,0 +1,143 @@
+/**
+ * A relay of a soak: a process of its own, which reaches the store through a proxy that injects faults.
+ */
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {Child} from '../harness/child.js';
+import {FaultProxy} from '../harness/fault-proxy.js';
+import {freePort} from '../relay/relay-installation.js';
+
+/** Where a relay listens. */
+type Ports = {readonly front: number; readonly ready: number; readonly control: number; readonly metrics: number};
+
+/** What a relay is made of. */
+export type SoakRelayPlan = {
+	readonly name: string;
+	/** Folder of the settings file. */
+	readonly folder: string;
+	readonly storePort: number;
+	/** Addresses of the exchange of other relays. */
+	readonly seeds: readonly string[];
+};
+
+/** Milliseconds that a stop may take. */
+const grace = 4000;
+
+/** The relay. */
+export class SoakRelay {
+	/**
+	 * @param plan - What it is made of.
+	 * @returns The relay, starting.
+	 */
+	static async start(plan: SoakRelayPlan): Promise<SoakRelay> {
+		const [front, ready, control, metrics] = await Promise.all(Array.from({length: 4}, async () => freePort()));
+		const relay = new SoakRelay(plan, {
+			front: front!, ready: ready!, control: control!, metrics: metrics!,
+		}, await FaultProxy.create(plan.storePort));
+		relay.startProcess();
+		return relay;
+	}
+
+	/** Whether it was asked to stop or killed, and has not begun anew; clients that know better than a balancer go elsewhere. */
+	isGoing = false;
+	/** Monotonic milliseconds of the kills: what is cut around them is no fault of the relay. */
+	readonly kills: number[] = [];
+	/** Processes that ended by themselves. */
+	ownEnds = 0;
+	private child: Child | undefined;
+	private starts = 0;
+
+	private constructor(private readonly plan: SoakRelayPlan, private readonly ports: Ports, readonly store: FaultProxy) {}
+
+	/** TCP port of its front. */
+	get port(): number {
+		return this.ports.front;
+	}
+
+	/** Address of its exchange. */
+	get exchange(): string {
+		return `127.0.0.1:${this.ports.control}`;
+	}
+
+	get name(): string {
+		return this.plan.name;
+	}
+
+	/** Lines it has logged in its present life. */
+	get lines(): Child['lines'] {
+		return this.child?.lines ?? [];
+	}
+
+	/** @returns Whether it says that it is ready. */
+	async isReady(): Promise<boolean> {
+		try {
+			const answer = await fetch(`http://127.0.0.1:${this.ports.ready}/api/readyz`, {signal: AbortSignal.timeout(1000)});
+			return answer.status === 200;
+		} catch {
+			return false;
+		}
+	}
+
+	/** Ends it at once and starts it again. */
+	async kill(): Promise<void> {
+		this.isGoing = true;
+		this.kills.push(performance.now());
+		await this.child?.kill();
+		this.startProcess();
+	}
+
+	/** Asks it to stop, waits until it is gone, and starts it again. */
+	async stop(): Promise<void> {
+		if (this.isGoing) {
+			return;
+		}
+
+		this.isGoing = true;
+		this.child?.signal('SIGTERM');
+		await this.child?.exited;
+		this.startProcess();
+	}
+
+	/** @param signal - What it gets, besides ends. */
+	signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+		this.child?.signal(signal);
+	}
+
+	/** Ends it and its proxy. */
+	async close(): Promise<void> {
+		this.isGoing = true;
+		this.child?.signal('SIGCONT');
+		await this.child?.kill();
+		this.store.close();
+	}
+
+	private startProcess(): void {
+		this.starts++;
+		const file = path.join(this.plan.folder, `${this.name}.yaml`);
+		writeFileSync(file, this.settings);
+		const child = Child.start('src/command/main.js', ['relay', '--settings', file]);
+		this.child = child;
+		this.isGoing = false;
+		void child.exited.then(() => {
+			if (this.child === child && !this.isGoing) {
+				this.ownEnds++;
+			}
+		});
+	}
+
+	private get settings(): string {
+		const {name, seeds} = this.plan;
+		const at = (port: number) => `"127.0.0.1:${port}"`;
+		return `
+node: ${name}
+dataCentre: zone-1
+listen: {front: ${at(this.ports.front)}, ready: ${at(this.ports.ready)}, control: ${at(this.ports.control)}}
+metrics: {port: ${this.ports.metrics}}
+seeds: [${seeds.map(seed => `"${seed}"`).join(', ')}]
+isFirstStart: ${String(this.starts === 1)}
+store: {address: ${at(this.store.port)}}
+duties: {address: null, kinds: null}
+bounds: {grace: ${grace / 1000}, revoke: 5000, isRevocationStrict: true, retryRatio: 0.2, retryWindow: 10, retrySlack: 60, lease: 3000, reportWindow: 5, reportDelay: 10}
+`;
+	}
+}
--- /dev/null
+++ b/development/soak/soak.ts
@@ -0,0 +1,106 @@
+/**
+ * One soak: relays as processes, clients that keep their connections, and faults that overlap, drawn from a seed.
+ */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	pause, RelayInstallation, testKey, until,
+} from '../relay/relay-installation.js';
+import {SoakClients, spareKey} from './soak-clients.js';
+import {SoakFaults} from './soak-faults.js';
+import {SoakJudge} from './soak-judge.js';
+import {planSoak, randomOf, type SoakFault} from './soak-plan.js';
+import {SoakRelay} from './soak-relay.js';
+
+/** What a soak is like. */
+export type SoakOptions = {
+	readonly seed: number;
+	/** Milliseconds in which faults begin. */
+	readonly length: number;
+	readonly relays: number;
+};
+
+/** How a soak went. */
+export type SoakReport = {
+	readonly plan: readonly SoakFault[];
+	readonly attempts: number;
+	readonly served: number;
+	/** What was broken; none where all promises were kept. */
+	readonly broken: readonly string[];
+	/** Log lines of the last lives of the relays. */
+	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
+};
+
+const replicaIds = Array.from({length: 6}, (_, index) => `i-${index + 1}`);
+const clientCount = 12;
+const streamEvents = 6;
+/** Milliseconds in which everybody is served again once nothing is wrong any more. */
+const recoverTime = 12_000;
+/** Requests that must be served then, at each relay. */
+const finalRequests = 5;
+
+/**
+ * @param options - Seed, length and size.
+ * @returns How it went.
+ */
+export async function soak({seed, length, relays: count}: SoakOptions): Promise<SoakReport> {
+	const folder = mkdtempSync(path.join(tmpdir(), 'waydrift-soak-'));
+	const installation = await RelayInstallation.start({relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, spareKey]}});
+	installation.setStreamEvents(streamEvents);
+	const relays: SoakRelay[] = [];
+	for (const index of Array.from({length: count}).keys()) {
+		relays.push(await SoakRelay.start({
+			name: `relay-${index + 1}`, folder, storePort: installation.store.port, seeds: relays.map(({exchange}) => exchange),
+		}));
+	}
+
+	try {
+		await untilReady(relays);
+		const plan = planSoak(seed, length);
+		const clients = SoakClients.create(installation, relays, randomOf(seed + 1));
+		const faults = SoakFaults.create(installation, relays, clients);
+		await clients.run(clientCount, async () => faults.run(plan));
+		const unserved = await serveAll(clients, relays);
+		const lines = relays.flatMap(relay => relay.lines);
+		const {drains, poisonEnds, keyTakenAt} = faults;
+		const judge = SoakJudge.create({
+			attempts: clients.attempts, replicas: installation.everyReplica, relays, drains, poisonEnds, keyTakenAt, streamEvents, lines,
+		});
+		return {
+			plan, attempts: clients.attempts.length, served: clients.attempts.filter(({status}) => status === 200).length, broken: [...judge.broken, ...unserved], lines,
+		};
+	} finally {
+		await Promise.all(relays.map(async relay => relay.close()));
+		await installation.close();
+		rmSync(folder, {recursive: true});
+	}
+}
+
+async function untilReady(relays: readonly SoakRelay[]): Promise<void> {
+	let isReady = false;
+	await until(() => {
+		void Promise.all(relays.map(async relay => relay.isReady())).then(ready => {
+			isReady = ready.every(Boolean);
+		});
+		return isReady;
+	});
+}
+
+/** With everything healed, each relay serves all within the time to recover. */
+async function serveAll(clients: SoakClients, relays: readonly SoakRelay[]): Promise<readonly string[]> {
+	const endsAt = performance.now() + recoverTime;
+	for (;;) {
+		const views = await Promise.all(relays.flatMap(relay => Array.from({length: finalRequests}, async (_, index) => clients.send('calls', `final ${index}`, {relay}))));
+		const unserved = views.filter(({status}) => status !== 200);
+		if (unserved.length === 0) {
+			return [];
+		}
+
+		if (performance.now() > endsAt) {
+			return unserved.map(({relay, status, body}) => `${relay.name} does not serve again: ${status} ${body.slice(0, 120)}`);
+		}
+
+		await pause(500);
+	}
+}
