Dispatch: three tries in a row that were cut without bringing anything are enough

A call of the product's own interface was tried at up to ten upstreams, whatever ended them. Ruled out: streams that go on at each upstream count no cut, so that they are moved as often as they must (suite streams passes). Change: a bound of three; counted in each run. After: dispatch-outcome.test.ts; daemon (25), door (8), fuzz (6) tests pass. Nobody remembers such a call for the next one: open.

--- a/src/dispatch/chat-run.ts
+++ b/src/dispatch/chat-run.ts
@@ -46,6 +46,9 @@
 	}
 
 	private tries = 0;
+	/** Tries in a row that were cut without bringing anything, and where the last one began. */
+	private fruitlessCuts = 0;
+	private triedFrom = 0;
 	private moveCause: MoveCause | undefined;
 	/** The engine that computed what the caller has. */
 	private source: EngineLink | undefined;
@@ -112,6 +115,7 @@
 				const link = yield * this.chooseEngine();
 				yield * this.bringCache(link);
 				this.tries++;
+				this.triedFrom = this.record.position;
 				const outcome = yield * this.attempt(link);
 				if (outcome._tag === 'Finished') {
 					return;
@@ -203,12 +207,14 @@
 	}
 
 	private afterFailure(link: EngineLink, failure: UpstreamFailure): Effect.Effect<void, Refusal> {
+		this.fruitlessCuts = failure.reason === 'cut' && this.record.position === this.triedFrom ? this.fruitlessCuts + 1 : 0;
 		const refusal = judgeFailure(this.services, {
 			failure,
 			upstream: link.state,
 			isRepeatable: this.plan.row.repeatable,
 			hasBegun: this.record.position > 0,
 			tries: this.tries,
+			fruitlessCuts: this.fruitlessCuts,
 			pool: this.plan.service.pool,
 		});
 		if (refusal) {
--- a/src/dispatch/dispatch-outcome.ts
+++ b/src/dispatch/dispatch-outcome.ts
@@ -12,6 +12,11 @@
 
 /** Tries of one request at most, whatever else would allow more. */
 const mostTries = 10;
+/**
+ * Tries in a row that were cut without bringing anything, at most: a request that ends whatever runs it would else end ten upstreams a
+ * call, since the same request is the next one's too.
+ */
+const mostFruitlessCuts = 3;
 const firstBackoff = 20;
 const longestBackoff = 1000;
 /** Milliseconds a caller is asked to stay away at most. */
@@ -64,6 +69,8 @@
 	/** Whether its caller has part of the answer already. */
 	readonly hasBegun: boolean;
 	readonly tries: number;
+	/** Tries in a row, this one too, that were cut without bringing anything. */
+	readonly fruitlessCuts: number;
 };
 
 /**
@@ -104,7 +111,7 @@
 }
 
 /** What forbids another try; `undefined` where nothing does. */
-function denialOf({gates}: DispatchServices, {failure, isRepeatable, hasBegun, tries, pool}: FailedAttempt) {
+function denialOf({gates}: DispatchServices, {failure, isRepeatable, hasBegun, tries, fruitlessCuts, pool}: FailedAttempt) {
 	if (failure.verdict === 'may-have-run' && !isRepeatable) {
 		return 'not-repeatable';
 	}
@@ -117,6 +124,10 @@
 		return 'tries';
 	}
 
+	if (fruitlessCuts >= mostFruitlessCuts) {
+		return 'cuts';
+	}
+
 	// An upstream that is leaving has done nothing, and a stream that has begun was paid for when it was admitted.
 	if (failure.reason === 'leaving' || hasBegun) {
 		return undefined;
--- a/src/dispatch/service-run.ts
+++ b/src/dispatch/service-run.ts
@@ -57,6 +57,7 @@
 	}
 
 	private tries = 0;
+	private fruitlessCuts = 0;
 
 	private constructor(private readonly services: DispatchServices, private readonly plan: ServicePlan) {}
 
@@ -137,12 +138,14 @@
 
 	/** @returns Nothing, to try again. */
 	private afterFailure(link: ServiceLink, failure: UpstreamFailure): Effect.Effect<undefined, Refusal> {
+		this.fruitlessCuts = failure.reason === 'cut' ? this.fruitlessCuts + 1 : 0;
 		const refusal = judgeFailure(this.services, {
 			failure,
 			upstream: link.state,
 			isRepeatable: this.plan.row.repeatable,
 			hasBegun: false,
 			tries: this.tries,
+			fruitlessCuts: this.fruitlessCuts,
 			pool: this.plan.service.pool,
 		});
 		if (refusal) {
