--- a/development/soak/soak-relay.ts
+++ b/development/soak/soak-relay.ts
@@ -45,6 +45,7 @@
 	/** Processes that ended by themselves. */
 	ownEnds = 0;
 	private child: Child | undefined;
+	private earlierLines: Child['lines'] = [];
 	private starts = 0;
 
 	private constructor(private readonly plan: SoakRelayPlan, private readonly ports: Ports, readonly store: FaultProxy) {}
@@ -63,9 +64,9 @@
 		return this.plan.name;
 	}
 
-	/** Lines it has logged in its present life. */
+	/** Lines it has logged in all its lives. */
 	get lines(): Child['lines'] {
-		return this.child?.lines ?? [];
+		return [...this.earlierLines, ...this.child?.lines ?? []];
 	}
 
 	/** @returns Whether it says that it is ready. */
@@ -115,6 +116,7 @@
 		this.starts++;
 		const file = path.join(this.plan.folder, `${this.name}.yaml`);
 		writeFileSync(file, this.settings);
+		this.earlierLines = this.lines;
 		const child = Child.start('src/command/main.js', ['relay', '--settings', file]);
 		this.child = child;
 		this.isGoing = false;
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -28,7 +28,7 @@
 	readonly served: number;
 	/** What was broken; none where all promises were kept. */
 	readonly broken: readonly string[];
-	/** Log lines of the last lives of the relays. */
+	/** Log lines of all lives of the relays. */
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 };
 
--- a/src/node/control-listeners.ts
+++ b/src/node/control-listeners.ts
@@ -30,14 +30,18 @@
 export function listen(server: Server, {host, port}: Address): Effect.Effect<void, never, Scope.Scope> {
 	const once = Effect.callback<void, Error>(resume => {
 		const fail = (error: Error) => {
+			server.off('listening', succeed);
 			resume(Effect.fail(error));
 		};
 
-		server.once('error', fail);
-		server.listen({host, port, backlog: 1024}, () => {
+		const succeed = () => {
 			server.off('error', fail);
 			resume(Effect.void);
-		});
+		};
+
+		server.once('error', fail);
+		server.once('listening', succeed);
+		server.listen({host, port, backlog: 1024});
 	});
 	const retried: Effect.Effect<void> = once.pipe(Effect.catch(() => Effect.sleep(listenPause).pipe(Effect.andThen(Effect.suspend(() => retried)))));
 	return Effect.acquireRelease(retried, () => Effect.sync(() => {
