A reload that comes while the program is being loaded ends nothing

The relay ended by itself and was gone. Change: daemons listen for it before they load anything; the settings are read afterwards anyway. Ruled out in the soak itself: two processes of one relay (a kill during a stop), replicas that stayed mute after they had started again; both mended. Before: relay-process.test.ts with the relay's modules held back fails without the change.

--- a/development/harness/child.ts
+++ b/development/harness/child.ts
@@ -3,6 +3,8 @@
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
+import {constants} from 'node:os';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
@@ -88,6 +90,21 @@
 		}
 	}
 
+	/**
+	 * @param signal - A signal.
+	 * @returns Whether the process catches it by now, by what Linux tells of it.
+	 */
+	hasListenerFor(signal: NodeJS.Signals): boolean {
+		try {
+			const caught = /^SigCgt:\s*(?<mask>[\da-f]+)$/mv.exec(readFileSync(`/proc/${this.pid}/status`, 'utf8'))?.groups?.mask ?? '0';
+			const bit = constants.signals[signal] - 1;
+			return Number.parseInt(caught.at(-1 - Math.floor(bit / 4)) ?? '0', 16) % (2 ** ((bit % 4) + 1)) >= 2 ** (bit % 4);
+		} catch {
+			// It has ended.
+			return false;
+		}
+	}
+
 	/** Ends it at once. */
 	async kill(): Promise<void> {
 		this.signal('SIGKILL');
--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -315,11 +315,11 @@
 	}
 
 	private async restart(id: string): Promise<void> {
-		const {conduct} = this.replicas.get(id)!;
 		await pause(lapseDelay);
 		this.unlist(id);
 		await pause(restartDelay - lapseDelay);
 		if (!this.isClosing) {
+			const {conduct} = this.replicas.get(id)!;
 			const replica = await this.addReplica(id);
 			replica.behave(conduct);
 		}
--- a/development/soak/soak-faults.ts
+++ b/development/soak/soak-faults.ts
@@ -121,7 +121,7 @@
 			}
 
 			default: {
-				relay.signal('SIGHUP');
+				relay.reload();
 			}
 		}
 	}
@@ -156,7 +156,8 @@
 		if (conduct) {
 			replica.behave({...replica.conduct, ...conduct});
 			await pause(duration);
-			replica.behave({});
+			// It may have started again meanwhile.
+			this.installation.replicas.get(id)!.behave({});
 			return;
 		}
 
--- a/development/soak/soak-relay.ts
+++ b/development/soak/soak-relay.ts
@@ -79,12 +79,15 @@
 		}
 	}
 
-	/** Ends it at once and starts it again. */
+	/** Ends it at once and starts it again; one that is being stopped is started by whoever stops it. */
 	async kill(): Promise<void> {
+		const isStopped = this.isGoing;
 		this.isGoing = true;
 		this.kills.push(performance.now());
 		await this.child?.kill();
-		this.startProcess();
+		if (!isStopped) {
+			this.startProcess();
+		}
 	}
 
 	/** Asks it to stop, waits until it is gone, and starts it again. */
@@ -100,10 +103,17 @@
 	}
 
 	/** @param signal - What it gets, besides ends. */
-	signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+	signal(signal: 'SIGSTOP' | 'SIGCONT'): void {
 		this.child?.signal(signal);
 	}
 
+	/** Has it read its settings anew, unless Node has not come to run it yet: nothing can catch the signal before. */
+	reload(): void {
+		if (this.child?.hasListenerFor('SIGHUP')) {
+			this.child.signal('SIGHUP');
+		}
+	}
+
 	/** Ends it and its proxy. */
 	async close(): Promise<void> {
 		this.isGoing = true;
--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -4,11 +4,26 @@
 import process from 'node:process';
 import {version} from './version.js';
 
+/** Programs that run on and read their settings anew when they are told to. */
+const daemons: ReadonlySet<string | undefined> = new Set(['relay', 'serve']);
+
+/**
+ * Without a listener Node ends a process that is told to read its settings anew while it still loads, some 0.4 s on a busy
+ * machine; what it loads reads them afterwards.
+ */
+const outliveReloads = (): void => {
+	process.on('SIGHUP', () => undefined);
+};
+
 /**
  * Each command line is loaded by itself: a relay that is killed is missed until it has loaded what it needs, and the
  * operators' commands are not that.
  */
 const run = async (words: readonly string[]): Promise<number> => {
+	if (daemons.has(words[0])) {
+		outliveReloads();
+	}
+
 	if (words.length === 1 && words[0] === 'relay') {
 		const {relay} = await import('./relay-command.js');
 		return relay(undefined);
--- a/src/command/test/relay-process.test.ts
+++ b/src/command/test/relay-process.test.ts
@@ -116,3 +116,27 @@
 	await child!.exited;
 	assert.equal(linesOf('relayStopped').length, 1, 'it ends by itself when asked to');
 });
+
+/** Holds the relay's own modules back, as a busy machine does. */
+const loadTime = 1500;
+const slowLoading = `export async function resolve(specifier, context, next) {
+	if (specifier.endsWith('relay-command.js')) {
+		await new Promise(resume => setTimeout(resume, ${loadTime}));
+	}
+
+	return next(specifier, context);
+}`;
+const asModule = (code: string): string => `data:text/javascript,${encodeURIComponent(code)}`;
+
+test('SIGHUP while the program is still being loaded ends nothing', async () => {
+	const ports = await portsOf();
+	write(settingsText(ports, await freePort()));
+	const registers = asModule(`import {register} from 'node:module'; register(${JSON.stringify(asModule(slowLoading))});`);
+	child = Child.start('src/command/main.js', ['relay', '--settings', file()], ['--import', registers]);
+	// Node itself catches nothing until it runs the program.
+	await until(() => child!.hasListenerFor('SIGHUP'), loadTime);
+	assert.equal(child.lines.length, 0, 'nothing has begun yet');
+	child.signal('SIGHUP');
+	await child.line(({eventName}) => eventName === 'relayStarted');
+	assert.equal(child.isEnded, false);
+});
