--- a/development/soak/soak-plan.ts
+++ b/development/soak/soak-plan.ts
@@ -2,6 +2,8 @@
  * What goes wrong in one soak, and when: drawn from a seed alone. Faults overlap.
  */
 
+import {randomOf} from '../harness/seeded-random.js';
+
 /** A fault, whom it strikes, and for how long. */
 export type SoakFault = {
 	/** Milliseconds from the start of the load. */
@@ -46,22 +48,6 @@
 /** Milliseconds between two faults, on average. */
 const faultPause = 350;
 
-/**
- * @param seed - Draws everything.
- * @returns Numbers from 0 to 1, the same for each seed (Mulberry32).
- */
-export function randomOf(seed: number): () => number {
-	let state = seed;
-	return () => {
-		/* eslint-disable no-bitwise -- a generator works on bits */
-		state = (state + 0x6D_2B_79_F5) >>> 0;
-		let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-		mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
-		return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-		/* eslint-enable no-bitwise */
-	};
-}
-
 /**
  * @param seed - Draws everything.
  * @param length - Milliseconds in which faults begin.
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -7,10 +7,11 @@
 import {
 	pause, RelayInstallation, testKey, until,
 } from '../relay/relay-installation.js';
+import {randomOf} from '../harness/seeded-random.js';
 import {SoakClients, spareKey} from './soak-clients.js';
 import {SoakFaults} from './soak-faults.js';
 import {SoakJudge} from './soak-judge.js';
-import {planSoak, randomOf, type SoakFault} from './soak-plan.js';
+import {planSoak, type SoakFault} from './soak-plan.js';
 import {SoakRelay} from './soak-relay.js';
 
 /** What a soak is like. */
--- a/src/quarantine/test/quarantine-model.test.ts
+++ b/src/quarantine/test/quarantine-model.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {randomOf} from '../../../development/harness/seeded-random.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import {hashText} from '../../base/rendezvous.js';
@@ -26,19 +27,6 @@
 type Run = {readonly client: Client; readonly box: Box; readonly start: string; readonly beganAt: number; readonly isRetry: boolean; readonly leave: () => void};
 type Shape = {readonly boxes: number; readonly replicas: number; readonly clients: number; readonly poisons: number; readonly otherEndsEvery: number};
 
-/** Mulberry32. */
-function randomOf(seed: number): () => number {
-	let state = seed;
-	return () => {
-		/* eslint-disable no-bitwise -- a generator works on bits */
-		state = (state + 0x6D_2B_79_F5) >>> 0;
-		let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-		mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
-		return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-		/* eslint-enable no-bitwise */
-	};
-}
-
 /** A fleet in virtual time: boxes tell each other what they saw, datagrams are lost, replicas end and start again. */
 class Fleet {
 	readonly clients: readonly Client[];
--- a/src/settings/test/relay-settings.test.ts
+++ b/src/settings/test/relay-settings.test.ts
@@ -26,3 +26,15 @@
 	assert.deepEqual(limitsOf(''), {});
 	assert.ok(Array.isArray(limitsOf('limits: {processorShare: many, processorSpeed: 1, link: 1}')), 'a fault is told');
 });
+
+test('what an operator releases from the quarantine is read, and nothing is where nothing is said', () => {
+	const releasedOf = (part: string) => {
+		const decoded = decodeRelaySettings(text(part));
+		return Result.isSuccess(decoded) ? decoded.success.released : decoded.failure;
+	};
+
+	assert.deepEqual(releasedOf('quarantine: {released: ["AbC-_1234567"]}'), ['AbC-_1234567']);
+	assert.deepEqual(releasedOf('quarantine: {released: null}'), []);
+	assert.deepEqual(releasedOf(''), []);
+	assert.match(JSON.stringify(releasedOf('quarantine: {released: [7]}')), /quarantine\.released\.0/v);
+});
