--- a/src/command/test/relay-process.test.ts
+++ b/src/command/test/relay-process.test.ts
@@ -117,11 +117,11 @@
 	assert.equal(linesOf('relayStopped').length, 1, 'it ends by itself when asked to');
 });
 
-/** Holds the relay's own modules back, as a busy machine does. */
-const loadTime = 1500;
-const slowLoading = `export async function resolve(specifier, context, next) {
-	if (specifier.endsWith('relay-command.js')) {
-		await new Promise(resume => setTimeout(resume, ${loadTime}));
+/** Holds the relay's own modules back, as a busy machine does, until a file is there. */
+const heldLoading = (release: string): string => `import {existsSync} from 'node:fs';
+export async function resolve(specifier, context, next) {
+	while (specifier.endsWith('relay-command.js') && !existsSync(${JSON.stringify(release)})) {
+		await new Promise(resume => setTimeout(resume, 10));
 	}
 
 	return next(specifier, context);
@@ -131,12 +131,14 @@
 test('SIGHUP while the program is still being loaded ends nothing', async () => {
 	const ports = await portsOf();
 	write(settingsText(ports, await freePort()));
-	const registers = asModule(`import {register} from 'node:module'; register(${JSON.stringify(asModule(slowLoading))});`);
+	const release = path.join(folder, 'loaded');
+	const registers = asModule(`import {register} from 'node:module'; register(${JSON.stringify(asModule(heldLoading(release)))});`);
 	child = Child.start('src/command/main.js', ['relay', '--settings', file()], ['--import', registers]);
 	// Node itself catches nothing until it runs the program.
-	await until(() => child!.hasListenerFor('SIGHUP'), loadTime);
+	await until(() => child!.hasListenerFor('SIGHUP'));
 	assert.equal(child.lines.length, 0, 'nothing has begun yet');
 	child.signal('SIGHUP');
+	writeFileSync(release, '');
 	await child.line(({eventName}) => eventName === 'relayStarted');
 	assert.equal(child.isEnded, false);
 });
