Sight: what a client has of a stream, what runs ended inside of, and events that are not the next one

Change: the line of a request has events, lastEvent, resumedBehind, heldBack and misfits; two counters. Events that are not the next one are counted only and passed on as before: no decision changes.

--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -38,6 +38,14 @@
 		name: 'waydrift_relay_retries_denied_total', help: 'Requests not sent again, by what forbade it.', labelNames: ['because'], registers: [this.registry],
 	});
 
+	readonly streamsEndedInside = new Counter({
+		name: 'waydrift_relay_streams_ended_inside_event_total', help: 'Runs of a stream that ended inside an event.', registers: [this.registry],
+	});
+
+	readonly eventMisfits = new Counter({
+		name: 'waydrift_relay_event_misfits_total', help: 'Events of a stream that were not the next one, by reason.', labelNames: ['reason'], registers: [this.registry],
+	});
+
 	readonly firstByte = new Histogram({
 		name: 'waydrift_relay_first_byte_seconds', help: 'Seconds to the first byte of an answer.', labelNames: ['kind'], buckets: secondBuckets, registers: [this.registry],
 	});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -3,6 +3,7 @@
  * allowed.
  */
 import * as Effect from 'effect/Effect';
+import type {EventFields} from '../base/event-log.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
 import type {Connection} from '../replicas/replica-connections.js';
@@ -90,10 +91,17 @@
 				method: request.incoming.method ?? 'GET', target: request.incoming.url ?? '/', clientAccount: request.clientAccount?.name, body: request.body,
 			}),
 		});
-		this.passage = StreamPassage.create(client, services.format);
+		this.passage = StreamPassage.create({
+			client, format: services.format, metrics: services.metrics, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
+		});
 		this.choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
 	}
 
+	/** What became of a stream, for the line of its request. */
+	get streamFields(): EventFields {
+		return this.passage.fields;
+	}
+
 	/** Whether the request may have run, as far as this run knows. */
 	get verdict(): Verdict {
 		return this.story.runs > 0 ? 'may-have-run' : 'not-run';
--- a/src/relay/request-story.ts
+++ b/src/relay/request-story.ts
@@ -128,6 +128,7 @@
 				replica: run.story.replica,
 				tries: run.story.tries,
 				failures: run.story.failures === '' ? undefined : run.story.failures,
+				...run.streamFields,
 				fingerprint: run.suspicion.told,
 				standing: run.suspicion.standing === 'sound' ? undefined : run.suspicion.standing,
 			}
--- a/src/upstream/event-splitter.ts
+++ b/src/upstream/event-splitter.ts
@@ -17,6 +17,11 @@
 		// Made by create().
 	}
 
+	/** Length of what is not yet a whole event. */
+	get heldBack(): number {
+		return this.rest.length;
+	}
+
 	/**
 	 * @param chunk - The next piece of the stream.
 	 * @returns The events that are whole now, each with its closing blank line.
