Streams: whole events that come next are passed on, and nothing else

Cause: EventSplitter took a piece of one character that came while nothing was held back for a whole event, since the position of a blank line that is not there (-1) was equal to the length less two. So one byte of a run that ended inside an event reached the client, and the next run's event came behind it, without an id; where each event came with its first byte by itself the id of the last event was not seen either, and the next run began anew. Beside it: an answer without a length whose connection closed inside an event was ended as whole; nothing looked at the number of an event; bytes that are no text were replaced on their way. The class: a part taken for the whole. Ruled out: bytes of two answers on one connection (ids and framing are checked; no run shows it). Change: a blank line that is not found ends no event; a stream's bytes are cut as bytes; an answer is whole only if nothing of an event is left; an event is passed on if it has the number after the last one that the client has (by its own Last-Event-Id too), else the run counts as garbled and the stream goes on elsewhere or is cut; comments pass; an event over 1 MiB is given up. What is begun, counted and answered begins with a whole event. New: a property over every split, bytes that are no text, less than an event, comments, what comes behind a misfit.

--- a/development/bench/main.ts
+++ b/development/bench/main.ts
@@ -1,14 +1,15 @@
 /**
- * Measurements: `npm run bench -- relay`, `capacity`, `leaving`, `exchange`.
+ * Measurements: `npm run bench -- relay`, `capacity`, `leaving`, `exchange`, `streams`.
  */
 import process from 'node:process';
 import {benchCapacity} from './capacity.js';
 import {benchExchange} from './exchange.js';
 import {benchLeaving} from './leaving.js';
 import {benchRelay} from './relay.js';
+import {benchStreams} from './streams.js';
 
 const benches: Readonly<Record<string, () => Promise<void>>> = {
-	relay: benchRelay, capacity: benchCapacity, leaving: benchLeaving, exchange: benchExchange,
+	relay: benchRelay, capacity: benchCapacity, leaving: benchLeaving, exchange: benchExchange, streams: benchStreams,
 };
 const name = process.argv[2] ?? '';
 const bench = benches[name];
--- /dev/null
+++ b/development/bench/streams.ts
@@ -0,0 +1,118 @@
+/**
+ * What a relay spends on an event of a stream, from the replica's bytes to the client's: `npm run bench -- streams`.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer, request, type IncomingMessage, type Server,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import process from 'node:process';
+import * as Effect from 'effect/Effect';
+import {PlatformRelayFormat} from '../../platform/relay-format.js';
+import {ClientAnswer} from '../../src/relay/client-answer.js';
+import {RelayMetrics} from '../../src/relay/relay-metrics.js';
+import {StreamPassage} from '../../src/relay/stream-passage.js';
+
+const eventsPerStream = 64;
+const streamsAtOnce = 50;
+const warmUpRounds = 10;
+const rounds = 40;
+/** A usual event: some words of an answer. */
+const dataBytes = 48;
+const head = {
+	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined,
+};
+
+const textOf = (event: number): string => `id: ${event}\ndata: ${'w'.repeat(dataBytes)}\n\n`;
+
+/** In what pieces a stream's bytes come. */
+const shapes: Readonly<Record<string, (bytes: Uint8Array) => readonly Uint8Array[]>> = {
+	'an event a piece': bytes => [bytes],
+	'an event in two pieces': bytes => [bytes.subarray(0, 5), bytes.subarray(5)],
+	'an event byte by byte': bytes => Array.from(bytes, (_, index) => bytes.subarray(index, index + 1)),
+};
+
+/** A client's connection whose bytes nobody reads: what is measured is the relay's own work. */
+class NobodyReads {
+	headersSent = false;
+	writableNeedDrain = false;
+
+	writeHead(): void {
+		this.headersSent = true;
+	}
+
+	write(): boolean {
+		return true;
+	}
+
+	end(): void {
+		// Nothing to end.
+	}
+}
+
+/** An answer whose bytes are pushed by hand. */
+async function openMessage(server: Server): Promise<IncomingMessage> {
+	const outgoing = request({host: '127.0.0.1', port: (server.address() as AddressInfo).port, agent: false});
+	outgoing.end();
+	const [message] = await once(outgoing, 'response') as [IncomingMessage];
+	message.on('error', () => undefined);
+	return message;
+}
+
+async function passStreams(server: Server, pieces: readonly Uint8Array[]): Promise<number> {
+	const metrics = RelayMetrics.create();
+	const messages = await Promise.all(Array.from({length: streamsAtOnce}, async () => openMessage(server)));
+	const passages = messages.map(message => {
+		const passage = StreamPassage.create({
+			client: ClientAnswer.create(new NobodyReads() as never, () => false), format: PlatformRelayFormat.create(), metrics, lastEventId: undefined,
+		});
+		const answer = {
+			message, status: 200, isWhole: () => true, head, abandon: () => undefined,
+		};
+		return {passage, passing: Effect.runPromise(passage.pass(answer, {onFirstEvent: () => undefined, onHeard: () => undefined}))};
+	});
+	const texts = pieces.map(piece => Buffer.from(piece).toString('latin1'));
+	const before = process.cpuUsage();
+	for (const message of messages) {
+		for (const text of texts) {
+			message.emit('data', text);
+		}
+	}
+
+	const {user, system} = process.cpuUsage(before);
+	for (const message of messages) {
+		message.emit('end');
+		message.destroy();
+	}
+
+	await Promise.all(passages.map(async ({passing}) => passing));
+	if (passages.some(({passage}) => passage.fields.events !== eventsPerStream)) {
+		throw new Error('not every event was passed on, each once');
+	}
+
+	return user + system;
+}
+
+/** Prints a row for each shape. */
+export async function benchStreams(): Promise<void> {
+	const server = createServer((_, response) => {
+		response.writeHead(200).flushHeaders();
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	process.stdout.write('| Pieces | Processor time an event |\n| --- | --- |\n');
+	for (const [name, shape] of Object.entries(shapes)) {
+		const pieces = Array.from({length: eventsPerStream}, (_, index) => shape(Buffer.from(textOf(index + 1)))).flat();
+		let spent = 0;
+		for (let round = 0; round < warmUpRounds + rounds; round++) {
+			const took = await passStreams(server, pieces);
+			spent += round < warmUpRounds ? 0 : took;
+		}
+
+		process.stdout.write(`| ${name} | ${(spent / rounds / streamsAtOnce / eventsPerStream).toFixed(2)} µs |\n`);
+	}
+
+	server.closeAllConnections();
+	server.close();
+}
--- a/src/relay/client-answer.ts
+++ b/src/relay/client-answer.ts
@@ -46,10 +46,13 @@
 		this.response.writeHead(status, this.isClosing() ? [...headers, 'Connection', 'close'] : [...headers]);
 	}
 
-	/** @param data - The next bytes of the body. */
-	write(data: string): void {
+	/**
+	 * @param data - The next bytes of the body.
+	 * @param encoding - How characters stand for bytes: one for one.
+	 */
+	write(data: string, encoding: 'latin1'): void {
 		this.bytes += data.length;
-		this.response.write(data);
+		this.response.write(data, encoding);
 	}
 
 	/** @param listener - Called when the client has read what was sent. */
--- a/src/relay/event-sequence.ts
+++ b/src/relay/event-sequence.ts
@@ -8,6 +8,7 @@
 /** Fifteen digits are exact as a number. */
 const wholeNumber = /^\d{1,15}$/v;
 
+/** @returns The number that an id is; `undefined` where it is none. */
 const numberOf = (id: string | undefined): number | undefined => id !== undefined && wholeNumber.test(id) ? Number(id) : undefined;
 
 /** What a client has of a stream. */
@@ -17,14 +18,16 @@
 	 * @returns A sequence in which that event came last. Without one the first event may bear any number.
 	 */
 	static create(lastEventId?: string): EventSequence {
-		return new EventSequence(numberOf(lastEventId));
+		return new EventSequence(lastEventId);
 	}
 
-	private constructor(private last: number | undefined) {}
+	/** Id of the last event that the client has; `undefined` where it has none. */
+	lastEventId: string | undefined;
+	/** Events that were taken. */
+	taken = 0;
 
-	/** Id of the last event that the client has. */
-	get lastEventId(): string | undefined {
-		return this.last?.toString();
+	private constructor(lastEventId: string | undefined) {
+		this.lastEventId = numberOf(lastEventId) === undefined ? undefined : lastEventId;
 	}
 
 	/**
@@ -39,12 +42,14 @@
 			return 'unnumbered';
 		}
 
-		const next = this.last === undefined ? number : this.last + 1;
+		const last = numberOf(this.lastEventId);
+		const next = last === undefined ? number : last + 1;
 		if (number !== next) {
 			return number < next ? 'behind' : 'ahead';
 		}
 
-		this.last = number;
+		this.lastEventId = id;
+		this.taken++;
 		return undefined;
 	}
 }
--- a/src/relay/replica-exchange.ts
+++ b/src/relay/replica-exchange.ts
@@ -24,6 +24,8 @@
 	readonly message: IncomingMessage;
 	/** @returns Whether all of the answer has come; false where its connection was reset, whatever its framing says. */
 	readonly isWhole: () => boolean;
+	/** Ends the connection of an answer that is not read on. */
+	readonly abandon: () => void;
 	readonly head: AnswerHead;
 	readonly status: number;
 };
@@ -91,7 +93,9 @@
 			isSettled = true;
 			opened = answer;
 			resume(Effect.succeed({
-				message: answer, head, status: answer.statusCode ?? 0, isWhole: () => answer.complete && !isBroken,
+				message: answer, head, status: answer.statusCode ?? 0, isWhole: () => answer.complete && !isBroken, abandon() {
+					abandon(socket);
+				},
 			}));
 		});
 		message.end(outgoing.body);
--- /dev/null
+++ b/src/relay/test/stream-passage.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {PassThrough} from 'node:stream';
+import {test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {PlatformRelayFormat} from '../../../platform/relay-format.js';
+import type {AttemptFailure} from '../attempt-failure.js';
+import {ClientAnswer} from '../client-answer.js';
+import {RelayMetrics} from '../relay-metrics.js';
+import {StreamPassage} from '../stream-passage.js';
+
+const head = {
+	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined,
+};
+
+/** A client's connection that keeps what it is sent. */
+class Connection {
+	headersSent = false;
+	hasEnded = false;
+	writableNeedDrain = false;
+	readonly sent: Uint8Array[] = [];
+
+	writeHead(): void {
+		this.headersSent = true;
+	}
+
+	write(data: string, encoding: BufferEncoding): void {
+		this.sent.push(Buffer.from(data, encoding));
+	}
+
+	end(): void {
+		this.hasEnded = true;
+	}
+
+	get bytes(): Uint8Array {
+		return Buffer.concat(this.sent);
+	}
+}
+
+/** One client's stream, and what is told of it. */
+const startPassage = (lastEventId?: string) => {
+	const connection = new Connection();
+	const passage = StreamPassage.create({
+		client: ClientAnswer.create(connection as unknown as ServerResponse, () => false), format: PlatformRelayFormat.create(), metrics: RelayMetrics.create(), lastEventId,
+	});
+	const told = {firstEvents: 0, abandoned: 0};
+	/** @returns How a run ends that makes these pieces. */
+	const run = async (pieces: ReadonlyArray<string | Uint8Array>): Promise<AttemptFailure | undefined> => {
+		const message = Object.assign(new PassThrough(), {rawHeaders: []});
+		const passing = Effect.runPromise(passage.pass({
+			message: message as unknown as IncomingMessage, head, status: 200, isWhole: () => true, abandon() {
+				told.abandoned++;
+			},
+		}, {
+			onFirstEvent() {
+				told.firstEvents++;
+			},
+			onHeard: () => undefined,
+		}).pipe(Effect.as(undefined), Effect.catchTag('AttemptFailure', failure => Effect.succeed(failure))));
+		for (const piece of pieces) {
+			message.write(piece);
+		}
+
+		message.end();
+		return passing;
+	};
+
+	return {
+		connection, passage, run, told,
+	};
+};
+
+test('bytes of a stream reach the client as the replica made them, also such as are no text', async () => {
+	const {connection, run} = startPassage();
+	const event = Buffer.concat([Buffer.from('id: 1\ndata: ü'), Buffer.from([0xFF, 0xC3, 0x00, 0x80]), Buffer.from('\n\n')]);
+	assert.equal(await run([event.subarray(0, 13), event.subarray(13)]), undefined);
+	assert.deepEqual(Buffer.from(connection.bytes), event);
+});
+
+test('less than an event is no beginning: no head is sent, and no first event is told', async () => {
+	const {connection, run, told} = startPassage();
+	const failure = await run(['i']);
+	assert.deepEqual([failure?.reason, failure?.verdict], ['cut', 'may-have-run']);
+	assert.deepEqual([connection.headersSent, told.firstEvents], [false, 0]);
+});
+
+test('comments keep a connection in use and are passed on, but are no events', async () => {
+	const {connection, run, told} = startPassage();
+	const text = ': still there\n\nid: 1\ndata: a\n\n: and there\n: still\n\nid: 2\ndata: b\n\n';
+	assert.equal(await run([text.slice(0, 15)]), undefined);
+	assert.equal(told.firstEvents, 0);
+	assert.equal(await run([text.slice(15, 40), text.slice(40)]), undefined);
+	assert.deepEqual([Buffer.from(connection.bytes).toString(), told.firstEvents], [text, 1]);
+});
+
+test('what comes behind an event that does not fit is not passed on either, though it would fit', async () => {
+	const {connection, passage, run, told} = startPassage();
+	const failure = await run(['id: 4\n\nid: 5\n\nid: 5\n\nid: 6\n\n', 'id: 7\n\n']);
+	assert.deepEqual([failure?.reason, failure?.verdict], ['garbled', 'may-have-run']);
+	assert.deepEqual([Buffer.from(connection.bytes).toString(), passage.lastEventId, told.abandoned], ['id: 4\n\nid: 5\n\n', '5', 1]);
+	assert.equal(connection.hasEnded, false);
+});
+
+test('a client that has an event from before gets the next one first', async () => {
+	const fitting = startPassage('7');
+	assert.equal(await fitting.run(['id: 8\n\n']), undefined);
+	const anew = startPassage('7');
+	assert.equal((await anew.run(['id: 1\n\n']))?.reason, 'garbled');
+	assert.equal(anew.connection.headersSent, false);
+});
--- a/src/upstream/event-splitter.ts
+++ b/src/upstream/event-splitter.ts
@@ -1,8 +1,18 @@
 /**
- * Cuts a stream of text into whole server-sent events.
+ * Cuts a stream of text into whole server-sent events, however its bytes arrive.
  */
 
 const boundary = '\n\n';
+const lineEnd = '\n';
+/** Characters of one event at most. A sender that never ends one would otherwise fill the memory. */
+const largestEvent = 1_048_576;
+const comment = /^(?:(?::.*)?\n)+$/v;
+
+/**
+ * @param event - What stands before a blank line, with it.
+ * @returns Whether it is no event but only comments, with which a sender keeps a connection in use.
+ */
+export const isComment = (event: string): boolean => comment.test(event);
 
 /** Keeps what is not yet a whole event. */
 export class EventSplitter {
@@ -12,28 +22,44 @@
 	}
 
 	private rest = '';
+	private endsLine = false;
 
 	private constructor() {
 		// Made by create().
 	}
 
-	/** Length of what is not yet a whole event. */
+	/** Characters that have come and are not yet a whole event. */
 	get heldBack(): number {
 		return this.rest.length;
 	}
 
+	/** Whether what is held back is too large to become an event. */
+	get isOverfull(): boolean {
+		return this.rest.length > largestEvent;
+	}
+
 	/**
-	 * @param chunk - The next piece of the stream.
+	 * @param chunk - The next piece of the stream, of any length.
 	 * @returns The events that are whole now, each with its closing blank line.
 	 */
 	split(chunk: string): readonly string[] {
-		// Mostly a chunk is exactly one event.
-		if (this.rest === '' && chunk.indexOf(boundary) === chunk.length - boundary.length) {
+		const found = chunk.indexOf(boundary);
+		// Mostly a chunk is exactly one event. A position of -1 is no end of one, however short the chunk is.
+		if (this.rest === '' && found !== -1 && found + boundary.length === chunk.length) {
 			return [chunk];
 		}
 
-		const parts = (this.rest + chunk).split(boundary);
+		// The blank line may be cut in two. Where none has come nothing is searched twice: bytes may come one by one.
+		const isEnded = found !== -1 || (this.endsLine && chunk.startsWith(lineEnd));
+		this.rest += chunk;
+		this.endsLine = chunk === '' ? this.endsLine : chunk.endsWith(lineEnd);
+		return isEnded ? this.takeWhole() : [];
+	}
+
+	private takeWhole(): readonly string[] {
+		const parts = this.rest.split(boundary);
 		this.rest = parts.pop() ?? '';
+		this.endsLine = this.rest.endsWith(lineEnd);
 		return parts.map(part => part + boundary);
 	}
 }
--- /dev/null
+++ b/src/upstream/test/event-splitter.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {EventSplitter} from '../event-splitter.js';
+
+const seed = 33;
+const line = fc.string({unit: fc.constantFrom('i', 'd', ':', ' ', '1', 'ü', '€', '\u{1F600}'), maxLength: 6});
+const event = fc.array(line.filter(text => text !== ''), {minLength: 1, maxLength: 3}).map(lines => `${lines.join('\n')}\n\n`);
+
+/** @returns A text cut at the positions. */
+const cutAt = (text: string, positions: readonly number[]): readonly string[] => {
+	const ends = [...positions.map(position => position % (text.length + 1)).sort((left, right) => left - right), text.length];
+	return ends.map((end, index) => text.slice(ends[index - 1] ?? 0, end));
+};
+
+test('the same events come out in whatever pieces a stream comes in, and what is left is told', () => {
+	const property = fc.property(fc.array(event, {maxLength: 5}), line, fc.array(fc.nat(), {maxLength: 12}), (events, part, positions) => {
+		const splitter = EventSplitter.create();
+		const got = cutAt(events.join('') + part, positions).flatMap(piece => splitter.split(piece));
+		assert.deepEqual(got, events);
+		assert.equal(splitter.heldBack, part.length);
+	});
+	fc.assert(property, {seed, numRuns: 2000});
+});
+
+test('the same events come out byte by byte', () => {
+	const splitter = EventSplitter.create();
+	const events = ['id: 1\ndata: a\n\n', 'x\n\n', ': still there\n\n'];
+	assert.deepEqual([...events.join('')].flatMap(character => splitter.split(character)), events);
+	assert.equal(splitter.heldBack, 0);
+});
+
+test('an event without an end is told before it fills the memory', () => {
+	const splitter = EventSplitter.create();
+	const piece = 'x'.repeat(65_536);
+	const pieces = Array.from({length: 16}, () => piece);
+	assert.deepEqual(pieces.flatMap(part => splitter.split(part)), []);
+	assert.equal(splitter.isOverfull, false);
+	splitter.split('x');
+	assert.equal(splitter.isOverfull, true);
+});
