A failure that a replica made goes to the client wherever the next try ends

Cause: the answer of a replica that failed a request was kept for the client only where the next try failed as well. Where the deadline came first, or the next try was refused before it began, the client got a 504, 502 or 503 of ours in its place (seen: 504 for a 500). Change: whatever the refusal, the kept answer is sent, at one place. Tests: relay-serving, one new, which failed before (504).

--- a/src/node/test/relay-serving.test.ts
+++ b/src/node/test/relay-serving.test.ts
@@ -100,6 +100,15 @@
 	assert.deepEqual(views.map(({status}) => status), Array.from({length: 6}, () => 200));
 });
 
+test('a failure that a replica made goes to the client also where the next try brings nothing before the deadline', async () => {
+	first.behave({fault: 'error', delay: 900});
+	second.behave({fault: 'error', delay: 900});
+	const view = await installation.call({path: '/calls/x', headers: {'Deadline-Ms': '1500'}});
+	assert.equal(view.status, 500);
+	assert.match(String(view.headers['server-stamp']), /^stamp-i-/v);
+	assert.equal(runs().length, 2);
+});
+
 const assertOnceWith502 = async (fault: ReplicaConduct['fault']): Promise<void> => {
 	first.behave({fault});
 	second.behave({fault});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -116,6 +116,7 @@
 		const timeLeft = Math.max(0, this.request.deadlineAt - this.services.clock.monotonic());
 		const late = Effect.sleep(timeLeft).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(this.lateness()))));
 		return Effect.raceFirst(this.tryReplicas(), late).pipe(
+			Effect.catchTag('Refusal', refusal => this.sendFailedAnswer(refusal)),
 			Effect.tapError(refusal => Effect.sync(() => {
 				this.notes.noteRefusal(refusal);
 			})),
@@ -125,6 +126,18 @@
 		);
 	}
 
+	/** What a replica said of the request tells the client more than that no other try brought anything. */
+	private sendFailedAnswer(refusal: Refusal): Effect.Effect<void, Refusal> {
+		return Effect.suspend(() => {
+			if (!this.failedAnswer || this.client.hasBegun) {
+				return Effect.fail(refusal);
+			}
+
+			this.failedAnswer();
+			return Effect.void;
+		});
+	}
+
 	private tryReplicas(): Effect.Effect<void, Refusal> {
 		return Effect.gen({self: this}, function * () {
 			this.services.budgets.of(this.request.service).noteRequest();
@@ -142,11 +155,6 @@
 
 				this.noteFailure(replica, failure);
 				const refusal = this.judge(failure);
-				if (refusal && this.failedAnswer && !this.client.hasBegun) {
-					this.failedAnswer();
-					return;
-				}
-
 				if (refusal) {
 					yield * Effect.fail(refusal);
 				}
