--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -6,19 +6,17 @@
 import type {EventFields} from '../base/event-log.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
-import type {Connection} from '../replicas/replica-connections.js';
 import type {ChoiceRequest} from '../replicas/replica-choice.js';
 import type {ServiceDemand} from '../replicas/service-demand.js';
 import {pickTarget} from '../routes/route-table.js';
 import {refusedFor} from './admission.js';
 import type {AdmittedRequest} from './admitted-request.js';
-import {AttemptFailure} from './attempt-failure.js';
+import type {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import {DemandNotes} from './demand-notes.js';
 import type {RelayServices} from './relay-services.js';
-import {
-	abandon, openAnswer, readBody, type OpenAnswer,
-} from './replica-exchange.js';
+import {ReplicaTry, type TryParts} from './replica-try.js';
+import type {RunStory} from './run-story.js';
 import {RunSuspicion} from './run-suspicion.js';
 import {StreamPassage} from './stream-passage.js';
 
@@ -26,29 +24,10 @@
 const mostTries = 4;
 /** Part of the time left below which it makes no sense to try again, in milliseconds. */
 const shortestTry = 30;
-const firstServerError = 500;
 /** Seconds after which a client may come back where replicas are short. */
 const comeBack = 0.5;
 const millisecondsPerSecond = 1000;
 
-/** What became of a request, for its log line. */
-export type RunStory = {
-	tries: number;
-	runs: number;
-	replica: string | undefined;
-	/** Failures of tries in order. */
-	failures: string;
-	firstByteAt: number | undefined;
-};
-
-/** The prompt of one try. */
-type Reading = {
-	/** Tokens that the replica has to read. */
-	readonly tokens: number;
-	/** Called when it has read them. */
-	readonly markRead: () => void;
-};
-
 /** One request on its way. */
 export class RelayRun {
 	/**
@@ -71,9 +50,9 @@
 	private readonly passage: StreamPassage;
 	private readonly tried = new Set<Replica>();
 	private readonly choiceRequest: ChoiceRequest;
+	private readonly parts: TryParts;
 	/** An answer of a replica that failed the request, to be passed on where nothing better comes. */
 	private failedAnswer: (() => void) | undefined;
-	private hasCounted = false;
 	private readonly notes: DemandNotes;
 
 	private constructor(
@@ -95,6 +74,9 @@
 			client, format: services.format, metrics: services.metrics, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
 		});
 		this.choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
+		this.parts = {
+			services, client, passage: this.passage, suspicion: this.suspicion, notes: this.notes, choiceRequest: this.choiceRequest, story: this.story,
+		};
 	}
 
 	/** What became of a stream, for the line of its request. */
@@ -146,9 +128,7 @@
 				yield * this.governAnew();
 				yield * this.passQuarantine();
 				const replica = yield * this.chooseReplica();
-				this.story.tries++;
-				this.story.replica = replica.entry.id;
-				const failure = yield * this.tryReplica(replica).pipe(Effect.as(undefined), Effect.catchTag('AttemptFailure', error => Effect.succeed(error)));
+				const failure = yield * this.tryReplica(replica);
 				if (!failure) {
 					return;
 				}
@@ -241,145 +221,23 @@
 			: Effect.fail(this.refuse('capacity-short', `Replicas of service ${service} are taken by more urgent requests.`, Math.max(comeBack, wait / millisecondsPerSecond)));
 	}
 
-	private tryReplica(replica: Replica): Effect.Effect<void, AttemptFailure> {
-		const tokens = this.services.choice.unreadTokens(replica, this.choiceRequest);
-		let unread = tokens;
-		const markRead = () => {
-			replica.noteRead(unread);
-			unread = 0;
-		};
-
-		const beganAt = this.services.clock.monotonic();
-		let leave = (): void => undefined;
+	/** @returns Why it failed; nothing where the client has its answer. */
+	private tryReplica(replica: Replica): Effect.Effect<AttemptFailure | undefined> {
 		return Effect.suspend(() => {
-			leave = this.suspicion.begin(replica);
-			this.notes.noteChoice(tokens);
+			this.story.tries++;
+			this.story.replica = replica.entry.id;
 			this.tried.add(replica);
-			replica.begin(tokens);
-			return this.connect(replica).pipe(Effect.flatMap(connection => this.send(replica, connection, {tokens, markRead})));
-		}).pipe(Effect.ensuring(Effect.sync(() => {
-			markRead();
-			leave();
-			replica.end();
-			this.notes.noteEnd(beganAt, this.story.firstByteAt);
-		})));
-	}
-
-	private connect(replica: Replica): Effect.Effect<Connection, AttemptFailure> {
-		const {connections} = this.services;
-		return connections.of(replica).acquire(this.request.route.kind !== 'repeatable')
-			.pipe(Effect.mapError(({detail}) => AttemptFailure.notRun('unreachable', detail)));
-	}
-
-	/** Everything that decides is looked at again here: the connection may have taken its time, or the process stood still. */
-	private send(replica: Replica, {socket}: Connection, reading: Reading): Effect.Effect<void, AttemptFailure> {
-		return Effect.suspend(() => {
-			const {clock, guard, connections, format} = this.services;
-			const withheld = this.whyWithheld(replica, guard.allowsKeys);
-			if (withheld !== undefined) {
-				connections.of(replica).release(socket, undefined);
-				return Effect.fail(AttemptFailure.notRun('withheld', withheld));
-			}
-
-			const {incoming, head, body} = this.request;
-			const sentAt = clock.monotonic();
-			const outgoing = {
-				id: head.id,
-				method: incoming.method ?? 'GET',
-				path: incoming.url ?? '/',
-				headers: format.requestHeaders(incoming, {
-					replica: replica.entry.id,
-					clientAccount: this.request.clientAccount?.name,
-					deadline: this.request.deadlineAt - sentAt,
-					urgency: this.request.urgency,
-					lastEventId: this.passage.lastEventId,
-					bodyLength: body.length > 0 || incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined ? body.length : undefined,
-				}),
-				body: body.length > 0 ? body : undefined,
-			};
-			this.story.runs++;
-			return openAnswer({connections: connections.of(replica), socket, format}, outgoing).pipe(
-				Effect.flatMap(answer => this.passOn(replica, answer, sentAt, reading)),
-				Effect.onInterrupt(() => Effect.sync(() => {
-					abandon(socket);
+			const attempt = ReplicaTry.create(this.parts, {request: this.request, replica, mayFail: this.isRepeatable});
+			return attempt.run().pipe(
+				Effect.as(undefined),
+				Effect.catchTag('AttemptFailure', failure => Effect.sync(() => {
+					this.failedAnswer = attempt.failedAnswer ?? this.failedAnswer;
+					return failure;
 				})),
 			);
 		});
 	}
 
-	private whyWithheld(replica: Replica, allowsKeys: boolean): string | undefined {
-		if (!this.services.replicas.mayBeSent(replica)) {
-			return 'the replica began to leave';
-		}
-
-		if (this.request.clientAccount && !allowsKeys) {
-			return 'the configuration may be out of date';
-		}
-
-		return undefined;
-	}
-
-	private passOn(replica: Replica, answer: OpenAnswer, sentAt: number, {tokens, markRead}: Reading): Effect.Effect<void, AttemptFailure> {
-		const isError = answer.status >= firstServerError;
-		const note = () => {
-			const now = this.services.clock.monotonic();
-			this.story.firstByteAt ??= now;
-			this.suspicion.noteAnswering();
-			this.notes.noteBeginning();
-			markRead();
-			replica.noteAnswer(now - sentAt, isError);
-			this.countUsage();
-		};
-
-		if (this.request.route.kind === 'stream' && !isError && answer.status < 300) {
-			return this.passage.pass(answer, {
-				onHeard() {
-					replica.noteHeard();
-				},
-				onFirstEvent: () => {
-					note();
-					this.notes.noteRead(tokens, this.services.clock.monotonic() - sentAt);
-					this.services.choice.noteRead(replica, this.choiceRequest);
-				},
-			}).pipe(Effect.tap(() => Effect.sync(() => {
-				this.suspicion.noteCompletion();
-			})));
-		}
-
-		return readBody(answer).pipe(Effect.flatMap(body => {
-			note();
-			this.suspicion.noteCompletion();
-			if (this.client.hasBegun) {
-				return Effect.fail(AttemptFailure.mayHaveRun('failed', `the replica that was to go on answered ${answer.status}`));
-			}
-
-			const sendIt = () => {
-				this.sendWhole(answer, body);
-			};
-
-			if (isError && this.isRepeatable) {
-				this.failedAnswer = sendIt;
-				return Effect.fail(AttemptFailure.mayHaveRun('failed', `the replica answered ${answer.status}`));
-			}
-
-			sendIt();
-			return Effect.void;
-		}));
-	}
-
-	private sendWhole(answer: OpenAnswer, body: Uint8Array): void {
-		const headers = this.services.format.answerHeaders(answer.message);
-		const isBodiless = this.request.incoming.method === 'HEAD' || answer.status === 204 || answer.status === 304;
-		this.client.send(answer.status, isBodiless ? headers : withoutLength(headers), body, isBodiless);
-	}
-
-	private countUsage(): void {
-		if (!this.hasCounted && this.request.clientAccount) {
-			this.hasCounted = true;
-			this.services.usage.note(this.request.clientAccount.name);
-		}
-	}
-
 	private noteFailure(replica: Replica, failure: AttemptFailure): void {
 		const {metrics, replicas} = this.services;
 		metrics.attempts.inc({reason: failure.reason});
@@ -478,7 +336,3 @@
 			: Refusal.create('deadline-passed', 'No whole answer came in time.');
 	}
 }
-
-function withoutLength(headers: readonly string[]): readonly string[] {
-	return headers.filter((_, index) => headers[index - (index % 2)]!.toLowerCase() !== 'content-length');
-}
--- /dev/null
+++ b/src/relay/replica-try.ts
@@ -0,0 +1,224 @@
+/**
+ * One try of a request at one replica: connects, sends, and passes the answer on.
+ */
+import * as Effect from 'effect/Effect';
+import type {Replica} from '../replicas/replica.js';
+import type {ChoiceRequest} from '../replicas/replica-choice.js';
+import type {Connection} from '../replicas/replica-connections.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import {AttemptFailure} from './attempt-failure.js';
+import type {ClientAnswer} from './client-answer.js';
+import type {DemandNotes} from './demand-notes.js';
+import type {RelayServices} from './relay-services.js';
+import {
+	abandon, openAnswer, readBody, type OpenAnswer, type OutgoingRequest,
+} from './replica-exchange.js';
+import type {RunStory} from './run-story.js';
+import type {RunSuspicion} from './run-suspicion.js';
+import type {StreamPassage} from './stream-passage.js';
+
+const firstRedirection = 300;
+const firstServerError = 500;
+const noContent = 204;
+const notModified = 304;
+
+/** What all tries of one request share. */
+export type TryParts = {
+	readonly services: RelayServices;
+	readonly client: ClientAnswer;
+	readonly passage: StreamPassage;
+	readonly suspicion: RunSuspicion;
+	readonly notes: DemandNotes;
+	readonly choiceRequest: ChoiceRequest;
+	readonly story: RunStory;
+};
+
+/** What is tried. */
+export type TryPlan = {
+	/** The request as the configuration says that is in force by now. */
+	readonly request: AdmittedRequest;
+	readonly replica: Replica;
+	/** Whether a failure that the replica made may be followed by another try. */
+	readonly mayFail: boolean;
+};
+
+/** The try. */
+export class ReplicaTry {
+	/**
+	 * @param parts - What all tries of the request share.
+	 * @param plan - What is tried.
+	 * @returns A try; run it once.
+	 */
+	static create(parts: TryParts, plan: TryPlan): ReplicaTry {
+		return new ReplicaTry(parts, plan);
+	}
+
+	/** Sends the answer of a replica that failed the request; `undefined` where it did not, or where the client has it. */
+	failedAnswer: (() => void) | undefined;
+	/** Tokens of the prompt that the replica has to read. */
+	private readonly tokens: number;
+	private unread: number;
+	private sentAt = 0;
+
+	private constructor(private readonly parts: TryParts, private readonly plan: TryPlan) {
+		this.tokens = parts.services.choice.unreadTokens(plan.replica, parts.choiceRequest);
+		this.unread = this.tokens;
+	}
+
+	/** @returns Ends when the answer was sent to the client; a failure says whether the request may have run. */
+	run(): Effect.Effect<void, AttemptFailure> {
+		const {services, suspicion, notes, story} = this.parts;
+		const {replica} = this.plan;
+		const beganAt = services.clock.monotonic();
+		let leave = (): void => undefined;
+		return Effect.suspend(() => {
+			leave = suspicion.begin(replica);
+			notes.noteChoice(this.tokens);
+			replica.begin(this.tokens);
+			return this.connect().pipe(Effect.flatMap(connection => this.send(connection)));
+		}).pipe(Effect.ensuring(Effect.sync(() => {
+			this.markRead();
+			leave();
+			replica.end();
+			notes.noteEnd(beganAt, story.firstByteAt);
+		})));
+	}
+
+	private connect(): Effect.Effect<Connection, AttemptFailure> {
+		const {request, replica} = this.plan;
+		return this.parts.services.connections.of(replica).acquire(request.route.kind !== 'repeatable')
+			.pipe(Effect.mapError(({detail}) => AttemptFailure.notRun('unreachable', detail)));
+	}
+
+	/** Everything that decides is looked at again here: the connection may have taken its time, or the process stood still. */
+	private send({socket}: Connection): Effect.Effect<void, AttemptFailure> {
+		return Effect.suspend(() => {
+			const {services: {clock, connections, format}, story} = this.parts;
+			const ofReplica = connections.of(this.plan.replica);
+			const withheld = this.whyWithheld();
+			if (withheld !== undefined) {
+				ofReplica.release(socket, undefined);
+				return Effect.fail(AttemptFailure.notRun('withheld', withheld));
+			}
+
+			this.sentAt = clock.monotonic();
+			story.runs++;
+			return openAnswer({connections: ofReplica, socket, format}, this.outgoing).pipe(
+				Effect.flatMap(answer => this.passOn(answer)),
+				Effect.onInterrupt(() => Effect.sync(() => {
+					abandon(socket);
+				})),
+			);
+		});
+	}
+
+	private whyWithheld(): string | undefined {
+		const {replicas, guard} = this.parts.services;
+		if (!replicas.mayBeSent(this.plan.replica)) {
+			return 'the replica began to leave';
+		}
+
+		if (this.plan.request.clientAccount && !guard.allowsKeys) {
+			return 'the configuration may be out of date';
+		}
+
+		return undefined;
+	}
+
+	private get outgoing(): OutgoingRequest {
+		const {services: {format}, passage} = this.parts;
+		const {request: {incoming, head, body, clientAccount, deadlineAt, urgency}, replica} = this.plan;
+		const hasBody = body.length > 0 || incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined;
+		return {
+			id: head.id,
+			method: incoming.method ?? 'GET',
+			path: incoming.url ?? '/',
+			headers: format.requestHeaders(incoming, {
+				replica: replica.entry.id,
+				clientAccount: clientAccount?.name,
+				deadline: deadlineAt - this.sentAt,
+				urgency,
+				lastEventId: passage.lastEventId,
+				bodyLength: hasBody ? body.length : undefined,
+			}),
+			body: body.length > 0 ? body : undefined,
+		};
+	}
+
+	private passOn(answer: OpenAnswer): Effect.Effect<void, AttemptFailure> {
+		const isStream = this.plan.request.route.kind === 'stream' && answer.status < firstRedirection;
+		return isStream ? this.passStream(answer) : readBody(answer).pipe(Effect.flatMap(body => this.passWhole(answer, body)));
+	}
+
+	private passStream(answer: OpenAnswer): Effect.Effect<void, AttemptFailure> {
+		const {services, passage, suspicion, notes, choiceRequest} = this.parts;
+		const {replica} = this.plan;
+		return passage.pass(answer, {
+			onHeard() {
+				replica.noteHeard();
+			},
+			onFirstEvent: () => {
+				this.noteBeginning(false);
+				notes.noteRead(this.tokens, services.clock.monotonic() - this.sentAt);
+				services.choice.noteRead(replica, choiceRequest);
+			},
+		}).pipe(Effect.tap(() => Effect.sync(() => {
+			suspicion.noteCompletion();
+		})));
+	}
+
+	private passWhole(answer: OpenAnswer, body: Uint8Array): Effect.Effect<void, AttemptFailure> {
+		const {client, suspicion} = this.parts;
+		const {status} = answer;
+		const isError = status >= firstServerError;
+		this.noteBeginning(isError);
+		suspicion.noteCompletion();
+		if (client.hasBegun) {
+			return Effect.fail(AttemptFailure.mayHaveRun('failed', `the replica that was to go on answered ${status}`));
+		}
+
+		const sendIt = () => {
+			this.sendWhole(answer, body);
+		};
+
+		if (isError && this.plan.mayFail) {
+			this.failedAnswer = sendIt;
+			return Effect.fail(AttemptFailure.mayHaveRun('failed', `the replica answered ${status}`));
+		}
+
+		sendIt();
+		return Effect.void;
+	}
+
+	private noteBeginning(isError: boolean): void {
+		const {services: {clock, usage}, story, suspicion, notes} = this.parts;
+		const {request: {clientAccount}, replica} = this.plan;
+		const now = clock.monotonic();
+		const isFirst = story.firstByteAt === undefined;
+		story.firstByteAt ??= now;
+		suspicion.noteAnswering();
+		notes.noteBeginning();
+		this.markRead();
+		replica.noteAnswer(now - this.sentAt, isError);
+		// A request counts once, however many replicas begin to answer it.
+		if (isFirst && clientAccount) {
+			usage.note(clientAccount.name);
+		}
+	}
+
+	private markRead(): void {
+		this.plan.replica.noteRead(this.unread);
+		this.unread = 0;
+	}
+
+	private sendWhole(answer: OpenAnswer, body: Uint8Array): void {
+		const {services: {format}, client} = this.parts;
+		const headers = format.answerHeaders(answer.message);
+		const isBodiless = this.plan.request.incoming.method === 'HEAD' || answer.status === noContent || answer.status === notModified;
+		client.send(answer.status, isBodiless ? headers : withoutLength(headers), body, isBodiless);
+	}
+}
+
+function withoutLength(headers: readonly string[]): readonly string[] {
+	return headers.filter((_, index) => headers[index - (index % 2)]!.toLowerCase() !== 'content-length');
+}
--- /dev/null
+++ b/src/relay/run-story.ts
@@ -0,0 +1,13 @@
+/**
+ * What became of a request at the replicas that it was tried at.
+ */
+
+/** What became of a request so far; its tries write it, its log line tells it. */
+export type RunStory = {
+	tries: number;
+	runs: number;
+	replica: string | undefined;
+	/** Failures of tries in order. */
+	failures: string;
+	firstByteAt: number | undefined;
+};
