Reproduced, failing: an answer of the Object API or the box list that is cut short ends a claim shard for good

Cause: answers of the product's own platform are parsed inside Effect.map. A body without a length whose connection ends in the middle is JSON that cannot be read, which is thrown as a defect; ClaimShard.commitAll catches failures alone, so it ends with isCommitting set, and no operation of that shard (one of sixteen) ends any more. Fields are not looked at: {} is an object at no version, and a list without boxes.

--- /dev/null
+++ b/src/external/test/half-answers.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo, type Server} from 'node:net';
+import {after, test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import * as Exit from 'effect/Exit';
+import {SystemClock} from '../../base/clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {HttpClient} from '../../base/http-client.js';
+import {Metrics} from '../../base/metrics.js';
+import {ClaimShard} from '../../claims/claim-shard.js';
+import {HttpBoxList} from '../http-box-list.js';
+import {HttpObjectStore} from '../http-object-store.js';
+
+/** Milliseconds after which an operation of a shard counts as one that never ends; it gives up after three seconds itself. */
+const longestOperation = 6000;
+const whole = JSON.stringify({version: 4, value: '{}', storeTime: 1});
+const servers: Server[] = [];
+
+after(() => {
+	for (const server of servers) {
+		server.close();
+	}
+});
+
+/**
+ * Answers each call with the next of the bodies, the last one again and again; none has a length, so that each ends where its
+ * connection does.
+ */
+const answering = async (bodies: readonly string[], status = 200): Promise<HttpClient> => {
+	let calls = 0;
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.end(`HTTP/1.1 ${status} Answer\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n${bodies[Math.min(calls, bodies.length - 1)]!}`);
+			calls++;
+		});
+	});
+	servers.push(server);
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return HttpClient.create('127.0.0.1', (server.address() as AddressInfo).port);
+};
+
+const parts = Array.from({length: whole.length}, (_, length) => whole.slice(0, length));
+const odd = ['[]', 'null', '{}', '{"version":4}', '{"version":"4","value":"{}","storeTime":1}', '<html></html>'];
+
+test('an answer of the Object API that is not a whole one says nothing of an object, wherever it is cut', async () => {
+	const tags = await Promise.all([...parts, ...odd].map(async body => {
+		const store = HttpObjectStore.create(await answering([body]));
+		const read = await Effect.runPromise(Effect.result(store.read('a')));
+		const watched = await Effect.runPromise(Effect.result(store.watch('a', 1, 0)));
+		return [read, watched].map(result => result._tag === 'Failure' ? result.failure._tag : `taken: ${body}`);
+	}));
+	assert.deepEqual(tags.flat(), tags.flat().map(() => 'StoreFailure'));
+});
+
+test('a write whose answer is cut short may have been done', async () => {
+	const store = HttpObjectStore.create(await answering(['{"vers']));
+	const written = await Effect.runPromise(Effect.result(store.write('a', '{}', 0)));
+	assert.ok(written._tag === 'Failure' && written.failure._tag === 'StoreFailure' && written.failure.mayHaveApplied);
+});
+
+test('a claim shard whose object was read in part goes on as soon as it is read whole', async () => {
+	const shard = ClaimShard.create('claims/0', {
+		store: HttpObjectStore.create(await answering([whole.slice(0, 20), whole])),
+		clock: SystemClock.create(), log: SilentEventLog.create(), metrics: Metrics.create(),
+	});
+	const looked = await Effect.runPromiseExit(shard.run('a', entry => ({write: undefined, outcome: entry})).pipe(Effect.timeout(longestOperation)));
+	assert.ok(Exit.isSuccess(looked), 'the operation ends');
+});
+
+test('a box list or notices that are cut short, or hold something else, are not taken', async () => {
+	for (const body of ['{"version":3,"boxes":[', '{"version":3}', '{"boxes":[]}', '[]', '{"version":3,"boxes":[{}]}', '{"version":3,"boxes":{}}', '']) {
+		// eslint-disable-next-line no-await-in-loop -- one server after the other
+		const boxes = await Effect.runPromise(Effect.result(HttpBoxList.create(await answering([body])).boxes(0, 0)));
+		assert.equal(boxes._tag === 'Failure' && boxes.failure._tag, 'StoreFailure', body);
+	}
+
+	for (const body of ['{"position":3,"notices":[', '{"position":3}', '{"notices":[]}', '[]', '{"position":3,"notices":[{"box":"a"}]}', '']) {
+		// eslint-disable-next-line no-await-in-loop -- one server after the other
+		const notices = await Effect.runPromise(Effect.result(HttpBoxList.create(await answering([body])).notices(0, 0)));
+		assert.equal(notices._tag === 'Failure' && notices.failure._tag, 'StoreFailure', body);
+	}
+});
