Reproduced, failing: a datagram with an address that cannot be sent to ends the process

Cause: the port of a box is any number in datagrams, in the store's list of members and (for seeds, any text at all) in the settings; dgram throws for one that is none. In a round that ends the role, again and again; where a datagram is answered the throw comes out of the socket's listener. Seen: npm test -- odd-addresses: ERR_SOCKET_BAD_PORT, uncaught, out of Gossip.answer; the second test had not ended after 60 s.

--- /dev/null
+++ b/src/gossip/test/odd-addresses.test.ts
@@ -0,0 +1,123 @@
+/*
+ * An address of another box is taken from its datagrams, from what others tell of it, from the store and from the settings. One without a
+ * port that can be sent to ended the exchange with each round, and the whole process where a datagram was answered.
+ */
+import assert from 'node:assert/strict';
+import {createSocket, type Socket} from 'node:dgram';
+import {once} from 'node:events';
+import {after, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import * as Effect from 'effect/Effect';
+import * as Exit from 'effect/Exit';
+import * as Fiber from 'effect/Fiber';
+import {until} from '../../../development/relay/relay-installation.js';
+import {SystemClock} from '../../base/clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {ExchangeTopology} from '../exchange-topology.js';
+import {ExchangeTraffic} from '../exchange-traffic.js';
+import {Gossip} from '../gossip.js';
+import {decodeGossip, encodeGossip} from '../gossip-codec.js';
+import type {GossipMessage, MemberAddress} from '../gossip-message.js';
+import {PeerTable} from '../peer-table.js';
+
+/** Milliseconds in which a box has some rounds. */
+const someRounds = 700;
+const sockets: Socket[] = [];
+
+after(() => {
+	for (const socket of sockets) {
+		socket.close();
+	}
+});
+
+const openSocket = async (): Promise<Socket> => {
+	const socket = createSocket('udp4');
+	sockets.push(socket);
+	socket.bind(0, '127.0.0.1');
+	await once(socket, 'listening');
+	return socket;
+};
+
+const oddAddresses: ReadonlyArray<Omit<MemberAddress, 'name'>> = [
+	{host: '127.0.0.1', port: 0},
+	{host: '127.0.0.1', port: -1},
+	{host: '127.0.0.1', port: 65_536},
+	{host: '127.0.0.1', port: 1.5},
+	{host: '127.0.0.1', port: Number.NaN},
+	{host: '', port: 7000},
+];
+
+const messageFrom = (sender: MemberAddress, members: readonly MemberAddress[] = []): GossipMessage => ({
+	sender, members, incarnation: 'one', sequence: 1, uptime: 5000, wall: Date.now(), version: 1, isStopping: false, storeAge: 0, isWhole: true, asksDigest: true,
+	quota: [], work: [], departed: [], usage: [],
+});
+
+/** A box that runs its exchange. */
+const startBox = async (seeds: ReadonlyArray<Omit<MemberAddress, 'name'>> = []) => {
+	const port = await new Promise<number>(resolve => {
+		const socket = createSocket('udp4');
+		socket.bind(0, '127.0.0.1', () => {
+			const found = socket.address().port;
+			socket.close(() => {
+				resolve(found);
+			});
+		});
+	});
+	const clock = SystemClock.create();
+	const peers = PeerTable.create('box', clock, SilentEventLog.create());
+	const news = {
+		version: 1, isStopping: false, storeAge: 0, departed: [],
+	};
+	const gossip = Gossip.create({
+		self: {name: 'box', host: '127.0.0.1', port}, incarnation: 'one', clock, peers, topology: ExchangeTopology.create({name: 'box'}, peers),
+		traffic: ExchangeTraffic.create(clock, SilentEventLog.create()),
+		news: () => news,
+		state: () => ({
+			...news, quota: [], isWhole: true, work: [], usage: [],
+		}),
+		digest: () => ({boxes: peers.boxes, quota: [], work: []}),
+		take: () => undefined,
+		takeDigest: () => undefined,
+		prove: () => undefined,
+		seeds: () => seeds,
+	});
+	const fiber = Effect.runFork(gossip.run());
+	return {
+		port,
+		peers,
+		/** @returns Whether its exchange has ended by itself. */
+		async hasFailed(): Promise<boolean> {
+			const exit = await Promise.race([Effect.runPromise(Fiber.await(fiber)), pause(0, undefined)]);
+			return exit !== undefined && Exit.isFailure(exit);
+		},
+		end: async () => Effect.runPromise(Fiber.interrupt(fiber)),
+	};
+};
+
+test('a datagram from, or about, an address that cannot be sent to changes nothing', async () => {
+	const box = await startBox();
+	const socket = await openSocket();
+	const sound = {name: 'sound', host: '127.0.0.1', port: socket.address().port};
+	for (const [index, address] of oddAddresses.entries()) {
+		socket.send(encodeGossip(messageFrom({name: `odd-${index}`, ...address})), box.port, '127.0.0.1');
+		socket.send(encodeGossip(messageFrom({...sound, name: `telling-${index}`}, [{name: `told-${index}`, ...address}])), box.port, '127.0.0.1');
+	}
+
+	await pause(someRounds);
+	assert.equal(await box.hasFailed(), false);
+	socket.send(encodeGossip(messageFrom(sound)), box.port, '127.0.0.1');
+	await until(() => box.peers.named('sound') !== undefined);
+	assert.deepEqual(box.peers.all.filter(({address: {name}}) => name.startsWith('odd') || name.startsWith('told')), []);
+	await box.end();
+});
+
+test('addresses of the settings or the store that cannot be sent to end no exchange', async () => {
+	const socket = await openSocket();
+	const box = await startBox([...oddAddresses, {host: '127.0.0.1', port: socket.address().port}]);
+	box.peers.learn(oddAddresses.map((address, index) => ({name: `listed-${index}`, ...address})));
+	const [data] = await once(socket, 'message') as [Uint8Array];
+	assert.equal(decodeGossip(data)?.sender.name, 'box', 'the one that can be sent to is told');
+	await pause(someRounds);
+	assert.equal(await box.hasFailed(), false);
+	await box.end();
+});
