An answer without a length whose connection is reset is not taken for whole

Cause: readWhole took Node's 'end' for the whole answer. Node tells a reset as that end where an answer has neither a length nor chunks, so half a body of a plain service went to its caller with status 200, and half an answer of the store, the box list or a peer was read as whole. Change: AnswerEnd watches how the connection of a request ends (the two ways that src/relay/replica-exchange.ts looks for: an error behind the head, and an end without a peer), HttpClient.open gives it with the answer, readWhole asks it. The relay's exchange can use it in the place of its own isBroken and noteReset; src/relay is left alone here. Left: an answer without a length whose connection is closed in the plain way is whole by HTTP; what reads it must judge its content.

--- a/src/base/http-client.ts
+++ b/src/base/http-client.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import * as Data from 'effect/Data';
 import * as Effect from 'effect/Effect';
+import {AnswerEnd} from './answer-end.js';
 
 /** An HTTP call that brought no answer. */
 export class HttpFailure extends Data.TaggedError('HttpFailure')<{
@@ -15,6 +16,13 @@
 	readonly detail: string;
 }> {}
 
+/** An answer whose head has come. */
+export type OpenAnswer = {
+	/** Its body is still to be read; destroy it to end the call. */
+	readonly message: IncomingMessage;
+	readonly end: AnswerEnd;
+};
+
 /** A whole answer. */
 export type HttpAnswer = {
 	readonly status: number;
@@ -74,10 +82,10 @@
 	 * Sends a call and returns when the head of the answer is there.
 	 *
 	 * @param call - What to send.
-	 * @returns The answer, its body still to be read; destroy it to end the call.
+	 * @returns The answer.
 	 */
-	open(call: HttpCall): Effect.Effect<IncomingMessage, HttpFailure> {
-		return Effect.callback<IncomingMessage, HttpFailure>(resume => {
+	open(call: HttpCall): Effect.Effect<OpenAnswer, HttpFailure> {
+		return Effect.callback<OpenAnswer, HttpFailure>(resume => {
 			let isConnected = false;
 			const outgoing = request({
 				host: this.host,
@@ -87,6 +95,7 @@
 				headers: {...call.headers, ...(call.body === undefined ? {} : {'Content-Length': Buffer.byteLength(call.body)})},
 				agent: call.freshConnection ? false : this.agent,
 			});
+			const end = AnswerEnd.watch(outgoing);
 			const timer = setTimeout(() => {
 				// A reset takes back what a cut still holds up: a call that is given up on must not arrive late.
 				outgoing.socket?.resetAndDestroy();
@@ -106,11 +115,11 @@
 				clearTimeout(timer);
 				resume(Effect.fail(new HttpFailure({maySent: isConnected, detail: error.message})));
 			});
-			outgoing.once('response', answer => {
-				answer.once('close', () => {
+			outgoing.once('response', message => {
+				message.once('close', () => {
 					clearTimeout(timer);
 				});
-				resume(Effect.succeed(answer));
+				resume(Effect.succeed({message, end}));
 			});
 			outgoing.end(call.body);
 			return Effect.sync(() => {
@@ -135,32 +144,39 @@
  * @param answer - An answer whose body has not been read.
  * @returns The whole answer; fails where it is cut short or too large.
  */
-export function readWhole(answer: IncomingMessage): Effect.Effect<HttpAnswer, HttpFailure> {
+export function readWhole({message, end}: OpenAnswer): Effect.Effect<HttpAnswer, HttpFailure> {
 	return Effect.callback<HttpAnswer, HttpFailure>(resume => {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
-		answer.on('data', (chunk: Uint8Array) => {
+		const fail = (detail: string) => {
+			resume(Effect.fail(new HttpFailure({maySent: true, detail})));
+		};
+
+		message.on('data', (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (size > largestAnswer) {
-				answer.destroy(new Error(`answer over ${largestAnswer} bytes`));
+				message.destroy(new Error(`answer over ${largestAnswer} bytes`));
 				return;
 			}
 
 			chunks.push(chunk);
 		});
-		let hasEnded = false;
-		answer.once('end', () => {
-			hasEnded = true;
-			resume(Effect.succeed({status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(chunks)}));
+		message.once('end', () => {
+			if (end.isWhole) {
+				resume(Effect.succeed({status: message.statusCode ?? 0, headers: message.headers, body: Buffer.concat(chunks)}));
+			} else {
+				fail('answer cut short');
+			}
 		});
-		answer.on('error', error => {
-			resume(Effect.fail(new HttpFailure({maySent: true, detail: error.message})));
+		message.on('error', error => {
+			fail(error.message);
 		});
-		answer.once('close', () => {
-			if (!hasEnded) {
-				resume(Effect.fail(new HttpFailure({maySent: true, detail: 'answer cut short'})));
+		message.once('close', () => {
+			// Each whole answer closes too; building a failure for each would cost more than all else here.
+			if (!message.readableEnded) {
+				fail('answer cut short');
 			}
 		});
-		return Effect.sync(() => answer.destroy());
+		return Effect.sync(() => message.destroy());
 	});
 }
--- /dev/null
+++ b/src/base/test/http-client.test.ts
@@ -0,0 +1,85 @@
+/**
+ * Node tells a reset as a plain end where an answer has neither a length nor chunks, so that half a body was taken for the whole: a plain
+ * service's answer went to its caller so, with status 200, and the store's to whatever reads it.
+ */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {after, before, test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import {ScriptedServer, type AnswerScript} from '../../../development/harness/scripted-server.js';
+import {HttpClient} from '../http-client.js';
+
+const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n';
+const body = 'half of a body';
+const timeout = 5000;
+
+let server: ScriptedServer;
+
+before(async () => {
+	server = await ScriptedServer.create();
+});
+
+after(() => {
+	server.close();
+});
+
+/** @returns What a call brought: the body, or that it may have run. */
+async function exchange(script: AnswerScript, freshConnection: boolean): Promise<string> {
+	server.script = script;
+	const client = HttpClient.create('127.0.0.1', server.port);
+	const result = await Effect.runPromise(Effect.result(client.exchange({
+		method: 'GET', path: '/', timeout, freshConnection,
+	})));
+	client.close();
+	return Result.match(result, {
+		onFailure: ({maySent}) => `failed, ${maySent ? 'may have run' : 'not sent'}`,
+		onSuccess: answer => Buffer.from(answer.body).toString(),
+	});
+}
+
+/** Answers that are cut, by how their end would be told; in one piece, and with the body apart from the head. */
+const framings = {
+	'without a length': {head: `${head}\r\n`, body},
+	'with a length': {head: `${head}Content-Length: ${body.length + 1}\r\n\r\n`, body},
+	'in chunks, inside one': {head: `${head}Transfer-Encoding: chunked\r\n\r\n`, body: `ff\r\n${body}`},
+	'in chunks, between two': {head: `${head}Transfer-Encoding: chunked\r\n\r\n`, body: `${body.length.toString(16)}\r\n${body}\r\n`},
+} as const;
+
+for (const [framing, parts] of Object.entries(framings)) {
+	for (const ending of ['reset', 'late-reset', 'close'] as const) {
+		// By HTTP, an answer without a length is whole when its connection closes.
+		const isCut = ending !== 'close' || framing !== 'without a length';
+		test(`an answer ${framing} whose connection ends by ${ending} is ${isCut ? 'not taken for whole' : 'whole'}`, async () => {
+			const pieces = [[parts.head + parts.body], [parts.head, parts.body], [parts.head + parts.body.slice(0, -3), parts.body.slice(-3)]];
+			const told: string[] = [];
+			for (const written of pieces) {
+				told.push(await exchange({pieces: written, ending}, true), await exchange({pieces: written, ending}, false));
+			}
+
+			// A reset may also take the head back: then it is no answer either.
+			assert.deepEqual(told, told.map(() => isCut ? 'failed, may have run' : body));
+		});
+	}
+}
+
+test('a whole answer whose connection is reset behind it is whole', async () => {
+	const pieces = [`${head}Content-Length: ${body.length}\r\n\r\n${body}`];
+	assert.equal(await exchange({pieces, ending: 'late-reset'}, true), body);
+});
+
+test('connections that are kept do not gather listeners', async () => {
+	server.script = {pieces: [`${head}Content-Length: ${body.length}\r\n\r\n${body}`], ending: 'open'};
+	const client = HttpClient.create('127.0.0.1', server.port);
+	const counts: Array<number | undefined> = [];
+	for (let turn = 0; turn < 4; turn++) {
+		await Effect.runPromise(client.exchange({method: 'GET', path: '/', timeout}));
+		await new Promise(setImmediate);
+		const [socket] = Object.values(client.agent.freeSockets).flatMap(sockets => sockets ?? []);
+		counts.push(socket?.listenerCount('end'));
+	}
+
+	client.close();
+	assert.deepEqual(counts, counts.map(() => counts[0]));
+	assert.notEqual(counts[0], undefined);
+});
--- a/src/upstream/http-model-engine.ts
+++ b/src/upstream/http-model-engine.ts
@@ -2,10 +2,9 @@
  * A model engine over HTTP with the interface that OpenAI published, and server-sent events.
  */
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
 import * as Effect from 'effect/Effect';
 import {
-	jsonOf, readWhole, type HttpClient, type HttpFailure,
+	jsonOf, readWhole, type HttpClient, type HttpFailure, type OpenAnswer,
 } from '../base/http-client.js';
 import {EventSplitter} from './event-splitter.js';
 import {readLoad, refusalReasonOf} from './http-load.js';
@@ -62,7 +61,7 @@
 			timeout: longestAnswer,
 		}).pipe(
 			Effect.mapError(failure => unreachable(failure)),
-			Effect.flatMap(answer => answer.statusCode === ok
+			Effect.flatMap(answer => answer.message.statusCode === ok
 				? Effect.succeed(streamOf(answer, listener))
 				: refusalOf(answer)),
 		);
@@ -102,7 +101,7 @@
 	};
 }
 
-function refusalOf(answer: IncomingMessage): Effect.Effect<never, UpstreamFailure> {
+function refusalOf(answer: OpenAnswer): Effect.Effect<never, UpstreamFailure> {
 	return readWhole(answer).pipe(
 		Effect.mapError(failure => unreachable(failure)),
 		Effect.flatMap(({status, body}) => Effect.fail(new UpstreamFailure({
@@ -114,7 +113,7 @@
 }
 
 /** Bytes go from the engine to the listener by Node's own stream: this is the hot path. */
-function streamOf(answer: IncomingMessage, listener: EngineListener): EngineStream {
+function streamOf({message: answer}: OpenAnswer, listener: EngineListener): EngineStream {
 	const splitter = EventSplitter.create();
 	let isDone = false;
 	let hasEnded = false;
--- /dev/null
+++ b/src/upstream/test/http-plain-service.test.ts
@@ -0,0 +1,34 @@
+/**
+ * Half a body of a plain service, without a length and ended by a reset, went to its caller with status 200.
+ */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {after, before, test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {ScriptedServer} from '../../../development/harness/scripted-server.js';
+import {HttpClient} from '../../base/http-client.js';
+import {HttpPlainService} from '../http-plain-service.js';
+
+const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n';
+let server: ScriptedServer;
+let service: HttpPlainService;
+
+before(async () => {
+	server = await ScriptedServer.create();
+	service = HttpPlainService.create(HttpClient.create('127.0.0.1', server.port));
+});
+
+after(() => {
+	service.close();
+	server.close();
+});
+
+test('a body without a length whose connection is reset may have run, and none of it is an answer', async () => {
+	for (const ending of ['reset', 'late-reset'] as const) {
+		server.script = {pieces: [head, 'half'], ending};
+		const failure = await Effect.runPromise(Effect.flip(service.call({
+			path: '/release', contentType: 'text/plain', body: Buffer.from('x'), key: 'k', timeout: 5000,
+		})));
+		assert.deepEqual([failure.reason, failure.verdict], ['cut', 'may-have-run'], ending);
+	}
+});
