What an engine sends is proved before it is passed on, and ends nothing

Cause: HttpModelEngine parsed in a 'data' handler. An event with the usage mark that was not JSON threw into the event loop and ended the process; a usage of another shape was trusted (null, text, numbers below zero). Whatever else stood between two blank lines went to the caller as a token, under an id of ours: half an event with the next one behind it, an event with an id or a name of its own, an error in the place of a token, an event of another answer, what came behind [DONE]. A load report or an answer to a cache import that was not JSON threw inside an effect: the task that reads load reports ended with the first of them, and a stream that moved was refused as internal. Ruled out: cuts. An answer that ends inside an event was told as cut by every end that was tried (the test passes before and after). Change: EngineEventReader proves each event: one line of data, JSON, choices with a delta whose text is text, the name of the answer that the first one had; the usage by a schema; comments are skipped; nothing behind the end. What fails it ends the stream as `garbled`, may have run, so that it goes on elsewhere behind the last event that was proved. So does an engine that sends a megabyte without an event (by EventSplitter.heldBack; a splitter that refuses this itself makes the check needless). An event that differs from one that was read in full by plain text alone is proved by comparing; a property checks that against reading in full (5000 events). Load reports and imports are decoded by schemas and fail as `bad-answer`. Not proved: that an engine heeds `resume`; nothing in the published interface says from where a stream goes on.

--- a/src/base/http-client.ts
+++ b/src/base/http-client.ts
@@ -7,7 +7,9 @@
 } from 'node:http';
 import * as Data from 'effect/Data';
 import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
 import {AnswerEnd} from './answer-end.js';
+import type {Decoder, Fault} from './faults.js';
 
 /** An HTTP call that brought no answer. */
 export class HttpFailure extends Data.TaggedError('HttpFailure')<{
@@ -38,6 +40,23 @@
 	return JSON.parse(Buffer.from(answer.body).toString()) as Value;
 }
 
+/**
+ * @param answer - An answer whose body should be JSON.
+ * @param decode - Checks what the body holds.
+ * @returns What it holds, or why it cannot be read.
+ */
+export function decodeAnswer<Value>(answer: HttpAnswer, decode: Decoder<Value>): Result.Result<Value, readonly Fault[]> {
+	return Result.flatMap(parse(answer.body), content => decode(content));
+}
+
+function parse(body: Uint8Array): Result.Result<unknown, readonly Fault[]> {
+	try {
+		return Result.succeed(JSON.parse(Buffer.from(body).toString()));
+	} catch (error) {
+		return Result.fail([{path: '', value: String(error), expected: 'JSON'}]);
+	}
+}
+
 /** A call. */
 export type HttpCall = {
 	readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
--- a/src/dispatch/chat-run.ts
+++ b/src/dispatch/chat-run.ts
@@ -207,7 +207,8 @@
 	}
 
 	private afterFailure(link: EngineLink, failure: UpstreamFailure): Effect.Effect<void, Refusal> {
-		this.fruitlessCuts = failure.reason === 'cut' && this.record.position === this.triedFrom ? this.fruitlessCuts + 1 : 0;
+		const isCut = failure.reason === 'cut' || failure.reason === 'garbled';
+		this.fruitlessCuts = isCut && this.record.position === this.triedFrom ? this.fruitlessCuts + 1 : 0;
 		const refusal = judgeFailure(this.services, {
 			failure,
 			upstream: link.state,
--- a/src/dispatch/dispatch-outcome.ts
+++ b/src/dispatch/dispatch-outcome.ts
@@ -27,6 +27,7 @@
 	refused: 'upstream-refused',
 	leaving: 'no-upstream',
 	cut: 'upstream-cut',
+	garbled: 'upstream-cut',
 	timeout: 'deadline-passed',
 	'bad-answer': 'upstream-refused',
 } as const satisfies Record<UpstreamFailureReason, RefusalReason>;
--- a/src/upstream/http-load.ts
+++ b/src/upstream/http-load.ts
@@ -3,11 +3,16 @@
  */
 import {Buffer} from 'node:buffer';
 import * as Effect from 'effect/Effect';
-import {jsonOf, type HttpClient} from '../base/http-client.js';
+import * as Schema from 'effect/Schema';
+import {createDecoder, describeFaults} from '../base/faults.js';
+import {decodeAnswer, type HttpClient} from '../base/http-client.js';
 import type {LoadReport} from './load-report.js';
 import {UpstreamFailure} from './upstream-failure.js';
 
 const reportTimeout = 1000;
+const Count = Schema.Int.check(Schema.isGreaterThanOrEqualTo(0));
+/** What an upstream adds is skipped. */
+const decodeReport = createDecoder(Schema.Struct({running: Count, queued: Count, isLeaving: Schema.Boolean}), 'ignore');
 
 /**
  * @param client - Connections to the upstream.
@@ -15,8 +20,10 @@
  */
 export function readLoad(client: HttpClient): Effect.Effect<LoadReport, UpstreamFailure> {
 	return client.exchange({method: 'GET', path: '/load', timeout: reportTimeout}).pipe(
-		Effect.map(answer => jsonOf<LoadReport>(answer)),
 		Effect.mapError(failure => new UpstreamFailure({reason: 'unreachable', verdict: 'not-run', detail: failure.detail})),
+		Effect.flatMap(answer => Effect.fromResult(decodeAnswer(answer, decodeReport)).pipe(Effect.mapError(faults => new UpstreamFailure({
+			reason: 'bad-answer', verdict: 'not-run', detail: describeFaults('load report', faults),
+		})))),
 	);
 }
 
--- a/src/upstream/http-model-engine.ts
+++ b/src/upstream/http-model-engine.ts
@@ -3,9 +3,12 @@
  */
 import {Buffer} from 'node:buffer';
 import * as Effect from 'effect/Effect';
+import * as Schema from 'effect/Schema';
+import {createDecoder, describeFaults} from '../base/faults.js';
 import {
-	jsonOf, readWhole, type HttpClient, type HttpFailure, type OpenAnswer,
+	decodeAnswer, readWhole, type HttpAnswer, type HttpClient, type HttpFailure, type OpenAnswer,
 } from '../base/http-client.js';
+import {EngineEventReader} from './engine-event.js';
 import {EventSplitter} from './event-splitter.js';
 import {readLoad, refusalReasonOf} from './http-load.js';
 import type {LoadReport} from './load-report.js';
@@ -19,16 +22,10 @@
 /** Milliseconds an engine may take for an answer; callers' deadlines are shorter and kept elsewhere. */
 const longestAnswer = 86_400_000;
 const importTimeout = 5000;
-const doneEvent = 'data: [DONE]\n\n';
-const usageMark = '"choices":[]';
-
-type UsageEvent = {
-	readonly usage: {
-		readonly prompt_tokens: number;
-		readonly completion_tokens: number;
-		readonly prompt_tokens_details?: {readonly cached_tokens?: number};
-	};
-};
+/** Characters without a blank line behind which an engine sends no event any more: many times the longest of a token, or of its tool call. */
+const longestEvent = 1_048_576;
+
+const decodeImport = createDecoder(Schema.Struct({tokens: Schema.Int}), 'ignore');
 
 const unreachable = (failure: HttpFailure): UpstreamFailure => new UpstreamFailure({
 	reason: failure.maySent ? 'cut' : 'unreachable',
@@ -36,7 +33,7 @@
 	detail: failure.detail,
 });
 
-const cut = (detail: string): UpstreamFailure => new UpstreamFailure({reason: 'cut', verdict: 'may-have-run', detail});
+const broken = (reason: 'cut' | 'garbled', detail: string): UpstreamFailure => new UpstreamFailure({reason, verdict: 'may-have-run', detail});
 
 /** Speaks to an engine by HTTP. */
 export class HttpModelEngine extends ModelEngine {
@@ -76,7 +73,7 @@
 		}).pipe(
 			Effect.mapError(failure => unreachable(failure)),
 			Effect.flatMap(answer => answer.status === ok
-				? Effect.succeed(jsonOf<{readonly tokens: number}>(answer).tokens)
+				? importedTokens(answer)
 				: Effect.fail(new UpstreamFailure({reason: 'refused', verdict: 'not-run', detail: 'the engine could not import the cache'}))),
 		);
 	}
@@ -112,57 +109,81 @@
 	);
 }
 
+function importedTokens(answer: HttpAnswer): Effect.Effect<number, UpstreamFailure> {
+	return Effect.fromResult(decodeAnswer(answer, decodeImport)).pipe(
+		Effect.mapError(faults => new UpstreamFailure({reason: 'bad-answer', verdict: 'not-run', detail: describeFaults('import', faults)})),
+		Effect.map(({tokens}) => tokens),
+	);
+}
+
 /** Bytes go from the engine to the listener by Node's own stream: this is the hot path. */
-function streamOf({message: answer}: OpenAnswer, listener: EngineListener): EngineStream {
+function streamOf({message}: OpenAnswer, listener: EngineListener): EngineStream {
 	const splitter = EventSplitter.create();
-	let isDone = false;
+	const reader = EngineEventReader.create();
+	let fault: string | undefined;
 	let hasEnded = false;
-	answer.setEncoding('utf8');
-	const take = (event: string): boolean => {
-		if (event === doneEvent) {
-			isDone = true;
-			return false;
+	message.setEncoding('utf8');
+	const isToken = (event: string): boolean => {
+		const seen = reader.read(event);
+		if (seen._tag === 'Usage') {
+			listener.onUsage(seen.usage, event);
+		} else if (seen._tag === 'Garbled') {
+			fault = seen.detail;
 		}
 
-		if (!event.includes(usageMark)) {
-			return true;
+		return seen._tag === 'Token';
+	};
+
+	/** What was proved before something could not be read is passed on all the same. */
+	const take = (chunk: string): void => {
+		const tokens = splitter.split(chunk).filter(event => isToken(event));
+		if (tokens.length > 0 && !listener.onTokens(tokens)) {
+			message.pause();
 		}
 
-		const {usage} = JSON.parse(event.slice('data: '.length)) as UsageEvent;
-		listener.onUsage({
-			promptTokens: usage.prompt_tokens,
-			completionTokens: usage.completion_tokens,
-			cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
-		}, event);
-		return false;
+		if (splitter.heldBack > longestEvent) {
+			fault ??= `more than ${longestEvent} characters without the end of an event`;
+		}
 	};
 
 	const completed = Effect.callback<void, UpstreamFailure>(resume => {
-		answer.on('data', (chunk: string) => {
-			const tokens = splitter.split(chunk).filter(event => take(event));
-			if (tokens.length > 0 && !listener.onTokens(tokens)) {
-				answer.pause();
+		const end = (outcome: Effect.Effect<void, UpstreamFailure>): void => {
+			hasEnded = true;
+			resume(outcome);
+		};
+
+		message.on('data', (chunk: string) => {
+			if (reader.isDone) {
+				// The answer is whole; what comes behind it is none of it, and its connection is not used again.
+				end(Effect.void);
+				message.destroy();
+				return;
+			}
+
+			take(chunk);
+			if (fault !== undefined) {
+				end(Effect.fail(broken('garbled', fault)));
+				message.destroy();
 			}
 		});
-		answer.once('end', () => {
-			hasEnded = true;
-			resume(isDone ? Effect.void : Effect.fail(cut('the answer ended before its last event')));
+		message.once('end', () => {
+			end(reader.isDone ? Effect.void : Effect.fail(broken('cut', 'the answer ended before its last event')));
 		});
-		answer.on('error', error => {
-			resume(Effect.fail(cut(error.message)));
+		message.on('error', error => {
+			resume(Effect.fail(broken('cut', error.message)));
 		});
-		answer.once('close', () => {
+		message.once('close', () => {
 			// Each answer closes; building a failure for each would cost more than all else here.
 			if (!hasEnded) {
-				resume(Effect.fail(cut('the connection closed before the answer was whole')));
+				resume(Effect.fail(broken('cut', 'the connection closed before the answer was whole')));
 			}
 		});
-		return Effect.sync(() => answer.destroy());
+		return Effect.sync(() => message.destroy());
 	});
 	return {
 		completed,
 		resume() {
-			answer.resume();
+			message.resume();
 		},
 	};
 }
--- /dev/null
+++ b/src/upstream/test/engine-event.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {EngineEventReader} from '../engine-event.js';
+
+const seed = 20_261_203;
+const runs = 5000;
+const id = 'chatcmpl-1';
+const withText = (content: string): string => `data: ${JSON.stringify({id, choices: [{index: 0, delta: {content}, finish_reason: null}]})}\n\n`;
+/** Has no text, so that nothing can be compared with it. */
+const textless = `data: ${JSON.stringify({id, choices: [{index: 0, delta: {}}]})}\n\n`;
+
+/** @returns What a reader says of an event that has read another one before. */
+function readBehind(before: string, event: string): string {
+	const reader = EngineEventReader.create();
+	assert.equal(reader.read(before)._tag, 'Token');
+	return reader.read(event)._tag;
+}
+
+const text = fc.string({unit: 'binary', maxLength: 12});
+/** Characters that mean something in JSON or between events. */
+const oddText = fc.constantFrom('"', '\\', String.raw`\"`, String.raw`\u00`, '\n', '\n\n', '\r', '\u0000', '}', ']', ',', '"content":"', 'data: ', '\u{D800}');
+
+test('an event that is compared with one before it is judged as one that is read in full', () => {
+	const event = fc.tuple(text, fc.nat(200), fc.nat(10), fc.oneof(oddText, text, fc.constant(''))).map(([content, place, length, inserted]) => {
+		const good = withText(content);
+		return good.slice(0, place) + inserted + good.slice(place + length);
+	});
+	const tags = new Set<string>();
+	fc.assert(fc.property(text, event, (before, changed) => {
+		const seen = readBehind(withText(before), changed);
+		tags.add(seen);
+		assert.equal(seen, readBehind(textless, changed));
+	}), {seed, numRuns: runs});
+	assert.deepEqual([...tags].sort(), ['Garbled', 'Token']);
+});
+
+test('a token whose text holds quotes, backslashes and lines is a token', () => {
+	fc.assert(fc.property(fc.array(fc.oneof(text, oddText.filter(value => value !== '\u{D800}')), {minLength: 1, maxLength: 5}), parts => {
+		const reader = EngineEventReader.create();
+		for (const part of [...parts, parts.join('')]) {
+			assert.equal(reader.read(withText(part))._tag, 'Token');
+		}
+	}), {seed, numRuns: runs});
+});
+
+test('no text may hide the end of a string', () => {
+	const whole = withText('a');
+	for (const tail of ['b\\', 'b"', 'b","x":"', 'b"}}],"choices":[{"delta":{"content":"c', '\n', '\r']) {
+		const event = whole.replace('"a"', `"${tail}"`);
+		assert.equal(readBehind(whole, event), readBehind(textless, event), tail);
+	}
+});
--- /dev/null
+++ b/src/upstream/test/http-model-engine.test.ts
@@ -0,0 +1,171 @@
+/**
+ * An event with the usage mark that was not JSON threw in a 'data' handler and ended the process; one of another shape was trusted. Whatever
+ * stood between two blank lines went to the caller as a token, with an id of ours.
+ */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {after, before, test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import * as Result from 'effect/Result';
+import {ScriptedServer, type AnswerScript} from '../../../development/harness/scripted-server.js';
+import {HttpClient} from '../../base/http-client.js';
+import {HttpModelEngine} from '../http-model-engine.js';
+import type {EngineUsage} from '../model-engine.js';
+
+const tokenOf = (index: number, id = 'chatcmpl-1'): string =>
+	`data: ${JSON.stringify({id, choices: [{index: 0, delta: {content: `ü${index}`}, finish_reason: null}]})}\n\n`;
+const usageOf = (usage: unknown): string => `data: ${JSON.stringify({id: 'chatcmpl-1', choices: [], usage})}\n\n`;
+const tokens = [0, 1, 2].map(index => tokenOf(index));
+const usage = usageOf({prompt_tokens: 7, completion_tokens: 3, prompt_tokens_details: {cached_tokens: 4}});
+const done = 'data: [DONE]\n\n';
+
+let server: ScriptedServer;
+let engine: HttpModelEngine;
+
+before(async () => {
+	server = await ScriptedServer.create();
+	engine = HttpModelEngine.create(HttpClient.create('127.0.0.1', server.port));
+});
+
+after(() => {
+	engine.close();
+	server.close();
+});
+
+/** What a listener was given, and how the answer ended. */
+type Seen = {readonly events: readonly string[]; readonly usages: readonly EngineUsage[]; readonly ending: string};
+
+const heads = {
+	chunked: 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n',
+	unframed: 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n',
+} as const;
+
+const chunkOf = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+
+async function receive(script: AnswerScript): Promise<Seen> {
+	server.script = script;
+	const events: string[] = [];
+	const usages: EngineUsage[] = [];
+	const received = engine.start({
+		requestId: 'r', body: {}, priority: 1, offset: 0, textSoFar: '',
+	}, {
+		onTokens(arrived) {
+			events.push(...arrived);
+			return true;
+		},
+		onUsage(told) {
+			usages.push(told);
+		},
+	}).pipe(Effect.flatMap(({completed}) => completed));
+	const result = await Effect.runPromise(Effect.result(received));
+	const ending = Result.match(result, {onFailure: ({reason, verdict}) => `${reason}, ${verdict}`, onSuccess: () => 'whole'});
+	return {events, usages, ending};
+}
+
+/** An answer in chunks, as engines send it, with each part in a packet of its own. */
+const receiveParts = async (...parts: readonly string[]): Promise<Seen> => receive({pieces: [heads.chunked, ...parts.map(part => chunkOf(part)), '0\r\n\r\n'], ending: 'open'});
+
+test('a whole answer is passed on event by event, and its usage told', async () => {
+	assert.deepEqual(await receiveParts(...tokens, usage + done), {
+		events: tokens, usages: [{promptTokens: 7, completionTokens: 3, cachedTokens: 4}], ending: 'whole',
+	});
+});
+
+const oddUsages: Readonly<Record<string, string>> = {
+	'that is not JSON': 'data: {"choices":[], "usage"\n\n',
+	'without a usage': 'data: {"id":"chatcmpl-1","choices":[]}\n\n',
+	'with null for it': usageOf(null),
+	'with text for numbers': usageOf({prompt_tokens: '7', completion_tokens: 3}),
+	'with numbers below zero': usageOf({prompt_tokens: -7, completion_tokens: 3}),
+	'with half tokens': usageOf({prompt_tokens: 7.5, completion_tokens: 3}),
+};
+
+for (const [name, event] of Object.entries(oddUsages)) {
+	test(`an event of usage ${name} fails the answer, and nothing of it is told`, async () => {
+		assert.deepEqual(await receiveParts(tokens[0]!, event, done), {events: [tokens[0]], usages: [], ending: 'garbled, may-have-run'});
+	});
+}
+
+test('a usage whose details are null, as some engines write it, is read', async () => {
+	const event = usageOf({prompt_tokens: 7, completion_tokens: 3, prompt_tokens_details: null});
+	assert.deepEqual((await receiveParts(tokens[0]!, event, done)).usages, [{promptTokens: 7, completionTokens: 3, cachedTokens: 0}]);
+});
+
+const oddTokens: Readonly<Record<string, string>> = {
+	'that is not JSON': 'data: {"id":"chatcmpl-1","choices":[{"index"\n\n',
+	'of two that were joined': `${tokens[1]!.slice(0, 20)}${tokens[1]!}`,
+	'of two lines': `data: {"id":"chatcmpl-1",\n${tokens[1]!}`,
+	'with an id of its own': `id: 9\n${tokens[1]!}`,
+	'with a name': `event: error\n${tokens[1]!}`,
+	'with a lone carriage return': 'data: {"choices":\r[{"delta":{}}]}\n\n',
+	'whose line has no field': `x${tokens[1]!}`,
+	'without choices': 'data: {"id":"chatcmpl-1"}\n\n',
+	'with an error in their place': 'data: {"error":{"message":"out of memory"}}\n\n',
+	'whose choice has no delta': 'data: {"id":"chatcmpl-1","choices":[{"index":0}]}\n\n',
+	'whose content is no text': 'data: {"id":"chatcmpl-1","choices":[{"index":0,"delta":{"content":7}}]}\n\n',
+	'whose tool calls are none': 'data: {"id":"chatcmpl-1","choices":[{"index":0,"delta":{"tool_calls":[null]}}]}\n\n',
+	'of a number alone': 'data: 7\n\n',
+	'of null': 'data: null\n\n',
+	'of another answer': tokenOf(1, 'chatcmpl-2'),
+};
+
+for (const [name, event] of Object.entries(oddTokens)) {
+	test(`an event ${name} fails the answer, and neither it nor what follows is passed on`, async () => {
+		const expected = {events: [tokens[0]], usages: [], ending: 'garbled, may-have-run'};
+		assert.deepEqual(await receiveParts(tokens[0]!, event, tokens[2]!, usage + done), expected, 'each by itself');
+		assert.deepEqual(await receiveParts(tokens[0]! + event + tokens[2]! + usage + done), expected, 'all together');
+	});
+}
+
+test('a comment is neither passed on nor counted', async () => {
+	const {events, ending} = await receiveParts(': keep-alive\n\n', tokens[0]!, ':\n\n', tokens[1]!, done);
+	assert.deepEqual([events, ending], [[tokens[0], tokens[1]], 'whole']);
+});
+
+test('nothing that comes behind the end of an answer is passed on', async () => {
+	for (const surplus of [tokens[1]!, usage, 'data: {"choices":[],\n\n', 'part of an event']) {
+		assert.deepEqual(await receiveParts(tokens[0]!, done + surplus), {events: [tokens[0]], usages: [], ending: 'whole'});
+		assert.deepEqual(await receiveParts(tokens[0]!, done, surplus, tokens[2]!), {events: [tokens[0]], usages: [], ending: 'whole'});
+	}
+});
+
+test('an answer that ends inside an event, or before its last one, is cut', async () => {
+	const text = tokens.join('') + usage + done;
+	const whole = [...tokens, usage, done];
+	const ends = Array.from({length: text.length - 1}, (_, index) => index + 1);
+	// Each end lies in one of the events; a few of each are enough.
+	for (const end of ends.filter(place => place % 7 === 0)) {
+		const part = text.slice(0, end);
+		const before = whole.filter((_, index) => whole.slice(0, index + 1).join('').length <= end);
+		for (const [framing, ending] of [['chunked', 'close'], ['unframed', 'close'], ['unframed', 'late-reset']] as const) {
+			const piece = framing === 'chunked' ? chunkOf(part) : part;
+			const seen = await receive({pieces: [heads[framing] + piece], ending});
+			assert.deepEqual([seen.events, seen.ending], [before.filter(event => tokens.includes(event)), 'cut, may-have-run'], `${framing}, ${ending}, ${end}`);
+		}
+	}
+});
+
+test('an engine that sends without end and without an event is given up on', async () => {
+	const part = 'x'.repeat(200_000);
+	const {events, ending} = await receiveParts(tokens[0]!, ...Array.from({length: 6}, () => part));
+	assert.deepEqual([events, ending], [[tokens[0]], 'garbled, may-have-run']);
+});
+
+test('an answer to a fetch of a cache that cannot be read is a failure', async () => {
+	for (const body of ['oops', '{"tokens":"many"}', '{}', 'null', '{"tok']) {
+		server.script = {pieces: [`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`], ending: 'open'};
+		const failure = await Effect.runPromise(Effect.flip(engine.importCache({requestId: 'r', host: '127.0.0.1', port: 1})));
+		assert.equal(failure.reason, 'bad-answer', body);
+	}
+});
+
+test('a load report that cannot be read is a failure, and ends nothing', async () => {
+	for (const body of ['oops', '{"running":"many","queued":0,"isLeaving":false}', '[]', 'null', '{"runn']) {
+		server.script = {pieces: [`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`], ending: 'open'};
+		const failure = await Effect.runPromise(Effect.flip(engine.load()));
+		assert.equal(failure.reason, 'bad-answer', body);
+	}
+
+	server.script = {pieces: ['HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\n{}'], ending: 'open'};
+	assert.equal((await Effect.runPromise(Effect.flip(engine.load()))).reason, 'bad-answer');
+});
