--- a/src/base/json-answer.ts
+++ b/src/base/json-answer.ts
@@ -1,9 +1,10 @@
 /**
  * Reads answers that should be JSON: one that was cut short, or holds something else, is told as such and never thrown.
  */
+import {Buffer} from 'node:buffer';
 import * as Result from 'effect/Result';
 import type {Decoder, Fault} from './faults.js';
-import {jsonOf, type HttpAnswer} from './http-client.js';
+import type {HttpAnswer} from './http-client.js';
 
 /**
  * A body without a length ends where its connection does, so that its end alone does not prove that it is whole.
@@ -16,9 +17,9 @@
 	return Result.flatMap(parse(answer), value => decode(value));
 }
 
-function parse(answer: HttpAnswer): Result.Result<unknown, readonly Fault[]> {
+function parse({body}: HttpAnswer): Result.Result<unknown, readonly Fault[]> {
 	try {
-		return Result.succeed(jsonOf<unknown>(answer));
+		return Result.succeed(JSON.parse(Buffer.from(body).toString()));
 	} catch (error) {
 		return Result.fail([{path: '', value: String(error), expected: 'JSON'}]);
 	}
