Whether an answer is whole is told in one place

AnswerEnd is what replica-exchange.ts looked for by itself; both use it now. The bound on an event stands in EventSplitter alone.

--- a/src/relay/replica-exchange.ts
+++ b/src/relay/replica-exchange.ts
@@ -5,6 +5,7 @@
 import {request, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import * as Effect from 'effect/Effect';
+import {AnswerEnd} from '../base/answer-end.js';
 import type {ReplicaConnections} from '../replicas/replica-connections.js';
 import {AttemptFailure} from './attempt-failure.js';
 import type {AnswerHead, RelayFormat} from './relay-format.js';
@@ -48,8 +49,6 @@
 	return Effect.callback<OpenAnswer, AttemptFailure>(resume => {
 		let lifetime: number | undefined;
 		let isSettled = false;
-		let isBroken = false;
-		let opened: IncomingMessage | undefined;
 		const fail = (failure: AttemptFailure) => {
 			if (!isSettled) {
 				isSettled = true;
@@ -60,23 +59,15 @@
 
 		// Node tells so when the whole answer has come and the connection may be used again.
 		socket.once('free', () => {
-			socket.off('end', noteReset);
 			connections.release(socket, lifetime);
 		});
-		// A reset that comes together with the last bytes is told as a plain end; then the connection has no peer any more.
-		const noteReset = () => {
-			isBroken ||= opened?.complete === false && socket.remoteAddress === undefined;
-		};
-
-		socket.prependOnceListener('end', noteReset);
 		const message = request({
 			method: outgoing.method, path: outgoing.path, headers: outgoing.headers, createConnection: () => socket,
 		});
 		// Without an agent Node takes a connection for one request.
 		message.shouldKeepAlive = true;
+		const end = AnswerEnd.watch(message);
 		message.on('error', error => {
-			// Node takes a reset for the end of an answer without a length; surplus bytes come after a whole one.
-			isBroken ||= opened?.complete === false;
 			fail(AttemptFailure.mayHaveRun(isParseError(error) ? 'garbled' : 'cut', error.message));
 		});
 		message.once('response', answer => {
@@ -91,9 +82,8 @@
 			}
 
 			isSettled = true;
-			opened = answer;
 			resume(Effect.succeed({
-				message: answer, head, status: answer.statusCode ?? 0, isWhole: () => answer.complete && !isBroken, abandon() {
+				message: answer, head, status: answer.statusCode ?? 0, isWhole: () => end.isWhole, abandon() {
 					abandon(socket);
 				},
 			}));
--- a/src/upstream/http-model-engine.ts
+++ b/src/upstream/http-model-engine.ts
@@ -23,8 +23,6 @@
 /** Milliseconds an engine may take for an answer; callers' deadlines are shorter and kept elsewhere. */
 const longestAnswer = 86_400_000;
 const importTimeout = 5000;
-/** Characters without a blank line behind which an engine sends no event any more: many times the longest of a token, or of its tool call. */
-const longestEvent = 1_048_576;
 
 const decodeImport = createDecoder(Schema.Struct({tokens: Schema.Int}), 'ignore');
 
@@ -142,8 +140,8 @@
 			message.pause();
 		}
 
-		if (splitter.heldBack > longestEvent) {
-			fault ??= `more than ${longestEvent} characters without the end of an event`;
+		if (splitter.isOverfull) {
+			fault ??= `${splitter.heldBack} characters without the end of an event`;
 		}
 	};
 
