Failing: a stream whose first replica told a length keeps that length, whatever the rest at another replica is

Seen (npm test -- stream-exchange): Content-Length of the first run, then events of the second that are 6 bytes longer: the client's answer is whole by its framing and ends inside event 4.

--- a/src/relay/test/stream-exchange.test.ts
+++ b/src/relay/test/stream-exchange.test.ts
@@ -33,7 +33,7 @@
 
 /** How one run of a replica goes. */
 type Run = {
-	readonly framing: 'chunked' | 'none';
+	readonly framing: 'chunked' | 'length' | 'none';
 	/** From the event after the one that was named, from the first, or one too far. */
 	readonly goesOn: 'behind' | 'anew' | 'too-far';
 	/** Number of an event that is wrong: left out, without an id, or twice. */
@@ -106,8 +106,9 @@
 /** @returns A body as it goes over a connection, with the head before it. */
 const frame = ({framing}: Run, body: Uint8Array, id: string): Uint8Array => {
 	const common = `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nContent-Type: text/event-stream\r\n`;
-	if (framing === 'none') {
-		return Buffer.concat([Buffer.from(`${common}Connection: close\r\n\r\n`), body]);
+	if (framing !== 'chunked') {
+		const told = framing === 'length' ? `Content-Length: ${body.length}` : 'Connection: close';
+		return Buffer.concat([Buffer.from(`${common}${told}\r\n\r\n`), body]);
 	}
 
 	// Chunks end anywhere too, not at events.
@@ -366,3 +367,18 @@
 	// What the drawn plans bring about.
 	assert.ok(Object.values(tally).every(count => count > 0), JSON.stringify(tally));
 });
+
+test('a stream whose first replica told a length goes on elsewhere whole, though the rest is longer or shorter', async () => {
+	const run: Run = {
+		framing: 'chunked', goesOn: 'behind', slip: undefined, hasComments: false, breaksAt: undefined, stopsAt: undefined,
+		ending: 'close', hasSurplus: false, pieces: [200_000], isBytewiseAtBreak: false,
+	};
+	const plan: Plan = {
+		events: 4, dataBytes: 20, lastEventId: undefined, isSlow: false, leavesAfter: undefined, runs: [{...run, framing: 'length', breaksAt: 0.7}, run],
+	};
+	for (const hasComments of [false, true]) {
+		const outcome = await play({...plan, runs: [{...plan.runs[0]!, hasComments}, run]});
+		assert.equal(faultOf(plan, outcome), undefined, JSON.stringify(outcome.body));
+		assert.deepEqual([outcome.isWhole, outcome.succeeded], [true, 1], JSON.stringify(outcome.body));
+	}
+});
