A stream tells its client no length: it may go on at another replica

Cause: the head of the first replica's answer was passed on with its Content-Length. Change: streams are framed in chunks, as whole answers were already framed by their own bytes (withoutLength, now in one place).

--- a/src/relay/replica-try.ts
+++ b/src/relay/replica-try.ts
@@ -6,6 +6,7 @@
 import type {ChoiceRequest} from '../replicas/replica-choice.js';
 import type {Connection} from '../replicas/replica-connections.js';
 import type {AdmittedRequest} from './admitted-request.js';
+import {withoutLength} from './answer-headers.js';
 import {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import type {DemandNotes} from './demand-notes.js';
@@ -218,7 +219,3 @@
 		client.send(answer.status, isBodiless ? headers : withoutLength(headers), body, isBodiless);
 	}
 }
-
-function withoutLength(headers: readonly string[]): readonly string[] {
-	return headers.filter((_, index) => headers[index - (index % 2)]!.toLowerCase() !== 'content-length');
-}
--- a/src/relay/stream-passage.ts
+++ b/src/relay/stream-passage.ts
@@ -4,6 +4,7 @@
 import * as Effect from 'effect/Effect';
 import type {EventFields} from '../base/event-log.js';
 import {EventSplitter, isComment} from '../upstream/event-splitter.js';
+import {withoutLength} from './answer-headers.js';
 import {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import {EventSequence, type EventMisfit} from './event-sequence.js';
@@ -176,10 +177,11 @@
 		this.parts.client.write(events.join(''), byteEncoding);
 	}
 
+	/** The length that the first replica told is not that of a stream which goes on elsewhere: none is told on. */
 	private beginOnce({message, status}: OpenAnswer): void {
 		const {client, format} = this.parts;
 		if (!client.hasBegun) {
-			client.begin(status, format.answerHeaders(message));
+			client.begin(status, withoutLength(format.answerHeaders(message)));
 		}
 	}
 
