Settings: an address without a port, or with one that is none, is told as a fault

Cause: seeds were any text, split at a colon that need not be there: 'box-2' gave the host 'box-' and the port NaN. Ports of other addresses might have five digits of any value, and the port of metrics any number. Ruled out: replicas' addresses (platform/formats.ts checks the whole range already: npm test -- platform/test). Change: all addresses of the settings hold to one pattern, as replicas do; a bad one is told with its line before anything listens, as for other faults of the settings. The test and the mend stand in one commit.

--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -6,9 +6,13 @@
 import type {Fault} from '../base/faults.js';
 import {decodeYaml} from '../base/yaml-file.js';
 
+/** The highest TCP port. */
+const largestPort = 65_535;
+const Port = Schema.Int.check(Schema.isBetween({minimum: 1, maximum: largestPort}, {expected: `a port, 1 to ${largestPort}`}));
+const PresentAddressText = Schema.String
+	.check(Schema.isPattern(/^(?:\d{1,3}\.){3}\d{1,3}:(?:[1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])$/v, {expected: 'an IP number and a port, as 10.0.0.1:8080'}));
 /** An address as text, or nothing where the deployment has none. */
-const AddressText = Schema.NullOr(Schema.String
-	.check(Schema.isPattern(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v, {expected: 'an IP number and a port, as 10.0.0.1:8080'})));
+const AddressText = Schema.NullOr(PresentAddressText);
 const Amount = Schema.NullOr(Schema.Number.check(Schema.isGreaterThanOrEqualTo(0, {expected: 'a number, zero or above'})));
 const Flag = Schema.NullOr(Schema.Boolean);
 
@@ -17,8 +21,8 @@
 	node: Schema.String,
 	dataCentre: Schema.String,
 	listen: Schema.Struct({front: AddressText, ready: AddressText, control: AddressText}),
-	metrics: Schema.Struct({port: Schema.Number}),
-	seeds: Schema.NullOr(Schema.Array(Schema.String)),
+	metrics: Schema.Struct({port: Port}),
+	seeds: Schema.NullOr(Schema.Array(PresentAddressText)),
 	isFirstStart: Flag,
 	store: Schema.Struct({address: AddressText}),
 	duties: Schema.Struct({address: AddressText, kinds: Schema.NullOr(Schema.Array(Schema.String))}),
--- a/src/settings/test/relay-settings.test.ts
+++ b/src/settings/test/relay-settings.test.ts
@@ -38,3 +38,19 @@
 	assert.deepEqual(releasedOf(''), []);
 	assert.match(JSON.stringify(releasedOf('quarantine: {released: [7]}')), /quarantine\.released\.0/v);
 });
+
+test('an address without a port, or with one that is none, is a fault of the settings, wherever it stands', () => {
+	const faultsOf = (before: string, after: string) => {
+		const decoded = decodeRelaySettings(text('').replace(before, after));
+		return Result.isSuccess(decoded) ? [] : [...new Set(decoded.failure.map(({path}) => path))];
+	};
+
+	for (const address of ['10.0.0.1', '10.0.0.1:', ':7000', 'box-2', '10.0.0.1:0', '10.0.0.1:65536', '10.0.0.1:99999', '10.0.0.1:1e3', '']) {
+		assert.deepEqual(faultsOf('seeds: null', `seeds: ["10.0.0.3:7000", "${address}"]`), ['seeds.1'], address);
+		assert.deepEqual(faultsOf('"10.0.0.2:90"', `"${address}"`), ['store.address'], address);
+	}
+
+	assert.deepEqual(faultsOf('seeds: null', 'seeds: ["10.0.0.3:7000", "10.0.0.4:65535"]'), []);
+	assert.deepEqual(faultsOf('7615', '65535.5'), ['metrics.port']);
+	assert.deepEqual(faultsOf('7615', '0'), ['metrics.port']);
+});
