Reproduced, failing: a holder orders replicas before it has read the list of them

Cause: FirstFleetCount.isDue goes by the time since a replica was last listed, which passes without any list as well. Seen: npm test -- fleet-unknown: of the first fleet of three none is counted, and replicas are ordered in both data centres.

--- /dev/null
+++ b/src/duties/test/fleet-unknown.test.ts
@@ -0,0 +1,91 @@
+/*
+ * A holder that has not read the list of replicas took it for one without any: the first fleet was counted as none, and replicas that
+ * stood were ordered again.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {OneObjectStore} from '../../../development/harness/one-object-store.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {ReplicaDirectory} from '../../replicas/replica-directory.js';
+import type {ReplicaEntry} from '../../replicas/replica.js';
+import {RouteTableView} from '../../routes/route-table-view.js';
+import {DutyCalls, type ReplicaOrder} from '../duty-calls.js';
+import {DutyLease} from '../duty-lease.js';
+import {FleetDuty} from '../fleet-duty.js';
+import {MeasuredLoadPolicy} from '../fleet-plan.js';
+
+/** Milliseconds after which the first fleet has settled. */
+const settled = 5000;
+
+/** Keeps the orders that were given. */
+class KeepingCalls extends DutyCalls {
+	readonly orders: ReplicaOrder[] = [];
+
+	override reportUsage(): Effect.Effect<void> {
+		return Effect.void;
+	}
+
+	override orderReplicas(_signer: unknown, order: ReplicaOrder): Effect.Effect<void> {
+		return Effect.sync(() => {
+			this.orders.push(order);
+		});
+	}
+}
+
+const entry = (id: string): ReplicaEntry => ({
+	id, bornAt: undefined, software: '', revision: 1, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined,
+});
+
+const startHolder = async () => {
+	const clock = new MovedClock(1000);
+	const log = SilentEventLog.create();
+	const calls = new KeepingCalls();
+	const replicas = ReplicaDirectory.create(clock, log);
+	const table = RouteTableView.create(clock, log);
+	table.apply({
+		version: 1, routes: [], clientAccounts: [], limits: {body: 1, headerTimeout: 1, idleTimeout: 1},
+		services: [{
+			name: 's', maximumConnections: 1, isEngine: true, cacheCapacity: 1, scaling: {
+				minimum: 1, maximum: 5, bootTime: 4000, reclaimablePrice: 0.2, dataCentrePrices: new Map([['a', 1], ['b', 1]]),
+			},
+		}],
+	}, 'store');
+	const lease = DutyLease.create({
+		self: 'box', incarnation: 'one', store: new OneObjectStore(), clock, log, wait: () => 0, isFenced: () => false,
+	});
+	const duty = FleetDuty.create({
+		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(),
+		demand: () => ({
+			requests: 0, reading: 0, readRate: 0, goal: 0, residualReading: 0, missedPart: 0, boxes: 1,
+		}),
+	});
+	await Effect.runPromise(lease.acquire());
+	return {
+		clock, calls, replicas, lease, duty,
+	};
+};
+
+test('nothing is ordered, and no first fleet counted, before a list of replicas was read', async () => {
+	const {clock, calls, replicas, lease, duty} = await startHolder();
+	clock.now += settled;
+	await Effect.runPromise(duty.step());
+	assert.deepEqual(calls.orders, []);
+	assert.deepEqual(lease.known?.baseline, []);
+	replicas.replaceAll([entry('i-1'), entry('i-2'), entry('i-3')], 5);
+	await Effect.runPromise(duty.step());
+	assert.deepEqual(calls.orders, [], 'replicas may still list themselves');
+	clock.now += settled;
+	await Effect.runPromise(duty.step());
+	assert.deepEqual(lease.known?.baseline.map(({replicas: count}) => count), [3]);
+	assert.ok(calls.orders.length > 0);
+});
+
+test('a list without a replica is a list: the first ones are ordered', async () => {
+	const {clock, calls, replicas, duty} = await startHolder();
+	replicas.replaceAll([], 5);
+	clock.now += settled;
+	await Effect.runPromise(duty.step());
+	assert.ok(calls.orders.some(({count}) => count > 0));
+});
