No replicas are ordered before a list of them was read

Ruled out: an empty list (a second test: the first replicas are ordered). Whether a relay comes to hold the duties without a list was not played; it needs a store that answers the duties' record and not the list, such as one slow with lists. Change: FleetDuty.step waits for ReplicaDirectory.isKnown, as the front door does. No rule of sizes changes. Tests: two tests put replicas into a directory that had never been given a list; they give it one first, and assert the same as before. Without it the one of fleet-take-over would pass for want of any order.

--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -76,7 +76,7 @@
 			const {lease} = this.services;
 			const record = lease.known;
 			const {scaled} = this;
-			if (!record || scaled.length === 0 || !this.firstFleet.isDue(record)) {
+			if (!record || !this.services.replicas.isKnown || scaled.length === 0 || !this.firstFleet.isDue(record)) {
 				return Effect.void;
 			}
 
--- a/src/duties/test/fleet-duty.test.ts
+++ b/src/duties/test/fleet-duty.test.ts
@@ -45,9 +45,9 @@
 			name: 's', maximumConnections: 1, isEngine: true, cacheCapacity: 1, scaling,
 		}],
 	}, 'store');
-	replicas.put({
+	replicas.replaceAll([{
 		id: 'i-1', bornAt: undefined, software: '', revision: 1, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined,
-	});
+	}], 1);
 	const lease = DutyLease.create({
 		self: 'box', incarnation: 'one', store, clock, log, wait: () => 0, isFenced: () => false,
 	});
--- a/src/duties/test/fleet-take-over.test.ts
+++ b/src/duties/test/fleet-take-over.test.ts
@@ -64,6 +64,7 @@
 			},
 		}],
 	}, 'store');
+	replicas.replaceAll([], 0);
 	for (const dataCentre of dataCentres.filter(name => name !== dryDataCentre)) {
 		for (let index = 0; index < orderedEach; index++) {
 			replicas.put({
