Reproduced, failing: requests with long prompts are lost when a box hands them over

Cause: records are parted by their number alone, sixteen a message; a peer reads messages up to 16 MiB, and ends the connection at one above it, with the messages that follow.

--- /dev/null
+++ b/src/daemon/test/record-hand-over.test.ts
@@ -0,0 +1,102 @@
+/*
+ * Records are handed over in messages of sixteen, which a peer reads up to a size: with long prompts sixteen are over it, and then all of
+ * them were lost, and the link to the peer with them.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {SilentEventLog} from '../../base/event-log.js';
+import type {
+	BoxId, ClientAccountName, DataCentre, RequestKey,
+} from '../../base/identifiers.js';
+import {BoxDirectory} from '../../boxes/box-directory.js';
+import {SystemClock} from '../../base/clock.js';
+import {Metrics} from '../../base/metrics.js';
+import {RunRegistry} from '../../dispatch/run-registry.js';
+import {Peer, PeerFailure} from '../../peers/peer.js';
+import type {RecordSnapshot} from '../../peers/peer-messages.js';
+import {listenForPeers} from '../../peers/peer-server.js';
+import {RemotePeer} from '../../peers/remote-peer.js';
+import type {ReachablePeer} from '../../peers/peer-links.js';
+import {RecordBook} from '../../records/record-book.js';
+import {RequestRecord} from '../../records/request-record.js';
+import {RecordHandOver} from '../record-hand-over.js';
+
+const unasked = () => Effect.fail(new PeerFailure({detail: 'not asked here'}));
+
+/** Keeps what is handed to it. */
+class AdoptingPeer extends Peer {
+	readonly adopted: RecordSnapshot[] = [];
+	messages = 0;
+
+	override exchange() {
+		return unasked();
+	}
+
+	override announceLeaving() {
+		return unasked();
+	}
+
+	override fetchTable() {
+		return unasked();
+	}
+
+	override fetchRecord() {
+		return unasked();
+	}
+
+	override adoptRecords(records: readonly RecordSnapshot[]) {
+		return Effect.sync(() => {
+			this.messages++;
+			this.adopted.push(...records);
+			return records.length;
+		});
+	}
+}
+
+const recordWith = (key: string, prompt: string): RequestRecord => RequestRecord.create({
+	account: 'a' as ClientAccountName, key: key as RequestKey, fingerprint: key, service: 's', kind: 'k',
+	body: {messages: [{role: 'user', content: prompt}], max_tokens: 5}, requestId: key, isNamed: true,
+}, ['data: {}\n\n']);
+
+async function handOver(prompts: readonly string[]): Promise<{readonly adopted: readonly string[]; readonly messages: number; readonly moved: number}> {
+	const clock = SystemClock.create();
+	const log = SilentEventLog.create();
+	const receiver = new AdoptingPeer();
+	const moving = Effect.gen(function * () {
+		const port = yield * listenForPeers(receiver, '127.0.0.1', 0);
+		const peer = RemotePeer.create('127.0.0.1', port);
+		const records = RecordBook.create({retention: 1000, maximumBytes: 1000}, clock);
+		for (const [index, prompt] of prompts.entries()) {
+			records.add(recordWith(`key-${String(index).padStart(3, '0')}`, prompt));
+		}
+
+		const reachable = {box: {id: 'b', dataCentre: 'd'}, peer, state: {isStopping: false}} as unknown as ReachablePeer;
+		const moved = yield * RecordHandOver.create({
+			dataCentre: 'd' as DataCentre, directory: BoxDirectory.create('box' as BoxId, clock, log), records, runs: RunRegistry.create(Metrics.create()), log, peers: () => [reachable],
+		}).moveActive();
+		peer.close();
+		return moved;
+	});
+	const moved = await Effect.runPromise(Effect.scoped(moving));
+	return {adopted: receiver.adopted.map(({origin}) => origin.key).sort(), messages: receiver.messages, moved};
+}
+
+const keys = (count: number): readonly string[] => Array.from({length: count}, (_, index) => `key-${String(index).padStart(3, '0')}`);
+
+test('requests with long prompts are handed over whole, however many fit into a message', async () => {
+	// 1.2 million bytes each, of 600,000 characters.
+	const {adopted, moved} = await handOver(Array.from({length: 18}, () => 'é'.repeat(600_000)));
+	assert.deepEqual(adopted, keys(18));
+	assert.equal(moved, 18);
+});
+
+test('short requests still share messages, and one that is long goes by itself', async () => {
+	const {adopted, messages} = await handOver([...Array.from({length: 20}, () => 'short'), 'x'.repeat(9_000_000), 'short']);
+	assert.deepEqual(adopted, keys(22));
+	assert.ok(messages <= 4, `${messages} messages`);
+});
+
+test('nothing is sent where nothing is in progress', async () => {
+	assert.deepEqual(await handOver([]), {adopted: [], messages: 0, moved: 0});
+});
