Engines of development write in drawn pieces and end inside events, and callers see each event to the byte

Cause: all stand-ins wrote an event in one piece and were cut between events, and the caller judged the joined text of an answer, so that neither could show a part taken for the whole. The stand-in's import of a cache took the first piece of the answer for the whole, and ended its process where that was not JSON ("Unterminated string in JSON at position 5", an answer in two pieces, before the change). Change: EventWriter, with a seed, the most pieces of an event (cut anywhere in its bytes; tokens hold a character of two bytes) and the part of the events inside of which an answer ends, by a close or a reset. The caller compares each event with the one that the stand-in makes, all of one answer; nothing may come behind the end; what HTTP tells as whole must have its end. The demo's second engine of each data centre writes so, and it prints how many streams were cut and went on.

--- a/development/demo/main.ts
+++ b/development/demo/main.ts
@@ -26,6 +26,8 @@
 const dataCentres = ['ahmedabad', 'surat'] as const;
 const enginesPerDataCentre = 2;
 const directRate = 2;
+/** The second engine of each data centre writes its events in pieces, and ends inside some of them. */
+const roughWriting = {seed: 1, mostPieces: 4, broken: 0.002} as const;
 /** Characters of the prefix that requests of a session share. */
 const sharedPrefix = 'You are the assistant of the service. Answer shortly and with the figures you were given. '.repeat(20);
 
@@ -36,7 +38,9 @@
 	await installation.applyTable(sampleTable());
 	const upstreams = dataCentres.flatMap(dataCentre => [
 		...Array.from({length: enginesPerDataCentre}, async (_, index) =>
-			installation.addEngine(`engine-${dataCentre}-${index + 1}`, {dataCentre, pool: 'engines', price: 10})),
+			installation.addEngine(`engine-${dataCentre}-${index + 1}`, {
+				dataCentre, pool: 'engines', price: 10, traits: index === 0 ? {} : {writing: roughWriting},
+			})),
 		installation.addService(`orders-${dataCentre}`, {dataCentre, pool: 'orders', price: 1}),
 	]);
 	await Promise.all(upstreams);
@@ -209,6 +213,7 @@
 		recomputedTokens: await sumMetric(installation, 'waydrift_recomputed_tokens_total{cause="leaving"}')
 			+ await sumMetric(installation, 'waydrift_recomputed_tokens_total{cause="failure"}'),
 		streamsMoved: await sumMetric(installation, 'waydrift_streams_moved_total{cause="leaving"}'),
+		streamsCut: await sumMetric(installation, 'waydrift_streams_moved_total{cause="failure"}'),
 		cost: Math.round(price * hours * 10_000) / 10_000,
 		stoppedBoxExit: exitOfStopped ?? -1,
 		throughWaydrift: summarise(streamed),
--- a/development/harness/caller.ts
+++ b/development/harness/caller.ts
@@ -6,7 +6,9 @@
 	Agent, request, type IncomingMessage,
 } from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {expectedAnswer, type ChatMessage} from '../standins/tokens.js';
+import {
+	expectedAnswer, seedOf, tokenEvent, type ChatMessage, type TokenFrame,
+} from '../standins/tokens.js';
 
 /** How a request ended, as its caller judges. */
 export type Judgement =
@@ -62,6 +64,9 @@
 const mostLooks = 100;
 const pauseAfterCut = 100;
 const longestPause = 2000;
+const blankLine = '\n\n';
+const doneEvent = `data: [DONE]${blankLine}`;
+const errorStart = 'event: error\n';
 
 /** Calls through whatever entry boxes a balancer would choose. */
 export class Caller {
@@ -162,7 +167,7 @@
 		}
 
 		const ended = await receiver.receive(incoming);
-		if (ended === 'error' || ended === 'cut') {
+		if (ended !== 'done' && !receiver.isWrong) {
 			await delay(pauseAfterCut);
 			return undefined;
 		}
@@ -233,17 +238,27 @@
 	position = 0;
 	restarts = 0;
 	readonly timing: {firstToken: number; readonly between: number[]} = {firstToken: Number.NaN, between: []};
-	private text = '';
+	private answerId: string | undefined;
+	private readonly frame: Omit<TokenFrame, 'id'>;
 	private fault: string | undefined;
 	private readonly startedAt = performance.now();
 	private lastAt = 0;
 
-	constructor(private readonly chat: Chat) {}
+	constructor(private readonly chat: Chat) {
+		// Callers may write the kind behind the name of the service; engines are told the service.
+		const [model = ''] = chat.model.split(':', 1);
+		this.frame = {model, seed: seedOf(chat.messages), end: chat.maximumTokens};
+	}
+
+	/** Whether something came that no stream may hold. */
+	get isWrong(): boolean {
+		return this.fault !== undefined;
+	}
 
 	restart(): void {
 		this.restarts++;
 		this.position = 0;
-		this.text = '';
+		this.answerId = undefined;
 	}
 
 	async receive(incoming: IncomingMessage): Promise<'done' | 'error' | 'cut'> {
@@ -252,13 +267,22 @@
 		incoming.setEncoding('utf8');
 		return new Promise(resolve => {
 			incoming.on('data', (chunk: string) => {
-				const parts = (rest + chunk).split('\n\n');
+				const parts = (rest + chunk).split(blankLine);
 				rest = parts.pop()!;
 				for (const part of parts) {
-					ended = this.take(part) ?? ended;
+					if (ended !== 'cut') {
+						this.fault ??= `"${part}" behind the end of the stream`;
+					}
+
+					ended = this.take(part + blankLine) ?? ended;
 				}
 			});
 			incoming.once('close', () => {
+				// What HTTP tells as whole must be it; only a connection that breaks may leave part of an event.
+				if (incoming.complete && (ended === 'cut' || rest !== '')) {
+					this.fault ??= `ended as whole after event ${this.position}, with "${rest}" left`;
+				}
+
 				resolve(ended);
 			});
 			incoming.once('error', () => {
@@ -272,29 +296,28 @@
 			return {kind: 'misdelivered', detail: this.fault};
 		}
 
-		return this.text === expectedAnswer(this.chat.messages, this.chat.maximumTokens)
+		return this.position === this.chat.maximumTokens
 			? {kind: 'answered'}
-			: {kind: 'misdelivered', detail: `expected ${this.chat.maximumTokens} tokens of its own, got "${this.text.slice(0, 60)}" at ${this.position}`};
+			: {kind: 'misdelivered', detail: `expected ${this.chat.maximumTokens} tokens, got ${this.position}`};
 	}
 
 	private take(event: string): 'done' | 'error' | undefined {
-		const fields = new Map(event.split('\n').map(line => [line.slice(0, line.indexOf(':')), line.slice(line.indexOf(':') + 2)]));
-		const data = fields.get('data') ?? '';
-		if (data === '[DONE]') {
+		if (event === doneEvent) {
 			return 'done';
 		}
 
-		if (fields.get('event') === 'error') {
+		if (event.startsWith(errorStart)) {
 			return 'error';
 		}
 
-		const id = Number(fields.get('id'));
-		if (id !== this.position + 1) {
-			this.fault ??= `event ${id} came after event ${this.position}`;
+		// The name of the answer is the engine's; everything else of the event is known, and it is the same name in all of them.
+		this.answerId ??= /"id":"(?<id>chatcmpl-[\w\-]+)"/v.exec(event)?.groups?.id;
+		const expected = `id: ${this.position + 1}\n${tokenEvent({...this.frame, id: this.answerId ?? ''}, this.position)}`;
+		if (event !== expected) {
+			this.fault ??= `after event ${this.position}: ${JSON.stringify(event)}`;
 		}
 
-		this.position = id;
-		this.text += (JSON.parse(data) as {readonly choices: ReadonlyArray<{readonly delta: {readonly content: string}}>}).choices[0]!.delta.content;
+		this.position++;
 		this.clock();
 		return undefined;
 	}
--- a/development/standins/model-engine.ts
+++ b/development/standins/model-engine.ts
@@ -3,12 +3,14 @@
  * a limit, a lagged load report, resume, cancel, KV export and import, cache events with gaps, fenced
  * orders and leaving. Development only.
  */
-import {request as openRequest, type Server, type ServerResponse} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import {randomOf} from '../harness/seeded-random.js';
+import {EventWriter, type WritingTraits} from './event-writer.js';
 import {
 	portOf, sendJson, startStandin, type StandinRequest,
 } from './standin-server.js';
 import {
-	blockTokens, countPromptTokens, promptBlocks, seedOf, tokenAt, type ChatMessage,
+	blockTokens, countPromptTokens, promptBlocks, seedOf, tokenAt, tokenEvent, type ChatMessage,
 } from './tokens.js';
 
 /** How an engine behaves. */
@@ -25,11 +27,13 @@
 	readonly lag: number;
 	/** Whether orders of an older generation are refused. */
 	readonly isFenced: boolean;
+	/** In what pieces it writes its events, and where it ends inside one. */
+	readonly writing: WritingTraits;
 };
 
 /** An engine of a size that suits a test machine. */
 export const defaultEngineTraits: EngineTraits = {
-	step: 10, batch: 16, prefill: 256, cacheBlocks: 512, lag: 500, isFenced: true,
+	step: 10, batch: 16, prefill: 256, cacheBlocks: 512, lag: 500, isFenced: true, writing: {seed: 1, mostPieces: 1, broken: 0},
 };
 
 type CompletionInput = {
@@ -47,6 +51,7 @@
 	readonly id: string;
 	readonly input: CompletionInput;
 	readonly response: ServerResponse;
+	readonly writer: EventWriter;
 	readonly seed: number;
 	readonly promptTokens: number;
 	readonly cachedTokens: number;
@@ -183,6 +188,7 @@
 			id,
 			input,
 			response,
+			writer: EventWriter.create(response, this.traits.writing, randomOf(this.traits.writing.seed + this.totals.started)),
 			promptTokens,
 			cachedTokens,
 			seed: seedOf(input.messages),
@@ -283,21 +289,24 @@
 			return;
 		}
 
-		const {response} = sequence;
+		this.begin(sequence);
+		sequence.writer.write(tokenEvent({...this.nameOf(sequence), seed: sequence.seed, end: sequence.end}, sequence.position - 1));
+	}
+
+	private begin({response}: Sequence): void {
 		if (!response.headersSent) {
 			response.writeHead(200, {'Content-Type': 'text/event-stream', 'Cache-Control': 'no-store'});
 		}
+	}
 
-		const isLast = sequence.position === sequence.end;
-		response.write(`data: ${JSON.stringify({
-			...this.frame(sequence, 'chat.completion.chunk'),
-			choices: [{index: 0, delta: {role: 'assistant', content: token}, finish_reason: isLast ? 'length' : null}],
-		})}\n\n`);
+	private nameOf({id, input}: Sequence) {
+		return {id: `chatcmpl-${id}`, model: input.model};
 	}
 
 	private frame(sequence: Sequence, object: string) {
+		const {id, model} = this.nameOf(sequence);
 		return {
-			id: `chatcmpl-${sequence.id}`, object, created: 0, model: sequence.input.model,
+			id, object, created: 0, model,
 		};
 	}
 
@@ -318,30 +327,16 @@
 			return;
 		}
 
-		if (!response.headersSent) {
-			response.writeHead(200, {'Content-Type': 'text/event-stream', 'Cache-Control': 'no-store'});
-		}
-
+		this.begin(sequence);
 		if (sequence.input.stream_options?.include_usage) {
-			response.write(`data: ${JSON.stringify({...this.frame(sequence, 'chat.completion.chunk'), choices: [], usage})}\n\n`);
+			sequence.writer.write(`data: ${JSON.stringify({...this.frame(sequence, 'chat.completion.chunk'), choices: [], usage})}\n\n`);
 		}
 
-		response.end('data: [DONE]\n\n');
+		sequence.writer.end('data: [DONE]\n\n');
 	}
 
 	private async importCache(from: {readonly request: string; readonly host: string; readonly port: number}, response: ServerResponse): Promise<void> {
-		const tokens = await new Promise<number | undefined>(resolve => {
-			openRequest({host: from.host, port: from.port, path: `/kv/export?request=${encodeURIComponent(from.request)}`}, answer => {
-				answer.once('data', (chunk: Uint8Array) => {
-					resolve((JSON.parse(String(chunk)) as {readonly tokens?: number}).tokens);
-				});
-				answer.once('end', () => {
-					resolve(undefined);
-				});
-			}).once('error', () => {
-				resolve(undefined);
-			}).end();
-		});
+		const tokens = await exportedTokens(from);
 		if (tokens !== undefined) {
 			this.imported.set(from.request, tokens);
 		}
@@ -369,3 +364,14 @@
 		}
 	}
 }
+
+/** @returns Tokens that another engine holds of a request; nothing where it gives no whole answer. */
+async function exportedTokens({host, port, request}: {readonly request: string; readonly host: string; readonly port: number}): Promise<number | undefined> {
+	try {
+		const answer = await fetch(`http://${host}:${port}/kv/export?request=${encodeURIComponent(request)}`);
+		const {tokens} = await answer.json() as {readonly tokens?: number};
+		return tokens;
+	} catch {
+		return undefined;
+	}
+}
--- a/development/standins/tokens.ts
+++ b/development/standins/tokens.ts
@@ -46,7 +46,33 @@
  * @returns The token's text.
  */
 export function tokenAt(seed: number, index: number): string {
-	return ` ${seed.toString(36)}.${index}`;
+	// A character of several bytes, so that it can be cut inside of it.
+	return ` ${seed.toString(36)}·${index}`;
+}
+
+/** What names a token's event, besides the token. */
+export type TokenFrame = {
+	/** Name of the answer. */
+	readonly id: string;
+	readonly model: string;
+	readonly seed: number;
+	/** Tokens of the whole answer. */
+	readonly end: number;
+};
+
+/**
+ * @param frame - Of the answer.
+ * @param index - Position in the answer.
+ * @returns The event that carries that token, to the byte.
+ */
+export function tokenEvent({id, model, seed, end}: TokenFrame, index: number): string {
+	return `data: ${JSON.stringify({
+		id,
+		object: 'chat.completion.chunk',
+		created: 0,
+		model,
+		choices: [{index: 0, delta: {role: 'assistant', content: tokenAt(seed, index)}, finish_reason: index === end - 1 ? 'length' : null}],
+	})}\n\n`;
 }
 
 /**
