--- a/development/fuzz/suites.ts
+++ b/development/fuzz/suites.ts
@@ -4,6 +4,7 @@
 import {ceilingSuite} from './ceiling-suite.js';
 import {claimSuite} from './claim-suite.js';
 import {decoderSuite} from './decoder-suite.js';
+import {eventSuite} from './event-suite.js';
 import {leaseSuite} from './lease-suite.js';
 import {streamSuite} from './stream-suite.js';
 import type {Suite} from './suite.js';
@@ -13,4 +14,4 @@
 export type AnySuite = Suite<never>;
 
 /** In the order they run. */
-export const suites: readonly AnySuite[] = [claimSuite, ceilingSuite, leaseSuite, tableSuite, streamSuite, decoderSuite] as unknown as readonly AnySuite[];
+export const suites: readonly AnySuite[] = [claimSuite, ceilingSuite, leaseSuite, tableSuite, streamSuite, eventSuite, decoderSuite] as unknown as readonly AnySuite[];
