Test of the product's own streams where engines write in pieces and end inside events

Two boxes, four engines as processes, 40 answers of 60 tokens, one in two cut on average; each caller gets each token once, in the very event of one engine.

--- /dev/null
+++ b/src/daemon/test/broken-events.test.ts
@@ -0,0 +1,59 @@
+/**
+ * Engines that write their events in pieces and end inside them: what a caller has is each token once, in the very event of one engine,
+ * wherever an answer was cut and went on.
+ */
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {after, before, test} from 'node:test';
+import type {Chat} from '../../../development/harness/caller.js';
+import {control, readMetric, type Installation} from '../../../development/harness/installation.js';
+import {callerOf, startInstallation} from '../../../development/harness/small-installation.js';
+
+const answers = 40;
+const tokens = 60;
+/** One answer in two is cut, on average: none is as often as it may be tried. */
+const broken = 1 / (2 * tokens);
+
+let installation: Installation;
+
+before(async () => {
+	installation = await startInstallation({
+		entries: 2, engines: 4, services: 0, dataCentres: 2, traits: {writing: {seed: 20_261_203, mostPieces: 5, broken}},
+	});
+});
+
+after(async () => installation.close());
+
+const chat = (isStreamed: boolean): Chat => {
+	const key = randomUUID();
+	return {
+		model: 'assistant', key, isStreamed, maximumTokens: tokens, messages: [{role: 'user', content: `Write bulletin ${key}.`}],
+	};
+};
+
+async function sumOf(values: ReadonlyArray<Promise<number>>): Promise<number> {
+	let sum = 0;
+	for (const value of await Promise.all(values)) {
+		sum += value;
+	}
+
+	return sum;
+}
+
+test('each caller gets each token once, in the very event of one engine, where engines write in pieces and end inside events', async () => {
+	const caller = callerOf(installation);
+	const results = await Promise.all(Array.from({length: answers}, async (_, index) => caller.chat(chat(index % 4 !== 0))));
+	const endings = results.map(({judgement, restarts}) => ({judgement, restarts}));
+	assert.deepEqual(endings, endings.map(() => ({judgement: {kind: 'answered'}, restarts: 0})));
+	const moved = await sumOf(installation.entries.map(async ({operatorsPort}) => readMetric(operatorsPort, 'waydrift_streams_moved_total{cause="failure"}')));
+	assert.ok(moved > 0, 'answers were cut');
+	// Pieces alone are no fault: what was tried again was cut.
+	const garbled = await sumOf(installation.entries.map(async ({operatorsPort}) => readMetric(operatorsPort, 'waydrift_retries_total{reason="garbled"}')));
+	assert.equal(garbled, 0);
+	const engines = [...installation.members.values()].filter(({box}) => box.role === 'model-engine');
+	const started = await sumOf(engines.map(async ({box}) => {
+		const totals = await control(box.port, 'totals', {}) as {readonly started: number};
+		return totals.started;
+	}));
+	assert.ok(started >= answers + moved, `${started} runs for ${answers} answers that went on elsewhere ${moved} times`);
+});
