Reproduced, failing: a request that is kept away runs again as soon as replicas end for another reason

How many ends are needed is told from ends within 10 s of the last one of the request, by the constant's own word "before" it, by the code on both sides. So each end that comes after the verdict takes part of it back.

Change: one test, "replicas that end for other reasons later lift nothing"; it fails (trial, where quarantined is expected).

--- a/src/quarantine/test/quarantine.test.ts
+++ b/src/quarantine/test/quarantine.test.ts
@@ -160,6 +160,23 @@
 	assert.deepEqual(standings, ['suspect', 'trial', 'trial', 'trial', 'quarantined']);
 });
 
+test('replicas that end for other reasons later lift nothing', () => {
+	const fixture = new Fixture();
+	for (const _ of [1, 2, 3]) {
+		const replica = fixture.end(x);
+		fixture.replicas.remove(replica.entry.id, 90);
+	}
+
+	fixture.list();
+	assert.equal(fixture.quarantine.standingOf(x), 'quarantined');
+	for (const index of [1, 2, 3, 4, 5].keys()) {
+		const replica = fixture.end(Fingerprint(`other-${index}`.padEnd(12, '-')));
+		fixture.replicas.remove(replica.entry.id, 90);
+	}
+
+	assert.equal(fixture.quarantine.standingOf(x), 'quarantined');
+});
+
 test('what is kept away is tried once more by one box, in pauses that grow', () => {
 	const fixture = new Fixture();
 	for (const _ of [1, 2, 3]) {
