How many ends keep a request away is told from all ends before its last one

The ledger left out ends whose requests were all served since, so that where replicas end for another reason three ends were enough for a bystander; and ends that came after the verdict took it back.

Change: all ends are known to the judgement, with the requests that were not served since, if any; only those before the last one of a request count for how many it needs.

--- a/src/quarantine/end-ledger.ts
+++ b/src/quarantine/end-ledger.ts
@@ -82,12 +82,12 @@
 		return this.changeCount;
 	}
 
-	/** All ends under requests that were not served since. */
+	/** All ends, each with the requests that were not served since; with none, it was for another cause. */
 	get known(): readonly KnownEnd[] {
 		this.dropLapsed();
-		return [...this.ends.values()]
-			.filter(({suspects}) => suspects.size > 0)
-			.map(({suspects, ...end}) => ({...end, suspects: suspectsOf(suspects)}));
+		return [...this.ends.values()].map(({start, service, software, at, suspects}) => ({
+			start, service, software, at, suspects: suspectsOf(suspects),
+		}));
 	}
 
 	/**
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -244,7 +244,7 @@
 		const now = this.services.clock.monotonic();
 		const {changes} = this.ledger;
 		if (this.judgement?.changes !== changes || now - this.judgement.at > judgementLifetime) {
-			const ends = this.ledger.known.filter(end => !this.isContradicted(end));
+			const ends = this.uncontradicted();
 			const blames = blameFor(ends);
 			this.judgement = {
 				blames, ends: new Map(ends.map(end => [end.start, end])), quarantined: this.quarantinedOf(blames, ends), changes, at: now,
@@ -268,18 +268,22 @@
 		return quarantined;
 	}
 
-	/** More than as many ends as a request that is always at one of the replicas is at by chance. */
+	/**
+	 * More than as many ends as a request that is always at one of the replicas is at by chance. Ends whose requests were all served since count
+	 * too; later ones do not, or a request that is kept away would run again as soon as replicas end for another reason.
+	 */
 	private neededEnds(starts: readonly string[], ends: readonly KnownEnd[]): number {
 		const own = ends.filter(({start}) => starts.includes(start));
 		const last = Math.max(...own.map(({at}) => at));
-		const others = ends.filter(({start, service, at}) => !starts.includes(start) && service === own[0]?.service && Math.abs(last - at) < chanceWindow);
+		const others = ends.filter(({start, service, at}) => !starts.includes(start) && service === own[0]?.service && at <= last && last - at < chanceWindow);
 		const replicas = Math.max(1, this.services.replicas.ready(own[0]?.service ?? '').length);
 		return Math.min(mostQuarantineEnds, quarantineEnds + Math.round(others.length / replicas));
 	}
 
 	/** A box that is cut off takes replicas for ended that go on; whoever hears them knows better. */
-	private isContradicted({start, at}: KnownEnd): boolean {
-		return this.services.replicas.all.some(replica => replica.start === start && replica.lastAnsweredAt > at + contradictedAfter);
+	private uncontradicted(): readonly KnownEnd[] {
+		const answeredAt = new Map(this.services.replicas.all.map(replica => [replica.start, replica.lastAnsweredAt]));
+		return this.ledger.known.filter(({start, at}) => (answeredAt.get(start) ?? Number.NEGATIVE_INFINITY) <= at + contradictedAfter);
 	}
 
 	/** Whether the service runs other software by now, which may bear the request. */
