Who is on trial waits for its turn instead of being refused at once

A request at two ends runs apart from others of its sort. Where the one sound replica had another of them, the box refused it with 503 and half a second to stay away; the run that stood in its way was over after some 100 ms, and cleared whoever only stood beside.

Change: it waits at the box, looks every 20 ms, and is refused after 0.5 s, which is what it would have been told to stay away. A request that was cut on trial counts as under way until it is known whether that ended the replica (20 ms and a connection): else the next one of the same would be sent to the next replica before the end is told.

Ruled out: to run it beside the other, since the next end would then tell nothing; a longer wait, which holds a request for a run that may last a minute.

--- a/src/relay/end-watch.ts
+++ b/src/relay/end-watch.ts
@@ -85,6 +85,14 @@
 		}
 	}
 
+	/**
+	 * @param fingerprint - A request that was cut.
+	 * @returns Whether it is not known yet if that was the end of a replica.
+	 */
+	isLookingFor(fingerprint: Fingerprint): boolean {
+		return [...this.cuts.values()].some(({isProbed, hasEnded, suspects}) => isProbed && !hasEnded && suspects.has(fingerprint));
+	}
+
 	private probe(replica: Replica, cut: Cut): Effect.Effect<void> {
 		const {connections} = this.services;
 		return Effect.sleep(probeDelay).pipe(
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -30,6 +30,13 @@
 /** Seconds after which a client may come back where replicas are short. */
 const comeBack = 0.5;
 const millisecondsPerSecond = 1000;
+/**
+ * Milliseconds, from its first wait on, for which a request waits until others that replicas ended under have run: as many as it would else be told to
+ * stay away.
+ */
+const turnPatience = comeBack * millisecondsPerSecond;
+/** Milliseconds between two looks: a fifth of the 100 ms that such a run took in the test `trial-turns`. */
+const turnPause = 20;
 
 /** What became of a request, for its log line. */
 export type RunStory = {
@@ -74,6 +81,8 @@
 	/** An answer of a replica that failed the request, to be passed on where nothing better comes. */
 	private failedAnswer: (() => void) | undefined;
 	private hasCounted = false;
+	/** Since when it has waited for its turn, in monotonic milliseconds. */
+	private waitsSince: number | undefined;
 	private readonly notes: DemandNotes;
 
 	private constructor(
@@ -133,6 +142,11 @@
 				yield * this.governAnew();
 				yield * this.passQuarantine();
 				const replica = yield * this.chooseReplica();
+				if (!replica) {
+					yield * this.awaitTurn();
+					continue;
+				}
+
 				this.story.tries++;
 				this.story.replica = replica.entry.id;
 				const failure = yield * this.tryReplica(replica).pipe(Effect.as(undefined), Effect.catchTag('AttemptFailure', error => Effect.succeed(error)));
@@ -195,16 +209,28 @@
 				return Effect.fail(this.refuse('quarantined', detail, Math.max(comeBack, Math.ceil(suspicion.keptFor / millisecondsPerSecond))));
 			}
 
-			return suspicion.mustWait ? Effect.fail(this.waitForTurn()) : Effect.void;
+			return Effect.void;
 		});
 	}
 
-	private waitForTurn(): Refusal {
-		return this.refuse('quarantined', 'Replicas ended while they ran this request; it runs once at a time, apart from others of its sort, until one has served it.', comeBack);
+	/** The run that it waits for is mostly over soon, and serves whoever only stood beside: to come back would take longer. */
+	private awaitTurn(): Effect.Effect<void, Refusal> {
+		return Effect.suspend(() => {
+			const now = this.services.clock.monotonic();
+			this.waitsSince ??= now;
+			return now - this.waitsSince < turnPatience
+				? Effect.sleep(turnPause)
+				: Effect.fail(this.refuse('quarantined', 'Replicas ended while they ran this request; it runs once at a time, apart from others of its sort, until one has served it.', comeBack));
+		});
 	}
 
-	private chooseReplica(): Effect.Effect<Replica, Refusal> {
+	/** @returns The replica; `undefined` where it is not the request's turn. */
+	private chooseReplica(): Effect.Effect<Replica | undefined, Refusal> {
 		const {replicas, choice} = this.services;
+		if (this.suspicion.mustWait) {
+			return Effect.succeed(undefined);
+		}
+
 		const ready = replicas.ready(this.request.service);
 		const untried = ready.filter(replica => !this.tried.has(replica));
 		const sound = untried.filter(({isAvoided, isSilent}) => !isAvoided && !isSilent);
@@ -215,7 +241,7 @@
 		}
 
 		const bounded = this.suspicion.bounded(candidates);
-		return bounded.length > 0 ? this.admit(choice.choose(bounded, this.choiceRequest)) : Effect.fail(this.waitForTurn());
+		return bounded.length > 0 ? this.admit(choice.choose(bounded, this.choiceRequest)) : Effect.succeed(undefined);
 	}
 
 	/** What was begun is not given up for others. */
--- a/src/relay/run-suspicion.ts
+++ b/src/relay/run-suspicion.ts
@@ -59,9 +59,10 @@
 		return this.services.quarantine.keptFor(this.fingerprint);
 	}
 
-	/** Whether it has to wait until it has ended at this box. */
+	/** Whether it has to wait until it has ended at this box, and until it is known what it ended. */
 	get mustWait(): boolean {
-		return this.standing === 'trial' && this.services.quarantine.isRunning(this.fingerprint);
+		const {quarantine, ends} = this.services;
+		return this.standing === 'trial' && (quarantine.isRunning(this.fingerprint) || ends.isLookingFor(this.fingerprint));
 	}
 
 	/** @returns How the request stands now. */
