Tests: bodies of clients that are cut short, or whose end is not clear

Node's parser refuses what is not clear with 400 before the reader sees it, and tells a cut body as an error. Conclusion: no fault; the tests stay, since the reader rests on the parser for all of it.

--- /dev/null
+++ b/src/node/test/client-bodies.test.ts
@@ -0,0 +1,124 @@
+/*
+ * A request is passed on with the body that its client sent, or not at all: what ends early, or says two things of where it ends, reaches
+ * no replica.
+ */
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {after, before, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {RelayInstallation, testHost, testKey} from '../../../development/relay/relay-installation.js';
+import type {ReplicaStandin} from '../../../development/relay/replica-standin.js';
+
+/** Milliseconds for an answer, or for the connection to be closed. */
+const answerTime = 600;
+/** Milliseconds between two parts of a request. */
+const betweenParts = 20;
+let installation: RelayInstallation;
+
+before(async () => {
+	installation = await RelayInstallation.start({relays: 1, replicas: ['i-1']});
+});
+
+after(async () => installation.close());
+
+const seen = (): ReplicaStandin['seen'] => installation.replicas.get('i-1')!.seen;
+
+const heads = (lines: readonly string[]): string => [
+	'POST /calls/x HTTP/1.1', `Host: ${testHost}`, `Authorization: Bearer ${testKey}`, 'Attempt-Id: raw', ...lines, '', '',
+].join('\r\n');
+
+type Ending = 'open' | 'fin' | 'reset';
+
+/** Sends the parts of a request one after the other, and ends the connection, or leaves it open. */
+async function send(parts: readonly string[], ending: Ending): Promise<string> {
+	const socket = connect(installation.relays[0]!.port, '127.0.0.1');
+	let answer = '';
+	const closed = new Promise<void>(resolve => {
+		socket.on('error', () => undefined).on('data', data => {
+			answer += data.toString('latin1');
+		}).once('close', () => {
+			resolve();
+		});
+	});
+	for (const part of parts) {
+		socket.write(part, 'latin1');
+		await pause(betweenParts);
+	}
+
+	if (ending === 'fin') {
+		socket.end();
+	} else if (ending === 'reset') {
+		socket.resetAndDestroy();
+	}
+
+	await Promise.race([closed, pause(answerTime)]);
+	socket.destroy();
+	return answer;
+}
+
+const statusOf = (answer: string): number => Number(answer.slice('HTTP/1.1 '.length, 'HTTP/1.1 200'.length));
+
+const cut: Readonly<Record<string, readonly [parts: readonly string[], ending: Ending]>> = {
+	'no byte of a body with a length': [[heads(['Content-Length: 10'])], 'fin'],
+	'half of a body with a length': [[heads(['Content-Length: 10']), 'first'], 'fin'],
+	'half of a body with a length, reset': [[heads(['Content-Length: 10']), 'first'], 'reset'],
+	'half of a body with a length, and nothing more': [[heads(['Content-Length: 10']), 'first'], 'open'],
+	'no chunk': [[heads(['Transfer-Encoding: chunked'])], 'fin'],
+	'one whole chunk and no end': [[heads(['Transfer-Encoding: chunked']), '5\r\nfirst\r\n'], 'fin'],
+	'one whole chunk and no end, reset': [[heads(['Transfer-Encoding: chunked']), '5\r\nfirst\r\n'], 'reset'],
+	'half a chunk': [[heads(['Transfer-Encoding: chunked']), 'a\r\nfirst'], 'fin'],
+	'a last chunk without its blank line': [[heads(['Transfer-Encoding: chunked']), '5\r\nfirst\r\n0\r\n'], 'fin'],
+	'half a head': [[heads(['Content-Length: 5']).slice(0, -4)], 'fin'],
+};
+
+for (const [name, [parts, ending]] of Object.entries(cut)) {
+	test(`a body that is cut short reaches no replica: ${name}`, async () => {
+		seen().length = 0;
+		const answer = await send(parts, ending);
+		assert.deepEqual(seen().map(({body}) => body), []);
+		assert.ok(answer === '' || statusOf(answer) >= 400, answer);
+	});
+}
+
+const unclear: Readonly<Record<string, readonly string[]>> = {
+	'an empty length': ['Content-Length: '],
+	'a length in powers of ten': ['Content-Length: 1e0'],
+	'a length with a sign': ['Content-Length: +5'],
+	'a length below zero': ['Content-Length: -5'],
+	'a length in hexadecimal': ['Content-Length: 0x5'],
+	'a length that is no whole number': ['Content-Length: 5.0'],
+	'a length above all numbers': ['Content-Length: 99999999999999999999999'],
+	'two lengths': ['Content-Length: 5', 'Content-Length: 3'],
+	'two lengths in one line': ['Content-Length: 5, 3'],
+	'the same length twice in one line': ['Content-Length: 5, 5'],
+	'a length and chunks': ['Content-Length: 5', 'Transfer-Encoding: chunked'],
+	'chunks and a length': ['Transfer-Encoding: chunked', 'Content-Length: 5'],
+	'an encoding that ends nowhere': ['Transfer-Encoding: gzip'],
+	'chunks that are not the last encoding': ['Transfer-Encoding: chunked, identity'],
+};
+
+for (const [name, lines] of Object.entries(unclear)) {
+	test(`a body whose end is not clear reaches no replica: ${name}`, async () => {
+		seen().length = 0;
+		const answer = await send([heads(lines), 'first'], 'fin');
+		assert.deepEqual(seen().map(({body}) => body), []);
+		assert.equal(statusOf(answer), 400, answer);
+	});
+}
+
+const whole: Readonly<Record<string, readonly string[]>> = {
+	'a length': [heads(['Content-Length: 5']), 'first'],
+	'a length, byte by byte': [heads(['Content-Length: 5']), ...'first'],
+	chunks: [heads(['Transfer-Encoding: chunked']), '2\r\nfi\r\n3\r\nrst\r\n0\r\n\r\n'],
+	'chunks that are split anywhere': [heads(['Transfer-Encoding: chunked']), ...'2\r\nfi\r\n3\r\nrst\r\n0\r\n\r\n'],
+	'chunks with a trailer': [heads(['Transfer-Encoding: chunked']), '5\r\nfirst\r\n0\r\nX-Sum: 1\r\n\r\n'],
+};
+
+for (const [name, parts] of Object.entries(whole)) {
+	test(`a whole body reaches a replica as it was sent, once: ${name}`, async () => {
+		seen().length = 0;
+		const answer = await send(parts, 'open');
+		assert.equal(statusOf(answer), 200, answer);
+		assert.deepEqual(seen().map(({body, headers}) => [body, headers['content-length'], headers['transfer-encoding']]), [['first', '5', undefined]]);
+	});
+}
