The soak judges streams byte for byte, and replicas write them in pieces, break off inside events and go on wrongly

Its judge took ids out of a body by a regular expression and left the rest out of account; all replicas wrote an event in one piece; and no fault of a replica reached its streams (they answered every path under /stream/ as if nothing were wrong).

Change: a stream's body is events of runs in turn, each as a replica that ran this request made it, under one count from the event behind which it was asked for, under the signature of the replica that made the first; one that looks whole has all events; a whole answer is exactly what the signing replica made. Events and answers name the request, so that those of two requests differ. Replicas write streams in pieces drawn from seed, replica and body (an event in one, its first byte apart, byte by byte, cut inside a character, several events at once), with chunks or without a length; while one is struck they end inside an event (reset or close, the first run or any), go on wrongly (anew, too far, an event left out or without an id) or fall silent. A replica that ends resets streams without a length: nobody could tell their end from the whole. The first and the last event are not left out: nobody else knows at which number a stream begins and how many events it has. Clients take a broken stream up again behind the last whole event.

Each group of faults has a generator of its own, so that the kept seeds keep the faults they had.

--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -125,7 +125,7 @@
 	/** Every start of every replica there ever was. */
 	readonly everyReplica: ReplicaStandin[] = [];
 	readonly relays: RelayMember[] = [];
-	private streamEvents = 0;
+	private prepare: ((replica: ReplicaStandin) => void) | undefined;
 	private version = 0;
 	/** When each replica was started, in milliseconds since the epoch. */
 	private readonly born = new Map<string, number>();
@@ -166,7 +166,7 @@
 		const replica = await ReplicaStandin.start(id);
 		this.replicas.set(id, replica);
 		this.everyReplica.push(replica);
-		replica.streamEvents = this.streamEvents;
+		this.prepare?.(replica);
 		this.born.set(id, Date.now());
 		this.arm(id, replica);
 		this.list(id, entry);
@@ -185,11 +185,11 @@
 		});
 	}
 
-	/** @param events - Events of an answer to a path under `/stream/`, by replicas of now and later. */
-	setStreamEvents(events: number): void {
-		this.streamEvents = events;
+	/** @param prepare - Called for each replica of now and later. */
+	prepareReplicas(prepare: (replica: ReplicaStandin) => void): void {
+		this.prepare = prepare;
 		for (const replica of this.replicas.values()) {
-			replica.streamEvents = events;
+			prepare(replica);
 		}
 	}
 
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -2,7 +2,7 @@
  * A stand-in for a replica of a service on the platform, with faults. Development only.
  */
 import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {header} from '../../platform/names.js';
 import {startStandin, type StandinRequest} from '../standins/standin-server.js';
@@ -48,10 +48,31 @@
 
 /** Bytes of an event that come before a cut inside it. */
 const partOfEvent = 14;
+/** Faults of a stream itself; with another one a request for a stream is answered as one for a whole answer. */
+const streamFaults: ReadonlySet<ReplicaConduct['fault']> = new Set(['none', 'cut-stream', 'mute-stream']);
 const calm: ReplicaConduct = {
 	delay: 5, events: 0, gap: 5, stream: wholeStream, fault: 'none',
 };
 
+/**
+ * @param replica - Id of a replica.
+ * @param request - Id of a request that it ran.
+ * @returns What an answer names as its maker where replicas name requests too.
+ */
+export const makerOf = (replica: string, request: string): string => `${replica} for ${request}`;
+
+/**
+ * @param maker - Who made it.
+ * @returns Body of a whole answer.
+ */
+export const wholeAnswerOf = (maker: string): string => `answer of ${maker}`;
+
+/**
+ * @param replica - Id of a replica.
+ * @returns The signature on its answers.
+ */
+export const stampOf = (replica: string): string => `stamp-${replica}`;
+
 /** The stand-in. */
 export class ReplicaStandin {
 	/**
@@ -78,7 +99,10 @@
 	scriptOf: ((body: string) => Partial<StreamConduct>) | undefined;
 	/** Events of an answer to a path under `/stream/`; zero leaves that to the conduct. */
 	streamEvents = 0;
+	/** Whether answers name the request too, so that those of two requests differ. */
+	namesRequests = false;
 	private server!: Server;
+	private readonly unframed = new Set<Socket>();
 
 	private constructor(readonly id: string) {}
 
@@ -104,8 +128,12 @@
 		this.conduct = {...calm, ...changes};
 	}
 
-	/** Closes all connections and stops. */
+	/** Closes all connections and stops. Answers without a length end by a reset: nobody could tell their end from the whole. */
 	async close(): Promise<void> {
+		for (const socket of this.unframed) {
+			socket.resetAndDestroy();
+		}
+
 		this.server.closeAllConnections();
 		await new Promise(resolve => {
 			this.server.close(resolve);
@@ -125,7 +153,7 @@
 		response.once('close', () => {
 			seen.isAbandoned = !response.writableFinished;
 		});
-		const own = {'Attempt-Id': id, 'Server-Stamp': `stamp-${this.id}`};
+		const own = {'Attempt-Id': id, 'Server-Stamp': stampOf(this.id)};
 		if (!hasRun) {
 			response.writeHead(isElsewhere ? 421 : 503, {...own, 'Not-Executed': '1', 'Content-Length': '0'}).end();
 			return;
@@ -145,7 +173,7 @@
 
 		await pause(conduct.delay);
 		const events = this.streamEvents > 0 && request.url.pathname.startsWith('/stream/') ? this.streamEvents : conduct.events;
-		if (events > 0) {
+		if (events > 0 && streamFaults.has(conduct.fault)) {
 			await this.stream(request, {...conduct, events}, own);
 			return;
 		}
@@ -154,7 +182,7 @@
 	}
 
 	private answerWhole({response, incoming}: StandinRequest, {fault}: ReplicaConduct, own: Readonly<Record<string, string>>): void {
-		const body = `answer of ${this.id}`;
+		const body = wholeAnswerOf(this.makerFor(own['Attempt-Id']!));
 		const length = {'Content-Length': String(body.length)};
 		switch (fault) {
 			case 'mute': {
@@ -222,10 +250,20 @@
 		}
 	}
 
-	private async stream({response, headers, body}: StandinRequest, conduct: ReplicaConduct, own: Readonly<Record<string, string>>): Promise<void> {
+	private makerFor(request: string): string {
+		return this.namesRequests ? makerOf(this.id, request) : this.id;
+	}
+
+	private async stream({response, headers, body, incoming: {socket}}: StandinRequest, conduct: ReplicaConduct, own: Readonly<Record<string, string>>): Promise<void> {
 		const {events, gap} = conduct;
+		const script = {...streamOf(conduct), ...this.scriptOf?.(body)};
+		if (script.framing === 'none') {
+			this.unframed.add(socket);
+			socket.once('close', () => this.unframed.delete(socket));
+		}
+
 		await StreamWriter.create(response, {
-			conduct: {...streamOf(conduct), ...this.scriptOf?.(body)}, replica: this.id, events, gap, after: Number(headers[header.lastEvent] ?? 0), headers: own,
+			conduct: script, replica: this.makerFor(own['Attempt-Id']!), events, gap, after: Number(headers[header.lastEvent] ?? 0), headers: own,
 		}).write();
 	}
 }
--- a/development/relay/store-standin.ts
+++ b/development/relay/store-standin.ts
@@ -4,7 +4,9 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {header, path} from '../../platform/names.js';
-import {sendJson, startStandin, type StandinRequest} from '../standins/standin-server.js';
+import {
+	portOf, sendJson, startStandin, type StandinRequest,
+} from '../standins/standin-server.js';
 
 /** An object as the store sends it. */
 type Held = {
@@ -39,6 +41,14 @@
 	readonly losesAnswers: boolean;
 };
 
+/** A way to the store for one box. */
+export type StoreDoor = {
+	/** TCP port. */
+	readonly port: number;
+	/** HTTP status with which all calls that come by it are turned away; `undefined` where they are not. */
+	turnsAway: number | undefined;
+};
+
 const noFaults: StoreFaults = {isSilent: false, isBusy: false, losesAnswers: false};
 
 /** The stand-in. */
@@ -58,6 +68,7 @@
 	calls = 0;
 	faults: StoreFaults = noFaults;
 	private server!: Server;
+	private readonly doorServers: Server[] = [];
 	private revision = 1;
 	private readonly objects = new Map<string, Map<string, Held>>();
 	private history: readonly Happened[] = [];
@@ -73,6 +84,20 @@
 		return (this.server.address() as AddressInfo).port;
 	}
 
+	/** @returns Another way in, listening on loopback. */
+	async openDoor(): Promise<StoreDoor> {
+		const server = await startStandin(0, async request => {
+			if (door.turnsAway === undefined) {
+				this.answer(request);
+			} else {
+				sendJson(request.response, door.turnsAway);
+			}
+		});
+		this.doorServers.push(server);
+		const door: StoreDoor = {port: portOf(server), turnsAway: undefined};
+		return door;
+	}
+
 	/**
 	 * Writes an object, as the operator or a replica does.
 	 *
@@ -133,10 +158,12 @@
 
 	/** Closes all connections and stops. */
 	async close(): Promise<void> {
-		this.server.closeAllConnections();
-		await new Promise(resolve => {
-			this.server.close(resolve);
-		});
+		await Promise.all([this.server, ...this.doorServers].map(async server => {
+			server.closeAllConnections();
+			await new Promise(resolve => {
+				server.close(resolve);
+			});
+		}));
 	}
 
 	private happen(kind: string, object: Held, gone: boolean): void {
--- a/development/relay/stream-writer.ts
+++ b/development/relay/stream-writer.ts
@@ -7,17 +7,17 @@
 
 /** How a replica writes a stream. */
 export type StreamConduct = {
-	/** In what pieces an event is written: in one, its first byte by itself, byte by byte, or several events at once. */
-	readonly pieces: 'whole' | 'first-apart' | 'bytes' | 'together';
+	/** In what pieces an event is written: in one, its first byte by itself, byte by byte, cut inside a character, or several events at once. */
+	readonly pieces: 'whole' | 'first-apart' | 'bytes' | 'in-character' | 'together';
 	/** Whether the answer's end is told by its chunks, or only by that of its connection. */
 	readonly framing: 'chunked' | 'none';
-	/** Where a run from the beginning on ends: so many bytes into an event; `undefined` where it runs to its end. */
-	readonly breaksAt: {readonly event: number; readonly bytes: number} | undefined;
+	/** Where a run from the beginning on, or any run, ends: so many bytes into an event; `undefined` where it runs to its end. */
+	readonly breaksAt: {readonly event: number; readonly bytes: number; readonly isAnyRun?: boolean} | undefined;
 	/** Number of the event from which on nothing is written, nor ended. */
 	readonly silentFrom: number | undefined;
 	/** How a connection ends that breaks. */
 	readonly ending: 'reset' | 'close';
-	/** With what a run goes on that is to go on behind an event: with the next, from the beginning, or with the one after the next. */
+	/** With what a run goes on that is to go on behind an event: with the next, from the beginning, or with the one after the next where there is one. */
 	readonly goesOn: 'behind' | 'anew' | 'too-far';
 	/** Number of an event that is written without an id. */
 	readonly nameless: number | undefined;
@@ -49,6 +49,8 @@
 const pieceGap = 1;
 /** Milliseconds for what was written to be read before a reset, which would take it back. */
 const resetDelay = 15;
+/** From this byte on a byte begins a character of several bytes, in UTF-8. */
+const firstOfSeveral = 0xC0;
 
 /**
  * @param replica - Who makes it.
@@ -82,7 +84,7 @@
 				return;
 			}
 
-			if (conduct.breaksAt?.event === event && this.order.after === 0) {
+			if (conduct.breaksAt?.event === event && (this.order.after === 0 || conduct.breaksAt.isAnyRun === true)) {
 				await this.breakOff(Buffer.from(this.textOf(event)).subarray(0, conduct.breaksAt.bytes));
 				return;
 			}
@@ -101,7 +103,7 @@
 
 	private get numbers(): readonly number[] {
 		const {conduct: {goesOn, leftOut}, after, events} = this.order;
-		const skipped = goesOn === 'too-far' && after > 0 ? 1 : 0;
+		const skipped = goesOn === 'too-far' && after > 0 && after + 1 < events ? 1 : 0;
 		const first = goesOn === 'anew' ? 1 : after + 1 + skipped;
 		return Array.from({length: Math.max(0, events - first + 1)}, (_, index) => first + index).filter(event => event !== leftOut);
 	}
@@ -124,9 +126,7 @@
 	}
 
 	private async writePieces(bytes: Uint8Array): Promise<void> {
-		const {pieces} = this.order.conduct;
-		const cuts = pieces === 'bytes' ? bytes.length : 1;
-		const ends = pieces === 'first-apart' ? [1, bytes.length] : Array.from({length: cuts}, (_, index) => Math.round((index + 1) * bytes.length / cuts));
+		const ends = this.endsOfPieces(bytes);
 		for (const [index, end] of ends.entries()) {
 			const piece = bytes.subarray(ends[index - 1] ?? 0, end);
 			if (piece.length > 0 && !this.response.destroyed) {
@@ -136,6 +136,26 @@
 		}
 	}
 
+	private endsOfPieces(bytes: Uint8Array): readonly number[] {
+		switch (this.order.conduct.pieces) {
+			case 'first-apart': {
+				return [1, bytes.length];
+			}
+
+			case 'bytes': {
+				return Array.from(bytes, (_, index) => index + 1);
+			}
+
+			case 'in-character': {
+				return [bytes.findIndex(byte => byte >= firstOfSeveral) + 1, bytes.length];
+			}
+
+			default: {
+				return [bytes.length];
+			}
+		}
+	}
+
 	private put(piece: Uint8Array): void {
 		if (this.order.conduct.framing === 'chunked') {
 			this.response.write(piece);
--- a/development/soak/soak-clients.ts
+++ b/development/soak/soak-clients.ts
@@ -18,6 +18,8 @@
 	readonly kind: SoakRequestKind;
 	readonly relay: SoakRelay;
 	readonly key: string;
+	/** Number of the event behind which it asks for a stream; zero asks for all of it. */
+	readonly after: number;
 	/** Monotonic milliseconds. */
 	readonly sentAt: number;
 	readonly endedAt: number;
@@ -32,6 +34,14 @@
 const spareEvery = 7;
 const sameBodyEvery = 3;
 
+/** Where a request goes, by which connections, with which key, and behind which event. */
+export type SoakWay = {
+	readonly relay: SoakRelay;
+	readonly agent?: Agent;
+	readonly key?: string;
+	readonly after?: number;
+};
+
 /** The clients. */
 export class SoakClients {
 	/**
@@ -72,18 +82,19 @@
 	 *
 	 * @param kind - What.
 	 * @param body - Its body.
-	 * @param place - Where to, by which connections, with which key.
+	 * @param way - Where to, and how.
 	 * @returns What came of it.
 	 */
-	async send(kind: SoakRequestKind, body: string, {relay, agent, key = testKey}: {readonly relay: SoakRelay; readonly agent?: Agent; readonly key?: string}): Promise<SoakAttempt> {
+	async send(kind: SoakRequestKind, body: string, {relay, agent, key = testKey, after = 0}: SoakWay): Promise<SoakAttempt> {
 		this.sent++;
 		const id = `soak-${this.sent}`;
 		const sentAt = performance.now();
+		const headers = {'Attempt-Id': id, Authorization: `Bearer ${key}`, ...(after > 0 ? {'Last-Event-Id': String(after)} : {})};
 		const view = await this.installation.call({
-			path: `/${kind}/x`, method: 'POST', body, headers: {'Attempt-Id': id, Authorization: `Bearer ${key}`}, ...(agent ? {agent} : {}),
+			path: `/${kind}/x`, method: 'POST', body, headers, ...(agent ? {agent} : {}),
 		}, relay);
 		const attempt = {
-			...view, id, kind, relay, key, sentAt, endedAt: performance.now(),
+			...view, id, kind, relay, key, after, sentAt, endedAt: performance.now(),
 		};
 		this.attempts.push(attempt);
 		return attempt;
@@ -101,17 +112,35 @@
 	private async client(index: number): Promise<void> {
 		const agents = new Map<SoakRelay, Agent>();
 		for (let count = 0; !this.isOver; count++) {
-			const among = this.ready.length > 0 ? this.ready : this.relays;
-			const relay = among[Math.floor(this.random() * among.length)]!;
-			const agent = agents.get(relay) ?? new Agent({keepAlive: true, maxSockets: 1});
-			agents.set(relay, agent);
+			const kind = kinds[(index + count) % kinds.length]!;
+			const key = count % spareEvery === 0 ? spareKey : testKey;
 			const body = `question of ${index}${count % sameBodyEvery === 0 ? '' : ` number ${count}`}`;
-			await this.send(kinds[(index + count) % kinds.length]!, body, {relay, agent, key: count % spareEvery === 0 ? spareKey : testKey});
+			const attempt = await this.send(kind, body, {...this.way(agents), key});
 			await pause(clientPause);
+			const after = lastEventOf(attempt);
+			if (after > 0 && !attempt.isWhole) {
+				await this.send(kind, body, {...this.way(agents), key, after});
+				await pause(clientPause);
+			}
 		}
 
 		for (const agent of agents.values()) {
 			agent.destroy();
 		}
 	}
+
+	/** A relay as the balancer draws it, by the client's connection to it. */
+	private way(agents: Map<SoakRelay, Agent>): SoakWay {
+		const among = this.ready.length > 0 ? this.ready : this.relays;
+		const relay = among[Math.floor(this.random() * among.length)]!;
+		const agent = agents.get(relay) ?? new Agent({keepAlive: true, maxSockets: 1});
+		agents.set(relay, agent);
+		return {relay, agent};
+	}
+}
+
+/** Number of the last whole event of a stream that a client got; zero without one. */
+function lastEventOf({kind, body, after}: SoakAttempt): number {
+	const whole = body.split('\n\n').slice(0, -1).length;
+	return kind === 'stream' && whole > 0 ? after + whole : 0;
 }
--- a/development/soak/soak-faults.ts
+++ b/development/soak/soak-faults.ts
@@ -7,8 +7,10 @@
 import {testKey, type RelayInstallation} from '../relay/relay-installation.js';
 import type {ReplicaConduct, ReplicaStandin} from '../relay/replica-standin.js';
 import {spareKey, type SoakClients} from './soak-clients.js';
+import type {DatagramFault} from './datagram-proxy.js';
 import type {SoakFault, SoakFaultKind} from './soak-plan.js';
 import type {SoakRelay} from './soak-relay.js';
+import type {SoakStreams, StreamFault} from './soak-streams.js';
 
 /** Milliseconds for which a replica that says that it leaves serves on. */
 export const drainTime = 2000;
@@ -18,6 +20,16 @@
 const poisonPause = 250;
 const poisonTries = 20;
 
+/** Milliseconds by which a wall clock is set off: the least that counts as a suspension, and more. */
+const clockJumps = [250, 1500, 20_000, 3_600_000];
+/** Part of the datagrams that are lost, and milliseconds for which others wait at most. */
+const lostPart = 0.4;
+const datagramDelay = 400;
+/** Milliseconds between changes of settings, on average. */
+const settingsPause = 60;
+/** HTTP statuses with which the store turns a box away. */
+const storeRefusals = [503, 429];
+
 const storeFaults: Partial<Readonly<Record<SoakFaultKind, ProxyFault>>> = {
 	'store-cut': {kind: 'cut'}, 'store-frozen': {kind: 'freeze'}, 'store-delayed': {kind: 'delay', milliseconds: 120},
 };
@@ -37,10 +49,11 @@
 	 * @param installation - Store and replicas.
 	 * @param relays - The relays.
 	 * @param clients - Who sends the request that ends replicas.
+	 * @param streams - How replicas write streams.
 	 * @returns Nothing is wrong yet.
 	 */
-	static create(installation: RelayInstallation, relays: readonly SoakRelay[], clients: SoakClients): SoakFaults {
-		return new SoakFaults(installation, relays, clients);
+	static create(installation: RelayInstallation, relays: readonly SoakRelay[], clients: SoakClients, streams: SoakStreams): SoakFaults {
+		return new SoakFaults(installation, relays, clients, streams);
 	}
 
 	readonly drains: Drain[] = [];
@@ -55,6 +68,7 @@
 		private readonly installation: RelayInstallation,
 		private readonly relays: readonly SoakRelay[],
 		private readonly clients: SoakClients,
+		private readonly streams: SoakStreams,
 	) {
 		installation.crashOn(poisonMark, () => {
 			this.poisonEnds.push(performance.now());
@@ -86,7 +100,7 @@
 			}
 
 			case 'store': {
-				await this.strikeStore(kind, relay, duration);
+				await this.strikeStore(kind, relay, duration, fault.target);
 				break;
 			}
 
@@ -95,6 +109,30 @@
 				break;
 			}
 
+			case 'stream': {
+				this.streams.faults.set(id, kind as StreamFault);
+				await pause(duration);
+				this.streams.faults.delete(id);
+				break;
+			}
+
+			case 'clock': {
+				relay.setClock(clockJumps[fault.target % clockJumps.length]! * (kind === 'clock-ahead' ? 1 : -1));
+				await pause(duration);
+				relay.setClock(0);
+				break;
+			}
+
+			case 'datagrams': {
+				await this.strikeDatagrams(relay, fault);
+				break;
+			}
+
+			case 'settings': {
+				await this.strikeSettings(relay, fault);
+				break;
+			}
+
 			default: {
 				await this.strikeInput(kind, id, fault);
 			}
@@ -127,8 +165,15 @@
 		}
 	}
 
-	private async strikeStore(kind: SoakFaultKind, relay: SoakRelay, duration: number): Promise<void> {
+	private async strikeStore(kind: SoakFaultKind, relay: SoakRelay, duration: number, target: number): Promise<void> {
 		const {store} = this.installation;
+		if (kind === 'store-turns-away') {
+			relay.storeDoor.turnsAway = storeRefusals[target % storeRefusals.length];
+			await pause(duration);
+			relay.storeDoor.turnsAway = undefined;
+			return;
+		}
+
 		const fault = storeFaults[kind];
 		if (fault) {
 			relay.store.fault = fault;
@@ -147,6 +192,41 @@
 		store.heal();
 	}
 
+	/** Two of three times all relays lose what comes, else the struck one alone. */
+	private async strikeDatagrams(relay: SoakRelay, {kind, duration, target}: SoakFault): Promise<void> {
+		const struck = target % 3 === 0 || kind === 'datagrams-one-way' ? [relay] : this.relays;
+		const others = new Set(this.relays.filter((_, index) => index % 2 === target % 2).map(({ownPort}) => ownPort));
+		const fault: DatagramFault = kind === 'datagrams-lost'
+			? {kind: 'lose', part: lostPart}
+			: (kind === 'datagrams-late' ? {kind: 'delay', milliseconds: datagramDelay} : {kind: 'cut-from', ports: others});
+		for (const {datagrams} of struck) {
+			datagrams.fault = fault;
+		}
+
+		await pause(duration);
+		for (const {datagrams} of struck) {
+			datagrams.fault = {kind: 'none'};
+		}
+	}
+
+	/** Settings change and change back, several times, while others are told the same; some cannot be read. */
+	private async strikeSettings(relay: SoakRelay, {duration, target}: SoakFault): Promise<void> {
+		const struck = target % 2 === 0 ? [relay] : this.relays;
+		const rounds = Math.max(1, Math.floor(duration / settingsPause));
+		for (let round = 0; round < rounds; round++) {
+			for (const one of struck) {
+				one.reloadWith(round % 3 === 2 ? 'unreadable' : [`none-${round}`]);
+			}
+
+			// Signals that come together, and some apart.
+			await pause(round % 2 === 0 ? settingsPause * 2 : 0);
+		}
+
+		for (const one of struck) {
+			one.reloadUsual();
+		}
+	}
+
 	private async strikeReplica(kind: SoakFaultKind, id: string, duration: number): Promise<void> {
 		const replica = this.installation.replicas.get(id)!;
 		if (!replica.isUp) {
--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -5,6 +5,7 @@
 import {testKey} from '../relay/relay-installation.js';
 import type {ReplicaStandin} from '../relay/replica-standin.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
+import {faultOfAnswer} from './soak-answers.js';
 import {spareKey, type SoakAttempt} from './soak-clients.js';
 import {drainTime, poisonMark, type Drain} from './soak-faults.js';
 import type {SoakRelay} from './soak-relay.js';
@@ -36,8 +37,6 @@
 const contactTime = 3000;
 const refusals: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-const idsOf = (body: string): readonly string[] => [...body.matchAll(/^id: (?<id>\d+)$/gmv)].map(match => match.groups!.id!);
-
 /** The judge. */
 export class SoakJudge {
 	/**
@@ -48,13 +47,14 @@
 		return new SoakJudge(record);
 	}
 
-	private readonly runsOf = new Map<string, number>();
+	/** Ids of the replicas that ran each request, one for each run. */
+	private readonly runnersOf = new Map<string, readonly string[]>();
 	private readonly arrivalsOf = new Map<string, number>();
 
 	private constructor(private readonly record: SoakRecord) {
-		for (const {id, hasRun} of record.replicas.flatMap(({seen}) => seen)) {
+		for (const {replica, id, hasRun} of record.replicas.flatMap(({id: replica, seen}) => seen.map(request => ({...request, replica})))) {
 			this.arrivalsOf.set(id, (this.arrivalsOf.get(id) ?? 0) + 1);
-			this.runsOf.set(id, (this.runsOf.get(id) ?? 0) + (hasRun ? 1 : 0));
+			this.runnersOf.set(id, [...this.runnersOf.get(id) ?? [], ...(hasRun ? [replica] : [])]);
 		}
 	}
 
@@ -70,32 +70,23 @@
 
 	private faultsOf(attempt: SoakAttempt): readonly string[] {
 		const {id, kind, status, key, sentAt} = attempt;
-		const runs = this.runsOf.get(id) ?? 0;
+		const runners = this.runnersOf.get(id) ?? [];
+		const runs = runners.length;
+		const wrong = status === 200 ? faultOfAnswer({attempt, runners, streamEvents: this.record.streamEvents}) : undefined;
 		const {keyTakenAt = Number.POSITIVE_INFINITY} = this.record;
 		const checks: ReadonlyArray<readonly [isBroken: boolean, what: string]> = [
 			[kind === 'once' && runs > 1, `ran ${runs} times, though it may run once`],
 			[kind === 'once' && refusals.has(status) && runs > 0, `was told ${status}, and has run`],
 			[status >= 300 && status < 500 && !refusals.has(status) && key === testKey, `was told ${status}, though it is allowed`],
 			[status === 200 && key === spareKey && sentAt > keyTakenAt + revokeTime, 'was run under a key that had been taken away'],
-			[status === 200 && !this.isOwnAnswer(attempt), `got an answer that is not its own or not whole: ${JSON.stringify(attempt.body.slice(0, 80))}`],
+			[wrong !== undefined, `its answer ${wrong}`],
 			[status === 0 && this.isLost(attempt), 'was passed on, and its connection closed without an answer'],
 		];
-		return checks.filter(([isBroken]) => isBroken).map(([, what]) => `${id} (${kind} at ${attempt.relay.name}): ${what}`);
+		return checks.filter(([isBroken]) => isBroken).map(([, what]) => `${this.secondsTo(sentAt)} s, ${id} (${kind} at ${attempt.relay.name}): ${what}`);
 	}
 
-	/** An answer that looks whole is the replica's own, to the last event. */
-	private isOwnAnswer({id, kind, headers, body, isWhole}: SoakAttempt): boolean {
-		if (headers['attempt-id'] !== id && kind !== 'stream') {
-			return false;
-		}
-
-		const expected = Array.from({length: this.record.streamEvents}, (_, index) => String(index + 1));
-		const ids = idsOf(body);
-		if (kind !== 'stream') {
-			return !isWhole || /^answer of i-\d+$/v.test(body);
-		}
-
-		return ids.every((event, index) => event === expected[index]) && (!isWhole || ids.length === expected.length);
+	private secondsTo(at: number): string {
+		return ((at - (this.record.attempts[0]?.sentAt ?? at)) / 1000).toFixed(1);
 	}
 
 	private isLost({id, relay, sentAt, endedAt}: SoakAttempt): boolean {
--- a/development/soak/soak-plan.ts
+++ b/development/soak/soak-plan.ts
@@ -3,6 +3,7 @@
  */
 
 import {randomOf} from '../harness/seeded-random.js';
+import {seededBy} from './seeded-by.js';
 
 /** A fault, whom it strikes, and for how long. */
 export type SoakFault = {
@@ -15,12 +16,10 @@
 	readonly duration: number;
 };
 
-/** Every sort of fault. */
-export const soakFaultKinds = [
-	'relay-killed',
-	'relay-stopped',
-	'relay-frozen',
-	'relay-reloaded',
+const relayKinds = ['relay-killed', 'relay-stopped', 'relay-frozen', 'relay-reloaded'] as const;
+/** Faults of boxes, store, replicas and what is written to them. */
+const generalKinds = [
+	...relayKinds,
 	'store-cut',
 	'store-frozen',
 	'store-delayed',
@@ -41,25 +40,45 @@
 	'key-taken',
 	'poison',
 ] as const;
+/** Faults of the streams of a replica. */
+const streamKinds = ['stream-breaks', 'stream-misfits', 'stream-stalls'] as const;
+/** Faults of clocks, of datagrams between boxes, and of what single boxes are told. */
+const boxKinds = ['clock-ahead', 'clock-behind', 'datagrams-lost', 'datagrams-late', 'datagrams-one-way', 'store-turns-away', 'settings-series'] as const;
+/** Every sort of fault. */
+export const soakFaultKinds = [...generalKinds, ...streamKinds, ...boxKinds] as const;
 export type SoakFaultKind = typeof soakFaultKinds[number];
 
 const shortestFault = 300;
 const longestFault = 2500;
-/** Milliseconds between two faults, on average. */
-const faultPause = 350;
+/** Milliseconds between two faults of a group, on average. */
+const generalPause = 350;
+const streamPause = 500;
+const boxPause = 600;
+/** Relays of a usual soak; for each one more, faults of relays come that often. */
+const usualRelays = 4;
+const crowdPause = 4000;
 
 /**
  * @param seed - Draws everything.
  * @param length - Milliseconds in which faults begin.
+ * @param relays - How many relays there are.
  * @returns The faults, in order.
  */
-export function planSoak(seed: number, length: number): readonly SoakFault[] {
-	const random = randomOf(seed);
-	const count = Math.round(length / faultPause);
-	return Array.from({length: count}, (): SoakFault => ({
+export function planSoak(seed: number, length: number, relays = usualRelays): readonly SoakFault[] {
+	// A generator for each group: a sort that is added to one leaves the faults of the others as they were.
+	return [
+		...drawFaults(randomOf(seed), length, generalKinds, generalPause),
+		...drawFaults(seededBy(seed, 'streams'), length, streamKinds, streamPause),
+		...drawFaults(seededBy(seed, 'boxes'), length, boxKinds, boxPause),
+		...(relays > usualRelays ? drawFaults(seededBy(seed, 'crowd'), length, [...relayKinds, ...boxKinds], crowdPause / (relays - usualRelays)) : []),
+	].sort((left, right) => left.at - right.at);
+}
+
+function drawFaults(random: () => number, length: number, kinds: readonly SoakFaultKind[], meanPause: number): readonly SoakFault[] {
+	return Array.from({length: Math.round(length / meanPause)}, (): SoakFault => ({
 		at: Math.round(random() * length),
-		kind: soakFaultKinds[Math.floor(random() * soakFaultKinds.length)]!,
+		kind: kinds[Math.floor(random() * kinds.length)]!,
 		target: Math.floor(random() * 1000),
 		duration: Math.round(shortestFault + (random() * (longestFault - shortestFault))),
-	})).sort((left, right) => left.at - right.at);
+	}));
 }
--- a/development/soak/soak-relay.ts
+++ b/development/soak/soak-relay.ts
@@ -1,18 +1,25 @@
 /**
- * A relay of a soak: a process of its own, which reaches the store through a proxy that injects faults.
+ * A relay of a soak: a process of its own, which reaches the store and hears other relays through proxies that inject faults, and
+ * whose wall clock can be set.
  */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {Child} from '../harness/child.js';
 import {FaultProxy} from '../harness/fault-proxy.js';
+import type {StoreDoor} from '../relay/store-standin.js';
 import {freeRelayPorts, relaySettingsText, type RelayPorts} from '../relay/relay-settings-text.js';
+import {DatagramProxy, freeDatagramPort} from './datagram-proxy.js';
+import {hookOptions} from './process-hooks.js';
 
 /** What a relay is made of. */
 export type SoakRelayPlan = {
 	readonly name: string;
 	/** Folder of the settings file. */
 	readonly folder: string;
-	readonly storePort: number;
+	/** The relay's own way to the store. */
+	readonly storeDoor: StoreDoor;
+	/** Draws which datagrams are lost. */
+	readonly random: () => number;
 	/** Addresses of the exchange of other relays. */
 	readonly seeds: readonly string[];
 };
@@ -27,7 +34,9 @@
 	 * @returns The relay, starting.
 	 */
 	static async start(plan: SoakRelayPlan): Promise<SoakRelay> {
-		const relay = new SoakRelay(plan, await freeRelayPorts(), await FaultProxy.create(plan.storePort));
+		const [ports, ownPort] = await Promise.all([freeRelayPorts(), freeDatagramPort()]);
+		const [store, datagrams] = await Promise.all([FaultProxy.create(plan.storeDoor.port), DatagramProxy.create(ports.control, ownPort, plan.random)]);
+		const relay = new SoakRelay(plan, ports, ownPort, {store, datagrams});
 		relay.startProcess();
 		return relay;
 	}
@@ -42,7 +51,30 @@
 	private earlierLines: Child['lines'] = [];
 	private starts = 0;
 
-	private constructor(private readonly plan: SoakRelayPlan, private readonly ports: RelayPorts, readonly store: FaultProxy) {}
+	private constructor(
+		private readonly plan: SoakRelayPlan,
+		private readonly ports: RelayPorts,
+		/** UDP port from which its datagrams come. */
+		readonly ownPort: number,
+		private readonly proxies: {readonly store: FaultProxy; readonly datagrams: DatagramProxy},
+	) {
+		this.setClock(0);
+	}
+
+	/** Stands before the store. */
+	get store(): FaultProxy {
+		return this.proxies.store;
+	}
+
+	/** Stands before its exchange. */
+	get datagrams(): DatagramProxy {
+		return this.proxies.datagrams;
+	}
+
+	/** Its own way to the store, which may turn it away. */
+	get storeDoor(): StoreDoor {
+		return this.plan.storeDoor;
+	}
 
 	/** TCP port of its front. */
 	get port(): number {
@@ -108,20 +140,43 @@
 		}
 	}
 
-	/** Ends it and its proxy. */
+	/** @param offset - Milliseconds by which its wall clock is off from now on, also in its next life. */
+	setClock(offset: number): void {
+		writeFileSync(this.clockFile, String(offset));
+	}
+
+	/**
+	 * Has it read its settings anew, whatever they hold.
+	 *
+	 * @param change - What stands otherwise in the file, as `released`, or that nothing in it can be read.
+	 */
+	reloadWith(change: readonly string[] | 'unreadable'): void {
+		writeFileSync(this.file, change === 'unreadable' ? 'node: [' : `${this.settings}quarantine: {released: [${change.join(', ')}]}\n`);
+		this.reload();
+	}
+
+	/** Puts its usual settings back. */
+	reloadUsual(): void {
+		writeFileSync(this.file, this.settings);
+		this.reload();
+	}
+
+	/** Ends it and its proxies. */
 	async close(): Promise<void> {
 		this.isGoing = true;
 		this.child?.signal('SIGCONT');
 		await this.child?.kill();
 		this.store.close();
+		this.datagrams.close();
 	}
 
 	private startProcess(): void {
 		this.starts++;
-		const file = path.join(this.plan.folder, `${this.name}.yaml`);
-		writeFileSync(file, this.settings);
+		writeFileSync(this.file, this.settings);
 		this.earlierLines = this.lines;
-		const child = Child.start('src/command/main.js', ['relay', '--settings', file]);
+		const child = Child.start('src/command/main.js', ['relay', '--settings', this.file], hookOptions({
+			clockFile: this.clockFile, toldPort: this.ports.control, ownPort: this.ownPort,
+		}));
 		this.child = child;
 		this.isGoing = false;
 		void child.exited.then(() => {
@@ -131,6 +186,14 @@
 		});
 	}
 
+	private get file(): string {
+		return path.join(this.plan.folder, `${this.name}.yaml`);
+	}
+
+	private get clockFile(): string {
+		return path.join(this.plan.folder, `${this.name}.clock`);
+	}
+
 	private get settings(): string {
 		const {name, seeds} = this.plan;
 		return relaySettingsText({
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -9,11 +9,13 @@
 	RelayInstallation, testKey, until,
 } from '../relay/relay-installation.js';
 import {randomOf} from '../harness/seeded-random.js';
-import {SoakClients, spareKey} from './soak-clients.js';
+import {seededBy} from './seeded-by.js';
+import {SoakClients, spareKey, type SoakRequestKind} from './soak-clients.js';
 import {SoakFaults} from './soak-faults.js';
 import {SoakJudge} from './soak-judge.js';
 import {planSoak, type SoakFault} from './soak-plan.js';
 import {SoakRelay} from './soak-relay.js';
+import {SoakStreams} from './soak-streams.js';
 
 /** What a soak is like. */
 export type SoakOptions = {
@@ -35,12 +37,16 @@
 };
 
 const replicaIds = Array.from({length: 6}, (_, index) => `i-${index + 1}`);
+/** Clients of a soak, and for each relay at least. */
 const clientCount = 12;
+const clientsPerRelay = 2;
 const streamEvents = 6;
+/** Relays that start at once: loading the program takes a core each. */
+const startedAtOnce = 4;
 /** Milliseconds in which everybody is served again once nothing is wrong any more. */
 const recoverTime = 12_000;
 /** Requests that must be served then, at each relay. */
-const finalRequests = 5;
+const finalRequests: readonly SoakRequestKind[] = ['calls', 'stream', 'calls', 'stream', 'calls', 'stream'];
 
 /**
  * @param options - Seed, length and size.
@@ -49,20 +55,27 @@
 export async function soak({seed, length, relays: count}: SoakOptions): Promise<SoakReport> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'waydrift-soak-'));
 	const installation = await RelayInstallation.start({relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, spareKey]}});
-	installation.setStreamEvents(streamEvents);
+	const streams = SoakStreams.create(seed, streamEvents);
+	installation.prepareReplicas(replica => {
+		streams.prepare(replica);
+	});
 	const relays: SoakRelay[] = [];
 	for (const index of Array.from({length: count}).keys()) {
+		if (index % startedAtOnce === 0) {
+			await untilReady(relays);
+		}
+
 		relays.push(await SoakRelay.start({
-			name: `relay-${index + 1}`, folder, storePort: installation.store.port, seeds: relays.map(({exchange}) => exchange),
+			name: `relay-${index + 1}`, folder, storeDoor: await installation.store.openDoor(), random: seededBy(seed, `datagrams of ${index}`), seeds: relays.map(({exchange}) => exchange),
 		}));
 	}
 
 	try {
 		await untilReady(relays);
-		const plan = planSoak(seed, length);
+		const plan = planSoak(seed, length, count);
 		const clients = SoakClients.create(installation, relays, randomOf(seed + 1));
-		const faults = SoakFaults.create(installation, relays, clients);
-		await clients.run(clientCount, async () => faults.run(plan));
+		const faults = SoakFaults.create(installation, relays, clients, streams);
+		await clients.run(Math.max(clientCount, count * clientsPerRelay), async () => faults.run(plan));
 		const unserved = await serveAll(clients, relays);
 		const lines = relays.flatMap(relay => relay.lines);
 		const {drains, poisonEnds, keyTakenAt} = faults;
@@ -93,8 +106,8 @@
 async function serveAll(clients: SoakClients, relays: readonly SoakRelay[]): Promise<readonly string[]> {
 	const endsAt = performance.now() + recoverTime;
 	for (;;) {
-		const views = await Promise.all(relays.flatMap(relay => Array.from({length: finalRequests}, async (_, index) => clients.send('calls', `final ${index}`, {relay}))));
-		const unserved = views.filter(({status}) => status !== 200);
+		const views = await Promise.all(relays.flatMap(relay => finalRequests.map(async (kind, index) => clients.send(kind, `final ${index}`, {relay}))));
+		const unserved = views.filter(({status, isWhole}) => status !== 200 || !isWhole);
 		if (unserved.length === 0) {
 			return [];
 		}
