--- a/development/soak/test/soak.test.ts
+++ b/development/soak/test/soak.test.ts
@@ -9,6 +9,9 @@
 	{seed: 8, seconds: 10, why: 'the soak healed a spoilt entry as one of a ready replica, though that had said that it leaves'},
 	{seed: 103, seconds: 8, why: 'a relay was told to read its settings anew while it still loaded, and ended; the soak kept a replica mute that had started again'},
 	{seed: 118, seconds: 8, why: 'a relay was told to read its settings anew 0.4 s after its start, and ended'},
+	{seed: 2, seconds: 3, why: 'a run ended inside an event, and the part of it went to the client before the next run'},
+	{seed: 6, seconds: 3, why: 'a replica left an event out, or wrote one without an id, and the stream went to its end'},
+	{seed: 11, seconds: 3, why: 'a stream without a length ended inside an event, and was ended as whole'},
 ];
 const millisecondsPerSecond = 1000;
 /** Milliseconds in which the faults of a plan begin. */
