Ports of test processes lie below those of outgoing connections; the soak says which relay did not start, with its last lines

Suspected: its port was taken meanwhile, since freePort took it from the range that Linux gives to outgoing connections. Change: ports from 15,000 to 31,999; relays that do not start are named with their log.

--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -2,7 +2,7 @@
  * A whole small deployment in one process: store, replicas and relays, on loopback. Development only.
  */
 import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
@@ -105,6 +105,10 @@
 const lapseDelay = 600;
 const restartDelay = 2000;
 
+/** Below the ports that Linux gives to outgoing connections, from 32,768 on: one of them could hold the port of a box that starts again. */
+const firstPort = 15_000;
+const ports = 17_000;
+
 let attempts = 0;
 
 /** The installation. */
@@ -344,13 +348,22 @@
 	}
 }
 
-/** @returns A TCP port of loopback that nobody listens on. */
+/** @returns A TCP port of loopback that nobody listens on, and that no connection takes by itself. */
 export async function freePort(): Promise<number> {
+	const port = firstPort + Math.floor(Math.random() * ports);
 	const server = createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
+	const isFree = await new Promise<boolean>(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			resolve(true);
+		});
 	});
-	const {port} = server.address() as AddressInfo;
+	if (!isFree) {
+		return freePort();
+	}
+
 	await new Promise(resolve => {
 		server.close(resolve);
 	});
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -6,7 +6,7 @@
 import path from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
 import {
-	RelayInstallation, testKey, until,
+	RelayInstallation, testKey,
 } from '../relay/relay-installation.js';
 import {randomOf} from '../harness/seeded-random.js';
 import {seededBy} from './seeded-by.js';
@@ -43,6 +43,10 @@
 const streamEvents = 6;
 /** Relays that start at once: loading the program takes a core each. */
 const startedAtOnce = 4;
+/** Milliseconds in which they are ready, between two looks, and lines of the log that are shown otherwise. */
+const startTime = 20_000;
+const startPause = 50;
+const linesShown = 20;
 /** Milliseconds in which everybody is served again once nothing is wrong any more. */
 const recoverTime = 12_000;
 /** Requests that must be served then, at each relay. */
@@ -93,13 +97,16 @@
 }
 
 async function untilReady(relays: readonly SoakRelay[]): Promise<void> {
-	let isReady = false;
-	await until(() => {
-		void Promise.all(relays.map(async relay => relay.isReady())).then(ready => {
-			isReady = ready.every(Boolean);
-		});
-		return isReady;
-	});
+	const endsAt = performance.now() + startTime;
+	for (const relay of relays) {
+		while (!await relay.isReady()) {
+			if (performance.now() > endsAt) {
+				throw new Error(`${relay.name} is not ready ${startTime} ms after its start:\n${relay.lines.slice(-linesShown).map(line => JSON.stringify(line)).join('\n')}`);
+			}
+
+			await pause(startPause);
+		}
+	}
 }
 
 /** With everything healed, each relay serves all within the time to recover. */
