The soak: a stream that was written well is not cut, and an innocent request is refused nowhere, and is served everywhere in the end

Cause: a stream that ends short was right whatever the reason, so that a relay which cuts every stream would have passed.

Change: a stream that is cut though its last run wrote all that was to come is broken. In place of the line: a box that has taken an innocent request for one that ends replicas and refuses it as such is broken, and at the end of the soak each such request must be served at every relay.

--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -44,6 +44,8 @@
 	/** Monotonic milliseconds at which it came. */
 	readonly at: number;
 	isAbandoned: boolean;
+	/** Whether it is a stream that was written to its end, as it should be, and read. */
+	isRightStream: boolean;
 };
 
 /** Bytes of an event that come before a cut inside it. */
@@ -147,7 +149,7 @@
 		const isElsewhere = conduct.fault === 'elsewhere' || (headers[header.expectInstance] !== undefined && headers[header.expectInstance] !== this.id);
 		const hasRun = !isElsewhere && conduct.fault !== 'refuse';
 		const seen: SeenRequest = {
-			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, at: performance.now(), isAbandoned: false,
+			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, at: performance.now(), isAbandoned: false, isRightStream: false,
 		};
 		this.seen.push(seen);
 		response.once('close', () => {
@@ -174,7 +176,10 @@
 		await pause(conduct.delay);
 		const events = this.streamEvents > 0 && request.url.pathname.startsWith('/stream/') ? this.streamEvents : conduct.events;
 		if (events > 0 && streamFaults.has(conduct.fault)) {
-			await this.stream(request, {...conduct, events}, own);
+			const isRight = await this.stream(request, {...conduct, events}, own);
+			response.once('finish', () => {
+				seen.isRightStream = isRight;
+			});
 			return;
 		}
 
@@ -254,7 +259,7 @@
 		return this.namesRequests ? makerOf(this.id, request) : this.id;
 	}
 
-	private async stream({response, headers, body, incoming: {socket}}: StandinRequest, conduct: ReplicaConduct, own: Readonly<Record<string, string>>): Promise<void> {
+	private async stream({response, headers, body, incoming: {socket}}: StandinRequest, conduct: ReplicaConduct, own: Readonly<Record<string, string>>): Promise<boolean> {
 		const {events, gap} = conduct;
 		const script = {...streamOf(conduct), ...this.scriptOf?.(body)};
 		if (script.framing === 'none') {
@@ -262,7 +267,7 @@
 			socket.once('close', () => this.unframed.delete(socket));
 		}
 
-		await StreamWriter.create(response, {
+		return StreamWriter.create(response, {
 			conduct: script, replica: this.makerFor(own['Attempt-Id']!), events, gap, after: Number(headers[header.lastEvent] ?? 0), headers: own,
 		}).write();
 	}
--- a/development/relay/stream-writer.ts
+++ b/development/relay/stream-writer.ts
@@ -75,18 +75,22 @@
 
 	private constructor(private readonly response: ServerResponse, private readonly order: StreamOrder) {}
 
-	/** Writes the answer to its end, or to where it breaks. */
-	async write(): Promise<void> {
+	/**
+	 * Writes the answer to its end, or to where it breaks.
+	 *
+	 * @returns Whether all went out that a replica has to write.
+	 */
+	async write(): Promise<boolean> {
 		const {conduct, events, gap} = this.order;
 		this.begin();
 		for (const [index, event] of this.numbers.entries()) {
 			if (this.response.destroyed || event >= (conduct.silentFrom ?? Number.POSITIVE_INFINITY)) {
-				return;
+				return false;
 			}
 
 			if (conduct.breaksAt?.event === event && (this.order.after === 0 || conduct.breaksAt.isAnyRun === true)) {
 				await this.breakOff(Buffer.from(this.textOf(event)).subarray(0, conduct.breaksAt.bytes));
-				return;
+				return false;
 			}
 
 			const isHeld = conduct.pieces === 'together' && index % 2 === 0 && event < events && event + 1 !== conduct.breaksAt?.event;
@@ -99,6 +103,13 @@
 		}
 
 		this.end();
+		return this.isRight;
+	}
+
+	private get isRight(): boolean {
+		const {conduct: {nameless}, after, events} = this.order;
+		const {numbers} = this;
+		return numbers.length === events - after && numbers.every((event, index) => event === after + index + 1 && event !== nameless);
 	}
 
 	private get numbers(): readonly number[] {
--- a/development/soak/soak-clients.ts
+++ b/development/soak/soak-clients.ts
@@ -16,6 +16,8 @@
 export type SoakAttempt = ClientView & {
 	readonly id: string;
 	readonly kind: SoakRequestKind;
+	/** Body of the request. */
+	readonly sent: string;
 	readonly relay: SoakRelay;
 	readonly key: string;
 	/** Number of the event behind which it asks for a stream; zero asks for all of it. */
@@ -94,7 +96,7 @@
 			path: `/${kind}/x`, method: 'POST', body, headers, ...(agent ? {agent} : {}),
 		}, relay);
 		const attempt = {
-			...view, id, kind, relay, key, after, sentAt, endedAt: performance.now(),
+			...view, id, kind, sent: body, relay, key, after, sentAt, endedAt: performance.now(),
 		};
 		this.attempts.push(attempt);
 		return attempt;
--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -3,10 +3,10 @@
  */
 import {Buffer} from 'node:buffer';
 import {testKey} from '../relay/relay-installation.js';
-import type {ReplicaStandin} from '../relay/replica-standin.js';
+import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
 import {faultOfAnswer} from './soak-answers.js';
-import {spareKey, type SoakAttempt} from './soak-clients.js';
+import {spareKey, type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
 import {drainTime, poisonMark, type Drain} from './soak-faults.js';
 import type {SoakRelay} from './soak-relay.js';
 
@@ -50,9 +50,13 @@
 	/** Ids of the replicas that ran each request, one for each run. */
 	private readonly runnersOf = new Map<string, readonly string[]>();
 	private readonly arrivalsOf = new Map<string, number>();
+	/** What last reached a replica of each request. */
+	private readonly lastRunOf = new Map<string, SeenRequest>();
 
 	private constructor(private readonly record: SoakRecord) {
-		for (const {replica, id, hasRun} of record.replicas.flatMap(({id: replica, seen}) => seen.map(request => ({...request, replica})))) {
+		for (const {replica, ...seen} of record.replicas.flatMap(({id: replica, seen}) => seen.map(request => ({...request, replica})))) {
+			const {id, hasRun, at} = seen;
+			this.lastRunOf.set(id, at >= (this.lastRunOf.get(id)?.at ?? 0) ? seen : this.lastRunOf.get(id)!);
 			this.arrivalsOf.set(id, (this.arrivalsOf.get(id) ?? 0) + 1);
 			this.runnersOf.set(id, [...this.runnersOf.get(id) ?? [], ...(hasRun ? [replica] : [])]);
 		}
@@ -81,6 +85,7 @@
 			[status === 200 && key === spareKey && sentAt > keyTakenAt + revokeTime, 'was run under a key that had been taken away'],
 			[wrong !== undefined, `its answer ${wrong}`],
 			[status === 0 && this.isLost(attempt), 'was passed on, and its connection closed without an answer'],
+			[kind === 'stream' && status === 200 && !attempt.isWhole && this.wasCutForNothing(attempt), 'was cut, though its last run wrote all that was to come'],
 		];
 		return checks.filter(([isBroken]) => isBroken).map(([, what]) => `${this.secondsTo(sentAt)} s, ${id} (${kind} at ${attempt.relay.name}): ${what}`);
 	}
@@ -89,9 +94,12 @@
 		return ((at - (this.record.attempts[0]?.sentAt ?? at)) / 1000).toFixed(1);
 	}
 
-	private isLost({id, relay, sentAt, endedAt}: SoakAttempt): boolean {
-		const wasKilled = relay.kills.some(at => at > sentAt - aroundKills && at < endedAt + 500);
-		return !wasKilled && (this.arrivalsOf.get(id) ?? 0) > 0;
+	private isLost(attempt: SoakAttempt): boolean {
+		return !wasKilledAround(attempt) && (this.arrivalsOf.get(attempt.id) ?? 0) > 0;
+	}
+
+	private wasCutForNothing(attempt: SoakAttempt): boolean {
+		return !wasKilledAround(attempt) && this.lastRunOf.get(attempt.id)?.isRightStream === true;
 	}
 
 	private get lateArrivals(): readonly string[] {
@@ -112,13 +120,39 @@
 
 	private get ends(): readonly string[] {
 		const {relays, lines} = this.record;
-		const poisoned = fingerprintOf({
-			method: 'POST', target: '/calls/x', clientAccount: 'basin', body: Buffer.from(poisonMark),
-		});
 		return [
 			...relays.filter(({ownEnds}) => ownEnds > 0).map(({name, ownEnds}) => `${name} ended by itself ${ownEnds} times`),
 			...lines.filter(({eventName}) => eventName === 'roleFailed' || eventName === 'requestFailed').map(line => `a fault of the program: ${JSON.stringify(line)}`),
-			...lines.filter(({eventName, fingerprint}) => eventName === 'requestQuarantined' && fingerprint !== poisoned).map(line => `an innocent request is kept away: ${JSON.stringify(line)}`),
+			...refusedInnocents(lines).map(line => `an innocent request is kept away: ${JSON.stringify(line)}`),
 		];
 	}
 }
+
+const wasKilledAround = ({relay, sentAt, endedAt}: SoakAttempt): boolean => relay.kills.some(at => at > sentAt - aroundKills && at < endedAt + 500);
+
+/**
+ * Lines of refusals of requests that a box had taken for one that ends replicas, and that is none. A box that takes one for it and
+ * has not refused it has not heard yet what others saw; at the end of the soak each must be served everywhere.
+ */
+function refusedInnocents(lines: SoakRecord['lines']): SoakRecord['lines'] {
+	const taken = new Set(innocentLines(lines).map(({node, fingerprint}) => `${String(node)} ${String(fingerprint)}`));
+	return lines.filter(({eventName, reason, node, fingerprint}) => eventName === 'requestRefused' && reason === 'quarantined' && taken.has(`${String(node)} ${String(fingerprint)}`));
+}
+
+/**
+ * @param lines - Lines of relays.
+ * @returns Those that tell that a request is kept away which does not end replicas.
+ */
+export function innocentLines(lines: SoakRecord['lines']): SoakRecord['lines'] {
+	const poisoned = fingerprintOfRequest('calls', poisonMark);
+	return lines.filter(({eventName, fingerprint}) => eventName === 'requestQuarantined' && fingerprint !== poisoned);
+}
+
+/**
+ * @param kind - What a client sends.
+ * @param body - Its body.
+ * @returns The name under which relays know it.
+ */
+export const fingerprintOfRequest = (kind: SoakRequestKind, body: string): string => fingerprintOf({
+	method: 'POST', target: `/${kind}/x`, clientAccount: 'basin', body: Buffer.from(body),
+});
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -12,7 +12,7 @@
 import {seededBy} from './seeded-by.js';
 import {SoakClients, spareKey, type SoakRequestKind} from './soak-clients.js';
 import {SoakFaults} from './soak-faults.js';
-import {SoakJudge} from './soak-judge.js';
+import {SoakJudge, fingerprintOfRequest, innocentLines} from './soak-judge.js';
 import {planSoak, type SoakFault} from './soak-plan.js';
 import {SoakRelay} from './soak-relay.js';
 import {SoakStreams} from './soak-streams.js';
@@ -109,18 +109,21 @@
 	}
 }
 
-/** With everything healed, each relay serves all within the time to recover. */
+/** With everything healed, each relay serves all within the time to recover, also what some took for a request that ends replicas. */
 async function serveAll(clients: SoakClients, relays: readonly SoakRelay[]): Promise<readonly string[]> {
 	const endsAt = performance.now() + recoverTime;
 	for (;;) {
-		const views = await Promise.all(relays.flatMap(relay => finalRequests.map(async (kind, index) => clients.send(kind, `final ${index}`, {relay}))));
+		const taken = new Set(innocentLines(relays.flatMap(({lines}) => lines)).map(({fingerprint}) => fingerprint));
+		const suspected = clients.attempts.filter(({kind, sent}) => taken.has(fingerprintOfRequest(kind, sent)) && taken.delete(fingerprintOfRequest(kind, sent)));
+		const requests = [...finalRequests.map((kind, index) => ({kind, sent: `final ${index}`})), ...suspected];
+		const views = await Promise.all(relays.flatMap(relay => requests.map(async ({kind, sent}) => clients.send(kind, sent, {relay}))));
 		const unserved = views.filter(({status, isWhole}) => status !== 200 || !isWhole);
 		if (unserved.length === 0) {
 			return [];
 		}
 
 		if (performance.now() > endsAt) {
-			return unserved.map(({relay, status, body}) => `${relay.name} does not serve again: ${status} ${body.slice(0, 120)}`);
+			return unserved.map(({relay, kind, sent, status, body}) => `${relay.name} does not serve ${kind} "${sent}" again: ${status} ${body.slice(0, 120)}`);
 		}
 
 		await pause(500);
