The soak cuts a box off from store and boxes for longer than a key that is taken away may be used

Change: in each soak of 8 s one box is cut off, a key of its own is taken away meanwhile, and used there once it may not be; a replica that says that it leaves may get requests from a box that could not hear it.

--- a/development/relay/store-standin.ts
+++ b/development/relay/store-standin.ts
@@ -47,6 +47,8 @@
 	readonly port: number;
 	/** HTTP status with which all calls that come by it are turned away; `undefined` where they are not. */
 	turnsAway: number | undefined;
+	/** Whether calls that come by it end without an answer. */
+	isShut: boolean;
 };
 
 const noFaults: StoreFaults = {isSilent: false, isBusy: false, losesAnswers: false};
@@ -87,14 +89,16 @@
 	/** @returns Another way in, listening on loopback. */
 	async openDoor(): Promise<StoreDoor> {
 		const server = await startStandin(0, async request => {
-			if (door.turnsAway === undefined) {
+			if (door.isShut) {
+				request.incoming.socket.destroy();
+			} else if (door.turnsAway === undefined) {
 				this.answer(request);
 			} else {
 				sendJson(request.response, door.turnsAway);
 			}
 		});
 		this.doorServers.push(server);
-		const door: StoreDoor = {port: portOf(server), turnsAway: undefined};
+		const door: StoreDoor = {port: portOf(server), turnsAway: undefined, isShut: false};
 		return door;
 	}
 
--- a/development/soak/datagram-proxy.ts
+++ b/development/soak/datagram-proxy.ts
@@ -46,12 +46,16 @@
 	/** Datagrams that were lost, came twice, or were late. */
 	struck = 0;
 	fault: DatagramFault = {kind: 'none'};
+	/** Whether nothing passes, whatever else is done. */
+	isShut = false;
 	private isClosed = false;
 
 	private constructor(private readonly socket: Socket, private readonly ownPort: number, private readonly random: () => number) {
 		socket.on('error', () => undefined);
 		socket.on('message', (data, {port}) => {
-			this.pass(data, port);
+			if (!this.isShut) {
+				this.pass(data, port);
+			}
 		});
 	}
 
--- a/development/soak/soak-clients.ts
+++ b/development/soak/soak-clients.ts
@@ -27,8 +27,9 @@
 	readonly endedAt: number;
 };
 
-/** A key that may be taken away; the usual one never is. */
+/** A key that may be taken away, and one that is while a box is cut off; the usual one never is. */
 export const spareKey = 'key-that-may-go';
+export const loneKey = 'key-that-goes-unheard';
 const kinds: readonly SoakRequestKind[] = ['calls', 'once', 'stream'];
 const clientPause = 25;
 const readyInterval = 250;
--- a/development/soak/soak-faults.ts
+++ b/development/soak/soak-faults.ts
@@ -6,7 +6,7 @@
 import type {ProxyFault} from '../harness/fault-proxy.js';
 import {testKey, type RelayInstallation} from '../relay/relay-installation.js';
 import type {ReplicaConduct, ReplicaStandin} from '../relay/replica-standin.js';
-import {spareKey, type SoakClients} from './soak-clients.js';
+import {loneKey, spareKey, type SoakClients} from './soak-clients.js';
 import type {DatagramFault} from './datagram-proxy.js';
 import type {SoakFault, SoakFaultKind} from './soak-plan.js';
 import type {SoakRelay} from './soak-relay.js';
@@ -20,6 +20,12 @@
 const poisonPause = 250;
 const poisonTries = 20;
 
+/** Milliseconds in which a key that was taken away may still be used. */
+export const revokeTime = 5000;
+/** Milliseconds for which a box is cut off before a key is taken away, how often the key is used once it may not be, and between these. */
+const beforeTaking = 200;
+const lateUses = 5;
+const lateUsePause = 200;
 /** Milliseconds by which a wall clock is set off: the least that counts as a suspension, and more. */
 const clockJumps = [250, 1500, 20_000, 3_600_000];
 /** Part of the datagrams that are lost, and milliseconds for which others wait at most. */
@@ -43,6 +49,9 @@
 /** A replica that said that it leaves. */
 export type Drain = {readonly replica: ReplicaStandin; readonly at: number};
 
+/** A relay that nobody could tell anything, in monotonic milliseconds. */
+export type CutOff = {readonly relay: SoakRelay; readonly from: number; readonly to: number};
+
 /** The faults of one soak. */
 export class SoakFaults {
 	/**
@@ -59,8 +68,10 @@
 	readonly drains: Drain[] = [];
 	/** Monotonic milliseconds of each end of a replica under the request that ends them. */
 	readonly poisonEnds: number[] = [];
-	/** Monotonic milliseconds at which the spare key was taken away. */
-	keyTakenAt: number | undefined;
+	/** Monotonic milliseconds at which keys were taken away. */
+	readonly takenAt = new Map<string, number>();
+	/** Boxes that were cut off from everybody, and when. */
+	readonly cutOffs: CutOff[] = [];
 	private odd = 0;
 	private isPoisoned = false;
 
@@ -128,6 +139,11 @@
 				break;
 			}
 
+			case 'box': {
+				await this.strikeAlone(relay);
+				break;
+			}
+
 			case 'settings': {
 				await this.strikeSettings(relay, fault);
 				break;
@@ -192,6 +208,22 @@
 		store.heal();
 	}
 
+	/** A key is taken away while a box can hear of it from nobody; a client with an open connection goes on using it there. */
+	private async strikeAlone(relay: SoakRelay): Promise<void> {
+		const from = performance.now();
+		relay.cutOff(true);
+		await pause(beforeTaking);
+		this.takeAway(loneKey);
+		await pause(revokeTime);
+		for (const index of Array.from({length: lateUses}).keys()) {
+			await pause(lateUsePause);
+			await this.clients.send('calls', `late use ${index}`, {relay, key: loneKey});
+		}
+
+		relay.cutOff(false);
+		this.cutOffs.push({relay, from, to: performance.now()});
+	}
+
 	/** Two of three times all relays lose what comes, else the struck one alone. */
 	private async strikeDatagrams(relay: SoakRelay, {kind, duration, target}: SoakFault): Promise<void> {
 		const struck = target % 3 === 0 || kind === 'datagrams-one-way' ? [relay] : this.relays;
@@ -279,8 +311,7 @@
 			}
 
 			case 'key-taken': {
-				this.keyTakenAt ??= performance.now();
-				this.configure();
+				this.takeAway(spareKey);
 				break;
 			}
 
@@ -311,10 +342,18 @@
 		}
 	}
 
+	private takeAway(key: string): void {
+		if (!this.takenAt.has(key)) {
+			this.takenAt.set(key, performance.now());
+		}
+
+		this.configure();
+	}
+
 	private configure(): void {
 		this.installation.configure({
 			tenants: [{
-				name: 'basin', api_keys: this.keyTakenAt === undefined ? [testKey, spareKey] : [testKey], unit: 'requests', plain_tokens: 1, rate_per_s: 0, burst: 0,
+				name: 'basin', api_keys: [testKey, spareKey, loneKey].filter(key => !this.takenAt.has(key)), unit: 'requests', plain_tokens: 1, rate_per_s: 0, burst: 0,
 			}],
 		});
 	}
--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -6,8 +6,10 @@
 import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
 import {faultOfAnswer} from './soak-answers.js';
-import {spareKey, type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
-import {drainTime, poisonMark, type Drain} from './soak-faults.js';
+import {type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
+import {
+	drainTime, poisonMark, revokeTime, type CutOff, type Drain,
+} from './soak-faults.js';
 import type {SoakRelay} from './soak-relay.js';
 
 /** What was seen. */
@@ -16,18 +18,20 @@
 	readonly replicas: readonly ReplicaStandin[];
 	readonly relays: readonly SoakRelay[];
 	readonly drains: readonly Drain[];
+	readonly cutOffs: readonly CutOff[];
 	readonly poisonEnds: readonly number[];
-	readonly keyTakenAt: number | undefined;
+	/** Monotonic milliseconds at which keys were taken away. */
+	readonly takenAt: ReadonlyMap<string, number>;
 	/** Events of each stream. */
 	readonly streamEvents: number;
 	/** Lines of all lives of the relays' processes. */
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 };
 
-/** Milliseconds in which a key that was taken away may still be used. */
-const revokeTime = 5000;
 /** Milliseconds for what was sent in time to arrive. */
 const arrivalTime = 400;
+/** Milliseconds in which a box hears what is said, also behind a cut. */
+const hearingTime = 1000;
 /** Milliseconds around a kill or a freeze in which a connection may be cut. */
 const aroundKills = 4500;
 /** Replicas that one request may end: three, what relays send before they hear of them, and a trial. */
@@ -77,12 +81,12 @@
 		const runners = this.runnersOf.get(id) ?? [];
 		const runs = runners.length;
 		const wrong = status === 200 ? faultOfAnswer({attempt, runners, streamEvents: this.record.streamEvents}) : undefined;
-		const {keyTakenAt = Number.POSITIVE_INFINITY} = this.record;
+		const takenAt = this.record.takenAt.get(key) ?? Number.POSITIVE_INFINITY;
 		const checks: ReadonlyArray<readonly [isBroken: boolean, what: string]> = [
 			[kind === 'once' && runs > 1, `ran ${runs} times, though it may run once`],
 			[kind === 'once' && refusals.has(status) && runs > 0, `was told ${status}, and has run`],
 			[status >= 300 && status < 500 && !refusals.has(status) && key === testKey, `was told ${status}, though it is allowed`],
-			[status === 200 && key === spareKey && sentAt > keyTakenAt + revokeTime, 'was run under a key that had been taken away'],
+			[status === 200 && sentAt > takenAt + revokeTime, 'was run under a key that had been taken away'],
 			[wrong !== undefined, `its answer ${wrong}`],
 			[status === 0 && this.isLost(attempt), 'was passed on, and its connection closed without an answer'],
 			[kind === 'stream' && status === 200 && !attempt.isWhole && this.wasCutForNothing(attempt), 'was cut, though its last run wrote all that was to come'],
@@ -104,10 +108,16 @@
 
 	private get lateArrivals(): readonly string[] {
 		return this.record.drains.flatMap(({replica, at}) => replica.seen
-			.filter(seen => seen.at > at + drainTime + arrivalTime)
+			.filter(seen => seen.at > at + drainTime + arrivalTime && !this.isUnheard(seen.id, at, seen.at))
 			.map(seen => `${seen.id} reached ${replica.id} ${Math.round(seen.at - at)} ms after it said that it leaves`));
 	}
 
+	/** Whether the relay that sent a request could hear nothing between a replica's word and the request. */
+	private isUnheard(id: string, saidAt: number, seenAt: number): boolean {
+		const relay = this.record.attempts.find(attempt => attempt.id === id)?.relay;
+		return this.record.cutOffs.some(({relay: cutOff, from, to}) => cutOff === relay && from < saidAt + hearingTime && to > seenAt - hearingTime);
+	}
+
 	private get poison(): readonly string[] {
 		const {poisonEnds} = this.record;
 		const third = poisonEnds[2] ?? Number.POSITIVE_INFINITY;
--- a/development/soak/soak-plan.ts
+++ b/development/soak/soak-plan.ts
@@ -44,8 +44,10 @@
 const streamKinds = ['stream-breaks', 'stream-misfits', 'stream-stalls'] as const;
 /** Faults of clocks, of datagrams between boxes, and of what single boxes are told. */
 const boxKinds = ['clock-ahead', 'clock-behind', 'datagrams-lost', 'datagrams-late', 'datagrams-one-way', 'store-turns-away', 'settings-series'] as const;
+/** A box that is cut off from store and boxes for longer than a key that is taken away may be used. */
+const cutOffKinds = ['box-cut-off'] as const;
 /** Every sort of fault. */
-export const soakFaultKinds = [...generalKinds, ...streamKinds, ...boxKinds] as const;
+export const soakFaultKinds = [...generalKinds, ...streamKinds, ...boxKinds, ...cutOffKinds] as const;
 export type SoakFaultKind = typeof soakFaultKinds[number];
 
 const shortestFault = 300;
@@ -54,6 +56,7 @@
 const generalPause = 350;
 const streamPause = 500;
 const boxPause = 600;
+const cutOffPause = 8000;
 /** Relays of a usual soak; for each one more, faults of relays come that often. */
 const usualRelays = 4;
 const crowdPause = 4000;
@@ -70,6 +73,7 @@
 		...drawFaults(randomOf(seed), length, generalKinds, generalPause),
 		...drawFaults(seededBy(seed, 'streams'), length, streamKinds, streamPause),
 		...drawFaults(seededBy(seed, 'boxes'), length, boxKinds, boxPause),
+		...drawFaults(seededBy(seed, 'cut-offs'), length, cutOffKinds, cutOffPause),
 		...(relays > usualRelays ? drawFaults(seededBy(seed, 'crowd'), length, [...relayKinds, ...boxKinds], crowdPause / (relays - usualRelays)) : []),
 	].sort((left, right) => left.at - right.at);
 }
--- a/development/soak/soak-relay.ts
+++ b/development/soak/soak-relay.ts
@@ -140,6 +140,17 @@
 		}
 	}
 
+	/** @param isCutOff - Whether it reaches the store no more and hears no other box, from now on. */
+	cutOff(isCutOff: boolean): void {
+		this.storeDoor.isShut = isCutOff;
+		this.datagrams.isShut = isCutOff;
+		if (isCutOff) {
+			// A watch that waits would still bring news.
+			this.store.fault = {kind: 'cut'};
+			this.store.fault = {kind: 'none'};
+		}
+	}
+
 	/** @param offset - Milliseconds by which its wall clock is off from now on, also in its next life. */
 	setClock(offset: number): void {
 		writeFileSync(this.clockFile, String(offset));
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -10,7 +10,9 @@
 } from '../relay/relay-installation.js';
 import {randomOf} from '../harness/seeded-random.js';
 import {seededBy} from './seeded-by.js';
-import {SoakClients, spareKey, type SoakRequestKind} from './soak-clients.js';
+import {
+	SoakClients, loneKey, spareKey, type SoakRequestKind,
+} from './soak-clients.js';
 import {SoakFaults} from './soak-faults.js';
 import {SoakJudge, fingerprintOfRequest, innocentLines} from './soak-judge.js';
 import {planSoak, type SoakFault} from './soak-plan.js';
@@ -58,7 +60,7 @@
  */
 export async function soak({seed, length, relays: count}: SoakOptions): Promise<SoakReport> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'waydrift-soak-'));
-	const installation = await RelayInstallation.start({relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, spareKey]}});
+	const installation = await RelayInstallation.start({relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, spareKey, loneKey]}});
 	const streams = SoakStreams.create(seed, streamEvents);
 	installation.prepareReplicas(replica => {
 		streams.prepare(replica);
@@ -82,9 +84,9 @@
 		await clients.run(Math.max(clientCount, count * clientsPerRelay), async () => faults.run(plan));
 		const unserved = await serveAll(clients, relays);
 		const lines = relays.flatMap(relay => relay.lines);
-		const {drains, poisonEnds, keyTakenAt} = faults;
+		const {drains, cutOffs, poisonEnds, takenAt} = faults;
 		const judge = SoakJudge.create({
-			attempts: clients.attempts, replicas: installation.everyReplica, relays, drains, poisonEnds, keyTakenAt, streamEvents, lines,
+			attempts: clients.attempts, replicas: installation.everyReplica, relays, drains, cutOffs, poisonEnds, takenAt, streamEvents, lines,
 		});
 		return {
 			plan, attempts: clients.attempts.length, served: clients.attempts.filter(({status}) => status === 200).length, broken: [...judge.broken, ...unserved], lines,
