--- a/development/soak/soak-faults.ts
+++ b/development/soak/soak-faults.ts
@@ -6,9 +6,11 @@
 import type {ProxyFault} from '../harness/fault-proxy.js';
 import {testKey, type RelayInstallation} from '../relay/relay-installation.js';
 import type {ReplicaConduct, ReplicaStandin} from '../relay/replica-standin.js';
-import {spareKey, type SoakClients} from './soak-clients.js';
+import {loneKey, spareKey, type SoakClients} from './soak-clients.js';
+import type {DatagramFault} from './datagram-proxy.js';
 import type {SoakFault, SoakFaultKind} from './soak-plan.js';
 import type {SoakRelay} from './soak-relay.js';
+import type {SoakStreams, StreamFault} from './soak-streams.js';
 
 /** Milliseconds for which a replica that says that it leaves serves on. */
 export const drainTime = 2000;
@@ -18,6 +20,22 @@
 const poisonPause = 250;
 const poisonTries = 20;
 
+/** Milliseconds in which a key that was taken away may still be used. */
+export const revokeTime = 5000;
+/** Milliseconds for which a box is cut off before a key is taken away, how often the key is used once it may not be, and between these. */
+const beforeTaking = 200;
+const lateUses = 5;
+const lateUsePause = 200;
+/** Milliseconds by which a wall clock is set off: the least that counts as a suspension, and more. */
+const clockJumps = [250, 1500, 20_000, 3_600_000];
+/** Part of the datagrams that are lost, and milliseconds for which others wait at most. */
+const lostPart = 0.4;
+const datagramDelay = 400;
+/** Milliseconds between changes of settings, on average. */
+const settingsPause = 60;
+/** HTTP statuses with which the store turns a box away. */
+const storeRefusals = [503, 429];
+
 const storeFaults: Partial<Readonly<Record<SoakFaultKind, ProxyFault>>> = {
 	'store-cut': {kind: 'cut'}, 'store-frozen': {kind: 'freeze'}, 'store-delayed': {kind: 'delay', milliseconds: 120},
 };
@@ -31,23 +49,29 @@
 /** A replica that said that it leaves. */
 export type Drain = {readonly replica: ReplicaStandin; readonly at: number};
 
+/** A relay that nobody could tell anything, in monotonic milliseconds. */
+export type CutOff = {readonly relay: SoakRelay; readonly from: number; readonly to: number};
+
 /** The faults of one soak. */
 export class SoakFaults {
 	/**
 	 * @param installation - Store and replicas.
 	 * @param relays - The relays.
 	 * @param clients - Who sends the request that ends replicas.
+	 * @param streams - How replicas write streams.
 	 * @returns Nothing is wrong yet.
 	 */
-	static create(installation: RelayInstallation, relays: readonly SoakRelay[], clients: SoakClients): SoakFaults {
-		return new SoakFaults(installation, relays, clients);
+	static create(installation: RelayInstallation, relays: readonly SoakRelay[], clients: SoakClients, streams: SoakStreams): SoakFaults {
+		return new SoakFaults(installation, relays, clients, streams);
 	}
 
 	readonly drains: Drain[] = [];
 	/** Monotonic milliseconds of each end of a replica under the request that ends them. */
 	readonly poisonEnds: number[] = [];
-	/** Monotonic milliseconds at which the spare key was taken away. */
-	keyTakenAt: number | undefined;
+	/** Monotonic milliseconds at which keys were taken away. */
+	readonly takenAt = new Map<string, number>();
+	/** Boxes that were cut off from everybody, and when. */
+	readonly cutOffs: CutOff[] = [];
 	private odd = 0;
 	private isPoisoned = false;
 
@@ -55,6 +79,7 @@
 		private readonly installation: RelayInstallation,
 		private readonly relays: readonly SoakRelay[],
 		private readonly clients: SoakClients,
+		private readonly streams: SoakStreams,
 	) {
 		installation.crashOn(poisonMark, () => {
 			this.poisonEnds.push(performance.now());
@@ -86,7 +111,7 @@
 			}
 
 			case 'store': {
-				await this.strikeStore(kind, relay, duration);
+				await this.strikeStore(kind, relay, duration, fault.target);
 				break;
 			}
 
@@ -95,6 +120,35 @@
 				break;
 			}
 
+			case 'stream': {
+				this.streams.faults.set(id, kind as StreamFault);
+				await pause(duration);
+				this.streams.faults.delete(id);
+				break;
+			}
+
+			case 'clock': {
+				relay.setClock(clockJumps[fault.target % clockJumps.length]! * (kind === 'clock-ahead' ? 1 : -1));
+				await pause(duration);
+				relay.setClock(0);
+				break;
+			}
+
+			case 'datagrams': {
+				await this.strikeDatagrams(relay, fault);
+				break;
+			}
+
+			case 'box': {
+				await this.strikeAlone(relay);
+				break;
+			}
+
+			case 'settings': {
+				await this.strikeSettings(relay, fault);
+				break;
+			}
+
 			default: {
 				await this.strikeInput(kind, id, fault);
 			}
@@ -127,8 +181,15 @@
 		}
 	}
 
-	private async strikeStore(kind: SoakFaultKind, relay: SoakRelay, duration: number): Promise<void> {
+	private async strikeStore(kind: SoakFaultKind, relay: SoakRelay, duration: number, target: number): Promise<void> {
 		const {store} = this.installation;
+		if (kind === 'store-turns-away') {
+			relay.storeDoor.turnsAway = storeRefusals[target % storeRefusals.length];
+			await pause(duration);
+			relay.storeDoor.turnsAway = undefined;
+			return;
+		}
+
 		const fault = storeFaults[kind];
 		if (fault) {
 			relay.store.fault = fault;
@@ -147,6 +208,57 @@
 		store.heal();
 	}
 
+	/** A key is taken away while a box can hear of it from nobody; a client with an open connection goes on using it there. */
+	private async strikeAlone(relay: SoakRelay): Promise<void> {
+		const from = performance.now();
+		relay.cutOff(true);
+		await pause(beforeTaking);
+		this.takeAway(loneKey);
+		await pause(revokeTime);
+		for (const index of Array.from({length: lateUses}).keys()) {
+			await pause(lateUsePause);
+			await this.clients.send('calls', `late use ${index}`, {relay, key: loneKey});
+		}
+
+		relay.cutOff(false);
+		this.cutOffs.push({relay, from, to: performance.now()});
+	}
+
+	/** Two of three times all relays lose what comes, else the struck one alone. */
+	private async strikeDatagrams(relay: SoakRelay, {kind, duration, target}: SoakFault): Promise<void> {
+		const struck = target % 3 === 0 || kind === 'datagrams-one-way' ? [relay] : this.relays;
+		const others = new Set(this.relays.filter((_, index) => index % 2 === target % 2).map(({ownPort}) => ownPort));
+		const fault: DatagramFault = kind === 'datagrams-lost'
+			? {kind: 'lose', part: lostPart}
+			: (kind === 'datagrams-late' ? {kind: 'delay', milliseconds: datagramDelay} : {kind: 'cut-from', ports: others});
+		for (const {datagrams} of struck) {
+			datagrams.fault = fault;
+		}
+
+		await pause(duration);
+		for (const {datagrams} of struck) {
+			datagrams.fault = {kind: 'none'};
+		}
+	}
+
+	/** Settings change and change back, several times, while others are told the same; some cannot be read. */
+	private async strikeSettings(relay: SoakRelay, {duration, target}: SoakFault): Promise<void> {
+		const struck = target % 2 === 0 ? [relay] : this.relays;
+		const rounds = Math.max(1, Math.floor(duration / settingsPause));
+		for (let round = 0; round < rounds; round++) {
+			for (const one of struck) {
+				one.reloadWith(round % 3 === 2 ? 'unreadable' : [`none-${round}`]);
+			}
+
+			// Signals that come together, and some apart.
+			await pause(round % 2 === 0 ? settingsPause * 2 : 0);
+		}
+
+		for (const one of struck) {
+			one.reloadUsual();
+		}
+	}
+
 	private async strikeReplica(kind: SoakFaultKind, id: string, duration: number): Promise<void> {
 		const replica = this.installation.replicas.get(id)!;
 		if (!replica.isUp) {
@@ -199,8 +311,7 @@
 			}
 
 			case 'key-taken': {
-				this.keyTakenAt ??= performance.now();
-				this.configure();
+				this.takeAway(spareKey);
 				break;
 			}
 
@@ -231,10 +342,18 @@
 		}
 	}
 
+	private takeAway(key: string): void {
+		if (!this.takenAt.has(key)) {
+			this.takenAt.set(key, performance.now());
+		}
+
+		this.configure();
+	}
+
 	private configure(): void {
 		this.installation.configure({
 			tenants: [{
-				name: 'basin', api_keys: this.keyTakenAt === undefined ? [testKey, spareKey] : [testKey], unit: 'requests', plain_tokens: 1, rate_per_s: 0, burst: 0,
+				name: 'basin', api_keys: [testKey, spareKey, loneKey].filter(key => !this.takenAt.has(key)), unit: 'requests', plain_tokens: 1, rate_per_s: 0, burst: 0,
 			}],
 		});
 	}
--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -3,10 +3,13 @@
  */
 import {Buffer} from 'node:buffer';
 import {testKey} from '../relay/relay-installation.js';
-import type {ReplicaStandin} from '../relay/replica-standin.js';
+import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
-import {spareKey, type SoakAttempt} from './soak-clients.js';
-import {drainTime, poisonMark, type Drain} from './soak-faults.js';
+import {faultOfAnswer} from './soak-answers.js';
+import {type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
+import {
+	drainTime, poisonMark, revokeTime, type CutOff, type Drain,
+} from './soak-faults.js';
 import type {SoakRelay} from './soak-relay.js';
 
 /** What was seen. */
@@ -15,18 +18,20 @@
 	readonly replicas: readonly ReplicaStandin[];
 	readonly relays: readonly SoakRelay[];
 	readonly drains: readonly Drain[];
+	readonly cutOffs: readonly CutOff[];
 	readonly poisonEnds: readonly number[];
-	readonly keyTakenAt: number | undefined;
+	/** Monotonic milliseconds at which keys were taken away. */
+	readonly takenAt: ReadonlyMap<string, number>;
 	/** Events of each stream. */
 	readonly streamEvents: number;
 	/** Lines of all lives of the relays' processes. */
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 };
 
-/** Milliseconds in which a key that was taken away may still be used. */
-const revokeTime = 5000;
 /** Milliseconds for what was sent in time to arrive. */
 const arrivalTime = 400;
+/** Milliseconds in which a box hears what is said, also behind a cut. */
+const hearingTime = 1000;
 /** Milliseconds around a kill or a freeze in which a connection may be cut. */
 const aroundKills = 4500;
 /** Replicas that one request may end: three, what relays send before they hear of them, and a trial. */
@@ -36,8 +41,6 @@
 const contactTime = 3000;
 const refusals: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-const idsOf = (body: string): readonly string[] => [...body.matchAll(/^id: (?<id>\d+)$/gmv)].map(match => match.groups!.id!);
-
 /** The judge. */
 export class SoakJudge {
 	/**
@@ -48,13 +51,18 @@
 		return new SoakJudge(record);
 	}
 
-	private readonly runsOf = new Map<string, number>();
+	/** Ids of the replicas that ran each request, one for each run. */
+	private readonly runnersOf = new Map<string, readonly string[]>();
 	private readonly arrivalsOf = new Map<string, number>();
+	/** What last reached a replica of each request. */
+	private readonly lastRunOf = new Map<string, SeenRequest>();
 
 	private constructor(private readonly record: SoakRecord) {
-		for (const {id, hasRun} of record.replicas.flatMap(({seen}) => seen)) {
+		for (const {replica, ...seen} of record.replicas.flatMap(({id: replica, seen}) => seen.map(request => ({...request, replica})))) {
+			const {id, hasRun, at} = seen;
+			this.lastRunOf.set(id, at >= (this.lastRunOf.get(id)?.at ?? 0) ? seen : this.lastRunOf.get(id)!);
 			this.arrivalsOf.set(id, (this.arrivalsOf.get(id) ?? 0) + 1);
-			this.runsOf.set(id, (this.runsOf.get(id) ?? 0) + (hasRun ? 1 : 0));
+			this.runnersOf.set(id, [...this.runnersOf.get(id) ?? [], ...(hasRun ? [replica] : [])]);
 		}
 	}
 
@@ -70,45 +78,46 @@
 
 	private faultsOf(attempt: SoakAttempt): readonly string[] {
 		const {id, kind, status, key, sentAt} = attempt;
-		const runs = this.runsOf.get(id) ?? 0;
-		const {keyTakenAt = Number.POSITIVE_INFINITY} = this.record;
+		const runners = this.runnersOf.get(id) ?? [];
+		const runs = runners.length;
+		const wrong = status === 200 ? faultOfAnswer({attempt, runners, streamEvents: this.record.streamEvents}) : undefined;
+		const takenAt = this.record.takenAt.get(key) ?? Number.POSITIVE_INFINITY;
 		const checks: ReadonlyArray<readonly [isBroken: boolean, what: string]> = [
 			[kind === 'once' && runs > 1, `ran ${runs} times, though it may run once`],
 			[kind === 'once' && refusals.has(status) && runs > 0, `was told ${status}, and has run`],
 			[status >= 300 && status < 500 && !refusals.has(status) && key === testKey, `was told ${status}, though it is allowed`],
-			[status === 200 && key === spareKey && sentAt > keyTakenAt + revokeTime, 'was run under a key that had been taken away'],
-			[status === 200 && !this.isOwnAnswer(attempt), `got an answer that is not its own or not whole: ${JSON.stringify(attempt.body.slice(0, 80))}`],
+			[status === 200 && sentAt > takenAt + revokeTime, 'was run under a key that had been taken away'],
+			[wrong !== undefined, `its answer ${wrong}`],
 			[status === 0 && this.isLost(attempt), 'was passed on, and its connection closed without an answer'],
+			[kind === 'stream' && status === 200 && !attempt.isWhole && this.wasCutForNothing(attempt), 'was cut, though its last run wrote all that was to come'],
 		];
-		return checks.filter(([isBroken]) => isBroken).map(([, what]) => `${id} (${kind} at ${attempt.relay.name}): ${what}`);
+		return checks.filter(([isBroken]) => isBroken).map(([, what]) => `${this.secondsTo(sentAt)} s, ${id} (${kind} at ${attempt.relay.name}): ${what}`);
 	}
 
-	/** An answer that looks whole is the replica's own, to the last event. */
-	private isOwnAnswer({id, kind, headers, body, isWhole}: SoakAttempt): boolean {
-		if (headers['attempt-id'] !== id && kind !== 'stream') {
-			return false;
-		}
-
-		const expected = Array.from({length: this.record.streamEvents}, (_, index) => String(index + 1));
-		const ids = idsOf(body);
-		if (kind !== 'stream') {
-			return !isWhole || /^answer of i-\d+$/v.test(body);
-		}
+	private secondsTo(at: number): string {
+		return ((at - (this.record.attempts[0]?.sentAt ?? at)) / 1000).toFixed(1);
+	}
 
-		return ids.every((event, index) => event === expected[index]) && (!isWhole || ids.length === expected.length);
+	private isLost(attempt: SoakAttempt): boolean {
+		return !wasKilledAround(attempt) && (this.arrivalsOf.get(attempt.id) ?? 0) > 0;
 	}
 
-	private isLost({id, relay, sentAt, endedAt}: SoakAttempt): boolean {
-		const wasKilled = relay.kills.some(at => at > sentAt - aroundKills && at < endedAt + 500);
-		return !wasKilled && (this.arrivalsOf.get(id) ?? 0) > 0;
+	private wasCutForNothing(attempt: SoakAttempt): boolean {
+		return !wasKilledAround(attempt) && this.lastRunOf.get(attempt.id)?.isRightStream === true;
 	}
 
 	private get lateArrivals(): readonly string[] {
 		return this.record.drains.flatMap(({replica, at}) => replica.seen
-			.filter(seen => seen.at > at + drainTime + arrivalTime)
+			.filter(seen => seen.at > at + drainTime + arrivalTime && !this.isUnheard(seen.id, at, seen.at))
 			.map(seen => `${seen.id} reached ${replica.id} ${Math.round(seen.at - at)} ms after it said that it leaves`));
 	}
 
+	/** Whether the relay that sent a request could hear nothing between a replica's word and the request. */
+	private isUnheard(id: string, saidAt: number, seenAt: number): boolean {
+		const relay = this.record.attempts.find(attempt => attempt.id === id)?.relay;
+		return this.record.cutOffs.some(({relay: cutOff, from, to}) => cutOff === relay && from < saidAt + hearingTime && to > seenAt - hearingTime);
+	}
+
 	private get poison(): readonly string[] {
 		const {poisonEnds} = this.record;
 		const third = poisonEnds[2] ?? Number.POSITIVE_INFINITY;
@@ -121,13 +130,39 @@
 
 	private get ends(): readonly string[] {
 		const {relays, lines} = this.record;
-		const poisoned = fingerprintOf({
-			method: 'POST', target: '/calls/x', clientAccount: 'basin', body: Buffer.from(poisonMark),
-		});
 		return [
 			...relays.filter(({ownEnds}) => ownEnds > 0).map(({name, ownEnds}) => `${name} ended by itself ${ownEnds} times`),
 			...lines.filter(({eventName}) => eventName === 'roleFailed' || eventName === 'requestFailed').map(line => `a fault of the program: ${JSON.stringify(line)}`),
-			...lines.filter(({eventName, fingerprint}) => eventName === 'requestQuarantined' && fingerprint !== poisoned).map(line => `an innocent request is kept away: ${JSON.stringify(line)}`),
+			...refusedInnocents(lines).map(line => `an innocent request is kept away: ${JSON.stringify(line)}`),
 		];
 	}
 }
+
+const wasKilledAround = ({relay, sentAt, endedAt}: SoakAttempt): boolean => relay.kills.some(at => at > sentAt - aroundKills && at < endedAt + 500);
+
+/**
+ * Lines of refusals of requests that a box had taken for one that ends replicas, and that is none. A box that takes one for it and
+ * has not refused it has not heard yet what others saw; at the end of the soak each must be served everywhere.
+ */
+function refusedInnocents(lines: SoakRecord['lines']): SoakRecord['lines'] {
+	const taken = new Set(innocentLines(lines).map(({node, fingerprint}) => `${String(node)} ${String(fingerprint)}`));
+	return lines.filter(({eventName, reason, node, fingerprint}) => eventName === 'requestRefused' && reason === 'quarantined' && taken.has(`${String(node)} ${String(fingerprint)}`));
+}
+
+/**
+ * @param lines - Lines of relays.
+ * @returns Those that tell that a request is kept away which does not end replicas.
+ */
+export function innocentLines(lines: SoakRecord['lines']): SoakRecord['lines'] {
+	const poisoned = fingerprintOfRequest('calls', poisonMark);
+	return lines.filter(({eventName, fingerprint}) => eventName === 'requestQuarantined' && fingerprint !== poisoned);
+}
+
+/**
+ * @param kind - What a client sends.
+ * @param body - Its body.
+ * @returns The name under which relays know it.
+ */
+export const fingerprintOfRequest = (kind: SoakRequestKind, body: string): string => fingerprintOf({
+	method: 'POST', target: `/${kind}/x`, clientAccount: 'basin', body: Buffer.from(body),
+});
