Ports of test processes: a block for each process, each port once

A port is free to a look by TCP while the box that owns it is down, and UDP ports are not looked at. Change: each process draws from 500 ports of its own, by its process id, in turn; 34 blocks.

--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -3,6 +3,7 @@
  */
 import {request, type Agent, type IncomingHttpHeaders} from 'node:http';
 import {createServer} from 'node:net';
+import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
@@ -105,10 +106,15 @@
 const lapseDelay = 600;
 const restartDelay = 2000;
 
-/** Below the ports that Linux gives to outgoing connections, from 32,768 on: one of them could hold the port of a box that starts again. */
+/**
+ * Below the ports that Linux gives to outgoing connections, from 32,768 on: one of them could hold the port of a box that starts again. Each
+ * process draws from a block of its own, in turn, since a port of a box that is down seems free to others.
+ */
 const firstPort = 15_000;
-const ports = 17_000;
+const portsInBlock = 500;
+const blocks = 34;
 
+let portsGiven = 0;
 let attempts = 0;
 
 /** The installation. */
@@ -348,9 +354,10 @@
 	}
 }
 
-/** @returns A TCP port of loopback that nobody listens on, and that no connection takes by itself. */
+/** @returns A TCP port of loopback that nobody listens on, and that no connection takes by itself; another one each time. */
 export async function freePort(): Promise<number> {
-	const port = firstPort + Math.floor(Math.random() * ports);
+	const port = firstPort + ((process.pid % blocks) * portsInBlock) + (portsGiven % portsInBlock);
+	portsGiven++;
 	const server = createServer();
 	const isFree = await new Promise<boolean>(resolve => {
 		server.once('error', () => {
