Tests of what hand-made mutations passed: an event without an end, a slow client, going on after a misfit

Three of 23 mutations of the compiled code were caught by no test: no bound on an event, no pause for a slow client, no second try after a misfit. Each has a test now.

--- a/src/node/test/relay-streams.test.ts
+++ b/src/node/test/relay-streams.test.ts
@@ -110,3 +110,18 @@
 test('a stream that a client takes up again goes on behind the event that it names', async () => {
 	assert.equal(faultOf(await streamOnce({}, {'Last-Event-Id': '2'}), 3), undefined);
 });
+
+test('a stream goes on elsewhere where a replica brings an event that does not come next', async () => {
+	const [bad] = replicas;
+	const {scriptOf} = bad!;
+	bad!.scriptOf = () => ({nameless: brokenEvent});
+	const views: ClientView[] = [];
+	for (let stream = 0; stream < atOnce; stream++) {
+		views.push(await streamOnce({}));
+	}
+
+	bad!.scriptOf = scriptOf;
+	assert.deepEqual(views.map(view => faultOf(view)).filter(fault => fault !== undefined), []);
+	const garbled = installation.relays[0]!.log.lines.filter(({failures, events: count}) => String(failures).includes('unnumbered') && count === events);
+	assert.ok(garbled.length > 0, 'the bad replica was asked');
+});
--- a/src/relay/test/stream-passage.test.ts
+++ b/src/relay/test/stream-passage.test.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {PassThrough} from 'node:stream';
 import {test} from 'node:test';
+import {setImmediate as turn} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import {PlatformRelayFormat} from '../../../platform/relay-format.js';
 import type {AttemptFailure} from '../attempt-failure.js';
@@ -20,6 +21,7 @@
 	hasEnded = false;
 	writableNeedDrain = false;
 	readonly sent: Uint8Array[] = [];
+	private onDrain: (() => void) | undefined;
 
 	writeHead(): void {
 		this.headersSent = true;
@@ -33,6 +35,15 @@
 		this.hasEnded = true;
 	}
 
+	once(_: 'drain', listener: () => void): void {
+		this.onDrain = listener;
+	}
+
+	/** The client has read what it was sent. */
+	drain(): void {
+		this.onDrain?.();
+	}
+
 	get bytes(): Uint8Array {
 		return Buffer.concat(this.sent);
 	}
@@ -109,3 +120,24 @@
 	assert.equal((await anew.run(['id: 1\n\n']))?.reason, 'garbled');
 	assert.equal(anew.connection.headersSent, false);
 });
+
+test('an event that does not end is given up, and the connection with it', async () => {
+	const {connection, run, told} = startPassage();
+	const failure = await run(['id: 1\n\n', ...Array.from({length: 17}, () => 'x'.repeat(65_536)), '\n\n']);
+	assert.deepEqual([failure?.reason, told.abandoned], ['garbled', 1]);
+	assert.deepEqual([Buffer.from(connection.bytes).toString(), connection.hasEnded], ['id: 1\n\n', false]);
+});
+
+test('a client that reads slowly holds its replica back, also at the end, and gets all', async () => {
+	const {connection, run} = startPassage();
+	connection.writableNeedDrain = true;
+	const passing = run(['id: 1\n\n', 'id: 2\n\n']);
+	await turn();
+	assert.deepEqual([Buffer.from(connection.bytes).toString(), connection.hasEnded], ['id: 1\n\n', false]);
+	connection.drain();
+	await turn();
+	connection.writableNeedDrain = false;
+	connection.drain();
+	assert.equal(await passing, undefined);
+	assert.deepEqual([Buffer.from(connection.bytes).toString(), connection.hasEnded], ['id: 1\n\nid: 2\n\n', true]);
+});
