--- a/src/relay/test/stream-passage.test.ts
+++ b/src/relay/test/stream-passage.test.ts
@@ -123,7 +123,7 @@
 
 test('an event that does not end is given up, and the connection with it', async () => {
 	const {connection, run, told} = startPassage();
-	const failure = await run(['id: 1\n\n', ...Array.from({length: 17}, () => 'x'.repeat(65_536)), '\n\n']);
+	const failure = await run(['id: 1\n\nid: 2\ndata: ', ...Array.from({length: 17}, () => 'x'.repeat(65_536)), '\n\n']);
 	assert.deepEqual([failure?.reason, told.abandoned], ['garbled', 1]);
 	assert.deepEqual([Buffer.from(connection.bytes).toString(), connection.hasEnded], ['id: 1\n\n', false]);
 });
