What was passed on reaches the client, also where its stream is cut in the same moment

An event that does not fit comes in one piece with one that does; the relay writes that one and cuts the stream in the same moment, and destroying the socket throws away what Node holds corked until the next tick: head and event. The access line, the usage and the last event say that the client has it. Ruled out: kills and freezes (none around), the replica. Change: the socket is ended behind what was written, and destroyed half a second later where the client does not read.

--- a/src/node/test/relay-streams.test.ts
+++ b/src/node/test/relay-streams.test.ts
@@ -125,3 +125,11 @@
 	const garbled = installation.relays[0]!.log.lines.filter(({failures, events: count}) => String(failures).includes('unnumbered') && count === events);
 	assert.ok(garbled.length > 0, 'the bad replica was asked');
 });
+
+test('events that were passed on reach the client, also where its stream is cut in the same moment', async () => {
+	// The next event comes in one piece with the first and does not fit; the route allows no other try.
+	const views = await Promise.all(everyCut.map(async () => installation.call({
+		path: '/whole/x', method: 'POST', body: JSON.stringify({pieces: 'together', nameless: 2}),
+	})));
+	assert.deepEqual(views.filter(({status, body, isWhole}) => status !== 200 || isWhole || !isOneEvent(body, 1)), []);
+});
--- a/src/relay/client-answer.ts
+++ b/src/relay/client-answer.ts
@@ -7,6 +7,9 @@
 import type {Refusal} from '../base/verdict.js';
 import {problemOf} from '../door/problem.js';
 
+/** Milliseconds in which a client reads what it was sent before its connection is cut. */
+const readTime = 500;
+
 /** The answer to one request. */
 export class ClientAnswer {
 	/**
@@ -96,8 +99,20 @@
 		this.send(status, ['Content-Type', 'application/problem+json', ...retry], body, false);
 	}
 
-	/** Breaks the connection, so that what was sent does not look whole. */
+	/** Breaks the connection behind what was sent, so that it does not look whole; at once where the client does not read it. */
 	cut(): void {
-		this.response.socket?.destroy();
+		const {socket} = this.response;
+		if (!socket) {
+			return;
+		}
+
+		// What was written in this moment has not gone out yet: the head waits for the first bytes of the body.
+		socket.destroySoon();
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, readTime);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
 	}
 }
