--- a/src/relay/stream-passage.ts
+++ b/src/relay/stream-passage.ts
@@ -135,6 +135,10 @@
 				this.parts.client.end();
 				end();
 			});
+			// Nothing of a run that is given up on reaches the client behind that.
+			return Effect.sync(() => {
+				isOver = true;
+			});
 		});
 	}
 
