Reproduced, failing: a request that says it uses less than nothing fills its client account's quota

Cause: the platform adapter takes any finite number for a number of tokens, and the ledger takes it off the bucket. That the bucket is cut at its burst when it is refilled bounds it to one burst a request; the counter of what was let pass, which other boxes go by, is not bounded.

--- a/src/node/test/relay-quota.test.ts
+++ b/src/node/test/relay-quota.test.ts
@@ -29,3 +29,25 @@
 		await installation.close();
 	}
 });
+
+test('a request that says it uses less than nothing gives its client account nothing', async () => {
+	const installation = await RelayInstallation.start({
+		relays: 1, replicas: ['i-1'], tenant: {
+			rate_per_s: 1, burst: 1000, unit: 'token_count', plain_tokens: 100,
+		},
+	});
+	try {
+		const ask = async (tokens: string) => installation.call({path: '/calls/x', headers: {'Token-Count': tokens}});
+		const statuses: number[] = [];
+		for (let turn = 0; turn < 10; turn++) {
+			await ask('-1000000,0');
+			const {status} = await ask('500,0');
+			statuses.push(status);
+		}
+
+		assert.equal(statuses[0], 200);
+		assert.ok(statuses.filter(status => status === 429).length >= 6, statuses.join(' '));
+	} finally {
+		await installation.close();
+	}
+});
