Reproduced, failing: boxes that are heard are taken for all that there are

Cause: usage is reported early once every box that this one knows has been heard; those that it does not know are not asked for, though others tell how many there are. The rule moved from duty-roles.ts to PeerTable, unchanged. Seen: npm test -- peer-table: with two of three boxes known, all count as heard. Whether a window was ever off for that is not shown.

--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -93,6 +93,15 @@
 		return this.clock.monotonic() - at <= within;
 	}
 
+	/**
+	 * @param within - Milliseconds.
+	 * @returns Whether every other box was heard in that time.
+	 */
+	hasHeardAllWithin(within: number): boolean {
+		const since = this.clock.monotonic() - within;
+		return this.all.every(({heardAt}) => heardAt >= since);
+	}
+
 	/** Those that were heard lately. */
 	get heard(): readonly Peer[] {
 		const now = this.clock.monotonic();
--- /dev/null
+++ b/src/gossip/test/peer-table.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import type {GossipMessage} from '../gossip-message.js';
+import {PeerTable} from '../peer-table.js';
+
+const messageOf = (name: string, sequence: number): GossipMessage => ({
+	sender: {name, host: '127.0.0.1', port: 7000}, incarnation: 'one', sequence, uptime: 5000, wall: 0, version: 1, isStopping: false, storeAge: 0, isWhole: true,
+	quota: [], work: [], departed: [], usage: [], members: [],
+});
+
+test('all boxes have been heard only where as many are known as there are said to be, each of them heard in that time', () => {
+	const clock = new MovedClock(100_000);
+	const peers = PeerTable.create('box-1', clock, SilentEventLog.create());
+	assert.equal(peers.hasHeardAllWithin(1000), true, 'a box that nobody has told of another is all there are');
+	peers.take(messageOf('box-2', 1));
+	assert.equal(peers.hasHeardAllWithin(1000), true);
+	peers.noteFleetSize(3);
+	assert.equal(peers.hasHeardAllWithin(1000), false, 'one is not known');
+	peers.learn([{name: 'box-3', host: '127.0.0.1', port: 7001}]);
+	assert.equal(peers.hasHeardAllWithin(1000), false, 'one was never heard');
+	peers.take(messageOf('box-3', 1));
+	assert.equal(peers.hasHeardAllWithin(1000), true);
+	clock.now += 1500;
+	peers.take(messageOf('box-2', 2));
+	assert.equal(peers.hasHeardAllWithin(1000), false, 'one was heard long ago');
+});
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -91,7 +91,7 @@
 			trueTime: () => clock.monotonic() + peers.wallOffset,
 			windowLength: () => settings().bounds.reportWindow,
 			delay: () => settings().bounds.reportDelay,
-			hasHeardAll: within => peers.all.every(({heardAt}) => clock.monotonic() - heardAt <= within),
+			hasHeardAll: within => peers.hasHeardAllWithin(within),
 		});
 		this.life = HolderLife.create(store, clock);
 		this.draft = UsageDraft.create({
