Usage is reported early only where all boxes are known, and heard

Ruled out: boxes that are known and were never heard, or are silent (they counted as not heard before as well). Change: PeerTable.hasHeardAllWithin asks for as many known boxes as others tell of, too. Otherwise a window is reported when it was before at the latest (4.5 s after its end); no bound changes. Mutation by hand: the count left out: the test fails. Where a fleet grows smaller, reports wait for up to 20 s of windows until the told size lapses.

--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -99,7 +99,7 @@
 	 */
 	hasHeardAllWithin(within: number): boolean {
 		const since = this.clock.monotonic() - within;
-		return this.all.every(({heardAt}) => heardAt >= since);
+		return this.knownBoxes >= this.boxes && this.all.every(({heardAt}) => heardAt >= since);
 	}
 
 	/** Those that were heard lately. */
