A run of which no test is part fails

Change: the runner counts what passed and what failed, and ends with 1 and 'no test was run' where that is nothing. No test is eased by it: it only fails more.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -19,23 +19,30 @@
 const isKnownRed = name => knownRed.some(test => test.name === name);
 const wrong = [];
 const passed = [];
+let testsRun = 0;
 
 // Options of this process hold for the processes of the tests.
 process.execArgv.push('--enable-source-maps');
 const results = run({files, concurrency: testsAtOnce});
 results.on('test:fail', ({name, details}) => {
+	testsRun++;
 	// A file fails with its tests.
 	if (!isKnownRed(name) && details.error?.failureType !== 'subtestsFailed') {
 		wrong.push(`failed: ${name}`);
 	}
 });
 results.on('test:pass', ({name, skip}) => {
+	testsRun++;
 	if (isKnownRed(name) && skip === undefined) {
 		passed.push(name);
 	}
 });
 const report = results.compose(new SpecReporter());
 report.once('end', () => {
+	if (testsRun === 0) {
+		wrong.push('no test was run');
+	}
+
 	const lines = [
 		...knownRed.map(({name, cause, issue}) => `known red${passed.includes(name) ? ', passed this time' : ''}: ${name} (${cause}; issue ${issue})`),
 		...wrong,
