The account of a recorded run tells what it lacks

Cause: boxes leave out lines of answered requests when there are more than 400 a second or the reader is slow, and say how many; the account counted the lines that are there as all. Lines that cannot be read were passed over without a word, and one with no time made every second NaN. Change: a column of lines left out; a count, on stderr, of lines that hold an event and cannot be read. Before and after: npm test -- decisions: without the change the new test does not compile (two names it needs are not there); 3 of 3 pass. Mutations by hand: a line without a time taken, the count not begun anew each second: the test fails each time. No recorded account was gone through again for lines that had been left out.

--- a/development/decisions/day-account.ts
+++ b/development/decisions/day-account.ts
@@ -21,6 +21,8 @@
 	readonly needed: number | undefined;
 	/** Orders that were not taken. */
 	readonly refusedOrders: number;
+	/** Lines that boxes left out, most of them of requests that were answered. */
+	readonly linesLeftOut: number;
 };
 
 /** Goes through a run. */
@@ -30,6 +32,7 @@
 	private late = 0;
 	private left = 0;
 	private refusedOrders = 0;
+	private linesLeftOut = 0;
 	private refused = new Map<string, number>();
 	private needed: number | undefined;
 	private readonly ready = new Set<string>();
@@ -47,6 +50,9 @@
 				const reason = String(fields.reason);
 				this.refused.set(reason, (this.refused.get(reason) ?? 0) + 1);
 			},
+			logLinesLeftOut: () => {
+				this.linesLeftOut += Number(fields.lines ?? 0);
+			},
 			clientLeft: () => {
 				this.left++;
 			},
@@ -87,11 +93,13 @@
 		this.rows.push({
 			second, answered: this.answered, late: this.late, refused: this.refused, left: this.left, ready: this.ready.size,
 			reclaimable: sum(true), kept: sum(false), needed: this.needed, refusedOrders: this.refusedOrders,
+			linesLeftOut: this.linesLeftOut,
 		});
 		this.answered = 0;
 		this.late = 0;
 		this.left = 0;
 		this.refusedOrders = 0;
+		this.linesLeftOut = 0;
 		this.refused = new Map();
 	}
 }
--- a/development/decisions/day-log.ts
+++ b/development/decisions/day-log.ts
@@ -23,18 +23,31 @@
  * @returns Its events in order; lines that are none are passed over.
  */
 export function readDayLog(text: string): readonly DayEvent[] {
-	return text.split('\n').flatMap(line => {
-		const groups = prefixed.exec(line)?.groups;
-		const fields = parseFields(groups?.json ?? line);
-		if (!fields || typeof fields.eventName !== 'string') {
-			return [];
-		}
+	return text.split('\n').flatMap(line => eventOf(line) ?? []).sort((left, right) => left.at - right.at);
+}
 
-		const at = groups ? Number(groups.at) : Date.parse(String(fields.time)) / millisecondsPerSecond;
-		return [{
+/**
+ * @param text - The log.
+ * @returns How many of its lines hold an event that cannot be read: what is counted lacks them.
+ */
+export function unreadableIn(text: string): number {
+	return text.split('\n').filter(line => line.includes('"eventName"') && !eventOf(line)).length;
+}
+
+/** @returns The event of a line; nothing where there is none, or none whose time is known. */
+function eventOf(line: string): DayEvent | undefined {
+	const groups = prefixed.exec(line)?.groups;
+	const fields = parseFields(groups?.json ?? line);
+	if (!fields || typeof fields.eventName !== 'string') {
+		return undefined;
+	}
+
+	const at = groups ? Number(groups.at) : Date.parse(String(fields.time)) / millisecondsPerSecond;
+	return Number.isFinite(at)
+		? {
 			at, box: groups?.box ?? String(fields.node ?? ''), name: fields.eventName, fields,
-		}];
-	}).sort((left, right) => left.at - right.at);
+		}
+		: undefined;
 }
 
 function parseFields(json: string): EventFields | undefined {
--- a/development/decisions/main.ts
+++ b/development/decisions/main.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {accountOf, type AccountedSecond} from './day-account.js';
-import {readDayLog} from './day-log.js';
+import {readDayLog, unreadableIn} from './day-log.js';
 import {writeDayPlot} from './day-plot.js';
 
 const usualLateness = 500;
@@ -20,6 +20,7 @@
 	['kept', ({kept}) => kept],
 	['needed', ({needed}) => needed === undefined ? '-' : needed.toFixed(1)],
 	['refused orders', ({refusedOrders}) => refusedOrders],
+	['lines left out', ({linesLeftOut}) => linesLeftOut],
 	['refused', ({refused}) => [...refused].map(([reason, count]) => `${reason} ${count}`).join(', ')],
 ];
 
@@ -33,9 +34,15 @@
 	.strictOptions()
 	.help()
 	.parse();
-const rows = accountOf(readDayLog(readFileSync(String(options._[0]), 'utf8')), {lateAfter: options['late-after']});
+const text = readFileSync(String(options._[0]), 'utf8');
+const rows = accountOf(readDayLog(text), {lateAfter: options['late-after']});
 const lines = [columns.map(([title]) => title), ...rows.map(row => columns.map(([, valueOf]) => valueOf(row)))];
 process.stdout.write(lines.map(cells => `${cells.join('\t')}\n`).join(''));
+const unreadable = unreadableIn(text);
+if (unreadable > 0) {
+	process.stderr.write(`${unreadable} lines that hold an event cannot be read; what is counted lacks them.\n`);
+}
+
 if (options.plot !== undefined) {
 	await writeDayPlot(options.plot, rows);
 }
--- a/development/decisions/test/day-account.test.ts
+++ b/development/decisions/test/day-account.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {accountOf} from '../day-account.js';
-import {readDayLog} from '../day-log.js';
+import {readDayLog, unreadableIn} from '../day-log.js';
 
 const line = (at: number, eventName: string, fields: Readonly<Record<string, unknown>> = {}) => `  ${at.toFixed(4)} box-1 ${JSON.stringify({eventName, ...fields})}`;
 
@@ -37,3 +37,20 @@
 	assert.equal(event!.box, 'box-2');
 	assert.equal(event!.at % 60, 1.5);
 });
+
+test('what an account lacks is told: lines that boxes left out, and lines that cannot be read', () => {
+	const text = [
+		line(0.1, 'requestAnswered', {firstByte: 90}),
+		line(0.5, 'logLinesLeftOut', {lines: 40}),
+		line(0.6, 'logLinesLeftOut', {lines: 2}),
+		line(1.1, 'requestAnswered', {firstByte: 90}),
+		// Two boxes that write at once, a line without a time, and the last one while it is written.
+		`${line(1.2, 'requestAnswered').slice(0, 30)}${line(1.3, 'requestAnswered')}`,
+		JSON.stringify({eventName: 'requestAnswered'}),
+		line(1.4, 'requestAnswered').slice(0, -4),
+		'what a recorder prints besides',
+	].join('\n');
+	const rows = accountOf(readDayLog(text), {lateAfter: 500});
+	assert.deepEqual(rows.map(({second, answered, linesLeftOut}) => [second, answered, linesLeftOut]), [[0, 1, 42], [1, 1, 0]]);
+	assert.equal(unreadableIn(text), 3);
+});
