Reproduced, failing: a settings file that is being written is taken in part

Cause: each second the file is read, and any text that decodes is in force. Seen: npm test -- settings-file: 1 of 2 failed: with 398 of 481 bytes written nothing is released any more.

--- /dev/null
+++ b/src/command/test/settings-file.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {after, test} from 'node:test';
+import {KeepingLog} from '../../../development/relay/relay-installation.js';
+import {relaySettingsText} from '../../../development/relay/relay-settings-text.js';
+import {SettingsFile} from '../settings-file.js';
+
+const folder = mkdtempSync(path.join(tmpdir(), 'settings-file-'));
+const file = path.join(folder, 'settings.yaml');
+
+after(() => {
+	rmSync(folder, {recursive: true});
+});
+
+const text = (released: readonly string[]): string => `${relaySettingsText({
+	name: 'relay-1', ports: {
+		front: 7000, ready: 7001, control: 7002, metrics: 7003,
+	}, storePort: 7004, grace: 5,
+})}\nquarantine:\n  released:\n${released.map(fingerprint => `    - ${fingerprint}\n`).join('')}`;
+
+test('a file that is looked at while it is written changes nothing until it is whole', () => {
+	const before = text(['AbC-_1234567', 'AbC-_7654321']);
+	const next = text(['AbC-_1234567', 'AbC-_7654321', 'AbC-_0000000']);
+	writeFileSync(file, before);
+	const log = new KeepingLog();
+	const settings = SettingsFile.create(file, log);
+	settings.look();
+	const whole = settings.current?.released;
+	assert.deepEqual(whole, ['AbC-_1234567', 'AbC-_7654321'], 'the first ones are taken at once');
+	for (let length = 0; length < next.length; length++) {
+		writeFileSync(file, next.slice(0, length));
+		settings.look();
+		assert.deepEqual(settings.current?.released, whole, `${length} of ${next.length} bytes`);
+	}
+
+	writeFileSync(file, next);
+	settings.look();
+	settings.look();
+	assert.equal(settings.current?.released.length, 3);
+	assert.deepEqual(log.lines.map(({eventName}) => eventName), ['settingsApplied', 'settingsApplied']);
+});
+
+test('a file that is said to have changed is read at once, and a bad one leaves what was in force', () => {
+	writeFileSync(file, text(['AbC-_1234567']));
+	const log = new KeepingLog();
+	const settings = SettingsFile.create(file, log);
+	settings.reload();
+	writeFileSync(file, text(['AbC-_7654321']));
+	settings.reload();
+	assert.deepEqual(settings.current?.released, ['AbC-_7654321']);
+	writeFileSync(file, 'node: [');
+	settings.look();
+	settings.look();
+	settings.look();
+	assert.deepEqual(settings.current.released, ['AbC-_7654321']);
+	rmSync(file);
+	settings.look();
+	assert.deepEqual(settings.current.released, ['AbC-_7654321']);
+	assert.equal(log.lines.filter(({eventName}) => eventName === 'settingsInvalid').length, 2);
+});
