A settings file that changes without a word is taken once two looks found the same

Ruled out: a template that leaves no part valid (the platform's gaps hold JSON, but the last number of the file may be cut); asking for a line break at the end (a file without one would never be read). Change: timed looks wait for a second one that shows the same text, one second later; a signal, and the first start, read at once as before. The page of the platform gives no time for a change without a signal. Mutations by hand: each new text taken at once, the first start made to wait: the test fails each time. A part read at a signal is still taken for up to two seconds.

--- a/src/command/settings-file.ts
+++ b/src/command/settings-file.ts
@@ -22,6 +22,8 @@
 	current: RelaySettings | undefined;
 	/** The text that was last decoded. */
 	private text = '';
+	/** Another text that the last look found. */
+	private seen: string | undefined;
 
 	private constructor(private readonly file: string, private readonly log: EventLog) {}
 
@@ -30,9 +32,17 @@
 		this.take(this.read());
 	}
 
-	/** Looks whether the file has changed without a word; to be called now and then. */
+	/**
+	 * Looks whether the file has changed without a word; to be called now and then. A part of a file may be settings as well, so
+	 * that a change is taken once two looks in a row found the same.
+	 */
 	look(): void {
-		this.reload();
+		const text = this.read();
+		const isSettled = this.current === undefined || text === this.seen;
+		this.seen = text;
+		if (isSettled) {
+			this.take(text);
+		}
 	}
 
 	private read(): string | undefined {
