Of records of a request that are as long, one that is finished is taken

Change: the longest first, as before, since its caller may have all of it; among those as long the finished one. Before and after: npm test -- peer-record-finder: failed, passes. Mutation by hand: the code before. Conclusion: kept.

--- a/src/daemon/peer-record-finder.ts
+++ b/src/daemon/peer-record-finder.ts
@@ -26,6 +26,11 @@
 			.pipe(Effect.catch(() => Effect.succeed(undefined)))), {concurrency: 'unbounded'});
 		return asked.pipe(Effect.map(answers => answers
 			.filter(snapshot => snapshot !== undefined)
-			.sort((left, right) => right.events.length - left.events.length)[0]));
+			.sort((left, right) => right.events.length - left.events.length || rankOf(left) - rankOf(right))[0]));
 	}
 }
+
+/** As many events may be all of them, or those that came before a break. */
+function rankOf({state}: RecordSnapshot): number {
+	return state === 'finished' ? 0 : 1;
+}
