The demo of the relays judges byte for byte, with streams in drawn pieces that break off inside events

Cause: it took ids out of the text of a stream and looked at nothing else, and passed where nothing was answered. Change: replicas write as in the soak, one breaks off; each answer is judged as there; a demo without an answer or a stream that went on fails.

--- a/development/demo/relay-demo.ts
+++ b/development/demo/relay-demo.ts
@@ -1,21 +1,26 @@
 /**
  * The demo of the relays: a small deployment of the users' platform on stand-ins, with one relay killed, a replica
- * drained and the store out for a while, under load. Prints what clients saw and ends with 0 if nothing was wrong.
+ * drained, streams that come in drawn pieces and break off inside events, and the store out for a while, under load. Prints what clients saw and ends with 0 if nothing was wrong.
  */
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {RelayInstallation, type ClientView} from '../relay/relay-installation.js';
 import type {ReplicaStandin} from '../relay/replica-standin.js';
+import {faultOfAnswer} from '../soak/soak-answers.js';
+import type {SoakRequestKind} from '../soak/soak-clients.js';
+import {SoakStreams} from '../soak/soak-streams.js';
 
 /** Milliseconds of load. */
 const loadTime = 6000;
 /** Milliseconds between two rounds of requests. */
 const roundPause = 40;
 const events = 12;
+/** Draws the pieces of streams, and where they break off. */
+const seed = 12;
 
 type Seen = {
 	readonly id: string;
-	readonly isStream: boolean;
+	readonly kind: SoakRequestKind;
 	readonly view: ClientView;
 };
 
@@ -36,49 +41,48 @@
 async function load(installation: RelayInstallation): Promise<readonly Seen[]> {
 	const pending: Array<Promise<Seen>> = [];
 	const end = performance.now() + loadTime;
-	const ask = async (index: number, path: string): Promise<Seen> => {
-		const id = `demo${path.replaceAll('/', '-')}${index}`;
+	const ask = async (index: number, kind: SoakRequestKind): Promise<Seen> => {
+		const path = `/${kind}/x`;
+		const id = `demo-${kind}-${index}`;
 		const relay = installation.relays[index % installation.relays.length]!;
 		const view = await installation.call({
 			path, method: 'POST', body: id, headers: {'Attempt-Id': id},
 		}, relay);
-		return {id, isStream: path === '/stream/x', view};
+		return {id, kind, view};
 	};
 
 	for (let index = 0; performance.now() < end; index++) {
-		pending.push(ask(index, '/calls/x'), ask(index, '/once/x'), ask(index, '/stream/x'));
+		pending.push(ask(index, 'calls'), ask(index, 'once'), ask(index, 'stream'));
 		await pause(roundPause);
 	}
 
 	return Promise.all(pending);
 }
 
-const isWholeStream = ({body}: ClientView): boolean => [...body.matchAll(/^id: (?<id>\d+)$/gmv)]
-	.map(match => Number(match.groups!.id))
-	.every((id, index, ids) => id === index + 1 && ids.length === events);
-
 function report(seen: readonly Seen[], replicas: readonly ReplicaStandin[]): number {
-	const runs = new Map<string, number>();
-	for (const {id} of replicas.flatMap(replica => replica.runs)) {
-		runs.set(id, (runs.get(id) ?? 0) + 1);
-	}
-
+	const runnersOf = (id: string): readonly string[] => replicas.flatMap(replica => replica.runs.filter(run => run.id === id).map(() => replica.id));
 	const good = seen.filter(({view}) => view.status === 200 && view.isWhole);
 	const counts = {
 		requests: seen.length,
 		answered: good.length,
 		refused: seen.filter(({view}) => view.status === 429 || view.status === 503).length,
 		'cut or 502': seen.filter(({view}) => view.status === 0 || view.status === 502 || (view.status === 200 && !view.isWhole)).length,
-		misdelivered: good.filter(({id, view}) => view.headers['attempt-id'] !== id).length,
-		'broken streams': good.filter(({isStream, view}) => isStream && !isWholeStream(view)).length,
-		'run twice': seen.filter(({id}) => id.startsWith('demo-once') && (runs.get(id) ?? 0) > 1).length,
-		'refused but ran': seen.filter(({id, view}) => (view.status === 429 || view.status === 503) && runs.has(id)).length,
+		'gone on elsewhere': good.filter(({id, kind}) => kind === 'stream' && runnersOf(id).length > 1).length,
+		misdelivered: seen.filter(({id, kind, view}) => view.status === 200 && faultOfAnswer({
+			attempt: {
+				...view, id, kind, after: 0,
+			}, runners: runnersOf(id), streamEvents: events,
+		}) !== undefined).length,
+		'run twice': seen.filter(({id, kind}) => kind === 'once' && runnersOf(id).length > 1).length,
+		'refused but ran': seen.filter(({id, view}) => (view.status === 429 || view.status === 503) && runnersOf(id).length > 0).length,
 	};
 	for (const [name, value] of Object.entries(counts)) {
-		process.stdout.write(`${name.padEnd(18)}${value}\n`);
+		process.stdout.write(`${name.padEnd(20)}${value}\n`);
 	}
 
-	return counts.misdelivered + counts['broken streams'] + counts['run twice'] + counts['refused but ran'];
+	// A demo in which nothing was answered, or no stream broke, shows nothing.
+	const isEmpty = counts.answered === 0 || counts['gone on elsewhere'] === 0;
+	return counts.misdelivered + counts['run twice'] + counts['refused but ran'] + (isEmpty ? 1 : 0);
 }
 
 /** @returns The exit code: zero if nothing was wrong. */
@@ -90,12 +94,15 @@
 	}
 
 	installation.replicas.get('i-3')!.behave({delay: 20, fault: 'error'});
+	const streams = SoakStreams.create(seed, events);
 	for (const replica of installation.replicas.values()) {
-		replica.streamEvents = events;
+		streams.prepare(replica);
 	}
 
+	streams.faults.set('i-2', 'stream-breaks');
+
 	const [seen] = await Promise.all([load(installation), disturb(installation)]);
 	const faults = report(seen, [...installation.replicas.values()]);
 	await installation.close();
-	return faults === 0 && seen.length > 0 ? 0 : 1;
+	return faults === 0 ? 0 : 1;
 }
--- a/development/soak/soak-answers.ts
+++ b/development/soak/soak-answers.ts
@@ -7,7 +7,7 @@
 
 /** An answer with status 200, and who ran its request. */
 export type JudgedAnswer = {
-	readonly attempt: SoakAttempt;
+	readonly attempt: Pick<SoakAttempt, 'id' | 'kind' | 'after' | 'headers' | 'body' | 'isWhole'>;
 	/** Ids of the replicas that ran the request, one for each run. */
 	readonly runners: readonly string[];
 	/** Events of a whole stream. */
