The change read once more: what it had written again, and work done twice

Work done twice: the number of a client's last event was read again for each event; the next number is kept instead. Whether a run has brought an event follows from the count and is no state of its own. No decision, bound or assertion changed.

--- a/src/duties/test/fleet-duty.test.ts
+++ b/src/duties/test/fleet-duty.test.ts
@@ -1,31 +1,16 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import * as Effect from 'effect/Effect';
+import {KeepingCalls} from '../../../development/harness/keeping-calls.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {OneObjectStore} from '../../../development/harness/one-object-store.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
 import {RouteTableView} from '../../routes/route-table-view.js';
-import {DutyCalls, type ReplicaOrder} from '../duty-calls.js';
 import {DutyLease} from '../duty-lease.js';
 import {FleetDuty} from '../fleet-duty.js';
 import {MeasuredLoadPolicy} from '../fleet-plan.js';
 
-/** Keeps the orders that were given. */
-class KeepingCalls extends DutyCalls {
-	readonly orders: ReplicaOrder[] = [];
-
-	override reportUsage(): Effect.Effect<void> {
-		return Effect.void;
-	}
-
-	override orderReplicas(_signer: unknown, order: ReplicaOrder): Effect.Effect<void> {
-		return Effect.sync(() => {
-			this.orders.push(order);
-		});
-	}
-}
-
 test('a holder that stood still after its decision was written gives no orders for it', async () => {
 	const clock = new MovedClock(1000);
 	const log = SilentEventLog.create();
--- a/src/duties/test/fleet-unknown.test.ts
+++ b/src/duties/test/fleet-unknown.test.ts
@@ -5,13 +5,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import * as Effect from 'effect/Effect';
+import {KeepingCalls} from '../../../development/harness/keeping-calls.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {OneObjectStore} from '../../../development/harness/one-object-store.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
 import type {ReplicaEntry} from '../../replicas/replica.js';
 import {RouteTableView} from '../../routes/route-table-view.js';
-import {DutyCalls, type ReplicaOrder} from '../duty-calls.js';
 import {DutyLease} from '../duty-lease.js';
 import {FleetDuty} from '../fleet-duty.js';
 import {MeasuredLoadPolicy} from '../fleet-plan.js';
@@ -19,21 +19,6 @@
 /** Milliseconds after which the first fleet has settled. */
 const settled = 5000;
 
-/** Keeps the orders that were given. */
-class KeepingCalls extends DutyCalls {
-	readonly orders: ReplicaOrder[] = [];
-
-	override reportUsage(): Effect.Effect<void> {
-		return Effect.void;
-	}
-
-	override orderReplicas(_signer: unknown, order: ReplicaOrder): Effect.Effect<void> {
-		return Effect.sync(() => {
-			this.orders.push(order);
-		});
-	}
-}
-
 const entry = (id: string): ReplicaEntry => ({
 	id, bornAt: undefined, software: '', revision: 1, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined,
 });
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -1,6 +1,7 @@
 /**
  * What boxes tell each other, one datagram at a time; gossip-codec.ts lays it out.
  */
+import {largestPort} from '../base/port.js';
 import type {EndNews} from '../quarantine/end-ledger.js';
 import type {ReplicaWork} from '../replicas/replica.js';
 import type {Demand} from '../replicas/service-demand.js';
@@ -18,9 +19,6 @@
 	readonly capacity?: number;
 };
 
-/** The highest port of UDP. */
-const largestPort = 65_535;
-
 /**
  * @param address - Where a box is said to hear the others; it may come from anybody.
  * @returns Whether a datagram can be sent there.
--- a/src/node/test/relay-streams.test.ts
+++ b/src/node/test/relay-streams.test.ts
@@ -43,18 +43,21 @@
 	path: '/stream/x', method: 'POST', body: JSON.stringify(stream), headers,
 });
 
+/** @returns The events of a body, each with its blank line, and behind them what has none. */
+const eventsIn = (body: string): readonly string[] => body.split(/(?<=\n\n)/v).filter(event => event !== '');
+
 const isOneEvent = (event: string, number: number): boolean => replicas.some(({id}) => event === eventOf(id, number));
 
 /** @returns What is wrong with what a client got; `undefined` where it is each event once, whole and in order. */
 const faultOf = ({status, body, isWhole}: ClientView, first = 1): string | undefined => {
-	const got = body.split(/(?<=\n\n)/v).filter(event => event !== '');
+	const got = eventsIn(body);
 	const isRight = isWhole && got.length === events - first + 1 && got.every((event, index) => isOneEvent(event, first + index));
 	return isRight ? undefined : `${status} ${isWhole ? 'whole' : 'cut'} ${JSON.stringify(body)}`;
 };
 
 /** @returns Whether a client got events from the first on, each whole and in order, however many, or the news that there are none. */
 const isBeginning = ({status, body}: ClientView): boolean => {
-	const got = body.split(/(?<=\n\n)/v).filter(event => event !== '');
+	const got = eventsIn(body);
 	return status === 502 ? !body.includes('id:') : got.every((event, index) => isOneEvent(event, index + 1));
 };
 
--- a/src/relay/event-sequence.ts
+++ b/src/relay/event-sequence.ts
@@ -25,9 +25,13 @@
 	lastEventId: string | undefined;
 	/** Events that were taken. */
 	taken = 0;
+	/** Number of the event that comes next; `undefined` where any may. */
+	private next: number | undefined;
 
 	private constructor(lastEventId: string | undefined) {
-		this.lastEventId = numberOf(lastEventId) === undefined ? undefined : lastEventId;
+		const last = numberOf(lastEventId);
+		this.lastEventId = last === undefined ? undefined : lastEventId;
+		this.next = last === undefined ? undefined : last + 1;
 	}
 
 	/**
@@ -42,12 +46,12 @@
 			return 'unnumbered';
 		}
 
-		const last = numberOf(this.lastEventId);
-		const next = last === undefined ? number : last + 1;
+		const next = this.next ?? number;
 		if (number !== next) {
 			return number < next ? 'behind' : 'ahead';
 		}
 
+		this.next = number + 1;
 		this.lastEventId = id;
 		this.taken++;
 		return undefined;
--- a/src/relay/stream-passage.ts
+++ b/src/relay/stream-passage.ts
@@ -87,7 +87,6 @@
 			const splitter = EventSplitter.create();
 			const {message} = answer;
 			const takenBefore = this.sequence.taken;
-			let hasEvents = false;
 			let isOver = false;
 			const end = (failure?: AttemptFailure) => {
 				isOver = true;
@@ -104,9 +103,9 @@
 				}
 
 				listener.onHeard();
+				const hadEvents = this.sequence.taken > takenBefore;
 				const {fitting, misfit} = this.judge(splitter.split(chunk));
-				if (!hasEvents && this.sequence.taken > takenBefore) {
-					hasEvents = true;
+				if (!hadEvents && this.sequence.taken > takenBefore) {
 					listener.onFirstEvent();
 				}
 
--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -4,10 +4,9 @@
 import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
 import type {Fault} from '../base/faults.js';
+import {largestPort} from '../base/port.js';
 import {decodeYaml} from '../base/yaml-file.js';
 
-/** The highest TCP port. */
-const largestPort = 65_535;
 const Port = Schema.Int.check(Schema.isBetween({minimum: 1, maximum: largestPort}, {expected: `a port, 1 to ${largestPort}`}));
 const PresentAddressText = Schema.String
 	.check(Schema.isPattern(/^(?:\d{1,3}\.){3}\d{1,3}:(?:[1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])$/v, {expected: 'an IP number and a port, as 10.0.0.1:8080'}));
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -7,10 +7,9 @@
 import * as Schema from 'effect/Schema';
 import type {Fault} from '../base/faults.js';
 import {BoxId, DataCentre} from '../base/identifiers.js';
+import {largestPort} from '../base/port.js';
 import {decodeYaml} from '../base/yaml-file.js';
 
-const largestPort = 65_535;
-
 const positive = (description: string, fallback: number) => Schema.Int
 	.check(Schema.isBetween({minimum: 1, maximum: Number.MAX_SAFE_INTEGER}, {expected: 'a whole number above zero'}))
 	.annotate({description, default: fallback})
