Claims: that another box wrote first is no failure of the store; a test that left the choice to chance

Cause, claims: what comes first after an outage is given up with the first try that fails, and a write that came too late because another box had written counted as such a failure: 503 not-run though the store answers. Reproduced without processes (claim-shard.test.ts, failing before). Change: given up only where the store itself failed; else the usual time holds. Cause, test: eight streams one after the other may all be given to the good replica. Whichever is asked first is wrong now, and each of the eight must have had such a run (one had to).

--- a/src/claims/claim-shard.ts
+++ b/src/claims/claim-shard.ts
@@ -48,6 +48,8 @@
 	readonly decide: (entry: ClaimEntry | undefined, storeTime: number) => ClaimDecision<unknown>;
 	readonly done: Deferred.Deferred<unknown, ClaimUnavailable>;
 	readonly endsAt: number;
+	/** Whether it came while the store failed, and ended a pause. */
+	readonly endsPause: boolean;
 	/** Whether a write that carried this operation was sent without a clear answer. */
 	mayBeRecorded: boolean;
 };
@@ -112,8 +114,8 @@
 				name,
 				decide,
 				done: Deferred.makeUnsafe<unknown, ClaimUnavailable>(),
-				// What ends a pause is given up with the first try that fails.
-				endsAt: this.services.clock.monotonic() + (isOut ? 0 : operationDeadline),
+				endsAt: this.services.clock.monotonic() + operationDeadline,
+				endsPause: isOut,
 				mayBeRecorded: false,
 			};
 			this.waiting.push(operation);
@@ -298,13 +300,16 @@
 	/** Gives up what has waited too long. @returns What is left. */
 	private expire(batch: readonly Operation[]): readonly Operation[] {
 		const now = this.services.clock.monotonic();
-		for (const operation of batch.filter(({endsAt}) => endsAt <= now)) {
+		// What ended a pause is given up with the first try in which the store failed; that another box wrote first is no failure of the store.
+		const isFailing = this.failingSince !== undefined;
+		const isOver = ({endsAt, endsPause}: Operation): boolean => endsAt <= now || (endsPause && isFailing);
+		for (const operation of batch.filter(one => isOver(one))) {
 			Deferred.doneUnsafe(operation.done, Effect.fail(new ClaimUnavailable({
 				mayBeRecorded: operation.mayBeRecorded, detail: 'the Object API did not take the claim in time',
 			})));
 		}
 
-		return batch.filter(({endsAt}) => endsAt > now);
+		return batch.filter(one => !isOver(one));
 	}
 }
 
--- a/src/claims/test/claim-shard.test.ts
+++ b/src/claims/test/claim-shard.test.ts
@@ -2,7 +2,8 @@
  * A call that had been cut was refused as not run at a second box, where it should have been told that it may have run. That box had
  * notes to write when the store went away; the shard they belong to refused everything at once for the rest of its pause, up to
  * 750 ms after the store was back, and a call whose key falls into that shard (one of sixteen) was among it: 503 `claim-unavailable`
- * after 31 ms in place of 409.
+ * after 31 ms in place of 409. It was refused so too where another box wrote to the shard just before this one, as the box of the cut call
+ * does: a write that came too late counted as a failure of the store (503 after 49 ms, in one of two whole suites).
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
@@ -34,6 +35,39 @@
 	assert.ok(Exit.isSuccess(await waiting));
 });
 
+/** Objects that another box writes just before a write of this one. */
+class ContestedObjects extends FakeObjects {
+	/** Writes that come too late. */
+	contested = 0;
+
+	override write(key: string, value: string, expected: number): number | undefined {
+		if (this.contested === 0) {
+			return super.write(key, value, expected);
+		}
+
+		this.contested--;
+		super.write(key, JSON.stringify({}), expected);
+		return undefined;
+	}
+}
+
+test('the first operation after the store came back is not refused because another box wrote in the same moment', async () => {
+	const objects = new ContestedObjects(() => performance.now());
+	const store = FakeObjectStore.create(objects);
+	const shard = shardOver(store);
+	store.isOut = true;
+	const noted = Effect.runPromiseExit(shard.run('a', (_, storeTime) => ({
+		write: {
+			attempt: 'x', fingerprint: 'f', state: 'ran', claimedAt: storeTime,
+		}, outcome: undefined,
+	})));
+	await pause(longOutage);
+	store.isOut = false;
+	objects.contested = 1;
+	assert.ok(Exit.isSuccess(await look(shard, 'b')));
+	assert.ok(Exit.isSuccess(await noted));
+});
+
 test('while the store is out a few calls a second find that out, and all else is refused at once', async () => {
 	const objects = new FakeObjects(() => performance.now());
 	const store = FakeObjectStore.create(objects);
--- a/src/node/test/relay-streams.test.ts
+++ b/src/node/test/relay-streams.test.ts
@@ -116,18 +116,30 @@
 });
 
 test('a stream goes on elsewhere where a replica brings an event that does not come next', async () => {
-	const [bad] = replicas;
-	const {scriptOf} = bad!;
-	bad!.scriptOf = () => ({nameless: brokenEvent});
+	const scripts = replicas.map(({scriptOf}) => scriptOf);
+	// Whichever replica is asked first.
+	let runs = 0;
+	const everySecond = (): Partial<StreamConduct> => {
+		runs++;
+		return {nameless: runs % 2 === 1 ? brokenEvent : undefined};
+	};
+
+	for (const replica of replicas) {
+		replica.scriptOf = everySecond;
+	}
+
 	const views: ClientView[] = [];
 	for (let stream = 0; stream < atOnce; stream++) {
 		views.push(await streamOnce({}));
 	}
 
-	bad!.scriptOf = scriptOf;
+	for (const [index, replica] of replicas.entries()) {
+		replica.scriptOf = scripts[index];
+	}
+
 	assert.deepEqual(views.map(view => faultOf(view)).filter(fault => fault !== undefined), []);
 	const garbled = installation.relays[0]!.log.lines.filter(({failures, events: count}) => String(failures).includes('unnumbered') && count === events);
-	assert.ok(garbled.length > 0, 'the bad replica was asked');
+	assert.equal(garbled.length, atOnce, 'each stream had a run that did not fit');
 });
 
 test('events that were passed on reach the client, also where its stream is cut in the same moment', async () => {
