A replica that names a limit gets as much as before: reproduced, failing

Reproduced with four boxes and three replicas on loopback: 436 in four seconds at a replica that takes one a second, while every answer was a 200. The stand-in of a replica names a limit on demand.

--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -18,6 +18,8 @@
 	readonly gap: number;
 	/** How a stream is written. */
 	readonly stream: StreamConduct;
+	/** What answers name as the requests a second that the replica takes of all boxes, as text; `undefined` where they name none. */
+	readonly limit: string | undefined;
 	/** How the answer goes wrong. */
 	readonly fault:
 		'none' | 'reset' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'mute-stream' | 'elsewhere';
@@ -53,7 +55,7 @@
 /** Faults of a stream itself; with another one a request for a stream is answered as one for a whole answer. */
 const streamFaults: ReadonlySet<ReplicaConduct['fault']> = new Set(['none', 'cut-stream', 'mute-stream']);
 const calm: ReplicaConduct = {
-	delay: 5, events: 0, gap: 5, stream: wholeStream, fault: 'none',
+	delay: 5, events: 0, gap: 5, stream: wholeStream, limit: undefined, fault: 'none',
 };
 
 /**
@@ -155,7 +157,7 @@
 		response.once('close', () => {
 			seen.isAbandoned = !response.writableFinished;
 		});
-		const own = {'Attempt-Id': id, 'Server-Stamp': stampOf(this.id)};
+		const own = {'Attempt-Id': id, 'Server-Stamp': stampOf(this.id), ...(conduct.limit === undefined ? {} : {'Server-Limit': conduct.limit})};
 		if (!hasRun) {
 			response.writeHead(isElsewhere ? 421 : 503, {...own, 'Not-Executed': '1', 'Content-Length': '0'}).end();
 			return;
--- /dev/null
+++ b/src/node/test/replica-limit.test.ts
@@ -0,0 +1,81 @@
+/*
+ * A replica in need named in its answers how many requests a second it takes from all boxes together. The boxes passed its word on to
+ * clients and went on as before: none read it, so each sent its full share, and none knew of what the others sent. The record of
+ * the day has a replica that named one a second and got 12 in four seconds of light load, where 11 are allowed; with four boxes and
+ * three replicas on loopback it got 436 in four seconds, while every answer was a 200 and no line of any log told of it.
+ */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {RelayInstallation, until, type ClientView} from '../../../development/relay/relay-installation.js';
+
+const relayCount = 4;
+const replicaIds = ['i-1', 'i-2', 'i-3'];
+const limited = 'i-1';
+const clientCount = 24;
+/** Milliseconds between two requests of a client. */
+const clientPause = 60;
+/** Milliseconds from the first answer that names a limit until all boxes must know. */
+const contactTime = 3000;
+/** Milliseconds of the spans in which requests are counted. */
+const span = 4000;
+/** Spans that are looked at behind that. */
+const observedSpans = 2;
+/** Requests a second. */
+const limit = 1;
+/** One and a half times the limit, and five requests. */
+const allowed = (1.5 * limit * span / 1000) + 5;
+/** Part of its even share that a replica has to get once it names no limit any more. */
+const leastShare = 0.5;
+
+let installation: RelayInstallation;
+const over = new AbortController();
+let clients: Promise<unknown>;
+const views: ClientView[] = [];
+
+const replica = (id: string) => installation.replicas.get(id)!;
+const mostWithin = (times: readonly number[]): number => Math.max(0, ...times.map(from => times.filter(at => at >= from && at < from + span).length));
+const arrivalsSince = (id: string, since: number): readonly number[] => replica(id).seen.filter(({at}) => at >= since).map(({at}) => at);
+
+async function callOn(client: number): Promise<void> {
+	for (let count = 0; !over.signal.aborted; count++) {
+		views.push(await installation.call({path: `/calls/${client}`}, installation.relays[(client + count) % relayCount]));
+		await pause(clientPause);
+	}
+}
+
+before(async () => {
+	installation = await RelayInstallation.start({relays: relayCount, replicas: replicaIds});
+	installation.prepareReplicas(each => {
+		each.behave({delay: 20});
+	});
+	clients = Promise.all(Array.from({length: clientCount}, async (_, client) => callOn(client)));
+});
+
+after(async () => {
+	over.abort();
+	await clients;
+	await installation.close();
+});
+
+test('a replica that names a limit gets no more than that of all boxes together, and everybody is served elsewhere', async () => {
+	await until(() => arrivalsSince(limited, 0).length > clientCount);
+	const namedAt = performance.now();
+	const viewsBefore = views.length;
+	replica(limited).behave({delay: 20, limit: String(limit)});
+	await pause(contactTime + (observedSpans * span));
+	const most = mostWithin(arrivalsSince(limited, namedAt + contactTime));
+	const served = views.slice(viewsBefore).filter(({status, isWhole}) => status === 200 && isWhole);
+	assert.ok(most <= allowed, `${most} requests in ${span} ms at a replica that takes ${limit} a second; ${allowed} allowed`);
+	assert.equal(served.length, views.length - viewsBefore, 'all are served');
+});
+
+test('once it names no limit any more it gets its share again', async () => {
+	replica(limited).behave({delay: 20});
+	await pause(contactTime + span);
+	const since = performance.now() - span;
+	const all = replicaIds.map(id => arrivalsSince(id, since).length);
+	const total = all.reduce((sum, count) => sum + count, 0);
+	const own = arrivalsSince(limited, since).length;
+	assert.ok(own >= total / replicaIds.length * leastShare, `${own} of ${total}`);
+});
