--- a/development/bench/streams.ts
+++ b/development/bench/streams.ts
@@ -21,7 +21,7 @@
 /** A usual event: some words of an answer. */
 const dataBytes = 48;
 const head = {
-	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined,
+	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined, limit: undefined,
 };
 
 const textOf = (event: number): string => `id: ${event}\ndata: ${'w'.repeat(dataBytes)}\n\n`;
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -27,6 +27,7 @@
 import {RepeatBudgets} from '../relay/repeat-budgets.js';
 import {LeastWaitChoice} from '../replicas/replica-choice.js';
 import {ReplicaDirectory} from '../replicas/replica-directory.js';
+import {ReplicaLimits} from '../replicas/replica-limits.js';
 import {ServiceDemands} from '../replicas/service-demand.js';
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
@@ -134,6 +135,7 @@
 		replicas.onDidGo(replica => {
 			this.services.ends.noteGone(replica);
 			this.services.connections.forget(replica);
+			this.services.limits.forget(replica);
 		});
 	}
 
@@ -205,6 +207,7 @@
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas,
 			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkOld: () => topology.isLarge}),
+			limits: ReplicaLimits.create({clock, log}),
 			demands: ServiceDemands.create(clock),
 			connections,
 			quarantine,
--- a/src/relay/relay-format.ts
+++ b/src/relay/relay-format.ts
@@ -51,6 +51,11 @@
 	readonly isPlain: boolean;
 	/** Milliseconds for which the replica keeps the connection; `undefined` where it does not say. */
 	readonly idleLifetime: number | undefined;
+	/**
+	 * Requests a second that the replica takes of all boxes together, for as long as its answers say so; `undefined` where it names no limit, `unreadable`
+	 * where it names one that is no number of requests.
+	 */
+	readonly limit: number | 'unreadable' | undefined;
 };
 
 /** Reads and writes heads. */
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -30,6 +30,10 @@
 		name: 'waydrift_relay_attempt_failures_total', help: 'Tries at replicas that failed, by reason.', labelNames: ['reason'], registers: [this.registry],
 	});
 
+	readonly limitedTries = new Counter({
+		name: 'waydrift_relay_limited_tries_total', help: 'Requests that this box sent to replicas that had named a limit, by service.', labelNames: ['service'], registers: [this.registry],
+	});
+
 	readonly retries = new Counter({
 		name: 'waydrift_relay_retries_total', help: 'Requests sent again, by reason.', labelNames: ['reason'], registers: [this.registry],
 	});
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -7,6 +7,7 @@
 import type {QuotaLedger} from '../quota/quota-ledger.js';
 import type {ReplicaChoice} from '../replicas/replica-choice.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
+import type {ReplicaLimits} from '../replicas/replica-limits.js';
 import type {ServiceDemands} from '../replicas/service-demand.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
 import type {UsageCounts} from '../duties/usage-counts.js';
@@ -27,6 +28,7 @@
 	readonly guard: FreshnessGuard;
 	readonly replicas: ReplicaDirectory;
 	readonly choice: ReplicaChoice;
+	readonly limits: ReplicaLimits;
 	readonly demands: ServiceDemands;
 	readonly connections: ConnectionBook;
 	readonly ends: EndWatch;
--- a/src/relay/replica-exchange.ts
+++ b/src/relay/replica-exchange.ts
@@ -36,6 +36,8 @@
 	readonly connections: ReplicaConnections;
 	readonly socket: Socket;
 	readonly format: RelayFormat;
+	/** Called with the head of the answer, whatever it says of the request; not with that of another replica or request. */
+	readonly onHead?: (head: AnswerHead) => void;
 };
 
 /**
@@ -45,7 +47,7 @@
  * @param outgoing - The request.
  * @returns The answer; it belongs to the request. A failure says whether the request may have run.
  */
-export function openAnswer({connections, socket, format}: ExchangePath, outgoing: OutgoingRequest): Effect.Effect<OpenAnswer, AttemptFailure> {
+export function openAnswer({connections, socket, format, onHead}: ExchangePath, outgoing: OutgoingRequest): Effect.Effect<OpenAnswer, AttemptFailure> {
 	return Effect.callback<OpenAnswer, AttemptFailure>(resume => {
 		let lifetime: number | undefined;
 		let isSettled = false;
@@ -75,6 +77,10 @@
 			lifetime = head.idleLifetime;
 			// An error of the answer is told by its close.
 			answer.on('error', ignore);
+			if (!head.isElsewhere && (outgoing.id === undefined || head.id === outgoing.id)) {
+				onHead?.(head);
+			}
+
 			const failure = judgeHead(head, answer, outgoing.id);
 			if (failure) {
 				fail(failure);
--- a/src/relay/replica-try.ts
+++ b/src/relay/replica-try.ts
@@ -10,6 +10,7 @@
 import {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import type {DemandNotes} from './demand-notes.js';
+import type {AnswerHead} from './relay-format.js';
 import type {RelayServices} from './relay-services.js';
 import {
 	abandon, openAnswer, readBody, type OpenAnswer, type OutgoingRequest,
@@ -99,8 +100,9 @@
 	/** Everything that decides is looked at again here: the connection may have taken its time, or the process stood still. */
 	private send({socket}: Connection): Effect.Effect<void, AttemptFailure> {
 		return Effect.suspend(() => {
-			const {services: {clock, connections, format}, story} = this.parts;
-			const ofReplica = connections.of(this.plan.replica);
+			const {services: {clock, connections, format, limits, metrics}, story} = this.parts;
+			const {replica} = this.plan;
+			const ofReplica = connections.of(replica);
 			const withheld = this.whyWithheld();
 			if (withheld !== undefined) {
 				ofReplica.release(socket, undefined);
@@ -109,7 +111,15 @@
 
 			this.sentAt = clock.monotonic();
 			story.runs++;
-			return openAnswer({connections: ofReplica, socket, format}, this.outgoing).pipe(
+			if (limits.limitOf(replica) !== undefined) {
+				metrics.limitedTries.inc({service: replica.entry.service});
+			}
+
+			const onHead = ({limit}: AnswerHead) => {
+				limits.noteAnswer(replica, limit, this.sentAt);
+			};
+
+			return openAnswer({connections: ofReplica, socket, format, onHead}, this.outgoing).pipe(
 				Effect.flatMap(answer => this.passOn(answer)),
 				Effect.onInterrupt(() => Effect.sync(() => {
 					abandon(socket);
--- a/src/relay/test/stream-passage.test.ts
+++ b/src/relay/test/stream-passage.test.ts
@@ -12,7 +12,7 @@
 import {StreamPassage} from '../stream-passage.js';
 
 const head = {
-	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined,
+	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined, limit: undefined,
 };
 
 /** A client's connection that keeps what it is sent. */
