--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -11,10 +11,12 @@
 import type {GossipMessage, MemberAddress} from '../../src/gossip/gossip-message.js';
 import {PeerTable} from '../../src/gossip/peer-table.js';
 import {ExchangeState, type ExchangeParts} from '../../src/node/exchange-state.js';
+import {LimitStretches} from '../../src/node/limit-stretches.js';
 import {Fingerprint, fingerprintLength} from '../../src/quarantine/fingerprint.js';
 import {Quarantine} from '../../src/quarantine/quarantine.js';
 import {QuotaLedger} from '../../src/quota/quota-ledger.js';
 import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
+import {ReplicaLimits} from '../../src/replicas/replica-limits.js';
 import {ServiceDemands} from '../../src/replicas/service-demand.js';
 
 /** What the fleet is like. */
@@ -40,6 +42,7 @@
 	readonly state: ExchangeState;
 	readonly replicas: ReplicaDirectory;
 	readonly quarantine: Quarantine;
+	readonly limits: ReplicaLimits;
 };
 
 /** The fleet. */
@@ -92,6 +95,15 @@
 		}
 	}
 
+	/** Lets all replicas name a limit, each in an answer to every box. */
+	limitReplicas(): void {
+		for (const {limits, replicas} of this.boxes) {
+			for (const replica of replicas.all) {
+				limits.noteAnswer(replica, 12.5, this.clock.monotonic());
+			}
+		}
+	}
+
 	private get aggregator(): Box {
 		return this.boxes.find(({topology}) => topology.isAggregator)!;
 	}
@@ -146,6 +158,12 @@
 			bound: () => ({rate: 100_000, burst: 200_000}), heardPart: () => topology.isAggregator ? peers.heardPart : 1 / peers.boxes, burstPart: () => 0.9,
 		}, clock, true);
 		const demands = ServiceDemands.create(clock);
+		const stretches = LimitStretches.create({
+			self: address.name, clock, peers, topology, demands,
+		});
+		const limits = ReplicaLimits.create({
+			clock, log, commonTime: () => stretches.commonTime, stretch: service => stretches.of(service), listed: start => replicas.ofStart(start),
+		});
 		const usage = UsageCounts.create(() => clock.wall(), () => 5000);
 		for (let index = 0; index < shape.clientAccounts; index++) {
 			quota.take(`acct${index}`, 5000);
@@ -163,12 +181,12 @@
 		const replicaRole = {told: {at: 812, age: 95}, take: () => undefined, changesSince: () => ({at: 812, changes: []})};
 		const parts = {
 			clock, log, peers, topology, services: {
-				replicas, quota, demands, usage, table, quarantine,
-			}, configuration, replicaRole, isStopping: () => false,
+				replicas, quota, demands, usage, table, quarantine, limits,
+			}, configuration, replicaRole, stretches, isStopping: () => false,
 		};
 		// Only what the exchange asks of the other parts is there.
 		return {
-			address, peers, topology, replicas, quarantine, state: ExchangeState.create(parts as unknown as ExchangeParts),
+			address, peers, topology, replicas, quarantine, limits, state: ExchangeState.create(parts as unknown as ExchangeParts),
 		};
 	}
 }
--- a/src/base/refusal-reason.ts
+++ b/src/base/refusal-reason.ts
@@ -35,6 +35,7 @@
 	'too-many-connections': refusal(429, 'Too many open requests for this client account', 'not-run', 1),
 	'ceiling-reached': refusal(429, 'Ceiling reached', 'not-run', 1),
 	'capacity-short': refusal(503, 'Capacity is short', 'not-run', 2),
+	'replica-limit': refusal(503, 'The replicas take no more requests now', 'not-run', 1),
 	'no-upstream': refusal(503, 'No upstream can take the request', 'not-run', 2),
 	'upstream-refused': refusal(503, 'The upstream refused', 'not-run', 1),
 	quarantined: refusal(503, 'The request ends the replicas that run it', 'not-run', 60),
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -30,6 +30,11 @@
 /** Request, age. */
 const CompletionRow = Schema.Tuple([Schema.String, Schema.Number]);
 
+/** Start, limit, age. */
+const LimitRow = Schema.Tuple([Schema.String, Schema.NullOr(Schema.Number), Schema.Number]);
+/** Service, from, length. */
+const StretchRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number]);
+
 const ReplicaChange = Schema.Struct({
 	object: Schema.Struct({name: Schema.String, revision: Schema.Number, spec: Schema.Unknown}),
 	isGone: Schema.Boolean,
@@ -40,6 +45,7 @@
 	boxes: Schema.Number,
 	quota: Schema.optionalKey(Schema.Array(LevelRow)),
 	work: Schema.optionalKey(Schema.Array(WorkRow)),
+	stretches: Schema.optionalKey(Schema.Array(StretchRow)),
 	changes: Schema.optionalKey(Schema.Struct({at: Schema.Number, from: Schema.optionalKey(Schema.Number), changes: Schema.Array(ReplicaChange)})),
 });
 
@@ -62,6 +68,7 @@
 	asksDigest: Schema.optionalKey(Schema.Boolean),
 	digest: Schema.optionalKey(DigestLayout),
 	ends: Schema.optionalKey(Schema.Tuple([Schema.Array(EndRow), Schema.Array(CompletionRow)])),
+	limits: Schema.optionalKey(Schema.Array(LimitRow)),
 	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
 	usage: Schema.Array(UsageRow),
 	members: Schema.Array(MemberRow),
@@ -83,7 +90,7 @@
  * @returns Its datagram.
  */
 export function encodeGossip(message: GossipMessage): Uint8Array {
-	const {sender, quota, work, demand, digest, usage, members, ends, ...plain} = message;
+	const {sender, quota, work, demand, digest, usage, members, ends, limits, ...plain} = message;
 	const layout: Layout = {
 		...plain,
 		sender: rowOf(sender),
@@ -92,6 +99,7 @@
 		...(demand ? {demand: demand.map(load => demandRowOf(load))} : {}),
 		...(digest ? {digest: digestLayoutOf(digest)} : {}),
 		...(ends ? {ends: endLayoutOf(ends)} : {}),
+		...(limits ? {limits: limits.map(({start, limit, age}) => [start, limit ?? null, age] as const)} : {}),
 		usage: usage.map(({window, counts}) => [window, counts] as const),
 		members: members.map(member => rowOf(member)),
 	};
@@ -112,7 +120,7 @@
 }
 
 function messageOf(layout: Layout): GossipMessage {
-	const {sender, quota, work, demand, digest, usage, members, ends, ...plain} = layout;
+	const {sender, quota, work, demand, digest, usage, members, ends, limits, ...plain} = layout;
 	return {
 		...plain,
 		sender: memberOf(sender),
@@ -123,6 +131,7 @@
 		...(demand ? {demand: demand.map(row => demandOf(row))} : {}),
 		...(digest ? {digest: digestOf(digest)} : {}),
 		...(ends ? {ends: endNewsOf(ends)} : {}),
+		...(limits ? {limits: limits.filter(([, limit]) => limit === null || limit >= 0).map(([start, limit, age]) => ({start, limit: limit ?? undefined, age: Math.max(0, age)}))} : {}),
 		usage: usage.map(([window, counts]) => ({window, counts})),
 		members: members.map(row => memberOf(row)),
 	};
@@ -154,7 +163,7 @@
 	};
 }
 
-function digestLayoutOf({quota, work, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
+function digestLayoutOf({quota, work, stretches, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
 	return {
 		...plain,
 		...(quota
@@ -163,10 +172,15 @@
 			}
 			: {}),
 		...(work ? {work: work.map(load => workRowOf(load))} : {}),
+		...(stretches ? {stretches: stretches.map(({service, from, length}) => [service, roundedPlace(from), roundedPlace(length)] as const)} : {}),
 	};
 }
 
-function digestOf({quota, work, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
+/** Digits of a place on the line that tell any two boxes apart. */
+const placePrecision = 1e5;
+const roundedPlace = (place: number): number => Math.round(place * placePrecision) / placePrecision;
+
+function digestOf({quota, work, stretches, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
 	return {
 		...plain,
 		...(quota
@@ -177,5 +191,6 @@
 			}
 			: {}),
 		...(work ? {work: work.map(row => workOf(row))} : {}),
+		...(stretches ? {stretches: stretches.map(([service, from, length]) => ({service, from, length: Math.min(1, Math.max(0, length))}))} : {}),
 	};
 }
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -3,7 +3,9 @@
  */
 import {largestPort} from '../base/port.js';
 import type {EndNews} from '../quarantine/end-ledger.js';
+import type {Stretch} from '../replicas/limit-slots.js';
 import type {ReplicaWork} from '../replicas/replica.js';
+import type {ToldLimit} from '../replicas/replica-limits.js';
 import type {Demand} from '../replicas/service-demand.js';
 import type {Changes} from '../follow/metadata-store.js';
 
@@ -30,6 +32,9 @@
 /** Work of boxes at one replica. */
 export type ReplicaLoad = ReplicaWork & {readonly replica: string};
 
+/** The receiver's part of the slots at replicas of a service that have named limits. */
+export type ServiceStretch = Stretch & {readonly service: string};
+
 /** What is asked of one service at the sender. */
 export type ServiceLoad = Demand & {readonly service: string};
 
@@ -70,6 +75,8 @@
 	readonly quota?: readonly QuotaLevel[];
 	/** Work of all boxes but the receiver; absent where the receiver did not ask. */
 	readonly work?: readonly ReplicaLoad[];
+	/** For services that have limited replicas; absent where there are none. */
+	readonly stretches?: readonly ServiceStretch[];
 	/** Changes of the list of replicas that the receiver does not have yet; absent where the sender cannot tell them. */
 	readonly changes?: Changes;
 };
@@ -111,6 +118,8 @@
 	readonly departed: ReadonlyArray<{readonly id: string; readonly revision: number}>;
 	/** Replicas that ended under requests, and such requests that were served since; absent where there are none. */
 	readonly ends?: EndNews;
+	/** Limits that replicas named in answers to the sender, in an answer of an aggregator to any box; absent where there are none. */
+	readonly limits?: readonly ToldLimit[];
 	readonly usage: readonly WindowUsage[];
 	/** Some of the boxes that the sender knows. */
 	readonly members: readonly MemberAddress[];
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -10,8 +10,10 @@
 } from '../gossip/gossip-message.js';
 import type {Meeting, Peer, PeerTable} from '../gossip/peer-table.js';
 import {mostEndsTold} from '../quarantine/end-ledger.js';
+import {mostLimitsTold, type LimitSource} from '../replicas/replica-limits.js';
 import type {RelayServices} from '../relay/relay-services.js';
 import type {ConfigurationRole} from './configuration-role.js';
+import type {LimitStretches} from './limit-stretches.js';
 import type {ReplicaRole} from './replica-role.js';
 
 /** Milliseconds for which the work of all boxes is not added up anew. */
@@ -33,6 +35,7 @@
 	readonly topology: ExchangeTopology;
 	readonly configuration: ConfigurationRole;
 	readonly replicaRole: ReplicaRole;
+	readonly stretches: LimitStretches;
 	readonly isStopping: () => boolean;
 };
 
@@ -55,13 +58,15 @@
 
 	/**
 	 * @param isWhole - Whether all is told that others must know, not only what is new.
+	 * @param limitSources - Whose words on limits are told: in an answer also those of other boxes.
 	 * @returns What this box tells in any message.
 	 */
-	news(isWhole: boolean): LocalNews {
+	news(isWhole: boolean, limitSources: readonly LimitSource[] = ['answer', 'box']): LocalNews {
 		const {
-			services: {table, replicas, quarantine}, configuration, replicaRole, isStopping, topology,
+			services: {table, replicas, quarantine, limits: replicaLimits}, configuration, replicaRole, isStopping, topology,
 		} = this.parts;
 		const ends = quarantine.told(isWhole, topology.isLarge ? mostEndsTold.large : mostEndsTold.small);
+		const limits = replicaLimits.told(isWhole, limitSources, topology.isLarge ? mostLimitsTold.large : mostLimitsTold.small);
 		return {
 			version: table.version,
 			...(Number.isFinite(table.proofAge) ? {proofAge: Math.ceil(table.proofAge)} : {}),
@@ -70,6 +75,7 @@
 			departed: replicas.departedWithin(topology.isLarge ? newsTime : undefined),
 			...(replicaRole.told ? {replicas: replicaRole.told} : {}),
 			...(ends ? {ends} : {}),
+			...(limits ? {limits} : {}),
 		};
 	}
 
@@ -82,7 +88,7 @@
 		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
 		this.noteRole();
 		return {
-			...this.news(isWhole),
+			...this.news(isWhole, ['answer']),
 			quota: isWhole ? quota.counts : quota.recentCounts,
 			isWhole,
 			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
@@ -96,10 +102,12 @@
 	 * @param isWhole - Whether it asked for all that is known of the other boxes.
 	 * @returns What this one knows of all others.
 	 */
-	digestFor({last}: Peer, isWhole: boolean): FleetDigest {
-		const {services: {quota}, peers, topology, replicaRole} = this.parts;
+	digestFor({last, address}: Peer, isWhole: boolean): FleetDigest {
+		const {services: {quota, limits}, peers, topology, replicaRole, stretches} = this.parts;
 		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
+		const limited = topology.isLarge && topology.isAggregator ? limits.services : [];
 		const news = {
+			...(limited.length > 0 ? {stretches: stretches.toldTo(address.name, limited)} : {}),
 			boxes: topology.isAggregator ? peers.knownBoxes : peers.boxes,
 			...(changes ? {changes} : {}),
 		};
@@ -125,7 +133,7 @@
 		const {services: {replicas, quota, usage}, topology, peers} = this.parts;
 		const {sender, work} = message;
 		const start = startOf(message);
-		this.takeNews(message);
+		this.takeNews(message, 'box');
 		// Its digests may have come before: what it let pass until now is no news, though it is known.
 		quota.takeCounts(start, message.quota, quota.knows(start) ? meeting : peers.meetAnew(message), message.isWhole);
 		usage.take(start, message.usage);
@@ -152,11 +160,12 @@
 	 */
 	takeDigest(message: GossipMessage, digest: FleetDigest): void {
 		const {services: {replicas, quota}, topology, peers} = this.parts;
-		this.takeNews(message);
+		this.takeNews(message, 'digest');
 		if (!topology.isLarge) {
 			return;
 		}
 
+		this.parts.stretches.take(digest.stretches ?? []);
 		const {isAggregator} = topology;
 		if (!isAggregator || peers.uptime < learningTime) {
 			quota.adopt(digest.quota ?? []);
@@ -173,8 +182,8 @@
 	}
 
 	/** What any message may bring: a newer configuration, a newer list, replicas that leave. */
-	private takeNews(message: GossipMessage): void {
-		const {services: {table, replicas, quarantine}, configuration, replicaRole} = this.parts;
+	private takeNews(message: GossipMessage, limitSource: LimitSource): void {
+		const {services: {table, replicas, quarantine, limits}, configuration, replicaRole} = this.parts;
 		if (message.version > table.version) {
 			configuration.fetchFrom(message.sender);
 		}
@@ -187,6 +196,10 @@
 			quarantine.take(message.ends);
 		}
 
+		if (message.limits) {
+			limits.takeTold(message.limits, limitSource);
+		}
+
 		if (message.replicas) {
 			replicaRole.take(message.sender, message.replicas, message.digest?.changes);
 		}
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -22,6 +22,7 @@
 import {EndWatch} from '../relay/end-watch.js';
 import {FreshnessGuard} from '../relay/freshness-guard.js';
 import {FrontDoor} from '../relay/front-door.js';
+import {LimitQueue} from '../relay/limit-queue.js';
 import type {RelayMetrics} from '../relay/relay-metrics.js';
 import type {RelayServices} from '../relay/relay-services.js';
 import {RepeatBudgets} from '../relay/repeat-budgets.js';
@@ -35,6 +36,7 @@
 import {listen, openSmallListener, type SmallAnswer} from './control-listeners.js';
 import {openDuties} from './duty-roles.js';
 import {ExchangeState} from './exchange-state.js';
+import {LimitStretches} from './limit-stretches.js';
 import {MemberRole} from './member-role.js';
 import type {PlatformLink} from './platform-link.js';
 import {ReplicaRole, replicasPath} from './replica-role.js';
@@ -89,6 +91,7 @@
 	private readonly peers: PeerTable;
 	private readonly topology: ExchangeTopology;
 	private readonly services: RelayServices;
+	private readonly stretches: LimitStretches;
 	private readonly configuration: ConfigurationRole;
 	private readonly replicaRole: ReplicaRole;
 	private readonly exchange: ExchangeState;
@@ -105,6 +108,9 @@
 		this.peers = PeerTable.create(node, this.clock, log);
 		this.topology = ExchangeTopology.create(this.self, this.peers);
 		this.services = this.wire();
+		this.stretches = LimitStretches.create({
+			self: node, clock: this.clock, peers: this.peers, topology: this.topology, demands: this.services.demands,
+		});
 		const {table, replicas} = this.services;
 		const followed = {
 			link, log, clock: this.clock, leads: () => this.topology.isAggregator,
@@ -126,6 +132,7 @@
 			topology: this.topology,
 			configuration: this.configuration,
 			replicaRole: this.replicaRole,
+			stretches: this.stretches,
 			isStopping: () => this.stoppingSince !== undefined,
 		});
 		this.door = FrontDoor.create(this.services, {
@@ -207,7 +214,10 @@
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas,
 			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkOld: () => topology.isLarge}),
-			limits: ReplicaLimits.create({clock, log}),
+			limits: ReplicaLimits.create({
+				clock, log, commonTime: () => this.stretches.commonTime, stretch: service => this.stretches.of(service), listed: start => replicas.ofStart(start),
+			}),
+			limitQueue: LimitQueue.create(clock),
 			demands: ServiceDemands.create(clock),
 			connections,
 			quarantine,
@@ -325,10 +335,17 @@
 		return Effect.forever(Effect.sync(() => {
 			this.noteStandstill();
 			const {metrics} = this.parts;
-			const {table, replicas} = this.services;
+			const {table, replicas, limits} = this.services;
 			metrics.proofAge.set(table.proofAge / millisecondsPerSecond);
 			metrics.quarantined.set(this.services.quarantine.kept.length);
 			metrics.membersHeard.set(this.peers.heard.length);
+			metrics.replicaLimit.reset();
+			metrics.replicaLimitPart.reset();
+			for (const replica of limits.limited) {
+				metrics.replicaLimit.set({replica: replica.entry.id}, limits.limitOf(replica) ?? 0);
+				metrics.replicaLimitPart.set({replica: replica.entry.id}, limits.partOf(replica));
+			}
+
 			metrics.replicas.reset();
 			for (const {entry, isLeaving} of replicas.all) {
 				metrics.replicas.inc({service: entry.service, state: isLeaving ? 'leaving' : 'ready'});
--- a/src/node/test/exchange-load.test.ts
+++ b/src/node/test/exchange-load.test.ts
@@ -48,3 +48,13 @@
 	assert.ok(heard < smallestLink * largestPart, `${heard} bytes a second heard`);
 	assert.ok(sent < smallestLink * largestPart, `${sent} bytes a second sent`);
 });
+
+test('what boxes tell of limits leaves room on a small link too, though each replica has named one to each box', () => {
+	const {heard, sent} = trafficOf({
+		boxes: 86, replicas: 84, clientAccounts: 16, inProgress: 3,
+	}, fleet => {
+		fleet.limitReplicas();
+	});
+	assert.ok(heard < smallestLink * largestPart, `${heard} bytes a second heard`);
+	assert.ok(sent < smallestLink * largestPart, `${sent} bytes a second sent`);
+});
--- /dev/null
+++ b/src/node/test/limit-model.test.ts
@@ -0,0 +1,97 @@
+/**
+ * Fleets of 1 to 340 boxes before a replica that names a limit, in virtual time with fixed seeds: in no four seconds does it get more than one and a half
+ * times the limit and five requests from boxes that it had told half a second before, from three seconds after it first named it on; and it gets
+ * most of what it takes.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {LimitFleet, type LimitFleetShape} from '../../../development/harness/limit-fleet.js';
+
+const span = 4000;
+const contactTime = 3000;
+const settledAt = 16_000;
+const observed = 20_000;
+const allowedAt = (limit: number): number => (1.5 * limit * span / 1000) + 5;
+/** Part of the limit that is used at least where enough is asked for at all boxes alike, and where most is asked for at one of eight. */
+const leastUse = {even: 0.75, uneven: 0.5} as const;
+
+/** @returns The most in four seconds, and the part of the limit that was used. */
+function play(limit: number, shape: Omit<LimitFleetShape, 'limitAt' | 'seed'> & Partial<LimitFleetShape>): {readonly most: number; readonly use: number} {
+	const fleet = LimitFleet.create({
+		limitAt: now => now >= settledAt ? limit : undefined, seed: 36, ...shape,
+	});
+	fleet.pass(settledAt + contactTime + observed - fleet.now);
+	const counted = fleet.arrivals.filter(at => at >= settledAt + contactTime);
+	return {most: fleet.mostWithin(span, settledAt + contactTime), use: counted.length / (limit * observed / 1000)};
+}
+
+const shapes = [1, 8, 12, 13, 87].flatMap(boxes => [1, 20].map(limit => ({boxes, limit})));
+
+for (const {boxes, limit} of [...shapes, {boxes: 340, limit: 3}]) {
+	test(`${boxes} boxes keep to ${limit} a second together, and use it`, () => {
+		const {most, use} = play(limit, {boxes, demandOf: () => Math.max(2, limit * 6 / boxes)});
+		assert.ok(most <= allowedAt(limit), `${most} in ${span} ms; ${allowedAt(limit)} allowed`);
+		assert.ok(use >= leastUse.even, `${use} of the limit is used`);
+	});
+}
+
+for (const boxes of [8, 87]) {
+	test(`${boxes} boxes of which a few are asked for most leave little of the limit unused`, () => {
+		const {most, use} = play(4, {boxes, demandOf: box => box % 8 === 0 ? 160 / boxes : 0.1});
+		assert.ok(most <= allowedAt(4), `${most} in ${span} ms; ${allowedAt(4)} allowed`);
+		assert.ok(use >= leastUse.uneven, `${use} of the limit is used`);
+	});
+
+	test(`${boxes} boxes keep to it while half of them do not hear the others`, () => {
+		const isHalf = (box: number) => box < boxes / 2;
+		const {most} = play(2, {boxes, demandOf: () => 3, reach: (left, right, now) => now < settledAt - 4000 || now > settledAt + 12_000 || isHalf(left) === isHalf(right)});
+		assert.ok(most <= allowedAt(2), `${most} in ${span} ms; ${allowedAt(2)} allowed`);
+	});
+
+	test(`${boxes} boxes keep to it while a third of them start anew`, () => {
+		const {most} = play(1, {boxes, demandOf: () => 3, startsAt: box => box % 3 === 0 ? settledAt + 5000 + (box * 200) : undefined});
+		assert.ok(most <= allowedAt(1), `${most} in ${span} ms; ${allowedAt(1)} allowed`);
+	});
+
+	test(`${boxes} boxes keep to it though links hold some requests up`, () => {
+		const {most} = play(2, {boxes, demandOf: () => 3, wayOf: random => random < 0.2 ? 700 : 2});
+		assert.ok(most <= allowedAt(2), `${most} in ${span} ms; ${allowedAt(2)} allowed`);
+	});
+}
+
+test('what is named as zero gets a trial now and then, and what is too small no more than that', () => {
+	for (const limit of [0, 1e-9]) {
+		const fleet = LimitFleet.create({
+			boxes: 8, demandOf: () => 10, limitAt: now => now >= settledAt ? limit : undefined, seed: 4,
+		});
+		fleet.pass(60_000);
+		const counted = fleet.arrivals.filter(at => at >= settledAt + contactTime).length;
+		assert.ok(counted >= 2 && counted <= 6, `${counted} requests in 50 s`);
+	}
+});
+
+test('a limit beyond all bounds holds nobody back', () => {
+	const fleet = LimitFleet.create({
+		boxes: 8, demandOf: () => 10, limitAt: () => 1e308, seed: 5,
+	});
+	fleet.pass(20_000);
+	assert.ok(fleet.arrivals.length > 8 * 10 * 15 * 0.8, `${fleet.arrivals.length} requests`);
+});
+
+test('a limit that changes with each answer is kept to as the greatest of them', () => {
+	const {most} = play(4, {boxes: 8, demandOf: () => 10, limitAt: (now, answers) => now >= settledAt ? 1 + (answers % 4) : undefined});
+	assert.ok(most <= allowedAt(4), `${most} in ${span} ms; ${allowedAt(4)} allowed`);
+});
+
+for (const boxes of [8, 87]) {
+	test(`${boxes} boxes send as before soon after the limit has ended`, () => {
+		const endsAt = settledAt + 8000;
+		const fleet = LimitFleet.create({
+			boxes, demandOf: () => 4, limitAt: now => now >= settledAt && now < endsAt ? 1 : undefined, seed: 7,
+		});
+		fleet.pass(endsAt + contactTime + 1000 - fleet.now);
+		const before = fleet.arrivals.length;
+		fleet.pass(4000);
+		assert.ok(fleet.arrivals.length - before > boxes * 4 * 4 * 0.8, `${fleet.arrivals.length - before} requests in 4 s`);
+	});
+}
--- a/src/relay/demand-notes.ts
+++ b/src/relay/demand-notes.ts
@@ -8,7 +8,7 @@
 import type {ServiceDemand} from '../replicas/service-demand.js';
 
 /** Reasons that say that more replicas would have served. */
-const reasonsOfShortage: ReadonlySet<RefusalReason> = new Set(['capacity-short', 'no-upstream', 'upstream-refused', 'deadline-passed']);
+const reasonsOfShortage: ReadonlySet<RefusalReason> = new Set(['capacity-short', 'replica-limit', 'no-upstream', 'upstream-refused', 'deadline-passed']);
 
 /** What the notes need. */
 export type DemandNotesServices = {
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -34,6 +34,18 @@
 		name: 'waydrift_relay_limited_tries_total', help: 'Requests that this box sent to replicas that had named a limit, by service.', labelNames: ['service'], registers: [this.registry],
 	});
 
+	readonly keptFromLimited = new Counter({
+		name: 'waydrift_relay_kept_from_limited_total', help: 'Requests kept from a replica for the limit that it had named, by service.', labelNames: ['service'], registers: [this.registry],
+	});
+
+	readonly replicaLimit = new Gauge({
+		name: 'waydrift_relay_replica_limit', help: 'Requests a second that a replica takes of all boxes, as it named them.', labelNames: ['replica'], registers: [this.registry],
+	});
+
+	readonly replicaLimitPart = new Gauge({
+		name: 'waydrift_relay_replica_limit_part', help: 'Requests a second of that which are this box\'s.', labelNames: ['replica'], registers: [this.registry],
+	});
+
 	readonly retries = new Counter({
 		name: 'waydrift_relay_retries_total', help: 'Requests sent again, by reason.', labelNames: ['reason'], registers: [this.registry],
 	});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -6,16 +6,15 @@
 import type {EventFields} from '../base/event-log.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
-import type {ChoiceRequest} from '../replicas/replica-choice.js';
 import type {ServiceDemand} from '../replicas/service-demand.js';
 import {pickTarget} from '../routes/route-table.js';
-import {refusedFor} from './admission.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import {DemandNotes} from './demand-notes.js';
 import type {RelayServices} from './relay-services.js';
 import {ReplicaTry, type TryParts} from './replica-try.js';
+import {RunChoice, type RunDecision} from './run-choice.js';
 import type {RunStory} from './run-story.js';
 import {RunSuspicion} from './run-suspicion.js';
 import {StreamPassage} from './stream-passage.js';
@@ -40,6 +39,9 @@
 /** Milliseconds between two looks: a fifth of the 100 ms that such a run took in the test `trial-turns`. */
 const turnPause = 20;
 
+/** A replica that was chosen. */
+type Chosen = Extract<RunDecision, {readonly kind: 'go'}>;
+
 /** One request on its way. */
 export class RelayRun {
 	/**
@@ -54,14 +56,13 @@
 
 	/** What became of it so far. */
 	readonly story: RunStory = {
-		tries: 0, runs: 0, replica: undefined, failures: '', firstByteAt: undefined,
+		tries: 0, runs: 0, replica: undefined, failures: '', firstByteAt: undefined, keptFrom: 0,
 	};
 
 	/** What it has to do with ends of replicas. */
 	readonly suspicion: RunSuspicion;
 	private readonly passage: StreamPassage;
-	private readonly tried = new Set<Replica>();
-	private readonly choiceRequest: ChoiceRequest;
+	private readonly choice: RunChoice;
 	private readonly parts: TryParts;
 	/** An answer of a replica that failed the request, to be passed on where nothing better comes. */
 	private failedAnswer: (() => void) | undefined;
@@ -88,9 +89,12 @@
 		this.passage = StreamPassage.create({
 			client, format: services.format, metrics: services.metrics, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
 		});
-		this.choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
+		const choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
+		this.choice = RunChoice.create({
+			services, suspicion: this.suspicion, choiceRequest, story: this.story, request: () => this.request,
+		});
 		this.parts = {
-			services, client, passage: this.passage, suspicion: this.suspicion, notes: this.notes, choiceRequest: this.choiceRequest, story: this.story,
+			services, client, passage: this.passage, suspicion: this.suspicion, notes: this.notes, choiceRequest, story: this.story,
 		};
 	}
 
@@ -120,6 +124,9 @@
 			Effect.onInterrupt(() => Effect.sync(() => {
 				this.notes.noteLeaving();
 			})),
+			Effect.ensuring(Effect.sync(() => {
+				this.choice.close();
+			})),
 		);
 	}
 
@@ -142,13 +149,13 @@
 				yield * this.passWake();
 				yield * this.governAnew();
 				yield * this.passQuarantine();
-				const replica = yield * this.chooseReplica();
-				if (!replica) {
-					yield * this.awaitTurn();
+				const chosen = yield * this.chooseReplica();
+				if (!chosen) {
 					continue;
 				}
 
-				const failure = yield * this.tryReplica(replica);
+				const {replica} = chosen;
+				const failure = yield * this.tryReplica(chosen);
 				if (!failure) {
 					return;
 				}
@@ -208,58 +215,46 @@
 	}
 
 	/** The run that it waits for is mostly over soon, and serves whoever only stood beside: to come back would take longer. */
-	private awaitTurn(): Effect.Effect<void, Refusal> {
+	private awaitTurn(): Effect.Effect<undefined, Refusal> {
 		return Effect.suspend(() => {
 			const now = this.services.clock.monotonic();
 			this.waitsSince ??= now;
 			return now - this.waitsSince < turnPatience
-				? Effect.sleep(turnPause)
+				? Effect.sleep(turnPause).pipe(Effect.as(undefined))
 				: Effect.fail(this.refuse('quarantined', 'Replicas ended while they ran this request; it runs once at a time, apart from others of its sort, until one has served it.', comeBack));
 		});
 	}
 
-	/** @returns The replica; `undefined` where it is not the request's turn. */
-	private chooseReplica(): Effect.Effect<Replica | undefined, Refusal> {
-		const {replicas, choice} = this.services;
-		if (this.suspicion.mustWait) {
-			return Effect.succeed(undefined);
-		}
+	/** @returns Where it goes; `undefined` where it is to be chosen anew. */
+	private chooseReplica(): Effect.Effect<Chosen | undefined, Refusal> {
+		const decision = this.choice.choose();
+		switch (decision.kind) {
+			case 'go': {
+				return Effect.succeed(decision);
+			}
 
-		const ready = replicas.ready(this.request.service);
-		const untried = ready.filter(replica => !this.tried.has(replica));
-		const sound = untried.filter(({isAvoided, isSilent}) => !isAvoided && !isSilent);
-		const heard = untried.filter(({isSilent}) => !isSilent);
-		const candidates = [sound, heard, untried, ready].find(({length}) => length > 0);
-		if (!candidates) {
-			return Effect.fail(this.refuse('no-upstream', `No replica of service ${this.request.service} can take the request.`, this.untilReplica));
-		}
+			case 'turn': {
+				return this.awaitTurn();
+			}
 
-		const bounded = this.suspicion.bounded(candidates);
-		return bounded.length > 0 ? this.admit(choice.choose(bounded, this.choiceRequest)) : Effect.succeed(undefined);
-	}
+			case 'wait': {
+				return Effect.sleep(decision.wait).pipe(Effect.as(undefined));
+			}
 
-	/** What was begun is not given up for others. */
-	private admit(replica: Replica): Effect.Effect<Replica, Refusal> {
-		const {route, service, urgency} = this.request;
-		if (this.story.tries > 0) {
-			return Effect.succeed(replica);
+			case 'refuse': {
+				return Effect.fail(this.refuse(decision.reason, decision.detail, Math.max(comeBack, decision.comeBack / millisecondsPerSecond)));
+			}
 		}
-
-		const wait = refusedFor({
-			replica, urgency, demand: this.demand, goal: route.goal, urgencies: this.services.table.inForce?.urgencies(service) ?? [],
-		});
-		return wait === undefined
-			? Effect.succeed(replica)
-			: Effect.fail(this.refuse('capacity-short', `Replicas of service ${service} are taken by more urgent requests.`, Math.max(comeBack, wait / millisecondsPerSecond)));
 	}
 
 	/** @returns Why it failed; nothing where the client has its answer. */
-	private tryReplica(replica: Replica): Effect.Effect<AttemptFailure | undefined> {
+	private tryReplica({replica, slot}: Chosen): Effect.Effect<AttemptFailure | undefined> {
 		return Effect.suspend(() => {
 			this.story.tries++;
 			this.story.replica = replica.entry.id;
-			this.tried.add(replica);
-			const attempt = ReplicaTry.create(this.parts, {request: this.request, replica, mayFail: this.isRepeatable});
+			const attempt = ReplicaTry.create(this.parts, {
+				request: this.request, replica, slot, mayFail: this.isRepeatable,
+			});
 			return attempt.run().pipe(
 				Effect.as(undefined),
 				Effect.catchTag('AttemptFailure', failure => Effect.sync(() => {
@@ -350,15 +345,7 @@
 		return this.refuse(reason === 'refused' ? 'upstream-refused' : 'no-upstream', `The request was not run: ${detail}.`);
 	}
 
-	/** Seconds until a replica that was ordered when the last one went may serve. */
-	private get untilReplica(): number {
-		const {replicas, table} = this.services;
-		const {service} = this.request;
-		const bootTime = table.inForce?.service(service)?.scaling?.bootTime ?? 0;
-		return Math.max(comeBack, (bootTime - replicas.absentFor(service)) / millisecondsPerSecond);
-	}
-
-	private refuse(reason: 'quarantined' | 'capacity-short' | 'no-upstream' | 'upstream-refused' | 'configuration-stale', detail: string, retryAfter = comeBack): Refusal {
+	private refuse(reason: 'quarantined' | 'capacity-short' | 'replica-limit' | 'no-upstream' | 'upstream-refused' | 'configuration-stale', detail: string, retryAfter = comeBack): Refusal {
 		return this.verdict === 'not-run'
 			? Refusal.create(reason, detail, {retryAfter})
 			: Refusal.create('upstream-cut', detail, {verdict: 'may-have-run'});
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -14,6 +14,7 @@
 import type {ConnectionBook} from './connection-book.js';
 import type {EndWatch} from './end-watch.js';
 import type {FreshnessGuard} from './freshness-guard.js';
+import type {LimitQueue} from './limit-queue.js';
 import type {RelayFormat} from './relay-format.js';
 import type {RelayMetrics} from './relay-metrics.js';
 import type {RepeatBudgets} from './repeat-budgets.js';
@@ -29,6 +30,7 @@
 	readonly replicas: ReplicaDirectory;
 	readonly choice: ReplicaChoice;
 	readonly limits: ReplicaLimits;
+	readonly limitQueue: LimitQueue;
 	readonly demands: ServiceDemands;
 	readonly connections: ConnectionBook;
 	readonly ends: EndWatch;
--- a/src/relay/replica-try.ts
+++ b/src/relay/replica-try.ts
@@ -2,6 +2,7 @@
  * One try of a request at one replica: connects, sends, and passes the answer on.
  */
 import * as Effect from 'effect/Effect';
+import type {Slot} from '../replicas/limit-slots.js';
 import type {Replica} from '../replicas/replica.js';
 import type {ChoiceRequest} from '../replicas/replica-choice.js';
 import type {Connection} from '../replicas/replica-connections.js';
@@ -40,6 +41,8 @@
 	/** The request as the configuration says that is in force by now. */
 	readonly request: AdmittedRequest;
 	readonly replica: Replica;
+	/** What it uses of the limit that the replica has named; `undefined` where it had named none. */
+	readonly slot: Slot | undefined;
 	/** Whether a failure that the replica made may be followed by another try. */
 	readonly mayFail: boolean;
 };
@@ -119,7 +122,9 @@
 				limits.noteAnswer(replica, limit, this.sentAt);
 			};
 
-			return openAnswer({connections: ofReplica, socket, format, onHead}, this.outgoing).pipe(
+			return openAnswer({
+				connections: ofReplica, socket, format, onHead,
+			}, this.outgoing).pipe(
 				Effect.flatMap(answer => this.passOn(answer)),
 				Effect.onInterrupt(() => Effect.sync(() => {
 					abandon(socket);
@@ -129,8 +134,9 @@
 	}
 
 	private whyWithheld(): string | undefined {
-		const {replicas, guard} = this.parts.services;
-		if (!replicas.mayBeSent(this.plan.replica)) {
+		const {replicas, guard, limits} = this.parts.services;
+		const {replica, slot} = this.plan;
+		if (!replicas.mayBeSent(replica)) {
 			return 'the replica began to leave';
 		}
 
@@ -138,7 +144,7 @@
 			return 'the configuration may be out of date';
 		}
 
-		return undefined;
+		return limits.maySend(replica, slot) ? undefined : 'the replica has named a limit, and this box\'s part of it is used';
 	}
 
 	private get outgoing(): OutgoingRequest {
--- /dev/null
+++ b/src/relay/run-choice.ts
@@ -0,0 +1,174 @@
+/**
+ * Where one request goes next: to a replica, or nowhere yet, or nowhere at all.
+ */
+import {sumOf} from '../base/sum.js';
+import type {Slot} from '../replicas/limit-slots.js';
+import type {Replica} from '../replicas/replica.js';
+import type {ChoiceRequest} from '../replicas/replica-choice.js';
+import {refusedFor} from './admission.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {QueuedRequest} from './limit-queue.js';
+import type {RelayServices} from './relay-services.js';
+import type {RunStory} from './run-story.js';
+import type {RunSuspicion} from './run-suspicion.js';
+
+/** What is decided. */
+export type RunDecision =
+	/** It goes to a replica; the slot is what it uses of the replica's limit. */
+	| {readonly kind: 'go'; readonly replica: Replica; readonly slot: Slot | undefined}
+	/** Others that replicas ended under run first. */
+	| {readonly kind: 'turn'}
+	/** To be asked again after some milliseconds: a replica has room then. */
+	| {readonly kind: 'wait'; readonly wait: number}
+	/** It cannot be served; whoever sent it may come back after some milliseconds. */
+	| {readonly kind: 'refuse'; readonly reason: 'no-upstream' | 'capacity-short' | 'replica-limit'; readonly detail: string; readonly comeBack: number};
+
+/** What the choice needs. */
+export type RunChoiceServices = {
+	readonly services: RelayServices;
+	readonly suspicion: RunSuspicion;
+	readonly choiceRequest: ChoiceRequest;
+	readonly story: RunStory;
+	/** @returns The request as the configuration says that is in force by now. */
+	readonly request: () => AdmittedRequest;
+};
+
+/** Milliseconds after which a request that waits for room is looked at anew: more urgent ones may have come, and limits may have ended. */
+const longestLook = 50;
+
+/** The choices for one request. */
+export class RunChoice {
+	/**
+	 * @param services - What they need.
+	 * @returns Choices of which none was made; close it when the request has ended.
+	 */
+	static create(services: RunChoiceServices): RunChoice {
+		return new RunChoice(services);
+	}
+
+	private readonly tried = new Set<Replica>();
+	/** Present while it waits for room at a replica. */
+	private queued: QueuedRequest | undefined;
+	private wasKept = false;
+
+	private constructor(private readonly parts: RunChoiceServices) {}
+
+	/** @returns Where the request goes now. */
+	choose(): RunDecision {
+		const {services: {replicas}, suspicion, request} = this.parts;
+		const {service} = request();
+		if (suspicion.mustWait) {
+			return {kind: 'turn'};
+		}
+
+		const ready = replicas.ready(service);
+		if (ready.length === 0) {
+			return {
+				kind: 'refuse', reason: 'no-upstream', detail: `No replica of service ${service} can take the request.`, comeBack: this.untilReplica,
+			};
+		}
+
+		const open = this.withRoom(ready);
+		return open.length === 0 ? this.awaitRoom(ready) : this.chooseAmong(open);
+	}
+
+	/** Gives up its place among those that wait. */
+	close(): void {
+		if (this.queued) {
+			this.parts.services.limitQueue.leave(this.queued);
+			this.queued = undefined;
+		}
+	}
+
+	private chooseAmong(open: readonly Replica[]): RunDecision {
+		const {services: {choice, limits}, suspicion, choiceRequest} = this.parts;
+		const untried = open.filter(replica => !this.tried.has(replica));
+		const sound = untried.filter(({isAvoided, isSilent}) => !isAvoided && !isSilent);
+		const heard = untried.filter(({isSilent}) => !isSilent);
+		const due = sound.filter(replica => limits.isDue(replica));
+		const candidates = [due, sound, heard, untried, open].find(({length}) => length > 0)!;
+		const bounded = suspicion.bounded(candidates);
+		return bounded.length > 0 ? this.admit(choice.choose(bounded, choiceRequest)) : {kind: 'turn'};
+	}
+
+	/** Whoever waits for room at limited replicas goes before those that come later or are less urgent. */
+	private withRoom(ready: readonly Replica[]): readonly Replica[] {
+		const {services: {limits, limitQueue}, request} = this.parts;
+		const {service, urgency} = request();
+		const open = ready.filter(replica => limits.hasRoom(replica));
+		if (open.length < ready.length) {
+			this.noteKept(ready.length - open.length);
+		}
+
+		const areAllLimited = open.every(replica => limits.limitOf(replica) !== undefined);
+		const mustQueue = areAllLimited && limitQueue.hasBefore(this.queued ?? {service, urgency, number: Number.POSITIVE_INFINITY});
+		return mustQueue ? [] : open;
+	}
+
+	private noteKept(count: number): void {
+		const {services: {metrics}, story, request} = this.parts;
+		story.keptFrom = Math.max(story.keptFrom, count);
+		if (!this.wasKept) {
+			this.wasKept = true;
+			metrics.keptFromLimited.inc({service: request().service});
+		}
+	}
+
+	/** What was begun is not given up for others. */
+	private admit(replica: Replica): RunDecision {
+		const {services: {demands, table, limits}, story, request} = this.parts;
+		const {route, service, urgency} = request();
+		const wait = story.tries > 0
+			? undefined
+			: refusedFor({
+				replica, urgency, demand: demands.of(service), goal: route.goal, urgencies: table.inForce?.urgencies(service) ?? [],
+			});
+		if (wait !== undefined) {
+			return {
+				kind: 'refuse', reason: 'capacity-short', detail: `Replicas of service ${service} are taken by more urgent requests.`, comeBack: wait,
+			};
+		}
+
+		this.close();
+		this.tried.add(replica);
+		return {kind: 'go', replica, slot: limits.take(replica)};
+	}
+
+	/** A slot of this box is sure, so that waiting for it serves the caller sooner than coming back would; but only where the answer is still in time. */
+	private awaitRoom(ready: readonly Replica[]): RunDecision {
+		const {services: {limits, limitQueue}, request} = this.parts;
+		const {service, urgency} = request();
+		this.queued ??= limitQueue.join(service, urgency);
+		const timeLeft = this.timeLeftFor(ready);
+		const wait = limits.untilRoom(ready, limitQueue.placeOf(this.queued), Math.max(0, timeLeft));
+		if (wait <= timeLeft) {
+			return {kind: 'wait', wait: Math.min(longestLook, Math.max(1, wait))};
+		}
+
+		this.close();
+		return {
+			kind: 'refuse',
+			reason: 'replica-limit',
+			detail: `All ${ready.length} replicas of service ${service} have named limits, and this box's part of them is used.`,
+			comeBack: limitQueue.comeBackAfter({
+				service, urgency, untilRoom: Math.max(0, Number.isFinite(wait) ? wait : timeLeft), rate: sumOf(ready.map(replica => limits.partOf(replica))),
+			}),
+		};
+	}
+
+	/** Milliseconds for which it may still wait here so that its answer begins in time, or at all where it was begun before. */
+	private timeLeftFor(ready: readonly Replica[]): number {
+		const {services: {clock}, story, request} = this.parts;
+		const {route, receivedAt, deadlineAt} = request();
+		const end = story.tries > 0 ? deadlineAt : Math.min(deadlineAt, receivedAt + route.goal);
+		return end - clock.monotonic() - Math.min(...ready.map(({latency}) => latency));
+	}
+
+	/** Milliseconds until a replica that was ordered when the last one went may serve. */
+	private get untilReplica(): number {
+		const {services: {replicas, table}, request} = this.parts;
+		const {service} = request();
+		const bootTime = table.inForce?.service(service)?.scaling?.bootTime ?? 0;
+		return bootTime - replicas.absentFor(service);
+	}
+}
--- /dev/null
+++ b/src/relay/test/limit-queue.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {LimitQueue} from '../limit-queue.js';
+
+const shortage = {service: 's', untilRoom: 100, rate: 4};
+
+test('the more urgent go first, and among their like who came first; other services are not in the way', () => {
+	const queue = LimitQueue.create(new MovedClock());
+	const late = queue.join('s', 2);
+	const first = queue.join('s', 1);
+	const second = queue.join('s', 1);
+	const other = queue.join('t', 0);
+	assert.deepEqual([first, second, late, other].map(request => queue.placeOf(request)), [0, 1, 2, 0]);
+	assert.ok(queue.hasBefore(second));
+	queue.leave(first);
+	assert.ok(!queue.hasBefore(second));
+});
+
+test('those that are refused come back one after the other at the pace at which there is room, the less urgent behind the more urgent', () => {
+	const clock = new MovedClock(1000);
+	const queue = LimitQueue.create(clock, () => 0.5);
+	const urgent = Array.from({length: 4}, () => queue.comeBackAfter({...shortage, urgency: 1}));
+	assert.deepEqual(urgent, [350, 600, 850, 1100]);
+	assert.equal(queue.comeBackAfter({...shortage, urgency: 2}), 1350);
+	assert.equal(queue.comeBackAfter({...shortage, urgency: 0}), 350, 'what was promised to the less urgent does not keep it away');
+	clock.now += 10_000;
+	assert.equal(queue.comeBackAfter({...shortage, urgency: 2}), 350);
+});
+
+test('nobody is sent away for longer than eight seconds and a quarter of that, however many come or little there is', () => {
+	const queue = LimitQueue.create(new MovedClock(1000));
+	const waits = Array.from({length: 500}, (_, index) => queue.comeBackAfter({
+		service: 's', urgency: 1, untilRoom: 1e9, rate: index % 2,
+	}));
+	assert.ok(waits.every(wait => wait > 0 && wait <= 10_000));
+	assert.ok(new Set(waits).size > 400, 'and they differ');
+});
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -123,6 +123,15 @@
 		return this.replicas.get(id);
 	}
 
+	/**
+	 * @param start - Names a start of a replica.
+	 * @returns The replica; `undefined` where that start is not listed.
+	 */
+	ofStart(start: string): Replica | undefined {
+		const born = start.lastIndexOf('/');
+		return [start, start.slice(0, Math.max(0, born))].map(id => this.replicas.get(id)).find(replica => replica?.start === start);
+	}
+
 	/**
 	 * @param entries - All that are listed now.
 	 * @param revision - Revision of the list.
--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -1,28 +1,86 @@
 /**
- * What replicas in need say of how many requests a second they take of all boxes together.
+ * What replicas in need say of how many requests a second they take of all boxes together, and when this box may send to them.
+ *
+ * @remarks Source: docs/DESIGN.md, "Limits that replicas name".
  */
 import type {Clock} from '../base/clock.js';
 import type {EventFields, EventLog} from '../base/event-log.js';
 import type {EventName} from '../base/event-catalogue.js';
+import {
+	ownSlots, slotLifetime, type Slot, type Stretch,
+} from './limit-slots.js';
 import type {Replica} from './replica.js';
 
-/** A replica's word on its limit; the newest counts. */
-export type LimitWord = {
+/** A replica's word on its limit as boxes tell it; the newest counts. */
+export type ToldLimit = {
+	/** Names the start of the replica. */
+	readonly start: string;
 	/** Requests a second; `undefined` where the replica names no limit any more. */
+	readonly limit: number | undefined;
+	/** Milliseconds since it said so. */
+	readonly age: number;
+};
+
+/** How a box came to know a word: what it was told in a digest it tells nobody, or words would go round and grow young by it. */
+export type LimitSource = 'answer' | 'box' | 'digest';
+
+/** What the limits need. */
+export type ReplicaLimitServices = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	/** @returns Milliseconds of the boxes' common time. */
+	readonly commonTime: () => number;
+	/** @returns The part of the slots at replicas of a service that is this box's. */
+	readonly stretch: (service: string) => Stretch;
+	/** @returns The listed replica of a start. */
+	readonly listed: (start: string) => Replica | undefined;
+};
+
+/** A word that is known. */
+type LimitWord = {
 	readonly limit: number | undefined;
 	/**
 	 * Monotonic milliseconds: when a limit was heard, and when the request was sent whose answer names none, since that answer may have been made before one
 	 * that names a limit and was heard first.
 	 */
 	readonly at: number;
+	readonly source: LimitSource;
+	/** Monotonic milliseconds since which this limit has been known. */
+	readonly changedAt: number;
 };
 
-/** What the limits need. */
-export type ReplicaLimitServices = {
-	readonly clock: Clock;
-	readonly log: EventLog;
+/** A slot of this box that has begun. */
+type OpenSlot = Slot & {
+	/** Common time until which it may be used. */
+	readonly until: number;
 };
 
+/** This box's slots at a replica. */
+type SlotBook = {
+	/**
+	 * Common time up to which slots were looked for. Each is given to a box as it begins, and is not looked at again: limits and parts change, and a
+	 * slot that two boxes each came to own for a while would be used twice.
+	 */
+	readonly lookedUntil: number;
+	readonly open: readonly OpenSlot[];
+};
+
+/** Requests a second that are sent whatever is named: who gets none cannot say that it is well again. */
+const trialRate = 0.1;
+/** Milliseconds without a word of a limited replica, from any box, after which it gets a request before others do: nothing else tells when it is well again. */
+const trialAge = 5000;
+/** Milliseconds that may pass from the beginning of a slot's end until its request is sent: a connection has to come up. */
+const sendingTime = 500;
+/** Milliseconds by which common time may be set back, when others are heard, without slots being looked for anew. */
+const longestSetback = 1000;
+/** Milliseconds for which it is told that a replica names no limit any more. */
+const endMemory = 10_000;
+/** Milliseconds for which a large fleet is told of a change with each message. */
+const newsTime = 2500;
+/** Limits in one message at most; which of more are told changes from one to the next. */
+export const mostLimitsTold = {small: 64, large: 12} as const;
+/** Words kept at most of replicas that are not listed yet. */
+const mostUnlisted = 1024;
 /** Milliseconds between two lines on one replica: it may name another limit with every answer. */
 const lineInterval = 1000;
 
@@ -38,16 +96,110 @@
 
 	/** By start of the replica. */
 	private readonly words = new Map<string, LimitWord>();
-	private readonly toldAt = new Map<string, number>();
+	private readonly books = new Map<string, SlotBook>();
+	/** When each event was last logged, by start of the replica. */
+	private readonly loggedAt = new Map<string, Map<EventName, number>>();
+	private tellings = 0;
+
+	private constructor(private readonly parts: ReplicaLimitServices) {}
 
-	private constructor(private readonly services: ReplicaLimitServices) {}
+	/** Services that have limited replicas. */
+	get services(): readonly string[] {
+		return [...new Set(this.limited.map(({entry}) => entry.service))];
+	}
+
+	/** Listed replicas that have named limits. */
+	get limited(): readonly Replica[] {
+		const starts = [...this.words].filter(([, {limit}]) => limit !== undefined).map(([start]) => start);
+		return starts.map(start => this.parts.listed(start)).filter(replica => replica !== undefined);
+	}
 
 	/**
 	 * @param replica - A replica.
 	 * @returns Requests a second that it takes of all boxes; `undefined` where it has named no limit.
 	 */
 	limitOf({start}: Replica): number | undefined {
-		return this.words.get(start)?.limit;
+		return this.words.size === 0 ? undefined : this.words.get(start)?.limit;
+	}
+
+	/**
+	 * @param replica - A replica.
+	 * @returns Requests a second that are this box's part of its limit; without end where it has named none.
+	 */
+	partOf(replica: Replica): number {
+		const limit = this.limitOf(replica);
+		return limit === undefined ? Number.POSITIVE_INFINITY : usedLimit(limit) * this.parts.stretch(replica.entry.service).length;
+	}
+
+	/**
+	 * @param replica - A replica.
+	 * @returns Whether this box may send it a request now, as far as its limit is concerned.
+	 */
+	hasRoom(replica: Replica): boolean {
+		return this.limitOf(replica) === undefined || this.openSlots(replica).length > 0;
+	}
+
+	/**
+	 * @param replica - A replica.
+	 * @returns Whether it should get the next request for the sake of its answer.
+	 */
+	isDue(replica: Replica): boolean {
+		const word = this.words.get(replica.start);
+		return word?.limit !== undefined && this.parts.clock.monotonic() - word.at > trialAge && this.hasRoom(replica);
+	}
+
+	/**
+	 * Takes this box's slot for a request.
+	 *
+	 * @param replica - A replica that has room.
+	 * @returns The slot; `undefined` where it has named no limit.
+	 */
+	take(replica: Replica): Slot | undefined {
+		if (this.limitOf(replica) === undefined) {
+			return undefined;
+		}
+
+		const [slot, ...others] = this.openSlots(replica);
+		if (slot) {
+			const rest = slot.requests > 1 ? [{...slot, requests: slot.requests - 1}] : [];
+			this.books.set(replica.start, {...this.books.get(replica.start)!, open: [...rest, ...others]});
+		}
+
+		return slot;
+	}
+
+	/**
+	 * Looks again when a request is about to be sent: a connection may have taken its time, and a limit may have come meanwhile.
+	 *
+	 * @param replica - Where it goes.
+	 * @param slot - What was taken for it.
+	 * @returns Whether it may be sent.
+	 */
+	maySend(replica: Replica, slot: Slot | undefined): boolean {
+		const limit = this.limitOf(replica);
+		if (limit === undefined) {
+			return true;
+		}
+
+		const isInTime = slot !== undefined && this.parts.commonTime() - slot.at <= slotLifetime(usedLimit(limit)) + sendingTime;
+		return isInTime || this.take(replica) !== undefined;
+	}
+
+	/**
+	 * @param replicas - Replicas that have named limits.
+	 * @param place - Requests of this box that go before.
+	 * @param horizon - Milliseconds to look ahead.
+	 * @returns Milliseconds until one of them has room; without end where that is behind the horizon.
+	 */
+	untilRoom(replicas: readonly Replica[], place: number, horizon: number): number {
+		const now = this.parts.commonTime();
+		const slots = replicas.flatMap(replica => [...this.openSlots(replica), ...this.ownSlots(replica, now, now + horizon)]).sort((left, right) => left.at - right.at);
+		let before = place;
+		const found = slots.find(({requests}) => {
+			before -= requests;
+			return before < 0;
+		});
+		return found ? Math.max(0, found.at - now) : Number.POSITIVE_INFINITY;
 	}
 
 	/**
@@ -63,36 +215,130 @@
 			return;
 		}
 
-		const {clock} = this.services;
 		if (limit !== undefined || this.limitOf(replica) !== undefined) {
-			this.take(replica, {limit, at: limit === undefined ? sentAt : clock.monotonic()});
+			this.takeWord(replica.start, {limit, at: limit === undefined ? sentAt : this.parts.clock.monotonic(), source: 'answer'});
+		}
+	}
+
+	/**
+	 * @param isWhole - Whether all is told, not only what has changed lately.
+	 * @param sources - Whose words are told.
+	 * @param most - Limits to tell at most.
+	 * @returns What to tell other boxes; `undefined` where that is nothing.
+	 */
+	told(isWhole: boolean, sources: readonly LimitSource[], most: number): readonly ToldLimit[] | undefined {
+		if (this.words.size === 0) {
+			return undefined;
+		}
+
+		this.lookForSlots();
+		const now = this.parts.clock.monotonic();
+		const since = now - (isWhole ? Number.POSITIVE_INFINITY : newsTime);
+		const words = [...this.words]
+			.filter(([, {source, changedAt}]) => sources.includes(source) && changedAt >= since)
+			.map(([start, {limit, at}]) => ({start, limit, age: Math.max(0, Math.round(now - at))}))
+			.filter(({limit, age}) => limit !== undefined || age <= endMemory);
+		this.tellings++;
+		const first = words.length <= most ? 0 : (this.tellings * most) % words.length;
+		const told = [...words.slice(first), ...words.slice(0, first)].slice(0, most);
+		return told.length > 0 ? told : undefined;
+	}
+
+	/**
+	 * Takes what another box tells.
+	 *
+	 * @param words - What it tells.
+	 * @param source - Whether it tells what it has heard from replicas itself.
+	 */
+	takeTold(words: readonly ToldLimit[], source: LimitSource): void {
+		const now = this.parts.clock.monotonic();
+		for (const {start, limit, age} of words) {
+			this.takeWord(start, {limit, at: now - age, source});
 		}
 	}
 
 	/** @param replica - A replica that is listed no longer, or another start of which has taken its id. */
 	forget({start}: Replica): void {
 		this.words.delete(start);
-		this.toldAt.delete(start);
+		this.books.delete(start);
+		this.loggedAt.delete(start);
 	}
 
-	private take(replica: Replica, word: LimitWord): void {
-		const known = this.words.get(replica.start);
-		if (known && known.at >= word.at) {
+	private takeWord(start: string, {limit, at, source}: Omit<LimitWord, 'changedAt'>): void {
+		const known = this.words.get(start);
+		if (known && known.at >= at) {
 			return;
 		}
 
-		this.words.set(replica.start, word);
-		if (known?.limit !== word.limit) {
-			this.tell(word.limit === undefined ? 'replicaLimitEnded' : 'replicaLimited', replica, {limit: word.limit, before: known?.limit});
+		const isChange = known?.limit !== limit;
+		const replica = this.parts.listed(start);
+		if (isChange && replica && known?.limit !== undefined) {
+			this.openSlots(replica);
+		}
+
+		this.words.set(start, {
+			limit, at, source, changedAt: known && !isChange ? known.changedAt : this.parts.clock.monotonic(),
+		});
+		if (!isChange) {
+			return;
+		}
+
+		if (known?.limit === undefined) {
+			this.books.set(start, {lookedUntil: this.parts.commonTime(), open: []});
+		}
+
+		if (replica) {
+			const age = Math.round(this.parts.clock.monotonic() - at);
+			this.tell(limit === undefined ? 'replicaLimitEnded' : 'replicaLimited', replica, {
+				limit, before: known?.limit, source, age,
+			});
+		} else {
+			this.dropUnlisted();
 		}
 	}
 
+	/** A word may come before the list that names its replica; of those whose replica never comes the oldest go. */
+	private dropUnlisted(): void {
+		const unlisted = [...this.words.keys()].filter(start => !this.parts.listed(start));
+		for (const start of unlisted.slice(0, Math.max(0, unlisted.length - mostUnlisted))) {
+			this.words.delete(start);
+			this.books.delete(start);
+		}
+	}
+
+	/** Looks for slots of all limited replicas: with each round of the exchange, so that none waits long to be given to a box. */
+	private lookForSlots(): void {
+		for (const replica of this.limited) {
+			this.openSlots(replica);
+		}
+	}
+
+	/** This box's slots that have begun and may still be used. */
+	private openSlots(replica: Replica): readonly OpenSlot[] {
+		const now = this.parts.commonTime();
+		const limit = usedLimit(this.limitOf(replica) ?? 0);
+		const {lookedUntil, open} = this.books.get(replica.start) ?? {lookedUntil: now, open: []};
+		const from = lookedUntil > now + longestSetback ? now : lookedUntil;
+		const until = Math.max(from, now);
+		const begun = this.ownSlots(replica, Math.max(from, now - slotLifetime(limit)), now).map(slot => ({...slot, until: slot.at + slotLifetime(limit)}));
+		const all = [...open, ...begun].filter(slot => slot.until > now);
+		this.books.set(replica.start, {lookedUntil: until, open: all});
+		return all;
+	}
+
+	private ownSlots(replica: Replica, after: number, until: number): readonly Slot[] {
+		const stretch = this.parts.stretch(replica.entry.service);
+		return ownSlots({start: replica.start, limit: usedLimit(this.limitOf(replica) ?? 0), stretch}, after, until);
+	}
+
 	private tell(event: EventName, {start, entry}: Replica, fields: EventFields = {}): void {
-		const now = this.services.clock.monotonic();
-		const key = `${event} ${start}`;
-		if (now - (this.toldAt.get(key) ?? Number.NEGATIVE_INFINITY) >= lineInterval) {
-			this.toldAt.set(key, now);
-			this.services.log.write(event, {replica: entry.id, service: entry.service, ...fields});
+		const now = this.parts.clock.monotonic();
+		const logged = this.loggedAt.get(start) ?? new Map<EventName, number>();
+		if (now - (logged.get(event) ?? Number.NEGATIVE_INFINITY) >= lineInterval) {
+			this.loggedAt.set(start, logged.set(event, now));
+			this.parts.log.write(event, {replica: entry.id, service: entry.service, ...fields});
 		}
 	}
 }
+
+const usedLimit = (limit: number): number => Math.max(trialRate, limit);
--- /dev/null
+++ b/src/replicas/test/replica-limits.test.ts
@@ -0,0 +1,176 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {EventLog, type EventFields} from '../../base/event-log.js';
+import type {EventName} from '../../base/event-catalogue.js';
+import {Replica} from '../replica.js';
+import {mostLimitsTold, ReplicaLimits} from '../replica-limits.js';
+
+/** Milliseconds of the boxes' common time at which the clock shows zero. */
+const epoch = 1_764_700_000_000;
+const limit = 2;
+
+class KeptLog extends EventLog {
+	readonly names: EventName[] = [];
+
+	override write(name: EventName, _: EventFields = {}): void {
+		this.names.push(name);
+	}
+}
+
+function boxAt(clock: MovedClock, length = 1) {
+	const replicaOf = (id: string, bornAt = 7) => Replica.create({
+		id, bornAt, software: '1', revision: 1, service: 's', host: '10.1.0.1', port: 1, dataCentre: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined,
+	}, clock);
+	const listed = new Map(['i-1', 'i-2'].map(id => [id, replicaOf(id)]));
+	const log = new KeptLog();
+	const limits = ReplicaLimits.create({
+		clock, log, commonTime: () => epoch + clock.now, stretch: () => ({from: 0, length}), listed: start => [...listed.values()].find(replica => replica.start === start),
+	});
+	return {
+		limits, log, replica: listed.get('i-1')!, other: listed.get('i-2')!, replicaOf,
+	};
+}
+
+test('an answer that names no limit ends it, but not one whose request was sent before the limit was heard', () => {
+	const clock = new MovedClock(1000);
+	const {limits, log, replica} = boxAt(clock);
+	limits.noteAnswer(replica, limit, 900);
+	limits.noteAnswer(replica, undefined, 950);
+	assert.equal(limits.limitOf(replica), limit, 'it may have been made before');
+	clock.now = 2000;
+	limits.noteAnswer(replica, undefined, 1500);
+	assert.equal(limits.limitOf(replica), undefined);
+	limits.noteAnswer(replica, undefined, 1600);
+	assert.deepEqual(log.names, ['replicaLimited', 'replicaLimitEnded']);
+});
+
+test('of two words of different boxes the newer one counts, in whichever order they come', () => {
+	for (const isLimitFirst of [true, false]) {
+		const clock = new MovedClock(10_000);
+		const {limits, replica} = boxAt(clock);
+		const {start} = replica;
+		const words = [{start, limit, age: 900}, {start, limit: undefined, age: 300}];
+		for (const word of isLimitFirst ? words : words.toReversed()) {
+			limits.takeTold([word], 'box');
+		}
+
+		assert.equal(limits.limitOf(replica), undefined);
+	}
+});
+
+test('a box tells what it heard itself, an aggregator also what boxes told it, and nobody what a digest told', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, replica, other} = boxAt(clock);
+	limits.noteAnswer(replica, limit, 9000);
+	limits.takeTold([{start: other.start, limit: 3, age: 40}], 'box');
+	limits.takeTold([{start: 'i-9/7', limit: 4, age: 40}], 'digest');
+	clock.now += 5000;
+	assert.deepEqual(limits.told(true, ['answer'], 10), [{start: replica.start, limit, age: 5000}]);
+	assert.deepEqual(limits.told(true, ['answer', 'box'], 10)?.map(({start}) => start), [replica.start, other.start]);
+	assert.equal(limits.told(false, ['answer', 'box'], 10), undefined, 'nothing has changed lately');
+});
+
+test('that a limit has ended is told for a while', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, replica} = boxAt(clock);
+	limits.noteAnswer(replica, limit, 9000);
+	clock.now = 11_000;
+	limits.noteAnswer(replica, undefined, 10_500);
+	assert.deepEqual(limits.told(true, ['answer'], 10), [{start: replica.start, limit: undefined, age: 500}]);
+	clock.now = 30_000;
+	assert.equal(limits.told(true, ['answer'], 10), undefined);
+});
+
+test('of more limits than a message holds all are told in turn', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, replicaOf} = boxAt(clock);
+	const replicas = Array.from({length: 40}, (_, index) => replicaOf(`i-${index}`));
+	for (const replica of replicas) {
+		limits.noteAnswer(replica, limit, 9000);
+	}
+
+	const told = Array.from({length: 4}, () => limits.told(true, ['answer'], mostLimitsTold.large)!);
+	assert.ok(told.every(({length}) => length === mostLimitsTold.large));
+	assert.equal(new Set(told.flat().map(({start}) => start)).size, 40);
+});
+
+test('a limit that cannot be read changes nothing and is told once a second at most; so is one that changes with each answer', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, log, replica} = boxAt(clock);
+	limits.noteAnswer(replica, limit, 9000);
+	for (let index = 0; index < 20; index++) {
+		clock.now += 100;
+		limits.noteAnswer(replica, 'unreadable', clock.now);
+	}
+
+	assert.equal(limits.limitOf(replica), limit);
+	assert.equal(log.names.filter(name => name === 'replicaLimitUnreadable').length, 2);
+	for (let index = 0; index < 40; index++) {
+		clock.now += 50;
+		limits.noteAnswer(replica, index, clock.now);
+	}
+
+	assert.ok(log.names.filter(name => name === 'replicaLimited').length <= 4);
+});
+
+test('another start of a replica has named nothing', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, replica, replicaOf} = boxAt(clock);
+	limits.noteAnswer(replica, limit, 9000);
+	assert.equal(limits.limitOf(replicaOf('i-1', 8)), undefined);
+	limits.forget(replica);
+	assert.equal(limits.limitOf(replica), undefined);
+});
+
+test('before a limit is known there is room; from then on each slot is used once, and what comes too late for its slot is not sent', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, replica} = boxAt(clock);
+	assert.ok(limits.hasRoom(replica));
+	assert.equal(limits.take(replica), undefined);
+	assert.ok(limits.maySend(replica, undefined));
+	limits.noteAnswer(replica, limit, 9000);
+	assert.ok(!limits.hasRoom(replica), 'what would have been its own before is no credit');
+	assert.ok(!limits.maySend(replica, undefined), 'what was chosen before the limit came is not sent either');
+	const taken = Array.from({length: 200}, () => {
+		clock.now += 50;
+		return limits.take(replica);
+	}).filter(slot => slot !== undefined);
+	assert.equal(taken.length, 20);
+	assert.equal(new Set(taken.map(({at}) => at)).size, 20);
+	const last = taken.at(-1)!;
+	assert.ok(limits.maySend(replica, last));
+	clock.now += 400;
+	limits.take(replica);
+	clock.now = last.at - epoch + 1600;
+	while (limits.take(replica)) {
+		// Whatever else has room is used up.
+	}
+
+	assert.ok(!limits.maySend(replica, last));
+});
+
+test('who has not been heard of for long gets the next request', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, replica} = boxAt(clock);
+	limits.noteAnswer(replica, 0, 9000);
+	const dueAfter = Array.from({length: 30}, () => {
+		clock.now += 1000;
+		return limits.isDue(replica);
+	}).indexOf(true);
+	assert.ok(dueAfter >= 4 && dueAfter <= 15, `due after ${dueAfter + 1} s`);
+	limits.noteAnswer(replica, undefined, clock.now);
+	assert.ok(!limits.isDue(replica));
+});
+
+test('the time until there is room counts those that go before', () => {
+	const clock = new MovedClock(10_000);
+	const {limits, replica} = boxAt(clock);
+	limits.noteAnswer(replica, limit, 9000);
+	const waits = [0, 1, 2].map(place => limits.untilRoom([replica], place, 5000));
+	assert.ok(waits[0]! <= 500 && waits[0]! >= 0);
+	assert.deepEqual(waits.slice(1).map((wait, index) => Math.round(wait - waits[index]!)), [500, 500]);
+	assert.equal(limits.untilRoom([replica], 0, 0), Number.POSITIVE_INFINITY);
+	clock.now += waits[0]!;
+	assert.ok(limits.hasRoom(replica));
+});
