--- a/src/claims/test/claim-shard.test.ts
+++ b/src/claims/test/claim-shard.test.ts
@@ -3,7 +3,8 @@
  * notes to write when the store went away; the shard they belong to refused everything at once for the rest of its pause, up to
  * 750 ms after the store was back, and a call whose key falls into that shard (one of sixteen) was among it: 503 `claim-unavailable`
  * after 31 ms in place of 409. It was refused so too where another box wrote to the shard just before this one, as the box of the cut call
- * does: a write that came too late counted as a failure of the store (503 after 49 ms, in one of two whole suites).
+ * does: a write that came too late counted as a failure of the store (503 after 49 ms, in one of two whole suites). And it was refused where it
+ * came in the very moment of a try, between two pauses (503 `claim-unavailable` in one of 33 runs of the test of a box that had notes to write).
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
@@ -35,6 +36,28 @@
 	assert.ok(Exit.isSuccess(await waiting));
 });
 
+test('what comes while a try is under way is not refused: the store is back', async () => {
+	const store = FakeObjectStore.create(new FakeObjects(() => performance.now()));
+	const shard = shardOver(store);
+	store.isOut = true;
+	const waiting = look(shard, 'a');
+	await pause(longOutage);
+	store.isOut = false;
+	const exits: Array<Promise<Exit.Exit<unknown, unknown>>> = [];
+	let isBack = false;
+	void waiting.then(() => {
+		isBack = true;
+	});
+	// One of them comes while the try reads, which takes five milliseconds.
+	while (!isBack) {
+		exits.push(look(shard, `b-${exits.length}`));
+		await pause(1);
+	}
+
+	const refused = await Promise.all(exits.map(async exit => Exit.isFailure(await exit)));
+	assert.deepEqual(refused.filter(Boolean), [], `of ${refused.length}`);
+});
+
 /** Objects that another box writes just before a write of this one. */
 class ContestedObjects extends FakeObjects {
 	/** Writes that come too late. */
