Claims: what comes while the store is tried waits for that try

What a caller saw: 503 claim-unavailable, not run, in place of 409, though the store was back. Cause: while a shard's store fails, an operation was refused at once unless the committer paused; in the moment of a try it did not pause, and the try that would find the store back was under way.

Change: what comes during a try waits for it, 300 ms at most, and shares the next one where that fails. Why it holds: an operation is refused only behind a try that began after it came and failed, or after 300 ms of a store that says nothing.

--- a/src/claims/claim-shard.ts
+++ b/src/claims/claim-shard.ts
@@ -20,7 +20,7 @@
 const operationDeadline = 3000;
 /** Characters a shard may hold; the store takes a megabyte. */
 const largestShard = 900_000;
-/** Milliseconds of failures after which new operations are refused at once. */
+/** Milliseconds of failures after which new operations wait for one try at most. */
 const outageDelay = 1000;
 /** Milliseconds that an operation nobody waits for stays open for others to share its write. */
 const patience = 400;
@@ -29,6 +29,9 @@
 /** Milliseconds into a pause at which new operations end it, to find out whether the store is back; they share that try. */
 const shortestPause = 100;
 
+/** Milliseconds that an operation waits at most for a try while the store fails. */
+const outagePatience = 3 * shortestPause;
+
 /** The claims of a shard by request. */
 export type ClaimEntries = Readonly<Record<string, ClaimEntry>>;
 
@@ -106,10 +109,6 @@
 	): Effect.Effect<T, ClaimUnavailable> {
 		return Effect.suspend(() => {
 			const isOut = this.isOut();
-			if (isOut && !this.endPause) {
-				return Effect.fail(new ClaimUnavailable({mayBeRecorded: false, detail: 'the Object API does not answer'}));
-			}
-
 			const operation: Operation = {
 				name,
 				decide,
@@ -121,6 +120,7 @@
 			this.waiting.push(operation);
 			if (isOut) {
 				this.endPauseSoon();
+				this.giveUpSoon(operation);
 			} else if (urgency === 'urgent') {
 				this.startCommitting();
 			} else {
@@ -134,7 +134,7 @@
 		});
 	}
 
-	/** While the store fails, what waits already tries it; the rest is refused at once. */
+	/** While the store fails, what comes shares one try, and is refused with it or soon. */
 	private isOut(): boolean {
 		return this.isCommitting && this.failingSince !== undefined
 			&& this.services.clock.monotonic() - this.failingSince > outageDelay;
@@ -146,6 +146,10 @@
 	 */
 	private endPauseSoon(): void {
 		const {endPause} = this;
+		if (!endPause) {
+			return;
+		}
+
 		setTimeout(() => {
 			// Another pause may have begun since.
 			if (this.endPause === endPause) {
@@ -154,6 +158,16 @@
 		}, Math.max(0, this.pausedAt + shortestPause - this.services.clock.monotonic()));
 	}
 
+	/** What comes while a try is under way waits for it, since the store may answer it: but not for as long as one that is silent may take. */
+	private giveUpSoon(operation: Operation): void {
+		setTimeout(() => {
+			if (this.waiting.includes(operation) && this.failingSince !== undefined) {
+				this.waiting = this.waiting.filter(other => other !== operation);
+				refuse(operation, 'the Object API does not answer');
+			}
+		}, outagePatience);
+	}
+
 	/** One committer a shard and box; it outlives the callers that wait, for others may wait with them. */
 	private startCommitting(): void {
 		if (this.isCommitting || this.waiting.length === 0) {
@@ -194,6 +208,10 @@
 				this.endPause = undefined;
 				resume(Effect.void);
 			};
+
+			if (this.waiting.some(({endsPause}) => endsPause)) {
+				this.endPauseSoon();
+			}
 		});
 		return Effect.raceFirst(Effect.sleep(milliseconds), woken).pipe(Effect.ensuring(Effect.sync(() => {
 			this.endPause = undefined;
@@ -304,9 +322,7 @@
 		const isFailing = this.failingSince !== undefined;
 		const isOver = ({endsAt, endsPause}: Operation): boolean => endsAt <= now || (endsPause && isFailing);
 		for (const operation of batch.filter(one => isOver(one))) {
-			Deferred.doneUnsafe(operation.done, Effect.fail(new ClaimUnavailable({
-				mayBeRecorded: operation.mayBeRecorded, detail: 'the Object API did not take the claim in time',
-			})));
+			refuse(operation, 'the Object API did not take the claim in time');
 		}
 
 		return batch.filter(one => !isOver(one));
@@ -356,9 +372,13 @@
 function refuseAll(batch: readonly Operation[], detail: string): Effect.Effect<boolean> {
 	return Effect.sync(() => {
 		for (const operation of batch) {
-			Deferred.doneUnsafe(operation.done, Effect.fail(new ClaimUnavailable({mayBeRecorded: operation.mayBeRecorded, detail})));
+			refuse(operation, detail);
 		}
 
 		return true;
 	});
 }
+
+function refuse({done, mayBeRecorded}: Operation, detail: string): void {
+	Deferred.doneUnsafe(done, Effect.fail(new ClaimUnavailable({mayBeRecorded, detail})));
+}
--- a/src/claims/test/claim-shard.test.ts
+++ b/src/claims/test/claim-shard.test.ts
@@ -44,12 +44,12 @@
 	await pause(longOutage);
 	store.isOut = false;
 	const exits: Array<Promise<Exit.Exit<unknown, unknown>>> = [];
-	let isBack = false;
+	const back = new AbortController();
 	void waiting.then(() => {
-		isBack = true;
+		back.abort();
 	});
 	// One of them comes while the try reads, which takes five milliseconds.
-	while (!isBack) {
+	while (!back.signal.aborted) {
 		exits.push(look(shard, `b-${exits.length}`));
 		await pause(1);
 	}
