The fleet's size counts a replica that has named a limit as what it gives

A replica that takes one request a second stood for a whole one: the fleet stayed as large as the load needs, with that one among them. What limited replicas give less than their part of all requests is missing, and so many more are ordered while the limits last and ten seconds longer; the need that stands in the record is left as it is, so that it goes with the limits. fleetSized tells what is missing.

Test (fleet-take-over.test.ts): 20 of 80 replicas that take a fifth of their part bring 16 to 36 more orders than without, and none more 18 s after the limits have ended.

--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -17,6 +17,7 @@
 import {FirstFleetCount} from './first-fleet-count.js';
 import type {FleetPolicy} from './fleet-plan.js';
 import {FleetSizes, type FleetSize} from './fleet-size.js';
+import {LostCapacity} from './lost-capacity.js';
 import {OrderBook} from './order-book.js';
 
 /** Part of the replicas ordered in a data centre that must serve there: single ones crash and come back. */
@@ -31,6 +32,8 @@
 	/** @returns What is asked of a service at all boxes together. */
 	readonly demand: (service: string) => FleetDemand;
 	readonly policy: FleetPolicy;
+	/** @returns Requests a second that a replica takes of all boxes; `undefined` where it has named no limit. */
+	readonly limitOf: (replica: Replica) => number | undefined;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
@@ -41,6 +44,8 @@
 	readonly scaling: Scaling;
 	readonly first: FirstFleet;
 	readonly size: FleetSize;
+	/** Replicas that are missing since others have named limits. */
+	readonly lost: number;
 };
 
 /** The duty. */
@@ -56,11 +61,13 @@
 	private readonly orders: OrderBook;
 	private readonly firstFleet: FirstFleetCount;
 	private readonly sizes: FleetSizes;
+	private readonly lost: LostCapacity;
 
 	private constructor(private readonly services: FleetDutyServices) {
 		this.orders = OrderBook.create(services.clock);
 		this.firstFleet = FirstFleetCount.create(services.replicas, services.clock);
 		this.sizes = FleetSizes.create(services.clock);
+		this.lost = LostCapacity.create(services.clock);
 	}
 
 	/** Notes the load as it is now; a box that takes the duties over knows of it then. */
@@ -102,14 +109,20 @@
 
 	private fleetOf({name, scaling}: Service, record: DutyRecord): Fleet {
 		const first = this.firstFleet.of(record, name);
+		const lost = this.lostOf(name);
 		const size = this.sizes.of({
-			fleet: first, isScarce: this.orders.isScarce(name), isWhole: this.isWhole(name, record.orders), serving: this.services.replicas.ready(name).length, bootTime: scaling!.bootTime,
+			fleet: first, isScarce: this.orders.isScarce(name), isWhole: this.isWhole(name, record.orders), serving: this.services.replicas.ready(name).length - lost, bootTime: scaling!.bootTime,
 		});
 		return {
-			service: name, scaling: scaling!, first, size,
+			service: name, scaling: scaling!, first, size, lost,
 		};
 	}
 
+	private lostOf(name: string): number {
+		const {replicas, limitOf, demand} = this.services;
+		return this.lost.of(name, replicas.ready(name).map(replica => limitOf(replica) ?? Number.POSITIVE_INFINITY), demand(name).rate);
+	}
+
 	/**
 	 * Whether what was ordered serves. A holder that has only begun knows of no order that was refused, but it sees what is
 	 * missing.
@@ -121,11 +134,11 @@
 			.every(({dataCentre, reclaimable, kept}) => countOf(ready, dataCentre, true) + countOf(ready, dataCentre, false) >= (reclaimable + kept) * wholePart);
 	}
 
-	private tellSize({service, first, size: {needed, leastNow}}: Fleet): void {
+	private tellSize({service, first, size: {needed, leastNow}, lost}: Fleet): void {
 		const {log, replicas, demand} = this.services;
 		const {reading, readRate, goal, boxes} = demand(service);
 		log.write('fleetSized', {
-			service, needed, leastNow, baseline: first.replicas, ...this.sizes.lastLoad(service), isScarce: this.orders.isScarce(service), serving: replicas.ready(service).length,
+			service, needed, leastNow, lost, baseline: first.replicas, ...this.sizes.lastLoad(service), isScarce: this.orders.isScarce(service), serving: replicas.ready(service).length,
 			tokensToRead: reading, readRate: Math.round(readRate), goal: Math.round(goal), boxes,
 		});
 	}
@@ -151,7 +164,7 @@
 		});
 	}
 
-	private planOf({service: name, scaling, first, size}: Fleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
+	private planOf({service: name, scaling, first, size: {needed, leastNow}, lost}: Fleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
 		const {replicas, policy} = this.services;
 		const ready = replicas.ready(name);
 		const dataCentres = [...scaling.dataCentrePrices.keys()];
@@ -159,7 +172,9 @@
 			service: name,
 			scaling,
 			dataCentres,
-			...size,
+			// What was needed stands in the record; what is missing goes with the limits.
+			needed: needed + lost,
+			leastNow: leastNow + lost,
 			baseline: first.replicas,
 			isSettled: first.isSettled === true,
 			isIdle: ready.every(({work}) => work.requests === 0),
--- a/src/duties/test/fleet-take-over.test.ts
+++ b/src/duties/test/fleet-take-over.test.ts
@@ -8,6 +8,7 @@
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {OneObjectStore} from '../../../development/harness/one-object-store.js';
 import {SilentEventLog} from '../../base/event-log.js';
+import type {Replica} from '../../replicas/replica.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
 import {RouteTableView} from '../../routes/route-table-view.js';
 import {DutyCalls, DutyRefusal, type ReplicaOrder} from '../duty-calls.js';
@@ -48,7 +49,7 @@
 	}
 }
 
-const openFleet = (dryDataCentre: string | undefined, demand: () => FleetDemand) => {
+const openFleet = (dryDataCentre: string | undefined, demand: () => FleetDemand, limitOf: (replica: Replica) => number | undefined = () => undefined) => {
 	const clock = new MovedClock(1000);
 	const log = SilentEventLog.create();
 	const store = new OneObjectStore();
@@ -79,7 +80,7 @@
 	});
 	const lease = leaseOf('next');
 	const duty = FleetDuty.create({
-		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(), demand,
+		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(), demand, limitOf,
 	});
 	return {
 		clock, calls, lease, duty, former: leaseOf('former'),
@@ -88,7 +89,7 @@
 
 /** What one box of eighty made of the load, second 23 of the day on which it was seen. */
 const demandSeen: FleetDemand = {
-	requests: 37, reading: 300_000, readRate: 30_000, goal: 1000, residualReading: 140, missedPart: 0, boxes: 80,
+	requests: 37, reading: 300_000, readRate: 30_000, goal: 1000, residualReading: 140, rate: 20, missedPart: 0, boxes: 80,
 };
 
 const takeOver = async ({clock, lease, duty, former}: ReturnType<typeof openFleet>) => {
@@ -134,3 +135,29 @@
 	await takeOver(fleet);
 	assert.deepEqual(fleet.calls.taken.filter(({count, isReclaimable}) => isReclaimable && count < orderedEach), []);
 });
+
+test('replicas that have named limits count as what they give, and as whole again soon after', async () => {
+	// Each of 80 replicas would get five requests a second.
+	const demand: FleetDemand = {...demandSeen, requests: 1500, rate: 400};
+	let limit: number | undefined = 1;
+	const isLimited = ({entry}: Replica): boolean => entry.dataCentre === 'a';
+	const totalOf = ({calls}: ReturnType<typeof openFleet>): number => dataCentres
+		.map(dataCentre => calls.taken.findLast(order => order.dataCentre === dataCentre && order.isReclaimable)?.count ?? orderedEach)
+		.reduce((sum, count) => sum + count, 0);
+	const fleet = openFleet(undefined, () => demand, replica => isLimited(replica) ? limit : undefined);
+	const plain = openFleet(undefined, () => demand);
+	await takeOver(fleet);
+	await takeOver(plain);
+	const more = totalOf(fleet) - totalOf(plain);
+	assert.ok(more >= 16 && more <= 36, `${more} more for 20 replicas that give a fifth`);
+	limit = undefined;
+	for (const {clock, duty} of [fleet, plain]) {
+		for (let step = 0; step < 60; step++) {
+			clock.now += 300;
+			duty.observe();
+			await Effect.runPromise(duty.step());
+		}
+	}
+
+	assert.equal(totalOf(fleet), totalOf(plain));
+});
--- a/src/duties/test/fleet-unknown.test.ts
+++ b/src/duties/test/fleet-unknown.test.ts
@@ -42,8 +42,9 @@
 	});
 	const duty = FleetDuty.create({
 		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(),
+		limitOf: () => undefined,
 		demand: () => ({
-			requests: 0, reading: 0, readRate: 0, goal: 0, residualReading: 0, missedPart: 0, boxes: 1,
+			requests: 0, reading: 0, readRate: 0, goal: 0, residualReading: 0, rate: 20, missedPart: 0, boxes: 1,
 		}),
 	});
 	await Effect.runPromise(lease.acquire());
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -100,6 +100,7 @@
 		this.fleet = FleetDuty.create({
 			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: MeasuredLoadPolicy.create(),
 			demand: service => this.demandFor(service),
+			limitOf: replica => services.limits.limitOf(replica),
 		});
 	}
 
--- a/src/replicas/fleet-demand.ts
+++ b/src/replicas/fleet-demand.ts
@@ -10,6 +10,8 @@
 export type FleetDemand = Pick<Demand, 'requests' | 'reading' | 'readRate' | 'goal'> & {
 	/** Milliseconds that a replica still reads when a request finds it reading, on average; zero where too little was seen. */
 	readonly residualReading: number;
+	/** Requests a second that come, answered in time or not. */
+	readonly rate: number;
 	/** Part of the requests whose answers begin late, or that replicas are too short to serve; zero where none came. */
 	readonly missedPart: number;
 	/** Boxes whose word it is. */
@@ -39,6 +41,7 @@
 		residualReading: readRate === 0 || meanTokens === 0
 			? 0
 			: total(({meanSquare}) => meanSquare) / (2 * meanTokens) / readRate * millisecondsPerSecond,
+		rate: outcomes,
 		missedPart: outcomes < leastOutcomes ? 0 : total(({missed}) => missed) / outcomes,
 		boxes: told.length,
 	};
