Idle connections of all boxes go beyond what a replica takes: reproduced, failing

Found in the search for the class of LIMIT, a word that binds all boxes together and is heeded by none: max_conns is read and looked at nowhere. Four boxes that have each sent ten requests at once keep 40 idle connections at a replica that takes 8.

--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -132,6 +132,15 @@
 		this.conduct = {...calm, ...changes};
 	}
 
+	/** @returns Connections that are open to it. */
+	async openConnections(): Promise<number> {
+		return new Promise(resolve => {
+			this.server.getConnections((_, count) => {
+				resolve(count);
+			});
+		});
+	}
+
 	/** Closes all connections and stops. Answers without a length end by a reset: nobody could tell their end from the whole. */
 	async close(): Promise<void> {
 		for (const socket of this.unframed) {
