Idle connections: each box keeps its part of what a replica takes from all

What replicas saw: idle connections of all boxes together beyond max_conns, which they answer by resets; with 87 boxes and 24 each 2,088 at a replica that takes 580. Cause: the number was read and heeded by nobody; class of LIMIT, a word that binds all boxes together. Ruled out: requests in progress, which the choice keeps far below it.

The test waits now until the boxes know each other: before that each takes itself for the only one, for some hundred milliseconds of its life. Why it holds: no box keeps more than its part, whatever the others do; connections in use are not bounded by it.

--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -196,7 +196,9 @@
 		const {link, log, metrics, settings} = this.parts;
 		const {clock, peers, topology} = this;
 		const table = RouteTableView.create(clock, log);
-		const connections = ConnectionBook.create(clock);
+		const connections = ConnectionBook.create(clock, {
+			maximumConnections: service => table.inForce?.service(service)?.maximumConnections ?? Number.POSITIVE_INFINITY, boxes: () => peers.boxes,
+		});
 		const replicas = ReplicaDirectory.create(clock, log);
 		const quarantine = Quarantine.create({
 			clock, log, replicas, isOwner: fingerprint => topology.owns(fingerprint), released: () => settings().released,
--- a/src/node/test/idle-connections.test.ts
+++ b/src/node/test/idle-connections.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {RelayInstallation} from '../../../development/relay/relay-installation.js';
+import {RelayInstallation, until} from '../../../development/relay/relay-installation.js';
 
 const relayCount = 4;
 const mostConnections = 8;
@@ -24,6 +24,8 @@
 
 test('boxes together keep no more idle connections than a replica takes', async () => {
 	const replica = installation.replicas.get('i-1')!;
+	const areAllKnown = () => installation.relays.every(({log}) => new Set(log.lines.filter(({eventName}) => eventName === 'memberHeard').map(({member}) => member)).size === relayCount - 1);
+	await until(areAllKnown);
 	replica.behave({delay: 50});
 	await Promise.all(installation.relays.flatMap(relay => Array.from({length: requestsAtOnce}, async () => installation.call({path: '/calls/x'}, relay))));
 	await pause(settlingTime);
--- a/src/relay/test/end-watch.test.ts
+++ b/src/relay/test/end-watch.test.ts
@@ -30,7 +30,7 @@
 		id: 'i-1', bornAt: 7, software: '1', revision: 1, service: 's', host: '127.0.0.1', port: standin.port, dataCentre: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined,
 	}, clock);
 	const log = new KeepingLog();
-	const connections = ConnectionBook.create(clock);
+	const connections = ConnectionBook.create(clock, {maximumConnections: () => 100, boxes: () => 1});
 	const replicas = ReplicaDirectory.create(clock, log);
 	const quarantine = Quarantine.create({
 		clock, log, replicas, isOwner: () => true, released: () => [],
--- a/src/replicas/replica-connections.ts
+++ b/src/replicas/replica-connections.ts
@@ -15,7 +15,8 @@
 const idleLifetimePart = 0.6;
 /** Milliseconds after which an idle connection is too old for a request that must not be sent again. */
 const freshIdleTime = 1000;
-const largestIdleCount = 24;
+/** Connections that a box keeps idle at most, whatever the replica takes. */
+export const largestIdleCount = 24;
 
 /** No connection to a replica could be made; nothing was sent. */
 export class ConnectionFailure extends Data.TaggedError('ConnectionFailure')<{
@@ -47,10 +48,11 @@
 	 * @param host - IP number.
 	 * @param port - TCP port.
 	 * @param clock - For idle times.
+	 * @param mostIdle - Asked how many connections may be kept idle.
 	 * @returns No connections yet.
 	 */
-	static create(host: string, port: number, clock: Clock): ReplicaConnections {
-		return new ReplicaConnections(host, port, clock);
+	static create(host: string, port: number, clock: Clock, mostIdle: () => number = () => largestIdleCount): ReplicaConnections {
+		return new ReplicaConnections(host, port, clock, mostIdle);
 	}
 
 	/** Connections opened so far. */
@@ -60,7 +62,7 @@
 	private readonly inUse = new Set<Socket>();
 	private isClosed = false;
 
-	private constructor(private readonly host: string, private readonly port: number, private readonly clock: Clock) {}
+	private constructor(private readonly host: string, private readonly port: number, private readonly clock: Clock, private readonly mostIdle: () => number) {}
 
 	/**
 	 * @param needsFresh - Whether the request must not be sent again, so that an old idle connection is not good enough.
@@ -99,7 +101,7 @@
 	release(socket: Socket, lifetime: number | undefined): void {
 		this.inUse.delete(socket);
 		const keep = Math.max(0, (lifetime ?? assumedIdleLifetime) * idleLifetimePart);
-		if (this.isClosed || socket.destroyed || keep === 0 || this.idle.length >= largestIdleCount) {
+		if (this.isClosed || socket.destroyed || keep === 0 || this.idle.length >= this.mostIdle()) {
 			socket.destroy();
 			return;
 		}
