Limits: what they cost an aggregator and the choice of a replica

An aggregator of 86 boxes to which all 84 replicas had named limits spent 1,291 us a message (157 without limits): it looked for slots and services of all of them with each message. Slots are looked for once a round, the limited replicas at most ten times a second, and a word that says nothing new does no more than that. Ruled out: the stretches, which are worked out ten times a second.

--- a/development/bench/exchange.ts
+++ b/development/bench/exchange.ts
@@ -18,11 +18,15 @@
 
 /** Prints a row for each size of the fleet. */
 export async function benchExchange(): Promise<void> {
-	process.stdout.write('| Boxes | Messages/s | Heard | Sent | Processor time a message | Processor time |\n| --- | --- | --- | --- | --- | --- |\n');
-	for (const boxes of sizes) {
+	process.stdout.write('| Boxes | Limits | Messages/s | Heard | Sent | Processor time a message | Processor time |\n| --- | --- | --- | --- | --- | --- | --- |\n');
+	for (const {boxes, areLimited} of sizes.flatMap(size => [false, true].map(flag => ({boxes: size, areLimited: flag})))) {
 		const fleet = ExchangeFleet.create({
 			boxes, replicas, clientAccounts, inProgress,
 		}, SystemClock.create());
+		if (areLimited) {
+			fleet.limitReplicas();
+		}
+
 		for (let round = 0; round < roundsBefore; round++) {
 			fleet.round();
 		}
@@ -34,6 +38,7 @@
 		const spent = fleet.spent - before;
 		const cells = [
 			boxes,
+			areLimited ? replicas : 0,
 			Math.round(total('messages') / seconds),
 			`${Math.round(total('heard') / seconds / millisecondsPerSecond)} KB/s`,
 			`${Math.round(total('sent') / seconds / millisecondsPerSecond)} KB/s`,
--- a/development/bench/main.ts
+++ b/development/bench/main.ts
@@ -1,15 +1,16 @@
 /**
- * Measurements: `npm run bench -- relay`, `capacity`, `leaving`, `exchange`, `streams`.
+ * Measurements: `npm run bench -- relay`, `capacity`, `leaving`, `exchange`, `streams`, `limits`.
  */
 import process from 'node:process';
 import {benchCapacity} from './capacity.js';
 import {benchExchange} from './exchange.js';
 import {benchLeaving} from './leaving.js';
+import {benchLimits} from './limits.js';
 import {benchRelay} from './relay.js';
 import {benchStreams} from './streams.js';
 
 const benches: Readonly<Record<string, () => Promise<void>>> = {
-	relay: benchRelay, capacity: benchCapacity, leaving: benchLeaving, exchange: benchExchange, streams: benchStreams,
+	relay: benchRelay, capacity: benchCapacity, leaving: benchLeaving, exchange: benchExchange, streams: benchStreams, limits: benchLimits,
 };
 const name = process.argv[2] ?? '';
 const bench = benches[name];
--- a/development/harness/limit-fleet.ts
+++ b/development/harness/limit-fleet.ts
@@ -212,6 +212,7 @@
 		box.round++;
 		box.nextRoundAt = this.now + topology.pause(this.random());
 		const isWhole = !topology.isLarge || box.round % roundsBetweenWholeStates === 0;
+		box.limits.lookForSlots();
 		const told = box.limits.told(isWhole, ['answer'], topology.isLarge ? mostLimitsTold.large : mostLimitsTold.small);
 		const message = this.messageOf(box, {demand: box.demands.told, ...(told ? {limits: told} : {})});
 		const targets = topology.targets(box.round);
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -84,7 +84,10 @@
 	 * @returns What this box tells of itself.
 	 */
 	local(isWhole: boolean): LocalState {
-		const {replicas, quota, usage, demands} = this.parts.services;
+		const {
+			replicas, quota, usage, demands, limits,
+		} = this.parts.services;
+		limits.lookForSlots();
 		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
 		this.noteRole();
 		return {
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -33,8 +33,8 @@
 	readonly request: () => AdmittedRequest;
 };
 
-/** Milliseconds after which a request that waits for room is looked at anew: more urgent ones may have come, and limits may have ended. */
-const longestLook = 50;
+/** Milliseconds between two looks at a request that waits for room: more urgent ones may have come, and limits may have ended. */
+const looks = {least: 5, longest: 50} as const;
 
 /** The choices for one request. */
 export class RunChoice {
@@ -142,7 +142,7 @@
 		const timeLeft = this.timeLeftFor(ready);
 		const wait = limits.untilRoom(ready, limitQueue.placeOf(this.queued), Math.max(0, timeLeft));
 		if (wait <= timeLeft) {
-			return {kind: 'wait', wait: Math.min(longestLook, Math.max(1, wait))};
+			return {kind: 'wait', wait: Math.min(looks.longest, Math.max(looks.least, wait))};
 		}
 
 		this.close();
--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -81,6 +81,8 @@
 export const mostLimitsTold = {small: 64, large: 12} as const;
 /** Words kept at most of replicas that are not listed yet. */
 const mostUnlisted = 1024;
+/** Milliseconds for which the limited replicas are not looked for anew: an aggregator is asked for their services hundreds of times a second. */
+const findingTime = 100;
 /** Milliseconds between two lines on one replica: it may name another limit with every answer. */
 const lineInterval = 1000;
 
@@ -100,6 +102,7 @@
 	/** When each event was last logged, by start of the replica. */
 	private readonly loggedAt = new Map<string, Map<EventName, number>>();
 	private tellings = 0;
+	private found: {readonly replicas: readonly Replica[]; readonly at: number} = {replicas: [], at: Number.NEGATIVE_INFINITY};
 
 	private constructor(private readonly parts: ReplicaLimitServices) {}
 
@@ -110,8 +113,13 @@
 
 	/** Listed replicas that have named limits. */
 	get limited(): readonly Replica[] {
-		const starts = [...this.words].filter(([, {limit}]) => limit !== undefined).map(([start]) => start);
-		return starts.map(start => this.parts.listed(start)).filter(replica => replica !== undefined);
+		const now = this.parts.clock.monotonic();
+		if (now - this.found.at >= findingTime) {
+			const starts = [...this.words].filter(([, {limit}]) => limit !== undefined).map(([start]) => start);
+			this.found = {replicas: starts.map(start => this.parts.listed(start)).filter(replica => replica !== undefined), at: now};
+		}
+
+		return this.found.replicas;
 	}
 
 	/**
@@ -231,17 +239,13 @@
 			return undefined;
 		}
 
-		this.lookForSlots();
 		const now = this.parts.clock.monotonic();
 		const since = now - (isWhole ? Number.POSITIVE_INFINITY : newsTime);
-		const words = [...this.words]
-			.filter(([, {source, changedAt}]) => sources.includes(source) && changedAt >= since)
-			.map(([start, {limit, at}]) => ({start, limit, age: Math.max(0, Math.round(now - at))}))
-			.filter(({limit, age}) => limit !== undefined || age <= endMemory);
+		const words = [...this.words].filter(([, {source, changedAt, limit, at}]) => sources.includes(source) && changedAt >= since && (limit !== undefined || now - at <= endMemory));
 		this.tellings++;
 		const first = words.length <= most ? 0 : (this.tellings * most) % words.length;
-		const told = [...words.slice(first), ...words.slice(0, first)].slice(0, most);
-		return told.length > 0 ? told : undefined;
+		const told = [...words, ...words].slice(first, first + Math.min(most, words.length));
+		return told.length > 0 ? told.map(([start, {limit, at}]) => ({start, limit, age: Math.max(0, Math.round(now - at))})) : undefined;
 	}
 
 	/**
@@ -257,6 +261,13 @@
 		}
 	}
 
+	/** Looks for this box's slots at all limited replicas; to be called a few times a second, so that each is looked for soon after it begins. */
+	lookForSlots(): void {
+		for (const replica of this.limited) {
+			this.openSlots(replica);
+		}
+	}
+
 	/** @param replica - A replica that is listed no longer, or another start of which has taken its id. */
 	forget({start}: Replica): void {
 		this.words.delete(start);
@@ -270,19 +281,20 @@
 			return;
 		}
 
-		const isChange = known?.limit !== limit;
+		if (known && known.limit === limit) {
+			this.words.set(start, {...known, at, source});
+			return;
+		}
+
 		const replica = this.parts.listed(start);
-		if (isChange && replica && known?.limit !== undefined) {
+		if (replica && known?.limit !== undefined) {
 			this.openSlots(replica);
 		}
 
+		this.found = {replicas: [], at: Number.NEGATIVE_INFINITY};
 		this.words.set(start, {
-			limit, at, source, changedAt: known && !isChange ? known.changedAt : this.parts.clock.monotonic(),
+			limit, at, source, changedAt: this.parts.clock.monotonic(),
 		});
-		if (!isChange) {
-			return;
-		}
-
 		if (known?.limit === undefined) {
 			this.books.set(start, {lookedUntil: this.parts.commonTime(), open: []});
 		}
@@ -306,13 +318,6 @@
 		}
 	}
 
-	/** Looks for slots of all limited replicas: with each round of the exchange, so that none waits long to be given to a box. */
-	private lookForSlots(): void {
-		for (const replica of this.limited) {
-			this.openSlots(replica);
-		}
-	}
-
 	/** This box's slots that have begun and may still be used. */
 	private openSlots(replica: Replica): readonly OpenSlot[] {
 		const now = this.parts.commonTime();
