Limits in the soak, in a large fleet of real relays, and what mutations passed

The soak has two more faults, replicas that name limits and some that change them every 300 ms, and judges what they get of relays that were not started anew meanwhile. Fourteen mutations made by hand; three were not caught at first: that stretches are told to nobody (a box's part is now looked at where it alone is asked), that a box which has just started has a part (limit-stretches.test.ts), that the choice does not look at limits (the look before sending holds the bound then, and requests went out in vain: their number is looked at now). Not caught but by a unit test of its own: that the look before sending is not asked, since the choice holds the bound then.

--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -18,8 +18,6 @@
 	readonly gap: number;
 	/** How a stream is written. */
 	readonly stream: StreamConduct;
-	/** What answers name as the requests a second that the replica takes of all boxes, as text; `undefined` where they name none. */
-	readonly limit: string | undefined;
 	/** How the answer goes wrong. */
 	readonly fault:
 		'none' | 'reset' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'mute-stream' | 'elsewhere';
@@ -55,7 +53,7 @@
 /** Faults of a stream itself; with another one a request for a stream is answered as one for a whole answer. */
 const streamFaults: ReadonlySet<ReplicaConduct['fault']> = new Set(['none', 'cut-stream', 'mute-stream']);
 const calm: ReplicaConduct = {
-	delay: 5, events: 0, gap: 5, stream: wholeStream, limit: undefined, fault: 'none',
+	delay: 5, events: 0, gap: 5, stream: wholeStream, fault: 'none',
 };
 
 /**
@@ -97,6 +95,8 @@
 	/** Connections that were opened to it. */
 	connections = 0;
 	conduct: ReplicaConduct = calm;
+	/** What its answers name as the requests a second that it takes of all boxes, as text, whatever else goes wrong; `undefined` where they name none. */
+	limit: string | undefined;
 	/** Under which body it ends; `undefined` where none ends it. */
 	crashMark: CrashMark | undefined;
 	/** How the stream is written that answers a body; `undefined` where the conduct tells it. */
@@ -166,7 +166,7 @@
 		response.once('close', () => {
 			seen.isAbandoned = !response.writableFinished;
 		});
-		const own = {'Attempt-Id': id, 'Server-Stamp': stampOf(this.id), ...(conduct.limit === undefined ? {} : {'Server-Limit': conduct.limit})};
+		const own = {'Attempt-Id': id, 'Server-Stamp': stampOf(this.id), ...(this.limit === undefined ? {} : {'Server-Limit': this.limit})};
 		if (!hasRun) {
 			response.writeHead(isElsewhere ? 421 : 503, {...own, 'Not-Executed': '1', 'Content-Length': '0'}).end();
 			return;
--- a/development/soak/soak-faults.ts
+++ b/development/soak/soak-faults.ts
@@ -28,6 +28,11 @@
 const lateUsePause = 200;
 /** Milliseconds by which a wall clock is set off: the least that counts as a suspension, and more. */
 const clockJumps = [250, 1500, 20_000, 3_600_000];
+/** Requests a second that replicas in need name, and milliseconds for which they do: others have to hear of it first. */
+const limitsNamed = [0.5, 1, 3, 10];
+const limitTime = 6000;
+/** Milliseconds between two changes of one that changes. */
+const limitPause = 300;
 /** Part of the datagrams that are lost, and milliseconds for which others wait at most. */
 const lostPart = 0.4;
 const datagramDelay = 400;
@@ -49,6 +54,9 @@
 /** A replica that said that it leaves. */
 export type Drain = {readonly replica: ReplicaStandin; readonly at: number};
 
+/** A replica that named limits, the greatest of them, and when, in monotonic milliseconds. */
+export type LimitSpell = {readonly replica: ReplicaStandin; readonly limit: number; readonly from: number; readonly to: number};
+
 /** A relay that nobody could tell anything, in monotonic milliseconds. */
 export type CutOff = {readonly relay: SoakRelay; readonly from: number; readonly to: number};
 
@@ -72,6 +80,7 @@
 	readonly takenAt = new Map<string, number>();
 	/** Boxes that were cut off from everybody, and when. */
 	readonly cutOffs: CutOff[] = [];
+	readonly limitSpells: LimitSpell[] = [];
 	private odd = 0;
 	private isPoisoned = false;
 
@@ -144,6 +153,11 @@
 				break;
 			}
 
+			case 'limit': {
+				await this.strikeLimit(id, fault);
+				break;
+			}
+
 			case 'settings': {
 				await this.strikeSettings(relay, fault);
 				break;
@@ -285,6 +299,26 @@
 		}
 	}
 
+	private async strikeLimit(id: string, {kind, target}: SoakFault): Promise<void> {
+		const replica = this.installation.replicas.get(id)!;
+		if (replica.limit !== undefined) {
+			return;
+		}
+
+		const limit = limitsNamed[target % limitsNamed.length]!;
+		const from = performance.now();
+		const changes = kind === 'limit-named' ? 1 : limitTime / limitPause;
+		for (const index of Array.from({length: changes}).keys()) {
+			replica.limit = String(index % 2 === 0 ? limit : limit / 2);
+			await pause(limitTime / changes);
+		}
+
+		replica.limit = undefined;
+		this.limitSpells.push({
+			replica, limit, from, to: performance.now(),
+		});
+	}
+
 	private async strikeInput(kind: SoakFaultKind, id: string, {duration, target}: SoakFault): Promise<void> {
 		const {installation} = this;
 		switch (kind) {
--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -8,7 +8,7 @@
 import {faultOfAnswer} from './soak-answers.js';
 import {type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
 import {
-	drainTime, poisonMark, revokeTime, type CutOff, type Drain,
+	drainTime, poisonMark, revokeTime, type CutOff, type Drain, type LimitSpell,
 } from './soak-faults.js';
 import type {SoakRelay} from './soak-relay.js';
 
@@ -19,6 +19,7 @@
 	readonly relays: readonly SoakRelay[];
 	readonly drains: readonly Drain[];
 	readonly cutOffs: readonly CutOff[];
+	readonly limitSpells: readonly LimitSpell[];
 	readonly poisonEnds: readonly number[];
 	/** Monotonic milliseconds at which keys were taken away. */
 	readonly takenAt: ReadonlyMap<string, number>;
@@ -39,6 +40,11 @@
 /** Runs of it that may follow once the third replica has ended for as long. */
 const latePoisonAllowed = 3;
 const contactTime = 3000;
+/** Milliseconds of the spans in which requests at a replica that names a limit are counted; of what it allows so many times may come, and a few more. */
+const limitSpan = 4000;
+const limitSlack = {factor: 1.5, requests: 5} as const;
+/** Milliseconds for which a relay that starts has no need to know of limits. */
+const startTime = 4500;
 const refusals: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** The judge. */
@@ -72,6 +78,7 @@
 			...this.record.attempts.flatMap(attempt => this.faultsOf(attempt)),
 			...this.lateArrivals,
 			...this.poison,
+			...this.beyondLimits,
 			...this.ends,
 		];
 	}
@@ -130,6 +137,22 @@
 		];
 	}
 
+	/** From when all boxes have to know, those alone that were not started anew or stood still meanwhile. */
+	private get beyondLimits(): readonly string[] {
+		return this.record.limitSpells.flatMap(({replica, limit, from, to}) => {
+			const times = replica.seen.filter(({id, at}) => at >= from + contactTime && at <= to && !this.wasStartedSince(id, from - startTime, at)).map(({at}) => at);
+			const most = Math.max(0, ...times.map(first => times.filter(at => at >= first && at < first + limitSpan).length));
+			const allowed = (limitSlack.factor * limit * limitSpan / 1000) + limitSlack.requests;
+			return most > allowed ? [`${replica.id} named ${limit} requests a second and got ${most} in ${limitSpan} ms; ${allowed} are allowed`] : [];
+		});
+	}
+
+	/** Whether the relay that sent a request was killed, stopped or frozen in a while. */
+	private wasStartedSince(id: string, from: number, to: number): boolean {
+		const relay = this.record.attempts.find(attempt => attempt.id === id)?.relay;
+		return [...relay?.kills ?? [], ...relay?.stops ?? []].some(at => at >= from && at <= to);
+	}
+
 	private get ends(): readonly string[] {
 		const {relays, lines} = this.record;
 		return [
--- a/development/soak/soak-plan.ts
+++ b/development/soak/soak-plan.ts
@@ -46,8 +46,10 @@
 const boxKinds = ['clock-ahead', 'clock-behind', 'datagrams-lost', 'datagrams-late', 'datagrams-one-way', 'store-turns-away', 'settings-series'] as const;
 /** A box that is cut off from store and boxes for longer than a key that is taken away may be used. */
 const cutOffKinds = ['box-cut-off'] as const;
+/** Replicas that name how many requests a second they take of all boxes. */
+const limitKinds = ['limit-named', 'limit-changing'] as const;
 /** Every sort of fault. */
-export const soakFaultKinds = [...generalKinds, ...streamKinds, ...boxKinds, ...cutOffKinds] as const;
+export const soakFaultKinds = [...generalKinds, ...streamKinds, ...boxKinds, ...cutOffKinds, ...limitKinds] as const;
 export type SoakFaultKind = typeof soakFaultKinds[number];
 
 const shortestFault = 300;
@@ -57,6 +59,7 @@
 const streamPause = 500;
 const boxPause = 600;
 const cutOffPause = 8000;
+const limitPause = 3000;
 /** Relays of a usual soak; for each one more, faults of relays come that often. */
 const usualRelays = 4;
 const crowdPause = 4000;
@@ -74,6 +77,7 @@
 		...drawFaults(seededBy(seed, 'streams'), length, streamKinds, streamPause),
 		...drawFaults(seededBy(seed, 'boxes'), length, boxKinds, boxPause),
 		...drawFaults(seededBy(seed, 'cut-offs'), length, cutOffKinds, cutOffPause),
+		...drawFaults(seededBy(seed, 'limits'), length, limitKinds, limitPause),
 		...(relays > usualRelays ? drawFaults(seededBy(seed, 'crowd'), length, [...relayKinds, ...boxKinds], crowdPause / (relays - usualRelays)) : []),
 	].sort((left, right) => left.at - right.at);
 }
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -84,9 +84,11 @@
 		await clients.run(Math.max(clientCount, count * clientsPerRelay), async () => faults.run(plan));
 		const unserved = await serveAll(clients, relays);
 		const lines = relays.flatMap(relay => relay.lines);
-		const {drains, cutOffs, poisonEnds, takenAt} = faults;
+		const {
+			drains, cutOffs, limitSpells, poisonEnds, takenAt,
+		} = faults;
 		const judge = SoakJudge.create({
-			attempts: clients.attempts, replicas: installation.everyReplica, relays, drains, cutOffs, poisonEnds, takenAt, streamEvents, lines,
+			attempts: clients.attempts, replicas: installation.everyReplica, relays, drains, cutOffs, limitSpells, poisonEnds, takenAt, streamEvents, lines,
 		});
 		return {
 			plan, attempts: clients.attempts.length, served: clients.attempts.filter(({status}) => status === 200).length, broken: [...judge.broken, ...unserved], lines,
--- /dev/null
+++ b/src/node/test/limit-stretches.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {ExchangeTopology} from '../../gossip/exchange-topology.js';
+import {PeerTable} from '../../gossip/peer-table.js';
+import {ServiceDemands} from '../../replicas/service-demand.js';
+import {LimitStretches} from '../limit-stretches.js';
+
+/** Milliseconds after which a box knows of others. */
+const settled = 5000;
+
+function boxAmong(others: number) {
+	const clock = new MovedClock(1000);
+	const peers = PeerTable.create('edge-0', clock, SilentEventLog.create());
+	const topology = ExchangeTopology.create({name: 'edge-0'}, peers);
+	const stretches = LimitStretches.create({
+		self: 'edge-0', clock, peers, topology, demands: ServiceDemands.create(clock),
+	});
+	const learn = () => {
+		peers.learn(Array.from({length: others}, (_, index) => ({name: `edge-${index + 1}`, host: '10.0.0.1', port: 1 + index})));
+	};
+
+	return {
+		clock, peers, stretches, topology, learn,
+	};
+}
+
+test('a box that has just started has no part, since it may know of no other; one that is alone has all', () => {
+	const {clock, stretches} = boxAmong(0);
+	assert.equal(stretches.of('s').length, 0);
+	clock.now += settled;
+	assert.deepEqual(stretches.of('s'), {from: 0, length: 1});
+});
+
+test('boxes that are not heard keep their part, and so do those that are only known to be there', () => {
+	const {clock, peers, stretches, learn} = boxAmong(3);
+	learn();
+	clock.now += settled;
+	assert.equal(stretches.of('s').length, 1 / 4);
+	peers.noteFleetSize(8);
+	assert.equal(stretches.of('s').length, 1 / 8);
+});
+
+test('a box of a large fleet that does not hear all others has the part that it is told, and an even one where it is told none', () => {
+	const {clock, stretches, topology, learn} = boxAmong(40);
+	learn();
+	clock.now += settled;
+	assert.ok(!topology.isAggregator);
+	assert.equal(stretches.of('s').length, 1 / 41);
+	stretches.take([{service: 's', from: 0.4, length: 0.1}]);
+	assert.deepEqual({...stretches.of('s')}, {from: 0.4, length: 0.1});
+	assert.equal(stretches.of('t').length, 1 / 41);
+	clock.now += 20_000;
+	learn();
+	assert.equal(stretches.of('s').length, 1 / 41);
+});
--- a/src/node/test/relay-large-fleet.test.ts
+++ b/src/node/test/relay-large-fleet.test.ts
@@ -1,9 +1,14 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
+import type {EventName} from '../../base/event-catalogue.js';
+import {sumOf} from '../../base/sum.js';
 import {RelayInstallation, routeTo, until} from '../../../development/relay/relay-installation.js';
 
 const boxes = 15;
+const mostAsked = 300;
+/** Milliseconds until all boxes were told their parts and their metrics were sampled. */
+const settlingTime = 4000;
 let installation: RelayInstallation;
 
 before(async () => {
@@ -19,6 +24,20 @@
 const isAggregator = (relay: RelayInstallation['relays'][number]): boolean => relay.log.lines
 	.findLast(({eventName}) => eventName === 'aggregatorChanged')?.isAggregator === true;
 const aggregators = () => installation.relays.filter(relay => isAggregator(relay));
+/** @returns Requests a second that are the box's part of limits, as its metrics have it. */
+async function partOf({metrics}: RelayInstallation['relays'][number]): Promise<number> {
+	const {values} = await metrics.replicaLimitPart.get();
+	return sumOf(values.map(({value}) => value));
+}
+
+async function askUntil(relay: RelayInstallation['relays'][number], holds: () => boolean): Promise<void> {
+	for (let asked = 0; !holds(); asked++) {
+		assert.ok(asked < mostAsked, holds.toString());
+		await installation.call({path: '/new/x'}, relay);
+		await pause(50);
+	}
+}
+
 const versionsIn = () => installation.relays.map(({log}) => log.lines.findLast(({eventName}) => eventName === 'routesApplied')?.version);
 test('a few boxes ask the store for all', async () => {
 	// Boxes that followed the store before they knew the fleet end their last watch.
@@ -51,6 +70,28 @@
 	assert.ok(aggregators().some(({name}) => name === holder), `${holder} hears few others`);
 });
 
+test('what a replica names to one box is known on all, their parts of it add up to it, and so is its end', async () => {
+	const limit = 15;
+	const outsider = installation.relays.find(relay => !isAggregator(relay))!;
+	const replica = installation.replicas.get('i-3')!;
+	const hasHeard = (eventName: EventName) => installation.relays.every(({log}) => log.lines.some(line => line.eventName === eventName && line.replica === replica.id));
+	replica.limit = String(limit);
+	await askUntil(outsider, () => hasHeard('replicaLimited'));
+	// Metrics are sampled each second, and parts follow the demand.
+	for (let asked = 0; await partOf(outsider) < limit / boxes * 1.5; asked++) {
+		assert.ok(asked < mostAsked, `${await partOf(outsider)} is its part, though it alone is asked`);
+		await installation.call({path: '/new/x'}, outsider);
+	}
+
+	await pause(settlingTime);
+	const parts = await Promise.all(installation.relays.map(async relay => partOf(relay)));
+	assert.ok(Math.abs(sumOf(parts) - limit) < limit * 0.1, `${sumOf(parts)} in all`);
+	replica.limit = undefined;
+	// Only who asks it hears that.
+	await askUntil(outsider, () => hasHeard('replicaLimitEnded'));
+	assert.ok(installation.relays.some(({log}) => log.lines.some(({eventName, source}) => eventName === 'replicaLimited' && source === 'digest')));
+});
+
 test('when all aggregators end others take their place, and a configuration still comes to every box', async () => {
 	const gone = aggregators();
 	await Promise.all(gone.map(async ({end}) => end()));
--- a/src/node/test/replica-limit.test.ts
+++ b/src/node/test/replica-limit.test.ts
@@ -45,7 +45,8 @@
 }
 
 before(async () => {
-	installation = await RelayInstallation.start({relays: relayCount, replicas: replicaIds});
+	// One relay has no clients.
+	installation = await RelayInstallation.start({relays: relayCount + 1, replicas: replicaIds});
 	installation.prepareReplicas(each => {
 		each.behave({delay: 20});
 	});
@@ -62,16 +63,25 @@
 	await until(() => arrivalsSince(limited, 0).length > clientCount);
 	const namedAt = performance.now();
 	const viewsBefore = views.length;
-	replica(limited).behave({delay: 20, limit: String(limit)});
+	replica(limited).limit = String(limit);
 	await pause(contactTime + (observedSpans * span));
 	const most = mostWithin(arrivalsSince(limited, namedAt + contactTime));
 	const served = views.slice(viewsBefore).filter(({status, isWhole}) => status === 200 && isWhole);
 	assert.ok(most <= allowed, `${most} requests in ${span} ms at a replica that takes ${limit} a second; ${allowed} allowed`);
 	assert.equal(served.length, views.length - viewsBefore, 'all are served');
+	const lines = installation.relays.flatMap(({log}) => log.lines.filter(({eventName}) => eventName === 'requestAnswered'));
+	assert.ok(lines.some(({keptFrom}) => keptFrom === 1), 'a line says that its request was kept from a replica');
+	const inVain = lines.filter(({failures}) => String(failures).includes('withheld'));
+	assert.ok(inVain.length <= clientCount, `${inVain.length} requests were meant for it in vain`);
+});
+
+test('a box that sends nothing to it hears of it from the others', () => {
+	const idle = installation.relays[relayCount]!;
+	assert.ok(idle.log.lines.some(({eventName, replica: id, source}) => eventName === 'replicaLimited' && id === limited && source === 'box'));
 });
 
 test('once it names no limit any more it gets its share again', async () => {
-	replica(limited).behave({delay: 20});
+	replica(limited).limit = undefined;
 	await pause(contactTime + span);
 	const since = performance.now() - span;
 	const all = replicaIds.map(id => arrivalsSince(id, since).length);
