--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -69,7 +69,7 @@
 const trialRate = 0.1;
 /** Milliseconds without a word of a limited replica, from any box, after which it gets a request before others do: nothing else tells when it is well again. */
 const trialAge = 5000;
-/** Milliseconds that may pass from the beginning of a slot's end until its request is sent: a connection has to come up. */
+/** Milliseconds behind the end of a slot in which a request that took it may still be sent: a connection has to come up. */
 const sendingTime = 500;
 /** Milliseconds by which common time may be set back, when others are heard, without slots being looked for anew. */
 const longestSetback = 1000;
