A process that resets a connection which is being ended ends by itself

Traced: its native stack stood in Node's clean-up of handles at the end of the process, and it held one TCP socket that was no longer connected. Node 20 marks a connection as closing before libuv refuses to reset one that is being shut down, and waits for it for ever; a server that calls end() and then resetAndDestroy() hangs each time. Ruled out: a loop of ours (no JavaScript on the stack), load (the three lines hang on a quiet machine too).

Change: stand-ins reset by one function, which closes a connection that is being ended.

--- a/development/harness/scripted-server.ts
+++ b/development/harness/scripted-server.ts
@@ -6,6 +6,7 @@
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
+import {resetConnection} from './reset-connection.js';
 
 /** Milliseconds for what was written to arrive by itself, so that a reset does not take it back. */
 const arrivalTime = 20;
@@ -81,14 +82,14 @@
 			}
 
 			case 'reset': {
-				socket.resetAndDestroy();
+				resetConnection(socket);
 
 				break;
 			}
 
 			case 'late-reset': {
 				await pause(arrivalTime);
-				socket.resetAndDestroy();
+				resetConnection(socket);
 
 				break;
 			}
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {header} from '../../platform/names.js';
+import {resetConnection} from '../harness/reset-connection.js';
 import {startStandin, type StandinRequest} from '../standins/standin-server.js';
 import {StreamWriter, wholeStream, type StreamConduct} from './stream-writer.js';
 
@@ -144,7 +145,7 @@
 	/** Closes all connections and stops. Answers without a length end by a reset: nobody could tell their end from the whole. */
 	async close(): Promise<void> {
 		for (const socket of this.unframed) {
-			socket.resetAndDestroy();
+			resetConnection(socket);
 		}
 
 		this.server.closeAllConnections();
@@ -206,7 +207,7 @@
 			}
 
 			case 'reset': {
-				incoming.socket.resetAndDestroy();
+				resetConnection(incoming.socket);
 				return;
 			}
 
@@ -246,7 +247,7 @@
 			case 'unframed-crash': {
 				const {socket} = incoming;
 				const reset = () => {
-					socket.resetAndDestroy();
+					resetConnection(socket);
 				};
 
 				socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${own['Attempt-Id']}\r\nServer-Stamp: ${own['Server-Stamp']}\r\n\r\n${body.slice(0, 4)}`, () => {
--- a/development/relay/stream-writer.ts
+++ b/development/relay/stream-writer.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
+import {resetConnection} from '../harness/reset-connection.js';
 
 /** How a replica writes a stream. */
 export type StreamConduct = {
@@ -192,6 +193,8 @@
 		}
 
 		await pause(resetDelay);
-		socket?.resetAndDestroy();
+		if (socket) {
+			resetConnection(socket);
+		}
 	}
 }
--- a/development/standins/event-writer.ts
+++ b/development/standins/event-writer.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
+import {resetConnection} from '../harness/reset-connection.js';
 
 /** How events are written; all draws follow from the seed and from how many answers there were before. */
 export type WritingTraits = {
@@ -104,8 +105,8 @@
 		const {socket} = this.response;
 		if (this.random() < 1 / 2) {
 			socket?.end();
-		} else {
-			socket?.resetAndDestroy();
+		} else if (socket) {
+			resetConnection(socket);
 		}
 	}
 }
