--- a/development/harness/test/reset-connection.test.ts
+++ b/development/harness/test/reset-connection.test.ts
@@ -30,7 +30,7 @@
 test('a process that resets a connection which is being ended ends by itself', async () => {
 	const child = spawn(process.execPath, ['--input-type=module', '-e', program], {stdio: 'ignore'});
 	const timer = setTimeout(() => child.kill('SIGKILL'), patience);
-	const [code]: unknown[] = await once(child, 'exit');
+	const exit: readonly unknown[] = await once(child, 'exit');
 	clearTimeout(timer);
-	assert.equal(code, 0);
+	assert.equal(exit[0], 0);
 });
