--- a/src/claims/claim-shard.ts
+++ b/src/claims/claim-shard.ts
@@ -141,7 +141,7 @@
 	}
 
 	/**
-	 * The store may be back since the last try: what comes in the rest of the pause, up to 750 ms, would else be refused as not run though
+	 * The store may be back since the last try: what comes in the rest of the pause would else be refused as not run though
 	 * the store answers.
 	 */
 	private endPauseSoon(): void {
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -57,7 +57,7 @@
  */
 const configurationPatience = {least: 2500, spread: 1300} as const;
 const replicaPatience = {least: 4500, spread: 4000} as const;
-/** Part of a burst that a large fleet spends: a rush is some 0.6 s old before all boxes know of it. */
+/** Part of a burst that a large fleet spends: a rush is some rounds old before all boxes know of it. */
 const largeFleetBurst = 0.9;
 const millisecondsPerSecond = 1000;
 
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -21,10 +21,7 @@
 
 /** Tries at most, whatever the outcome of each, but for connections refused. */
 const mostTries = 4;
-/**
- * Connections refused at most: a millisecond each on loopback, and nothing is sent. Replicas that have ended stay listed for some heartbeats and
- * are chosen first, since they have no work.
- */
+/** Connections refused at most: nothing is sent by them, and replicas that have ended are listed for some heartbeats and chosen first, since they have no work. */
 const mostConnectionsRefused = 8;
 /** Part of the time left below which it makes no sense to try again, in milliseconds. */
 const shortestTry = 30;
@@ -36,7 +33,7 @@
  * stay away.
  */
 const turnPatience = comeBack * millisecondsPerSecond;
-/** Milliseconds between two looks: a fifth of the 100 ms that such a run took in the test `trial-turns`. */
+/** Milliseconds between two looks: few beside the time that such a run takes. */
 const turnPause = 20;
 
 /** A replica that was chosen. */
