Limits read once more: what stood twice, and a box that never started anew in the model

Reading the change. The common time of the boxes was worked out in four places and is now PeerTable.commonTime; the most that comes in any span was counted by three pieces of code (model, soak, test) and is by one; the soak's judge looked the relay of a request up by a search through all of them, twice; a map of maps was filled by hand beside getOrCreate; RelayRun.demand served one caller. No decision changes.

Any moment counts now. The model also has 0.5 and 100 requests a second, at 8 and 87 boxes.

--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -162,7 +162,7 @@
 			self: address.name, clock, peers, topology, demands,
 		});
 		const limits = ReplicaLimits.create({
-			clock, log, commonTime: () => stretches.commonTime, stretch: service => stretches.of(service), listed: start => replicas.ofStart(start),
+			clock, log, commonTime: () => peers.commonTime, stretch: service => stretches.of(service), listed: start => replicas.ofStart(start),
 		});
 		const usage = UsageCounts.create(() => clock.wall(), () => 5000);
 		for (let index = 0; index < shape.clientAccounts; index++) {
--- a/development/harness/limit-fleet.ts
+++ b/development/harness/limit-fleet.ts
@@ -13,6 +13,7 @@
 import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
 import {mostLimitsTold, ReplicaLimits} from '../../src/replicas/replica-limits.js';
 import {ServiceDemands} from '../../src/replicas/service-demand.js';
+import {mostWithin} from './most-within.js';
 import {MovedClock} from './moved-clock.js';
 import {randomOf} from './seeded-random.js';
 
@@ -109,8 +110,7 @@
 	 * @returns The most requests from boxes that had been told that came in any such span.
 	 */
 	mostWithin(span: number, since: number): number {
-		const times = this.arrivalsFromTold.filter(at => at >= since).sort((left, right) => left - right);
-		return Math.max(0, ...times.map((from, index) => times.slice(index).filter(at => at < from + span).length));
+		return mostWithin(this.arrivalsFromTold.filter(at => at >= since), span);
 	}
 
 	private start(index: number): Box {
@@ -131,7 +131,7 @@
 			isDraining: false, isReclaimable: true, leavesIn: undefined,
 		});
 		const limits = ReplicaLimits.create({
-			clock, log, commonTime: () => stretches.commonTime, stretch: name => stretches.of(name), listed: start => replicas.ofStart(start),
+			clock, log, commonTime: () => peers.commonTime, stretch: name => stretches.of(name), listed: start => replicas.ofStart(start),
 		});
 		return {
 			index, address, clock, peers, topology, demands, stretches, replicas, limits,
@@ -141,15 +141,11 @@
 
 	private step(): void {
 		for (const {index, clock} of this.boxes) {
-			if (this.shape.startsAt?.(index) !== undefined && Math.abs(this.shape.startsAt(index)! - this.now) < step / 2) {
+			clock.now = this.now;
+			const startsAt = this.shape.startsAt?.(index) ?? Number.POSITIVE_INFINITY;
+			if (startsAt <= this.now && startsAt > this.now - step) {
 				this.boxes[index] = this.start(index);
 			}
-
-			clock.now = this.now;
-		}
-
-		for (const {clock} of this.boxes) {
-			clock.now = this.now;
 		}
 
 		const due = this.events.filter(({at}) => at <= this.now);
@@ -167,14 +163,15 @@
 	}
 
 	private serve(box: Box): void {
-		const count = this.random() < this.shape.demandOf(box.index) * step / 1000 ? 1 : 0;
-		for (let request = 0; request < count; request++) {
-			const replica = box.replicas.all[0]!;
-			box.demands.of(service).noteArrival(100, 1000);
-			box.demands.of(service).noteOutcome(true);
-			if (box.limits.hasRoom(replica)) {
-				this.send(box, replica, box.limits.take(replica));
-			}
+		if (this.random() >= this.shape.demandOf(box.index) * step / 1000) {
+			return;
+		}
+
+		const replica = box.replicas.all[0]!;
+		box.demands.of(service).noteArrival(100, 1000);
+		box.demands.of(service).noteOutcome(true);
+		if (box.limits.hasRoom(replica)) {
+			this.send(box, replica, box.limits.take(replica));
 		}
 	}
 
@@ -241,7 +238,7 @@
 		if (topology.isLarge) {
 			const told = limits.told(isAsked, ['answer', 'box'], mostLimitsTold.large);
 			const answer = this.messageOf(box, {
-				wall: box.clock.monotonic() + peers.wallOffset,
+				wall: peers.commonTime,
 				...(told ? {limits: told} : {}),
 				digest: {boxes: peers.knownBoxes, ...(topology.isAggregator ? {stretches: stretches.toldTo(sender.address.name, limits.services)} : {})},
 			});
@@ -261,11 +258,7 @@
 	private deliver(from: Box, to: Box, happen: () => void): void {
 		const isReached = this.shape.reach?.(from.index, to.index, this.now) ?? true;
 		if (isReached && this.random() > lossShare) {
-			this.events.push({
-				at: this.now + datagramWay, happen() {
-					happen();
-				},
-			});
+			this.events.push({at: this.now + datagramWay, happen});
 		}
 	}
 }
--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -2,6 +2,7 @@
  * Judges a soak by what clients and replicas saw.
  */
 import {Buffer} from 'node:buffer';
+import {mostWithin} from '../harness/most-within.js';
 import {routeTimeout, testKey} from '../relay/relay-installation.js';
 import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
@@ -63,7 +64,11 @@
 	/** What last reached a replica of each request. */
 	private readonly lastRunOf = new Map<string, SeenRequest>();
 
+	/** The relay that each request was sent to. */
+	private readonly relayOf: ReadonlyMap<string, SoakRelay>;
+
 	private constructor(private readonly record: SoakRecord) {
+		this.relayOf = new Map(record.attempts.map(({id, relay}) => [id, relay]));
 		for (const {replica, ...seen} of record.replicas.flatMap(({id: replica, seen}) => seen.map(request => ({...request, replica})))) {
 			const {id, hasRun, at} = seen;
 			this.lastRunOf.set(id, at >= (this.lastRunOf.get(id)?.at ?? 0) ? seen : this.lastRunOf.get(id)!);
@@ -123,7 +128,7 @@
 
 	/** Whether the relay that sent a request could hear nothing between a replica's word and the request. */
 	private isUnheard(id: string, saidAt: number, seenAt: number): boolean {
-		const relay = this.record.attempts.find(attempt => attempt.id === id)?.relay;
+		const relay = this.relayOf.get(id);
 		return this.record.cutOffs.some(({relay: cutOff, from, to}) => cutOff === relay && from < saidAt + hearingTime && to > seenAt - hearingTime);
 	}
 
@@ -141,7 +146,7 @@
 	private get beyondLimits(): readonly string[] {
 		return this.record.limitSpells.flatMap(({replica, limit, from, to}) => {
 			const times = replica.seen.filter(({id, at}) => at >= from + contactTime && at <= to && !this.wasStartedSince(id, from - startTime, at)).map(({at}) => at);
-			const most = Math.max(0, ...times.map(first => times.filter(at => at >= first && at < first + limitSpan).length));
+			const most = mostWithin(times, limitSpan);
 			const allowed = (limitSlack.factor * limit * limitSpan / 1000) + limitSlack.requests;
 			return most > allowed ? [`${replica.id} named ${limit} requests a second and got ${most} in ${limitSpan} ms; ${allowed} are allowed`] : [];
 		});
@@ -149,7 +154,7 @@
 
 	/** Whether the relay that sent a request was killed, stopped or frozen in a while. */
 	private wasStartedSince(id: string, from: number, to: number): boolean {
-		const relay = this.record.attempts.find(attempt => attempt.id === id)?.relay;
+		const relay = this.relayOf.get(id);
 		return [...relay?.kills ?? [], ...relay?.stops ?? []].some(at => at >= from && at <= to);
 	}
 
--- a/src/claims/test/claim-shard.test.ts
+++ b/src/claims/test/claim-shard.test.ts
@@ -25,24 +25,25 @@
 });
 const look = async (shard: ClaimShard, name: string) => Effect.runPromiseExit(shard.run(name, entry => ({write: undefined, outcome: entry})));
 
-test('the first operation after the store came back finds it back, though what waited before it pauses', async () => {
+/** @returns A shard whose store has just come back, and the operation that has waited since before it went. */
+async function afterOutage() {
 	const store = FakeObjectStore.create(new FakeObjects(() => performance.now()));
 	const shard = shardOver(store);
 	store.isOut = true;
 	const waiting = look(shard, 'a');
 	await pause(longOutage);
 	store.isOut = false;
+	return {shard, waiting};
+}
+
+test('the first operation after the store came back finds it back, though what waited before it pauses', async () => {
+	const {shard, waiting} = await afterOutage();
 	assert.ok(Exit.isSuccess(await look(shard, 'b')));
 	assert.ok(Exit.isSuccess(await waiting));
 });
 
 test('what comes while a try is under way is not refused: the store is back', async () => {
-	const store = FakeObjectStore.create(new FakeObjects(() => performance.now()));
-	const shard = shardOver(store);
-	store.isOut = true;
-	const waiting = look(shard, 'a');
-	await pause(longOutage);
-	store.isOut = false;
+	const {shard, waiting} = await afterOutage();
 	const exits: Array<Promise<Exit.Exit<unknown, unknown>>> = [];
 	const back = new AbortController();
 	void waiting.then(() => {
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -227,7 +227,7 @@
 			...this.head(isWhole ? membersNamed : membersAcknowledged, isWhole),
 			...news(isWhole),
 			// The middle of many clocks: a box that hears few others cannot tell which of them is off.
-			wall: Math.round(clock.monotonic() + peers.wallOffset),
+			wall: Math.round(peers.commonTime),
 			quota: [], isWhole: false, work: [], usage: [],
 			...this.echoOf(peer),
 			digest: digest(peer, isWhole),
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -143,6 +143,11 @@
 		return medianOf([this.ownOffset, ...this.heard.map(({wallOffset}) => wallOffset)]);
 	}
 
+	/** True time in milliseconds since the epoch, the same on all boxes that hear each other. */
+	get commonTime(): number {
+		return this.clock.monotonic() + this.wallOffset;
+	}
+
 	/**
 	 * Time as this box tells it, in milliseconds since the epoch: its wall clock as it stood at the start, carried on by the steady one. A
 	 * wall clock that is set later, on whichever part of the boxes, moves nothing: while all were set at once, six usage windows of five
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -88,7 +88,7 @@
 			counts: services.usage,
 			clock,
 			log,
-			trueTime: () => clock.monotonic() + peers.wallOffset,
+			trueTime: () => peers.commonTime,
 			windowLength: () => settings().bounds.reportWindow,
 			delay: () => settings().bounds.reportDelay,
 			hasHeardAll: within => peers.hasHeardAllWithin(within),
--- a/src/node/limit-stretches.ts
+++ b/src/node/limit-stretches.ts
@@ -47,12 +47,6 @@
 
 	private constructor(private readonly services: LimitStretchServices) {}
 
-	/** Milliseconds of the time that boxes share. */
-	get commonTime(): number {
-		const {clock, peers} = this.services;
-		return clock.monotonic() + peers.wallOffset;
-	}
-
 	/**
 	 * @param service - Name of a service.
 	 * @returns This box's stretch.
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -217,7 +217,7 @@
 			replicas,
 			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkOld: () => topology.isLarge}),
 			limits: ReplicaLimits.create({
-				clock, log, commonTime: () => this.stretches.commonTime, stretch: service => this.stretches.of(service), listed: start => replicas.ofStart(start),
+				clock, log, commonTime: () => peers.commonTime, stretch: service => this.stretches.of(service), listed: start => replicas.ofStart(start),
 			}),
 			limitQueue: LimitQueue.create(clock),
 			demands: ServiceDemands.create(clock),
@@ -236,7 +236,7 @@
 				() => peers.boxes,
 				clock,
 			),
-			usage: UsageCounts.create(() => clock.monotonic() + peers.wallOffset, () => bounds().reportWindow),
+			usage: UsageCounts.create(() => peers.commonTime, () => bounds().reportWindow),
 		};
 	}
 
--- a/src/node/test/limit-model.test.ts
+++ b/src/node/test/limit-model.test.ts
@@ -27,7 +27,9 @@
 
 const shapes = [1, 8, 12, 13, 87].flatMap(boxes => [1, 20].map(limit => ({boxes, limit})));
 
-for (const {boxes, limit} of [...shapes, {boxes: 340, limit: 3}]) {
+const extremes = [8, 87].flatMap(boxes => [0.5, 100].map(limit => ({boxes, limit})));
+
+for (const {boxes, limit} of [...shapes, ...extremes, {boxes: 340, limit: 3}]) {
 	test(`${boxes} boxes keep to ${limit} a second together, and use it`, () => {
 		const {most, use} = play(limit, {boxes, demandOf: () => Math.max(2, limit * 6 / boxes)});
 		assert.ok(most <= allowedAt(limit), `${most} in ${span} ms; ${allowedAt(limit)} allowed`);
--- a/src/node/test/replica-limit.test.ts
+++ b/src/node/test/replica-limit.test.ts
@@ -7,6 +7,7 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
+import {mostWithin} from '../../../development/harness/most-within.js';
 import {RelayInstallation, until, type ClientView} from '../../../development/relay/relay-installation.js';
 
 const relayCount = 4;
@@ -34,7 +35,6 @@
 const views: ClientView[] = [];
 
 const replica = (id: string) => installation.replicas.get(id)!;
-const mostWithin = (times: readonly number[]): number => Math.max(0, ...times.map(from => times.filter(at => at >= from && at < from + span).length));
 const arrivalsSince = (id: string, since: number): readonly number[] => replica(id).seen.filter(({at}) => at >= since).map(({at}) => at);
 
 async function callOn(client: number): Promise<void> {
@@ -65,7 +65,7 @@
 	const viewsBefore = views.length;
 	replica(limited).limit = String(limit);
 	await pause(contactTime + (observedSpans * span));
-	const most = mostWithin(arrivalsSince(limited, namedAt + contactTime));
+	const most = mostWithin(arrivalsSince(limited, namedAt + contactTime), span);
 	const served = views.slice(viewsBefore).filter(({status, isWhole}) => status === 200 && isWhole);
 	assert.ok(most <= allowed, `${most} requests in ${span} ms at a replica that takes ${limit} a second; ${allowed} allowed`);
 	assert.equal(served.length, views.length - viewsBefore, 'all are served');
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -6,7 +6,6 @@
 import type {EventFields} from '../base/event-log.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
-import type {ServiceDemand} from '../replicas/service-demand.js';
 import {pickTarget} from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {AttemptFailure} from './attempt-failure.js';
@@ -74,7 +73,7 @@
 		private readonly client: ClientAnswer,
 	) {
 		const {head} = request;
-		this.notes = DemandNotes.create({clock: services.clock, demand: () => this.demand, goal: () => this.request.route.goal});
+		this.notes = DemandNotes.create({clock: services.clock, demand: () => services.demands.of(this.request.service), goal: () => this.request.route.goal});
 		this.suspicion = RunSuspicion.create({
 			clock: services.clock,
 			quarantine: services.quarantine,
@@ -105,10 +104,6 @@
 		return this.story.runs > 0 ? 'may-have-run' : 'not-run';
 	}
 
-	private get demand(): ServiceDemand {
-		return this.services.demands.of(this.request.service);
-	}
-
 	/** @returns Ends when the answer was sent; a refusal says whether the request may have run. */
 	serve(): Effect.Effect<void, Refusal> {
 		const timeLeft = Math.max(0, this.request.deadlineAt - this.services.clock.monotonic());
--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '../base/clock.js';
 import type {EventFields, EventLog} from '../base/event-log.js';
 import type {EventName} from '../base/event-catalogue.js';
+import {getOrCreate} from '../base/get-or-create.js';
 import {
 	ownSlots, slotLifetime, type Slot, type Stretch,
 } from './limit-slots.js';
@@ -81,7 +82,7 @@
 export const mostLimitsTold = {small: 64, large: 12} as const;
 /** Words kept at most of replicas that are not listed yet. */
 const mostUnlisted = 1024;
-/** Milliseconds for which the limited replicas are not looked for anew: an aggregator is asked for their services hundreds of times a second. */
+/** Milliseconds for which the limited replicas are not looked for anew: an aggregator is asked for their services with each message that it answers. */
 const findingTime = 100;
 /** Milliseconds between two lines on one replica: it may name another limit with every answer. */
 const lineInterval = 1000;
@@ -338,9 +339,9 @@
 
 	private tell(event: EventName, {start, entry}: Replica, fields: EventFields = {}): void {
 		const now = this.parts.clock.monotonic();
-		const logged = this.loggedAt.get(start) ?? new Map<EventName, number>();
+		const logged = getOrCreate(this.loggedAt, start, () => new Map<EventName, number>());
 		if (now - (logged.get(event) ?? Number.NEGATIVE_INFINITY) >= lineInterval) {
-			this.loggedAt.set(start, logged.set(event, now));
+			logged.set(event, now);
 			this.parts.log.write(event, {replica: entry.id, service: entry.service, ...fields});
 		}
 	}
