Limits: nothing is kept of a replica that has gone

Found on reading the change. For a tenth of a second a replica that was listed no longer still counted as limited, so a round of the exchange in that time made a new book of slots for it, which nobody took out again: some hundred bytes for each limited replica that goes, for the life of the process. What was found is dropped with the replica. The test asks for the limited replicas behind that; before, it still had the one that went.

--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -87,6 +87,10 @@
 /** Milliseconds between two lines on one replica: it may name another limit with every answer. */
 const lineInterval = 1000;
 
+/** The limited replicas that were found, and when, in monotonic milliseconds. */
+type Finding = {readonly replicas: readonly Replica[]; readonly at: number};
+const nothingFound: Finding = {replicas: [], at: Number.NEGATIVE_INFINITY};
+
 /** The limits that replicas have named. */
 export class ReplicaLimits {
 	/**
@@ -103,7 +107,7 @@
 	/** When each event was last logged, by start of the replica. */
 	private readonly loggedAt = new Map<string, Map<EventName, number>>();
 	private tellings = 0;
-	private found: {readonly replicas: readonly Replica[]; readonly at: number} = {replicas: [], at: Number.NEGATIVE_INFINITY};
+	private found: Finding = nothingFound;
 
 	private constructor(private readonly parts: ReplicaLimitServices) {}
 
@@ -274,6 +278,8 @@
 		this.words.delete(start);
 		this.books.delete(start);
 		this.loggedAt.delete(start);
+		// Its slots would else be looked for once more, and kept for good.
+		this.found = nothingFound;
 	}
 
 	private takeWord(start: string, {limit, at, source}: Omit<LimitWord, 'changedAt'>): void {
@@ -292,7 +298,7 @@
 			this.openSlots(replica);
 		}
 
-		this.found = {replicas: [], at: Number.NEGATIVE_INFINITY};
+		this.found = nothingFound;
 		this.words.set(start, {
 			limit, at, source, changedAt: this.parts.clock.monotonic(),
 		});
--- a/src/replicas/test/replica-limits.test.ts
+++ b/src/replicas/test/replica-limits.test.ts
@@ -119,8 +119,10 @@
 	const {limits, replica, replicaOf} = boxAt(clock);
 	limits.noteAnswer(replica, limit, 9000);
 	assert.equal(limits.limitOf(replicaOf('i-1', 8)), undefined);
+	assert.deepEqual(limits.limited, [replica]);
 	limits.forget(replica);
 	assert.equal(limits.limitOf(replica), undefined);
+	assert.deepEqual(limits.limited, [], 'nothing is kept of it');
 });
 
 test('before a limit is known there is room; from then on each slot is used once, and what comes too late for its slot is not sent', () => {
