Connect to each replica once before refusing a request

What callers saw: 503 no-upstream within some 10 ms beside an idle replica. A request connected up to eight times to replicas whose processes had ended and whose entries were still listed, often to the same two ("i-2: unreachable ... x 7"), and was then given up.

Cause: a replica that refuses connections has no work, so that the choice took it first whenever no replica was left that had not failed lately; the request remembered which replicas it had tried, but not which of them had refused the connection. The bound of eight refused connections then ended the search even where a replica was left that had not been tried: a data centre whose replicas are lost together lists more than eight for some heartbeats.

Evidence: ended-replicas.test.ts with 12 ended replicas and a busy one: 503 before, 200 now; with six ended replicas and no other one eight tries before, six now.

Ruled out: the retry budget (refused connections are not counted in it) and the quarantine (the same without a suspect).

Change: a replica whose address refused a connection is marked until its pause is over, and is a candidate again only after all that are not marked. A request connects once to each replica; after eight refused connections it leaves out those that have just refused another request, but tries all others. The line of the request tells how many connections were refused.

--- a/src/node/test/ended-replicas.test.ts
+++ b/src/node/test/ended-replicas.test.ts
@@ -13,13 +13,15 @@
 const longRunTime = 400;
 const mostTries = 12;
 
-test('a request is served by the one sound replica, however many are listed that have ended', async context => {
-	const installation = await RelayInstallation.start({relays: 1, replicas: [...ended, sound]});
-	context.after(async () => installation.close());
-	await until(() => installation.relays[0]!.log.lines.filter(({eventName}) => eventName === 'replicaListed').length === ended.length + 1);
-	const replica = installation.replicas.get(sound)!;
+/**
+ * Sends requests until one is at a replica that takes its time, so that replicas without work look better.
+ *
+ * @returns The requests, in progress.
+ */
+async function occupy(installation: RelayInstallation, id: string) {
+	await until(() => installation.relays[0]!.log.lines.filter(({eventName}) => eventName === 'replicaListed').length === installation.replicas.size);
+	const replica = installation.replicas.get(id)!;
 	replica.behave({delay: longRunTime});
-	// Until one is there that takes its time, so that those that ended look better.
 	const calls = [];
 	while (replica.seen.length === 0) {
 		const seen = installation.everyReplica.flatMap(other => other.seen).length;
@@ -27,6 +29,14 @@
 		await until(() => installation.everyReplica.flatMap(other => other.seen).length > seen);
 	}
 
+	return calls;
+}
+
+test('a request is served by the one sound replica, however many are listed that have ended', async context => {
+	const installation = await RelayInstallation.start({relays: 1, replicas: [...ended, sound]});
+	context.after(async () => installation.close());
+	const replica = installation.replicas.get(sound)!;
+	const calls = await occupy(installation, sound);
 	await Promise.all(ended.map(async id => installation.replicas.get(id)!.close()));
 	const view = await installation.call({path: '/calls/after'});
 	assert.equal(view.status, 200);
@@ -37,3 +47,31 @@
 	const tries = installation.relays[0]!.log.lines.findLast(({eventName}) => eventName === 'requestRefused')?.tries;
 	assert.ok(Number(tries) <= mostTries, `${String(tries)} tries where nobody listens`);
 });
+
+/** Replicas of a data centre that are lost together. */
+const lostTogether = 12;
+
+/** Guards against requests that are refused beside an idle replica: eight refused connections used to end the search for one. */
+test('a request is served by the one sound replica where more have ended than a request connected to before', async context => {
+	const lost = Array.from({length: lostTogether}, (_, index) => `lost-${index + 1}`);
+	const installation = await RelayInstallation.start({relays: 1, replicas: [...lost, sound]});
+	context.after(async () => installation.close());
+	const calls = await occupy(installation, sound);
+	await Promise.all(lost.map(async id => installation.replicas.get(id)!.close()));
+	assert.equal((await installation.call({path: '/calls/after'})).status, 200);
+	await Promise.all(calls);
+});
+
+/** Guards against connecting again to a replica that has just refused, and against holding a request that nothing can serve. */
+test('a request that no replica has run is refused at once when each listed replica has refused one connection', async context => {
+	const installation = await RelayInstallation.start({relays: 1, replicas: ended});
+	context.after(async () => installation.close());
+	const [relay] = installation.relays;
+	await until(() => relay!.log.lines.filter(({eventName}) => eventName === 'replicaListed').length === ended.length);
+	await Promise.all(ended.map(async id => installation.replicas.get(id)!.close()));
+	const {status, headers} = await installation.call({path: '/calls/vain'});
+	const line = relay!.log.lines.findLast(({eventName}) => eventName === 'requestRefused');
+	assert.deepEqual({status, tries: line?.tries, reason: line?.reason}, {status: 503, tries: ended.length, reason: 'no-upstream'});
+	assert.ok(Number(headers['retry-after']) > 0);
+	assert.ok(Number(line?.took) < 1000, `took ${String(line?.took)} ms`);
+});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -18,10 +18,11 @@
 import {RunSuspicion} from './run-suspicion.js';
 import {StreamPassage} from './stream-passage.js';
 
-/** Tries at most, whatever the outcome of each, but for connections refused. */
+/**
+ * Tries at most, whatever the outcome of each, except refused connections: these send nothing, and a replica whose process is gone stays listed for some
+ * heartbeats and is chosen first, since it has no work.
+ */
 const mostTries = 4;
-/** Connections refused at most: nothing is sent by them, and replicas that have ended are listed for some heartbeats and chosen first, since they have no work. */
-const mostConnectionsRefused = 8;
 /** Part of the time left below which it makes no sense to try again, in milliseconds. */
 const shortestTry = 30;
 /** Seconds after which a client may come back where replicas are short. */
@@ -52,7 +53,7 @@
 
 	/** What became of it so far. */
 	readonly story: RunStory = {
-		tries: 0, runs: 0, replica: undefined, failures: '', firstByteAt: undefined, keptFrom: 0,
+		tries: 0, runs: 0, refusedConnections: 0, replica: undefined, failures: '', firstByteAt: undefined, keptFrom: 0,
 	};
 
 	/** What it has to do with ends of replicas. */
@@ -62,7 +63,6 @@
 	private readonly parts: TryParts;
 	/** An answer of a replica that failed the request, to be passed on where nothing better comes. */
 	private failedAnswer: (() => void) | undefined;
-	private connectionsRefused = 0;
 	/** Since when it has waited for its turn, in monotonic milliseconds. */
 	private waitsSince: number | undefined;
 	private readonly notes: DemandNotes;
@@ -251,7 +251,6 @@
 				Effect.as(undefined),
 				Effect.catchTag('AttemptFailure', failure => Effect.sync(() => {
 					this.failedAnswer = attempt.failedAnswer ?? this.failedAnswer;
-					this.connectionsRefused += attempt.wasRefused ? 1 : 0;
 					return failure;
 				})),
 			);
@@ -268,7 +267,7 @@
 
 		if (failure.reason === 'elsewhere') {
 			replicas.noteLeaving(replica.entry, 'replica');
-		} else if (failure.reason === 'unreachable' || failure.reason === 'refused' || failure.reason === 'cut') {
+		} else if (failure.reason === 'refused' || failure.reason === 'cut') {
 			replica.noteFailure();
 		}
 
@@ -299,7 +298,7 @@
 			return deny('suspect');
 		}
 
-		const hasTries = this.story.tries - this.connectionsRefused < mostTries && this.connectionsRefused < mostConnectionsRefused;
+		const hasTries = this.story.tries - this.story.refusedConnections < mostTries;
 		if (!hasTries || this.request.deadlineAt - clock.monotonic() < shortestTry) {
 			return deny('time');
 		}
--- a/src/relay/replica-try.ts
+++ b/src/relay/replica-try.ts
@@ -60,8 +60,6 @@
 
 	/** Sends the answer of a replica that failed the request; `undefined` where it did not, or where the client has it. */
 	failedAnswer: (() => void) | undefined;
-	/** Whether nobody listens at the replica's address. */
-	wasRefused = false;
 	/** Tokens of the prompt that the replica has to read. */
 	private readonly tokens: number;
 	private unread: number;
@@ -92,10 +90,16 @@
 	}
 
 	private connect(): Effect.Effect<Connection, AttemptFailure> {
-		const {request, replica} = this.plan;
-		return this.parts.services.connections.of(replica).acquire(request.route.kind !== 'repeatable')
+		const {parts: {services, story}, plan: {request, replica}} = this;
+		return services.connections.of(replica).acquire(request.route.kind !== 'repeatable')
 			.pipe(Effect.mapError(({detail, isRefused}) => {
-				this.wasRefused = isRefused;
+				if (isRefused) {
+					story.refusedConnections++;
+					replica.noteRefusedConnection();
+				} else {
+					replica.noteFailure();
+				}
+
 				return AttemptFailure.notRun('unreachable', detail);
 			}));
 	}
--- a/src/relay/request-story.ts
+++ b/src/relay/request-story.ts
@@ -127,6 +127,7 @@
 				verdict: run.verdict,
 				replica: run.story.replica,
 				tries: run.story.tries,
+				refusedConnections: run.story.refusedConnections === 0 ? undefined : run.story.refusedConnections,
 				keptFrom: run.story.keptFrom === 0 ? undefined : run.story.keptFrom,
 				failures: run.story.failures === '' ? undefined : run.story.failures,
 				...run.streamFields,
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -33,6 +33,11 @@
 	readonly request: () => AdmittedRequest;
 };
 
+/**
+ * Refused connections after which a request no longer tries replicas that have just refused others: each would cost a connection and most likely serve
+ * nobody.
+ */
+const mostRefusedConnections = 8;
 /** Milliseconds between two looks at a request that waits for room: more urgent ones may have come, and limits may have ended. */
 const looks = {least: 5, longest: 50} as const;
 
@@ -63,9 +68,7 @@
 
 		const ready = replicas.ready(service);
 		if (ready.length === 0) {
-			return {
-				kind: 'refuse', reason: 'no-upstream', detail: `No replica of service ${service} can take the request.`, comeBack: this.untilReplica,
-			};
+			return this.withoutReplica(`No replica of service ${service} can take the request.`);
 		}
 
 		const open = this.withRoom(ready);
@@ -81,16 +84,34 @@
 	}
 
 	private chooseAmong(open: readonly Replica[]): RunDecision {
-		const {services: {choice, limits}, suspicion, choiceRequest} = this.parts;
-		const untried = open.filter(replica => !this.tried.has(replica));
-		const sound = untried.filter(({isAvoided, isSilent}) => !isAvoided && !isSilent);
-		const heard = untried.filter(({isSilent}) => !isSilent);
-		const due = sound.filter(replica => limits.isDue(replica));
-		const candidates = [due, sound, heard, untried, open].find(({length}) => length > 0)!;
+		const {services: {choice}, suspicion, choiceRequest, request} = this.parts;
+		const candidates = this.candidatesAmong(open);
+		if (!candidates) {
+			return this.withoutReplica(`All replicas of service ${request().service} refuse connections.`);
+		}
+
 		const bounded = suspicion.bounded(candidates);
 		return bounded.length > 0 ? this.admit(choice.choose(bounded, choiceRequest)) : {kind: 'turn'};
 	}
 
+	/**
+	 * Each replica is tried once before any is tried again, and one that refuses connections is not tried again: it has less work than all others and
+	 * would be chosen each time.
+	 *
+	 * @returns The best ones; `undefined` where every replica refuses connections.
+	 */
+	private candidatesAmong(open: readonly Replica[]): readonly Replica[] | undefined {
+		const {services: {limits}, story} = this.parts;
+		const mayBeRefused = story.refusedConnections < mostRefusedConnections;
+		const untried = open.filter(replica => !this.tried.has(replica) && (mayBeRefused || !replica.refusesConnections));
+		const responsive = untried.filter(({isSilent}) => !isSilent);
+		const listening = responsive.filter(({refusesConnections}) => !refusesConnections);
+		const sound = listening.filter(({isAvoided}) => !isAvoided);
+		const due = sound.filter(replica => limits.isDue(replica));
+		const again = open.filter(replica => this.tried.has(replica) && !replica.refusesConnections);
+		return [due, sound, listening, responsive, untried, again].find(({length}) => length > 0);
+	}
+
 	/** Whoever waits for room at limited replicas goes before those that come later or are less urgent. */
 	private withRoom(ready: readonly Replica[]): readonly Replica[] {
 		const {services: {limits, limitQueue}, request} = this.parts;
@@ -164,6 +185,12 @@
 		return end - clock.monotonic() - Math.min(...ready.map(({latency}) => latency));
 	}
 
+	private withoutReplica(detail: string): RunDecision {
+		return {
+			kind: 'refuse', reason: 'no-upstream', detail, comeBack: this.untilReplica,
+		};
+	}
+
 	/** Milliseconds until a replica that was ordered when the last one went may serve. */
 	private get untilReplica(): number {
 		const {services: {replicas, table}, request} = this.parts;
--- a/src/relay/run-story.ts
+++ b/src/relay/run-story.ts
@@ -6,6 +6,8 @@
 export type RunStory = {
 	tries: number;
 	runs: number;
+	/** Tries at replicas whose addresses refused the connection. */
+	refusedConnections: number;
 	replica: string | undefined;
 	/** Failures of tries in order. */
 	failures: string;
--- a/src/replicas/replica.ts
+++ b/src/replicas/replica.ts
@@ -66,6 +66,7 @@
 	private readonly peers = new Map<string, PeerWork>();
 	private failures = 0;
 	private avoidedUntil = Number.NEGATIVE_INFINITY;
+	private wasRefused = false;
 	private errorMean = 0;
 	private latencyMean = 0;
 	private leavingSince: number | undefined;
@@ -116,6 +117,11 @@
 		return this.clock.monotonic() < this.avoidedUntil;
 	}
 
+	/** Whether its address refused a connection lately: its process is most likely gone, though its entry is still listed. */
+	get refusesConnections(): boolean {
+		return this.wasRefused && this.isAvoided;
+	}
+
 	/** This box's own work there. */
 	get ownWork(): ReplicaWork {
 		return this.own;
@@ -216,13 +222,21 @@
 	 */
 	noteAnswer(latency: number, isError: boolean): void {
 		this.failures = 0;
+		this.wasRefused = false;
 		this.noteHeard();
 		this.errorMean += ((isError ? 1 : 0) - this.errorMean) * meanWeight;
 		this.latencyMean += (latency - this.latencyMean) * (this.latencyMean === 0 ? 1 : meanWeight);
 	}
 
+	/** Notes that its address refused a connection. */
+	noteRefusedConnection(): void {
+		this.noteFailure();
+		this.wasRefused = true;
+	}
+
 	/** Notes that it refused for being full or could not be reached. */
 	noteFailure(): void {
+		this.wasRefused = false;
 		this.failures++;
 		const pause = Math.min(longestAvoidance, firstAvoidance * (2 ** (this.failures - 1)));
 		this.avoidedUntil = this.clock.monotonic() + (pause * (0.75 + (Math.random() / 2)));
