Keep a request that may have run until a replica is listed again

What callers saw: 502 upstream-cut for calls that may be repeated, and streams that may be resumed cut in the middle, within some 20 ms of the loss of their replica, although their deadline was 2 s away and the next replica was listed 100 ms later.

Cause: where no replica was listed, or all listed ones refused connections, a request was given up like one that no replica had run. A refused request may come back at once and loses nothing; one that may have run leaves its client without an answer.

Evidence: the lines of lost requests in provoked runs of poison-request.test.ts ("i-3: cut: socket hang up; i-2: unreachable: connect ECONNREFUSED ...", took under 20 ms), beside the time at which the next replica began to listen (-9 ms) and at which the box of the request listed it (+100 ms). Between two boxes the news of a new replica take up to 142 ms (45 starts, four boxes).

Ruled out: the retry budget (waydrift_relay_retries_denied_total names kind and suspect alone) and the deadline.

Change: such a request waits, looking every 20 ms, until a replica is listed or accepts connections again, or its time is over. What no replica has run is refused at once as before, and an answer of a replica that failed the request is passed on at once. absent-replicas.test.ts: 502 and a cut body before, served now.

The chat and service runs of waydrift's own interface already wait once a stream has begun.

--- /dev/null
+++ b/src/node/test/absent-replicas.test.ts
@@ -0,0 +1,57 @@
+/*
+ * A call or stream that was cut when its replica ended was given up within 20 ms where no other replica listened, though the next replica was listed 100 ms
+ * later: 502 for calls ("i-3: cut: socket hang up; i-1: unreachable: connect ECONNREFUSED", with 2 s left), a body cut in the middle for streams. Unlike a
+ * refused request, its client cannot tell whether it ran.
+ */
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {RelayInstallation, until, type ClientCall} from '../../../development/relay/relay-installation.js';
+
+/** Milliseconds from the arrival of a request at a replica to its end; shorter than any answer here takes. */
+const timeToCut = 80;
+/** Milliseconds from the loss of the last replica to the listing of the next one. */
+const absence = 400;
+
+/** Ends the only replica that listens while it runs a request, and lists another one somewhat later. */
+async function loseAllWhile(context: TestContext, call: ClientCall, conduct: {readonly delay: number; readonly events?: number}) {
+	const installation = await RelayInstallation.start({relays: 1, replicas: ['i-1']});
+	context.after(async () => installation.close());
+	installation.prepareReplicas(replica => {
+		replica.behave(conduct);
+	});
+	const first = installation.replicas.get('i-1')!;
+	const answer = installation.call(call);
+	await until(() => first.seen.length === 1);
+	await pause(timeToCut);
+	await first.close();
+	await pause(absence);
+	await installation.addReplica('i-2');
+	return answer;
+}
+
+/** Guards against a call that is given up with 502, which tells its client nothing, while there is time for another run. */
+test('a repeatable call that was cut is run by the next replica that is listed', async context => {
+	const {status, isWhole} = await loseAllWhile(context, {path: '/calls/x', method: 'POST', body: 'q'}, {delay: 200});
+	assert.deepEqual({status, isWhole}, {status: 200, isWhole: true});
+});
+
+/** Guards against a stream that ends in the middle while there is time to go on. */
+test('a resumable stream that was cut goes on at the next replica that is listed', async context => {
+	const {status, isWhole} = await loseAllWhile(context, {path: '/stream/x', method: 'POST', body: 'q'}, {delay: 20, events: 60});
+	assert.deepEqual({status, isWhole}, {status: 200, isWhole: true});
+});
+
+/** Guards against a wait that serves nobody: a replica's own failure is an answer. */
+test('a call that a replica failed gets that answer at once where no other replica is left', async context => {
+	const installation = await RelayInstallation.start({relays: 1, replicas: ['i-1', 'i-2']});
+	context.after(async () => installation.close());
+	const [relay] = installation.relays;
+	await until(() => relay!.log.lines.filter(({eventName}) => eventName === 'replicaListed').length === 2);
+	await installation.replicas.get('i-1')!.close();
+	installation.replicas.get('i-2')!.behave({fault: 'error'});
+	const {status} = await installation.call({path: '/calls/x'});
+	const line = relay!.log.lines.findLast(({eventName}) => eventName === 'requestAnswered');
+	assert.equal(status, 500);
+	assert.ok(Number(line?.took) < 1000, `took ${String(line?.took)} ms`);
+});
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -31,6 +31,8 @@
 	readonly story: RunStory;
 	/** @returns The request as the configuration says that is in force by now. */
 	readonly request: () => AdmittedRequest;
+	/** @returns Whether a replica has run the request, and nothing else is left to tell the client than that it may have run. */
+	readonly mayHaveRun: () => boolean;
 };
 
 /**
@@ -40,6 +42,8 @@
 const mostRefusedConnections = 8;
 /** Milliseconds between two looks at a request that waits for room: more urgent ones may have come, and limits may have ended. */
 const looks = {least: 5, longest: 50} as const;
+/** Milliseconds between two looks for a replica that is listed anew or accepts connections again. */
+const replicaCheckInterval = 20;
 
 /** The choices for one request. */
 export class RunChoice {
@@ -185,10 +189,16 @@
 		return end - clock.monotonic() - Math.min(...ready.map(({latency}) => latency));
 	}
 
+	/**
+	 * A request that no replica has run is refused at once: its client may send it again. One that may have run waits until a replica is listed or accepts
+	 * connections again, or its time is over: refusing it would end its stream in the middle, or leave its client without knowing whether it ran.
+	 */
 	private withoutReplica(detail: string): RunDecision {
-		return {
-			kind: 'refuse', reason: 'no-upstream', detail, comeBack: this.untilReplica,
-		};
+		return this.parts.mayHaveRun()
+			? {kind: 'wait', wait: replicaCheckInterval}
+			: {
+				kind: 'refuse', reason: 'no-upstream', detail, comeBack: this.untilReplica,
+			};
 	}
 
 	/** Milliseconds until a replica that was ordered when the last one went may serve. */
