Log why an entry box refuses a caller, and why a claim failed

What was missing: event 7001 (callerRefused) stood in the catalogue and was written nowhere, so that no line of a box told of a refused caller. claim-unavailable had one detail for two causes, and none for a shard that cannot be read.

A claim fails for one of five named reasons, which callers read and waydrift_claim_failures_total counts.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -66,6 +66,10 @@
 		name: 'waydrift_claims_total', help: 'Claims by outcome.', labelNames: ['outcome'], registers: [this.registry],
 	});
 
+	readonly claimFailures = new Counter({
+		name: 'waydrift_claim_failures_total', help: 'Claims that could not be recorded, by reason.', labelNames: ['reason'], registers: [this.registry],
+	});
+
 	readonly leavingDispatches = new Counter({
 		name: 'waydrift_dispatches_to_leaving_total', help: 'Requests sent to an upstream that turned out to be leaving.', registers: [this.registry],
 	});
--- a/src/claims/claim-shard.ts
+++ b/src/claims/claim-shard.ts
@@ -10,7 +10,7 @@
 import type {EventLog} from '../base/event-log.js';
 import type {Metrics} from '../base/metrics.js';
 import type {ObjectStore, ObjectVersion} from '../external/object-store.js';
-import {ClaimEntry, ClaimUnavailable} from './claim.js';
+import {ClaimEntry, ClaimUnavailable, type ClaimFailure} from './claim.js';
 
 /** Milliseconds a claim is remembered, on the store's clock. */
 export const claimRetention = 24 * 3_600_000;
@@ -88,6 +88,8 @@
 	/** Monotonic milliseconds since which no write or read went through; `undefined` while they do. */
 	private failingSince: number | undefined;
 	private snapshot: Snapshot | undefined;
+	/** Whether the last read brought entries that do not decode. */
+	private isUnreadable = false;
 	/** Ends the committer's pause; `undefined` while it tries. */
 	private endPause: (() => void) | undefined;
 	private pausedAt = 0;
@@ -163,7 +165,7 @@
 		setTimeout(() => {
 			if (this.waiting.includes(operation) && this.failingSince !== undefined) {
 				this.waiting = this.waiting.filter(other => other !== operation);
-				refuse(operation, 'the Object API does not answer');
+				refuse(operation, 'no-retry');
 			}
 		}, outagePatience);
 	}
@@ -241,7 +243,7 @@
 			const value = JSON.stringify(entries);
 			if (value.length > largestShard) {
 				this.services.log.write('claimShardFull', {shard: this.key, characters: value.length});
-				return yield * refuseAll(batch, 'the claim shard is full');
+				return yield * refuseAll(batch, 'shard-full');
 			}
 
 			return yield * this.write(snapshot, entries, value, decisions);
@@ -289,6 +291,7 @@
 		return this.services.store.read(this.key).pipe(
 			Effect.map(object => {
 				const entries = object.version === 0 ? Result.succeed({}) : decodeEntries(object.value);
+				this.isUnreadable = Result.isFailure(entries);
 				if (Result.isFailure(entries)) {
 					this.services.log.write('claimShardUnreadable', {shard: this.key, version: object.version});
 					this.noteFailure();
@@ -305,6 +308,7 @@
 				return this.snapshot;
 			}),
 			Effect.catch(() => Effect.sync(() => {
+				this.isUnreadable = false;
 				this.noteFailure();
 				return undefined;
 			})),
@@ -322,11 +326,19 @@
 		const isFailing = this.failingSince !== undefined;
 		const isOver = ({endsAt, endsPause}: Operation): boolean => endsAt <= now || (endsPause && isFailing);
 		for (const operation of batch.filter(one => isOver(one))) {
-			refuse(operation, 'the Object API did not take the claim in time');
+			refuse(operation, this.failureOf(operation, now));
 		}
 
 		return batch.filter(one => !isOver(one));
 	}
+
+	private failureOf({endsAt}: Operation, now: number): ClaimFailure {
+		if (this.isUnreadable) {
+			return 'shard-unreadable';
+		}
+
+		return endsAt <= now ? 'deadline-passed' : 'retry-failed';
+	}
 }
 
 type Decided = {readonly operation: Operation; readonly decision: ClaimDecision<unknown>};
@@ -369,16 +381,16 @@
 	});
 }
 
-function refuseAll(batch: readonly Operation[], detail: string): Effect.Effect<boolean> {
+function refuseAll(batch: readonly Operation[], failure: ClaimFailure): Effect.Effect<boolean> {
 	return Effect.sync(() => {
 		for (const operation of batch) {
-			refuse(operation, detail);
+			refuse(operation, failure);
 		}
 
 		return true;
 	});
 }
 
-function refuse({done, mayBeRecorded}: Operation, detail: string): void {
-	Deferred.doneUnsafe(done, Effect.fail(new ClaimUnavailable({mayBeRecorded, detail})));
+function refuse({done, mayBeRecorded}: Operation, failure: ClaimFailure): void {
+	Deferred.doneUnsafe(done, Effect.fail(new ClaimUnavailable({mayBeRecorded, failure})));
 }
--- a/src/claims/claim.ts
+++ b/src/claims/claim.ts
@@ -50,12 +50,29 @@
 }>;
 export const ClaimOutcome = Data.taggedEnum<ClaimOutcome>();
 
+/** Why a claim could not be recorded, as callers and the log read it. */
+export const claimFailures = {
+	'deadline-passed': 'the Object API did not take the claim in time',
+	'retry-failed': 'the Object API is away, and the next call to it failed',
+	'no-retry': 'the Object API is away, and no call to it ended in time',
+	'shard-full': 'the claim shard is full',
+	'shard-unreadable': 'the claim shard cannot be read',
+} as const;
+
+/** Why a claim could not be recorded. */
+export type ClaimFailure = keyof typeof claimFailures;
+
 /** The claim could not be recorded in time; the request must not run. */
 export class ClaimUnavailable extends Data.TaggedError('ClaimUnavailable')<{
+	readonly failure: ClaimFailure;
 	/** Whether the claim may have been recorded all the same: then it has to be released. */
 	readonly mayBeRecorded: boolean;
-	readonly detail: string;
-}> {}
+}> {
+	/** What happened, as callers read it. */
+	get detail(): string {
+		return claimFailures[this.failure];
+	}
+}
 
 /** What became of a claimed request. */
 export type ClaimEnd = Data.TaggedEnum<{
--- a/src/claims/store-claim-ledger.ts
+++ b/src/claims/store-claim-ledger.ts
@@ -45,8 +45,9 @@
 				this.services.metrics.claims.inc({outcome: outcome._tag});
 				this.services.metrics.claimSeconds.observe((this.services.clock.monotonic() - startedAt) / 1000);
 			})),
-			Effect.tapError(() => Effect.sync(() => {
+			Effect.tapError(({failure}) => Effect.sync(() => {
 				this.services.metrics.claims.inc({outcome: 'Unavailable'});
+				this.services.metrics.claimFailures.inc({reason: failure});
 			})),
 		);
 	}
--- a/src/door/callers-door.ts
+++ b/src/door/callers-door.ts
@@ -21,6 +21,7 @@
 import type {CallerExchange} from './caller-exchange.js';
 import type {ChatDoor} from './chat-door.js';
 import {problemOf, sendProblem, writeProblem} from './problem.js';
+import {RefusalLog} from './refusal-log.js';
 import type {RequestDoor} from './request-door.js';
 import type {ServiceDoor} from './service-door.js';
 
@@ -77,10 +78,12 @@
 	private readonly requestsByAccount = new Map<ClientAccountName, number>();
 	/** Requests in progress on a connection. */
 	private readonly busySockets = new WeakMap<Socket, number>();
+	private readonly refusalLog: RefusalLog;
 	private isStopping = false;
 
 	private constructor(private readonly services: CallersDoorServices) {
-		const {settings, chat, plainServices, requests} = services;
+		const {settings, chat, plainServices, requests, log} = services;
+		this.refusalLog = RefusalLog.create(log);
 		this.server = createServer({
 			maxHeaderSize: settings.maximumHeaders,
 			requestTimeout: settings.receiveTimeout,
@@ -133,7 +136,7 @@
 			response.shouldKeepAlive = false;
 		}
 
-		const fiber = Effect.runFork(this.answer(incoming, response));
+		const fiber = Effect.runFork(this.answer(incoming, response, performance.now()));
 		response.once('close', () => {
 			this.busySockets.set(socket, (this.busySockets.get(socket) ?? 1) - 1);
 			if (!response.writableFinished) {
@@ -142,9 +145,10 @@
 		});
 	}
 
-	private answer(incoming: IncomingMessage, response: ServerResponse): Effect.Effect<void> {
+	private answer(incoming: IncomingMessage, response: ServerResponse, receivedAt: number): Effect.Effect<void> {
 		return this.route(incoming, response).pipe(
 			Effect.catch(error => Effect.sync(() => {
+				this.refusalLog.write(error, incoming, performance.now() - receivedAt);
 				this.refuse(response, error, incoming);
 			})),
 			Effect.catchDefect(defect => Effect.sync(() => {
