Tell a caller that a request may have run where an earlier try ran it

What callers saw: 502 upstream-unreachable and 503 no-upstream with the verdict not-run, "It was not run", for a repeatable call or chat that an upstream had run until it ended.

Cause: the verdict of a refusal was that of the last try alone. Where the first try was cut and the next ones found nobody listening, or no upstream was left, the caller was told of these. The relay's runs count what ran; the runs of waydrift's own interface did not.

Evidence: verdict-after-retry.test.ts ends the only service, and the only engine, while it runs a request: not-run before (upstream-unreachable, no-upstream), may-have-run now. Requests that may not be repeated were not affected: they are not tried again after a cut.

Change: both runs remember whether a try may have run the request, and every refusal after that says so (upstream-cut).

--- a/src/daemon/test/reclaim.test.ts
+++ b/src/daemon/test/reclaim.test.ts
@@ -4,6 +4,7 @@
 import type {Chat, Result} from '../../../development/harness/caller.js';
 import {readMetric, until, type Installation} from '../../../development/harness/installation.js';
 import {callerOf, startInstallation} from '../../../development/harness/small-installation.js';
+import {sumOf} from '../../base/sum.js';
 
 let installation: Installation;
 
@@ -26,19 +27,35 @@
 	};
 };
 
+/** @returns Requests in progress on each entry box. */
+async function inProgress(): Promise<readonly number[]> {
+	return Promise.all(installation.entries.map(async ({operatorsPort}) => readMetric(operatorsPort, 'waydrift_requests_in_progress')));
+}
+
 /** Starts streamed and whole answers on all boxes, and waits until engines work on all of them. */
 async function beginAnswers(count: number): Promise<Array<Promise<Result>>> {
 	const caller = callerOf(installation);
-	const answers = Array.from({length: count}, async (_, index) => caller.chat(chat(index % 3 !== 0)));
-	await until(async () => {
-		const inProgress = await Promise.all(installation.entries.map(async ({operatorsPort}) => readMetric(operatorsPort, 'waydrift_requests_in_progress')));
-		let sum = 0;
-		for (const part of inProgress) {
-			sum += part;
-		}
-
-		return sum === count;
+	const ended: string[] = [];
+	const startedAt = performance.now();
+	const answers = Array.from({length: count}, async (_, index) => {
+		const result = await caller.chat(chat(index % 3 !== 0));
+		const {judgement, tries, restarts, timing: {firstToken}} = result;
+		ended.push(JSON.stringify({
+			index, at: Math.round(performance.now() - startedAt), judgement, tries, restarts, firstToken: Math.round(firstToken),
+		}));
+		return result;
 	});
+	let last: readonly number[] = [];
+	try {
+		await until(async () => {
+			last = await inProgress();
+			return sumOf(last) === count;
+		});
+	} catch (error) {
+		// An answer that ends before the last one has begun, refused or whole, leaves fewer in progress for good.
+		throw new Error(`${count} answers were never in progress at once; in progress: ${last.join(', ')}; ended: ${ended.join(', ') || 'none'}`, {cause: error});
+	}
+
 	return answers;
 }
 
@@ -66,12 +83,7 @@
 }
 
 async function sumMetric(name: string): Promise<number> {
-	let sum = 0;
-	for (const {operatorsPort} of installation.entries) {
-		sum += await readMetric(operatorsPort, name);
-	}
-
-	return sum;
+	return sumOf(await Promise.all(installation.entries.map(async ({operatorsPort}) => readMetric(operatorsPort, name))));
 }
 
 test('answers complete when the box of their engine is reclaimed with notice, with the cache moved', async () => {
--- /dev/null
+++ b/src/daemon/test/verdict-after-retry.test.ts
@@ -0,0 +1,53 @@
+/** Guards against a caller that is told that its request was not run, although an earlier try may have run it. */
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {after, before, test} from 'node:test';
+import {control, until, type Installation} from '../../../development/harness/installation.js';
+import {startInstallation, testKeys} from '../../../development/harness/small-installation.js';
+
+let installation: Installation;
+
+before(async () => {
+	installation = await startInstallation({
+		entries: 1, engines: 1, services: 1, dataCentres: 1,
+	});
+});
+
+after(async () => installation.close());
+
+type Told = {readonly verdict: string; readonly reason: string};
+
+async function post(path: string, kind: string, body: unknown): Promise<Told> {
+	const answer = await fetch(`http://127.0.0.1:${installation.entries[0]!.box.port}${path}`, {
+		method: 'POST',
+		body: JSON.stringify(body),
+		headers: {
+			Authorization: `Bearer ${testKeys.alpha}`, 'Idempotency-Key': randomUUID(), 'Waydrift-Kind': kind, 'Content-Type': 'application/json',
+		},
+	});
+	assert.notEqual(answer.status, 200);
+	return await answer.json() as Told;
+}
+
+/** Ends an upstream once it runs a request; from then on nobody listens at its address. */
+async function endWhileRunning(id: string): Promise<void> {
+	const {box, child} = installation.members.get(id)!;
+	await until(async () => {
+		const load = await fetch(`http://127.0.0.1:${box.port}/load`);
+		const {running} = await load.json() as {readonly running: number};
+		return running === 1;
+	});
+	await child.kill();
+}
+
+test('a call whose service ended while it ran it is told that it may have run, whatever the later tries met', async () => {
+	await control(installation.members.get('service-1')!.box.port, 'faults', {before: 5000});
+	const [told] = await Promise.all([post('/v1/services/orders/look-up', 'look-up', {}), endWhileRunning('service-1')]);
+	assert.equal(told.verdict, 'may-have-run', told.reason);
+});
+
+test('a chat whose engine ended before its first token is told that it may have run, whatever the later tries met', async () => {
+	const body = {model: 'assistant', messages: [{role: 'user', content: 'word '.repeat(20_000)}], max_tokens: 50};
+	const [told] = await Promise.all([post('/v1/chat/completions', 'chat', body), endWhileRunning('engine-1')]);
+	assert.equal(told.verdict, 'may-have-run', told.reason);
+});
--- a/src/dispatch/chat-run.ts
+++ b/src/dispatch/chat-run.ts
@@ -10,7 +10,9 @@
 import type {UpstreamFailure} from '../upstream/upstream-failure.js';
 import {ChatAttempt, type AttemptOutcome} from './chat-attempt.js';
 import {runClaimed} from './claimed-run.js';
-import {backoff, judgeFailure, passCeiling} from './dispatch-outcome.js';
+import {
+	backoff, judgeFailure, passCeiling, refuseWithoutUpstream,
+} from './dispatch-outcome.js';
 import type {DispatchServices} from './dispatch-services.js';
 import type {EngineLink} from './upstream-links.js';
 
@@ -49,6 +51,8 @@
 	/** Tries in a row that were cut without bringing anything, and where the last one began. */
 	private fruitlessCuts = 0;
 	private triedFrom = 0;
+	/** Whether a try may have run the request. */
+	private mayHaveRun = false;
 	private moveCause: MoveCause | undefined;
 	/** The engine that computed what the caller has. */
 	private source: EngineLink | undefined;
@@ -137,7 +141,7 @@
 				}
 
 				if (this.record.position === 0 && this.plan.origin === 'new') {
-					return yield * Effect.fail(Refusal.create('no-upstream', `No upstream of pool ${this.plan.service.pool} can take the request. It was not run.`));
+					return yield * Effect.fail(refuseWithoutUpstream(this.plan.service.pool, this.mayHaveRun));
 				}
 
 				yield * this.checkDeadline();
@@ -214,10 +218,12 @@
 			upstream: link.state,
 			isRepeatable: this.plan.row.repeatable,
 			hasBegun: this.record.position > 0,
+			mayHaveRun: this.mayHaveRun,
 			tries: this.tries,
 			fruitlessCuts: this.fruitlessCuts,
 			pool: this.plan.service.pool,
 		});
+		this.mayHaveRun ||= failure.verdict !== 'not-run';
 		if (refusal) {
 			return Effect.fail(refusal);
 		}
--- a/src/dispatch/dispatch-outcome.ts
+++ b/src/dispatch/dispatch-outcome.ts
@@ -69,6 +69,8 @@
 	readonly isRepeatable: boolean;
 	/** Whether its caller has part of the answer already. */
 	readonly hasBegun: boolean;
+	/** Whether an earlier try may have run it: what the last one met does not change that. */
+	readonly mayHaveRun: boolean;
 	readonly tries: number;
 	/** Tries in a row, this one too, that were cut without bringing anything. */
 	readonly fruitlessCuts: number;
@@ -91,11 +93,21 @@
 	}
 
 	services.metrics.retriesDenied.inc({because});
-	return Refusal.create(
-		refusalReasonOf[failure.reason],
-		`The upstream failed: ${failure.detail}.`,
-		{verdict: attempt.hasBegun ? 'may-have-run' : failure.verdict},
-	);
+	const detail = `The upstream failed: ${failure.detail}.`;
+	return attempt.mayHaveRun && failure.verdict === 'not-run'
+		? Refusal.create('upstream-cut', detail)
+		: Refusal.create(refusalReasonOf[failure.reason], detail, {verdict: attempt.hasBegun ? 'may-have-run' : failure.verdict});
+}
+
+/**
+ * @param pool - Where no upstream can take a request.
+ * @param mayHaveRun - Whether an earlier try may have run it.
+ * @returns The refusal for its caller.
+ */
+export function refuseWithoutUpstream(pool: PoolName, mayHaveRun: boolean): Refusal {
+	return mayHaveRun
+		? Refusal.create('upstream-cut', `The upstream failed, and no other one of pool ${pool} can take the request.`)
+		: Refusal.create('no-upstream', `No upstream of pool ${pool} can take the request. It was not run.`);
 }
 
 function noteFailure({metrics, directory, log}: DispatchServices, {failure, upstream}: FailedAttempt): void {
--- a/src/dispatch/service-run.ts
+++ b/src/dispatch/service-run.ts
@@ -13,7 +13,9 @@
 import type {UpstreamFailure} from '../upstream/upstream-failure.js';
 import {runClaimed} from './claimed-run.js';
 import type {DispatchServices} from './dispatch-services.js';
-import {backoff, judgeFailure, passCeiling} from './dispatch-outcome.js';
+import {
+	backoff, judgeFailure, passCeiling, refuseWithoutUpstream,
+} from './dispatch-outcome.js';
 import type {ServiceLink} from './upstream-links.js';
 
 /** Bytes of an answer that are kept with its claim. */
@@ -58,6 +60,8 @@
 
 	private tries = 0;
 	private fruitlessCuts = 0;
+	/** Whether a try may have run the call. */
+	private mayHaveRun = false;
 
 	private constructor(private readonly services: DispatchServices, private readonly plan: ServicePlan) {}
 
@@ -103,7 +107,7 @@
 		const others = links.filter(link => link !== avoided);
 		const candidates = others.length > 0 ? others : links;
 		if (candidates.length === 0) {
-			return Effect.fail(Refusal.create('no-upstream', `No upstream of pool ${service.pool} can take the call. It was not run.`));
+			return Effect.fail(refuseWithoutUpstream(service.pool, this.mayHaveRun));
 		}
 
 		const state = this.services.policy.choose(candidates.map(link => link.state), {
@@ -144,16 +148,18 @@
 			upstream: link.state,
 			isRepeatable: this.plan.row.repeatable,
 			hasBegun: false,
+			mayHaveRun: this.mayHaveRun,
 			tries: this.tries,
 			fruitlessCuts: this.fruitlessCuts,
 			pool: this.plan.service.pool,
 		});
+		this.mayHaveRun ||= failure.verdict !== 'not-run';
 		if (refusal) {
 			return Effect.fail(refusal);
 		}
 
 		if (this.services.clock.monotonic() >= this.plan.deadlineAt) {
-			return Effect.fail(Refusal.create('deadline-passed', 'No answer came before the deadline.', {verdict: failure.verdict}));
+			return Effect.fail(Refusal.create('deadline-passed', 'No answer came before the deadline.', {verdict: this.mayHaveRun ? 'may-have-run' : 'not-run'}));
 		}
 
 		return Effect.as(Effect.sleep(backoff(this.tries)), undefined);
--- a/src/dispatch/test/dispatch-outcome.test.ts
+++ b/src/dispatch/test/dispatch-outcome.test.ts
@@ -21,7 +21,7 @@
 
 const attempt = (changes: Partial<FailedAttempt>): FailedAttempt => ({
 	failure: new UpstreamFailure({reason: 'cut', verdict: 'may-have-run', detail: 'the connection was cut'}),
-	upstream, pool: 'pool' as PoolName, isRepeatable: true, hasBegun: false, tries: 1, fruitlessCuts: 1, ...changes,
+	upstream, pool: 'pool' as PoolName, isRepeatable: true, hasBegun: false, mayHaveRun: false, tries: 1, fruitlessCuts: 1, ...changes,
 });
 
 test('a request that was cut three times in a row without bringing anything is not tried at a fourth upstream', () => {
