Test claims after an outage with rare calls, and a failed call whose replica leaves

The model of claims began its calls just before the store was back, so that the first one ended the pause for all others, and kept two mutations hidden: an operation that comes during a failing retry does not end the next pause; pauses stay long after a 429. Both fail now. A replica that leaves the list while it fails a call shows that its answer is not held back (mutation: the answer is not looked at).

--- a/src/claims/test/claim-outage-model.test.ts
+++ b/src/claims/test/claim-outage-model.test.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are refused as not run although the store is back: a call came during a retry, or other boxes wrote first. */
+/** Guards against calls that are refused as not run (503 claim-unavailable) although the store is back: a call came during a retry, or other boxes wrote first. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import * as Effect from 'effect/Effect';
@@ -13,13 +13,13 @@
 } from '../../external/object-store.js';
 import {ClaimShard} from '../claim-shard.js';
 
-const seeds = 100;
+const seeds = 200;
 const key = 'claims/0';
 /** Milliseconds after an outage in which the store refuses some calls for its rate, as all boxes come back at once. */
 const throttledFor = 300;
 const throttledShare = 0.3;
-/** Milliseconds that a call waits at most once the store is back: a pause that is ended early, and a few tries that other boxes contest. */
-const longestWait = 900;
+/** Milliseconds that a call waits at most once the store is back: the rest of a pause, the time in which calls are limited, and as long again for the pauses between. */
+const longestWait = 700;
 
 type Outage = {
 	readonly from: number;
@@ -133,7 +133,10 @@
 		}
 
 		const end = outage.until + 400;
+		// With rare calls, none ends the pause for another.
+		const spacing = random() < 0.5 ? 60 : 600;
 		let count = 0;
+		await time.advance(outage.until - time.now + (random() * 20));
 		while (time.now < end) {
 			void call(`call-${count}`);
 			count++;
@@ -141,7 +144,7 @@
 				void note(other, `late-${count}`);
 			}
 
-			await time.advance(1 + (random() * 60));
+			await time.advance(1 + (random() * spacing));
 		}
 
 		await time.advance(10_000);
--- a/src/node/test/absent-replicas.test.ts
+++ b/src/node/test/absent-replicas.test.ts
@@ -1,13 +1,13 @@
-/*
- * A call or stream that was cut when its replica ended was given up within 20 ms where no other replica listened, though the next replica was listed 100 ms
- * later: 502 for calls ("i-3: cut: socket hang up; i-1: unreachable: connect ECONNREFUSED", with 2 s left), a body cut in the middle for streams. Unlike a
- * refused request, its client cannot tell whether it ran.
- */
+/** Guards against a call or stream that is given up when its replica ends, although the next one is listed while there is time. */
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {RelayInstallation, until, type ClientCall} from '../../../development/relay/relay-installation.js';
+import {
+	RelayInstallation, routeTimeout, until, type ClientCall,
+} from '../../../development/relay/relay-installation.js';
 
+/** Milliseconds of a run; longer than a replica that has left the list is still a last resort. */
+const runTime = 900;
 /** Milliseconds from the arrival of a request at a replica to its end; shorter than any answer here takes. */
 const timeToCut = 80;
 /** Milliseconds from the loss of the last replica to the listing of the next one. */
@@ -43,15 +43,17 @@
 });
 
 /** Guards against a wait that serves nobody: a replica's own failure is an answer. */
-test('a call that a replica failed gets that answer at once where no other replica is left', async context => {
-	const installation = await RelayInstallation.start({relays: 1, replicas: ['i-1', 'i-2']});
+test('a call that a replica failed gets that answer at once where no replica is left', async context => {
+	const installation = await RelayInstallation.start({relays: 1, replicas: ['i-1']});
 	context.after(async () => installation.close());
 	const [relay] = installation.relays;
-	await until(() => relay!.log.lines.filter(({eventName}) => eventName === 'replicaListed').length === 2);
-	await installation.replicas.get('i-1')!.close();
-	installation.replicas.get('i-2')!.behave({fault: 'error'});
-	const {status} = await installation.call({path: '/calls/x'});
+	const replica = installation.replicas.get('i-1')!;
+	replica.behave({fault: 'error', delay: runTime});
+	const answer = installation.call({path: '/calls/x'});
+	await until(() => replica.seen.length === 1);
+	installation.unlist('i-1');
+	const {status} = await answer;
 	const line = relay!.log.lines.findLast(({eventName}) => eventName === 'requestAnswered');
 	assert.equal(status, 500);
-	assert.ok(Number(line?.took) < 1000, `took ${String(line?.took)} ms`);
+	assert.ok(Number(line?.took) < routeTimeout * 0.75, `took ${String(line?.took)} ms`);
 });
