Treat a failure that an engine answers as a request that may have run

What callers saw: 503 upstream-refused with the verdict not-run for a chat that its engine had answered with 500, and a second run of a chat that may not be repeated, since its claim was released.

Cause: any status other than 200 counted as a rejection. By the published interface 503 alone says that nothing ran, and 4xx are rejections; 500, 502 and 504 say nothing of it.

Evidence: http-model-engine.test.ts, "a failure that an engine answers may have run the request": not-run for 500 before, may-have-run now.

Change: the verdict of 500, 502 and 504 is may-have-run. A refusal whose reason promises that nothing ran is never sent with another verdict (upstream-cut in its place).

--- a/src/dispatch/dispatch-outcome.ts
+++ b/src/dispatch/dispatch-outcome.ts
@@ -3,7 +3,7 @@
  */
 import * as Effect from 'effect/Effect';
 import type {PoolName} from '../base/identifiers.js';
-import type {RefusalReason} from '../base/refusal-reason.js';
+import {refusalReasons, type RefusalReason} from '../base/refusal-reason.js';
 import {Refusal} from '../base/verdict.js';
 import type {UpstreamState} from '../routing/upstream-state.js';
 import {rowName, type Row} from '../table/table.js';
@@ -93,10 +93,11 @@
 	}
 
 	services.metrics.retriesDenied.inc({because});
-	const detail = `The upstream failed: ${failure.detail}.`;
-	return attempt.mayHaveRun && failure.verdict === 'not-run'
-		? Refusal.create('upstream-cut', detail)
-		: Refusal.create(refusalReasonOf[failure.reason], detail, {verdict: attempt.hasBegun ? 'may-have-run' : failure.verdict});
+	const verdict = attempt.hasBegun || attempt.mayHaveRun ? 'may-have-run' : failure.verdict;
+	const reason = refusalReasonOf[failure.reason];
+	// The status of a reason that promises that nothing ran must not be sent with another verdict.
+	const isPromise = refusalReasons[reason].verdict === 'not-run';
+	return Refusal.create(isPromise && verdict !== 'not-run' ? 'upstream-cut' : reason, `The upstream failed: ${failure.detail}.`, {verdict});
 }
 
 /**
--- a/src/upstream/http-model-engine.ts
+++ b/src/upstream/http-model-engine.ts
@@ -20,6 +20,8 @@
 
 const ok = 200;
 const unavailable = 503;
+/** Statuses from here on are failures of the engine itself; it may have run the request before. */
+const firstServerError = 500;
 /** Milliseconds an engine may take for an answer; callers' deadlines are shorter and kept elsewhere. */
 const longestAnswer = 86_400_000;
 const importTimeout = 5000;
@@ -102,7 +104,7 @@
 		Effect.mapError(failure => unreachable(failure)),
 		Effect.flatMap(({status, body}) => Effect.fail(new UpstreamFailure({
 			reason: status === unavailable ? refusalReasonOf(body) : 'bad-answer',
-			verdict: 'not-run',
+			verdict: status >= firstServerError && status !== unavailable ? 'may-have-run' : 'not-run',
 			detail: `the engine answered ${status}: ${Buffer.from(body).toString().slice(0, 200)}`,
 		}))),
 	);
--- a/src/upstream/test/http-model-engine.test.ts
+++ b/src/upstream/test/http-model-engine.test.ts
@@ -169,3 +169,14 @@
 	server.script = {pieces: ['HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\n{}'], ending: 'open'};
 	assert.equal((await Effect.runPromise(Effect.flip(engine.load()))).reason, 'bad-answer');
 });
+
+/** Guards against a chat that may not be repeated and runs twice: its claim was released when the engine had failed it. */
+test('a failure that an engine answers may have run the request; a rejection has not', async () => {
+	const verdicts = {
+		400: 'not-run', 429: 'not-run', 500: 'may-have-run', 502: 'may-have-run', 503: 'not-run', 504: 'may-have-run',
+	};
+	for (const [status, verdict] of Object.entries(verdicts)) {
+		const {ending} = await receive({pieces: [`HTTP/1.1 ${status} Oops\r\nContent-Length: 2\r\n\r\n{}`], ending: 'open'});
+		assert.equal(ending.split(', ')[1], verdict, status);
+	}
+});
