Wait for room at a limited replica where all others refuse connections

What callers saw: 503 no-upstream, with 0.5 s to come back, beside a replica that had named a limit and had room some milliseconds later.

Cause: replicas without room are no candidates; where the others refused connections, the request was refused as if there were no replica. Only where all replicas are limited did it wait for room.

Change: where all replicas with room refuse connections, the request waits for room at the others as it does where all are limited.

--- a/src/claims/claim-shard.ts
+++ b/src/claims/claim-shard.ts
@@ -320,7 +320,7 @@
 		);
 	}
 
-	/** A store that refuses a write because another box wrote first, or a call because of its rate, is not away: what waits for it is served soon. */
+	/** A version conflict and a rate limit prove that the store answers: claims are tried again until their deadline, as without an outage. */
 	private noteError(error: StoreFailure | VersionConflict): void {
 		if (error._tag === 'VersionConflict' || error.reason === 'throttled') {
 			this.failingSince = undefined;
--- a/src/door/refusal-log.ts
+++ b/src/door/refusal-log.ts
@@ -1,5 +1,5 @@
 /**
- * Logs refused requests: without it nothing on a box tells which decision refused a caller. Bounded, since callers may be refused at any rate.
+ * Logs refused requests, so that a refusal can be traced to the decision behind it. The lines are bounded, since callers may be refused at any rate.
  */
 import type {IncomingMessage} from 'node:http';
 import type {EventLog} from '../base/event-log.js';
--- a/src/node/test/ended-replicas.test.ts
+++ b/src/node/test/ended-replicas.test.ts
@@ -5,7 +5,8 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {RelayInstallation, until} from '../../../development/relay/relay-installation.js';
+import {setTimeout as pause} from 'node:timers/promises';
+import {RelayInstallation, until, type ClientView} from '../../../development/relay/relay-installation.js';
 
 /** More than a request may be sent to. */
 const ended = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'];
@@ -75,3 +76,28 @@
 	assert.ok(Number(headers['retry-after']) > 0);
 	assert.ok(Number(line?.took) < 1000, `took ${String(line?.took)} ms`);
 });
+
+/** Milliseconds for which a box that starts has no part of a limit. */
+const timeWithoutPart = 2500;
+
+/** Guards against a request that is refused because other replicas refuse connections, although a limited one has room in time. */
+test('a request waits for room at a limited replica where all others have ended', async context => {
+	const [limited, other] = ['i-1', 'i-2'] as const;
+	const installation = await RelayInstallation.start({relays: 1, replicas: [limited, other]});
+	context.after(async () => installation.close());
+	const [relay] = installation.relays;
+	installation.replicas.get(limited)!.limit = '10';
+	const calls: ClientView[] = [];
+	const isLimited = () => relay!.log.lines.some(({eventName}) => eventName === 'replicaLimited');
+	while (!isLimited()) {
+		calls.push(await installation.call({path: '/calls/before'}));
+	}
+
+	await pause(timeWithoutPart);
+	await installation.replicas.get(other)!.close();
+	for (const _ of Array.from({length: 20})) {
+		calls.push(await installation.call({path: '/calls/after'}));
+	}
+
+	assert.deepEqual(calls.map(({status}) => status), calls.map(() => 200));
+});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -87,7 +87,12 @@
 		});
 		const choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
 		this.choice = RunChoice.create({
-			services, suspicion: this.suspicion, choiceRequest, story: this.story, request: () => this.request, mayHaveRun: () => this.story.runs > 0 && !this.failedAnswer,
+			services,
+			suspicion: this.suspicion,
+			choiceRequest,
+			story: this.story,
+			request: () => this.request,
+			waitsForReplica: () => this.verdict === 'may-have-run' && !this.failedAnswer,
 		});
 		this.parts = {
 			services, client, passage: this.passage, suspicion: this.suspicion, notes: this.notes, choiceRequest, story: this.story,
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -31,8 +31,8 @@
 	readonly story: RunStory;
 	/** @returns The request as the configuration says that is in force by now. */
 	readonly request: () => AdmittedRequest;
-	/** @returns Whether a replica has run the request, and nothing else is left to tell the client than that it may have run. */
-	readonly mayHaveRun: () => boolean;
+	/** @returns Whether a replica may have run the request and no replica's answer is left to pass on: it then waits for a replica where there is none. */
+	readonly waitsForReplica: () => boolean;
 };
 
 /**
@@ -76,7 +76,13 @@
 		}
 
 		const open = this.withRoom(ready);
-		return open.length === 0 ? this.awaitRoom(ready) : this.chooseAmong(open);
+		const candidates = this.candidatesAmong(open);
+		if (candidates) {
+			return this.chooseAmong(candidates);
+		}
+
+		const full = ready.filter(replica => !open.includes(replica));
+		return full.length > 0 ? this.awaitRoom(full) : this.withoutReplica(`All replicas of service ${service} refuse connections.`);
 	}
 
 	/** Gives up its place among those that wait. */
@@ -87,13 +93,8 @@
 		}
 	}
 
-	private chooseAmong(open: readonly Replica[]): RunDecision {
-		const {services: {choice}, suspicion, choiceRequest, request} = this.parts;
-		const candidates = this.candidatesAmong(open);
-		if (!candidates) {
-			return this.withoutReplica(`All replicas of service ${request().service} refuse connections.`);
-		}
-
+	private chooseAmong(candidates: readonly Replica[]): RunDecision {
+		const {services: {choice}, suspicion, choiceRequest} = this.parts;
 		const bounded = suspicion.bounded(candidates);
 		return bounded.length > 0 ? this.admit(choice.choose(bounded, choiceRequest)) : {kind: 'turn'};
 	}
@@ -102,7 +103,8 @@
 	 * Each replica is tried once before any is tried again, and one that refuses connections is not tried again: it has less work than all others and
 	 * would be chosen each time.
 	 *
-	 * @returns The best ones; `undefined` where every replica refuses connections.
+	 * @param open - Replicas that have room.
+	 * @returns The best ones; `undefined` where all of them refuse connections.
 	 */
 	private candidatesAmong(open: readonly Replica[]): readonly Replica[] | undefined {
 		const {services: {limits}, story} = this.parts;
@@ -194,7 +196,7 @@
 	 * connections again, or its time is over: refusing it would end its stream in the middle, or leave its client without knowing whether it ran.
 	 */
 	private withoutReplica(detail: string): RunDecision {
-		return this.parts.mayHaveRun()
+		return this.parts.waitsForReplica()
 			? {kind: 'wait', wait: replicaCheckInterval}
 			: {
 				kind: 'refuse', reason: 'no-upstream', detail, comeBack: this.untilReplica,
