Grant a box that starts its fair part of each ceiling

What callers saw: 429 ceiling-reached at an entry box that had just started, for a client account whose ceiling of a million tokens a second was not in use, until the other boxes had asked for their parts again.

Cause: the owner of a ceiling grants all of it, what nobody asks for spread evenly. A box that is listed later and asks for the first time was granted what was left, which is nothing until the others have asked again, although it had been spending its fair part since its start.

The caller took the refusal for final, which it does only where Retry-After is no number; that is so only at a part of zero. ceiling-start.test.ts plays the order of exchanges: refused before (box-3), passed now.

Ruled out, by runs: answers that are whole before the last one begins need a pause of the test or of a box of over 7 s (both provoked: no call refused); 552 calls right after the start of 23 installations on one core beside six busy processes were all answered at the first try.

Change: the first grant of a box is its fair part at least. The sum of the parts may pass the ceiling by that part until the others have asked again, as it did before between the start of a box and its first grant.

--- a/src/limits/ceiling-owner.ts
+++ b/src/limits/ceiling-owner.ts
@@ -66,6 +66,7 @@
 		const listed = this.facts.entryBoxes();
 		const everyone = [...new Set([...listed, ...members.keys(), box])];
 		const fairPart = ceiling / Math.max(1, new Set([...listed, box]).size);
+		const isFirst = !members.has(box);
 		members.set(box, {demand, rate: members.get(box)?.rate ?? 0, seenAt: now});
 
 		const isActive = (other: BoxId) => now - (members.get(other)?.seenAt ?? Number.NEGATIVE_INFINITY) <= grantLifetime;
@@ -76,7 +77,10 @@
 		const parts = divideByDemand(budget, active.map(key => ({key, rate: members.get(key)!.demand})));
 		const wanted = parts.find(({key}) => key === box)!.rate;
 		const unreserved = ceiling - sumOf(others.map(other => reserve(other)));
-		const rate = Math.max(0, Math.min(this.isNew(now) ? fairPart : wanted, unreserved));
+		const available = Math.max(0, Math.min(this.isNew(now) ? fairPart : wanted, unreserved));
+		// A box spends its fair part from its start on. Others that were granted all before it was listed give theirs up as they ask again; taking it
+		// back until then would refuse its callers though the ceiling may not be in use.
+		const rate = isFirst ? Math.max(available, fairPart) : available;
 		members.set(box, {demand, rate, seenAt: now});
 		this.forget(members, listed, now);
 		return rate;
--- /dev/null
+++ b/src/limits/test/ceiling-start.test.ts
@@ -0,0 +1,67 @@
+/** Guards against callers that are refused at a box that starts, although the ceiling is not in use: the other boxes had been granted all of it before. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {VirtualClock} from '../../../development/fuzz/virtual-time.js';
+import type {BoxId} from '../../base/identifiers.js';
+import {rankOwners} from '../../base/rendezvous.js';
+import {CeilingOwner, type CeilingFacts} from '../ceiling-owner.js';
+import {Ceilings} from '../ceilings.js';
+
+const ceiling = 1000;
+const row = 'alpha/orders/look-up';
+const [first, second, third] = rankOwners(row, ['box-1', 'box-2', 'box-3'] as BoxId[]) as [BoxId, BoxId, BoxId];
+const exchangeInterval = 500;
+
+/** Boxes that share what is listed, and exchange when told. */
+class Fleet {
+	now = 0;
+	listed: readonly BoxId[] = [];
+	readonly boxes = new Map<BoxId, {readonly ceilings: Ceilings; readonly owner: CeilingOwner}>();
+
+	start(id: BoxId): void {
+		this.listed = [...this.listed, id];
+		const facts: CeilingFacts = {ceiling: () => ceiling, rows: () => [row], entryBoxes: () => this.listed};
+		const clock = VirtualClock.create(this);
+		this.boxes.set(id, {ceilings: Ceilings.create(id, facts, clock), owner: CeilingOwner.create(facts, clock)});
+	}
+
+	ask(asker: BoxId, owner: BoxId): void {
+		const {ceilings} = this.boxes.get(asker)!;
+		ceilings.takeGrants(owner, this.boxes.get(owner)!.owner.grant(asker, ceilings.demandsFor(owner, [...this.boxes.keys()])), this.now);
+	}
+
+	exchange(): void {
+		for (const asker of this.boxes.keys()) {
+			for (const owner of this.boxes.keys()) {
+				this.ask(asker, owner);
+			}
+		}
+
+		this.now += exchangeInterval;
+	}
+
+	take(id: BoxId, cost: number): number {
+		return this.boxes.get(id)!.ceilings.take(row, cost);
+	}
+
+	get rates(): readonly number[] {
+		return [...this.boxes.values()].map(({ceilings}) => ceilings.rate(row));
+	}
+}
+
+const sumOfRates = (fleet: Fleet): number => Math.round(fleet.rates.reduce((sum, rate) => sum + rate, 0));
+
+test('a box that starts beside others that were granted the whole ceiling lets requests pass', () => {
+	const fleet = new Fleet();
+	fleet.start(first);
+	fleet.exchange();
+	assert.equal(sumOfRates(fleet), ceiling, 'one box has all');
+	for (const id of [second, third]) {
+		fleet.start(id);
+		fleet.ask(id, first);
+		assert.equal(fleet.take(id, 1), 0, `${id} lets a request pass`);
+		fleet.exchange();
+		fleet.exchange();
+		assert.ok(sumOfRates(fleet) <= ceiling, `once the others have asked again, ${sumOfRates(fleet)} of ${ceiling}`);
+	}
+});
