Tell a caller without a part of the ceiling when to come back

What callers saw: 429 ceiling-reached with "Retry-After: NaN" at a box whose part of a ceiling was zero; a caller that follows docs/CALLERS.md does not come back after it.

Cause: the time until an empty bucket fills was divided by its rate, zero by zero.

Change: a bucket that does not fill tells an infinite time, and a box without a part the lifetime of a grant, by which it knows its next one.

--- a/src/limits/ceilings.ts
+++ b/src/limits/ceilings.ts
@@ -54,8 +54,14 @@
 		const now = this.clock.monotonic();
 		const spending = this.spendingOf(row, now);
 		spending.demand.note(cost, now);
-		spending.bucket.setRate(this.rateOf(spending, now), now);
-		return spending.bucket.take(cost, now) ? 0 : Math.max(1, spending.bucket.waitTime(now));
+		const rate = this.rateOf(spending, now);
+		spending.bucket.setRate(rate, now);
+		if (spending.bucket.take(cost, now)) {
+			return 0;
+		}
+
+		// A bucket that does not fill tells no time; the next grant is known by then.
+		return rate > 0 ? Math.max(1, spending.bucket.waitTime(now)) : grantLifetime;
 	}
 
 	/**
--- a/src/limits/test/ceiling-start.test.ts
+++ b/src/limits/test/ceiling-start.test.ts
@@ -4,6 +4,7 @@
 import {VirtualClock} from '../../../development/fuzz/virtual-time.js';
 import type {BoxId} from '../../base/identifiers.js';
 import {rankOwners} from '../../base/rendezvous.js';
+import {grantLifetime} from '../ceiling-grant.js';
 import {CeilingOwner, type CeilingFacts} from '../ceiling-owner.js';
 import {Ceilings} from '../ceilings.js';
 
@@ -65,3 +66,14 @@
 		assert.ok(sumOfRates(fleet) <= ceiling, `once the others have asked again, ${sumOfRates(fleet)} of ${ceiling}`);
 	}
 });
+
+/** Guards against a refusal whose Retry-After is no number, after which callers do not come back. */
+test('a box without a part tells when to come back', () => {
+	const fleet = new Fleet();
+	fleet.start(first);
+	const {ceilings} = fleet.boxes.get(first)!;
+	ceilings.demandsFor(first, [first]);
+	ceilings.takeGrants(first, [{row, rate: 0}], fleet.now);
+	const wait = fleet.take(first, 1);
+	assert.ok(wait > 0 && wait <= grantLifetime, `${wait} ms`);
+});
--- a/src/limits/token-bucket.ts
+++ b/src/limits/token-bucket.ts
@@ -4,6 +4,7 @@
 
 /** Seconds of its rate that an idle bucket gathers. */
 const burstSeconds = 1;
+const millisecondsPerSecond = 1000;
 
 /** Fills at a rate. It may be overdrawn by one request, which the next ones wait out. */
 export class TokenBucket {
@@ -66,11 +67,15 @@
 	 */
 	waitTime(now: number): number {
 		this.fill(now);
-		return this.balance > 0 ? 0 : (-this.balance / this.rate) * 1000;
+		if (this.balance > 0) {
+			return 0;
+		}
+
+		return this.rate > 0 ? (-this.balance / this.rate) * millisecondsPerSecond : Number.POSITIVE_INFINITY;
 	}
 
 	private fill(now: number): void {
-		this.balance = Math.min(this.rate * burstSeconds, this.balance + ((now - this.filledAt) / 1000 * this.rate));
+		this.balance = Math.min(this.rate * burstSeconds, this.balance + ((now - this.filledAt) / millisecondsPerSecond * this.rate));
 		this.filledAt = now;
 	}
 }
