--- a/src/limits/test/ceiling-start.test.ts
+++ b/src/limits/test/ceiling-start.test.ts
@@ -4,6 +4,7 @@
 import {VirtualClock} from '../../../development/fuzz/virtual-time.js';
 import type {BoxId} from '../../base/identifiers.js';
 import {rankOwners} from '../../base/rendezvous.js';
+import {sumOf} from '../../base/sum.js';
 import {grantLifetime} from '../ceiling-grant.js';
 import {CeilingOwner, type CeilingFacts} from '../ceiling-owner.js';
 import {Ceilings} from '../ceilings.js';
@@ -50,7 +51,7 @@
 	}
 }
 
-const sumOfRates = (fleet: Fleet): number => Math.round(fleet.rates.reduce((sum, rate) => sum + rate, 0));
+const sumOfRates = (fleet: Fleet): number => Math.round(sumOf(fleet.rates));
 
 test('a box that starts beside others that were granted the whole ceiling lets requests pass', () => {
 	const fleet = new Fleet();
