Log what replicas say of leaving and of times without requests

The head of an answer is decoded into one statement (limit, leaving, time without requests); both are logged as they are learnt (3211, 3212), and values that cannot be read are (3213). Nothing is decided by them yet: behaviour is as before.

The stand-in of a replica can say both.

--- a/development/bench/streams.ts
+++ b/development/bench/streams.ts
@@ -13,6 +13,7 @@
 import {ClientAnswer} from '../../src/relay/client-answer.js';
 import {RelayMetrics} from '../../src/relay/relay-metrics.js';
 import {StreamPassage} from '../../src/relay/stream-passage.js';
+import {noStatement} from '../../src/replicas/replica-statement.js';
 
 const eventsPerStream = 64;
 const streamsAtOnce = 50;
@@ -21,7 +22,7 @@
 /** A usual event: some words of an answer. */
 const dataBytes = 48;
 const head = {
-	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined, limit: undefined,
+	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined, statement: noStatement,
 };
 
 const textOf = (event: number): string => `id: ${event}\ndata: ${'w'.repeat(dataBytes)}\n\n`;
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -24,6 +24,14 @@
 		'none' | 'reset' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'mute-stream' | 'elsewhere';
 };
 
+/** A replica turns requests away and asks for a time without any. */
+export type Shedding = {
+	/** Of so many requests the last is turned away. */
+	readonly every: number;
+	/** What the answer says of the time. */
+	readonly retryAfter: string;
+};
+
 /** A fault of a replica that a request brings about: its process ends. */
 export type CrashMark = {
 	/** What a body holds under which the replica ends. */
@@ -44,6 +52,8 @@
 	readonly hasRun: boolean;
 	/** Monotonic milliseconds at which it came. */
 	readonly at: number;
+	/** Whether it was turned away with a time to stay away. */
+	readonly isShed: boolean;
 	isAbandoned: boolean;
 	/** Whether it is a stream that was written to its end, as it should be, and read. */
 	isRightStream: boolean;
@@ -98,6 +108,10 @@
 	conduct: ReplicaConduct = calm;
 	/** What its answers name as the requests a second that it takes of all boxes, as text, whatever else goes wrong; `undefined` where they name none. */
 	limit: string | undefined;
+	/** Whether its answers say that it leaves. */
+	isLeaving = false;
+	/** How it turns requests away; `undefined` where it does not. */
+	shedding: Shedding | undefined;
 	/** Under which body it ends; `undefined` where none ends it. */
 	crashMark: CrashMark | undefined;
 	/** How the stream is written that answers a body; `undefined` where the conduct tells it. */
@@ -159,15 +173,23 @@
 		const {response, headers, incoming} = request;
 		const id = String(headers[header.attempt]);
 		const isElsewhere = conduct.fault === 'elsewhere' || (headers[header.expectInstance] !== undefined && headers[header.expectInstance] !== this.id);
-		const hasRun = !isElsewhere && conduct.fault !== 'refuse';
+		const {shedding} = this;
+		const isShed = shedding !== undefined && (this.seen.length + 1) % shedding.every === 0;
+		const hasRun = !isElsewhere && !isShed && conduct.fault !== 'refuse';
 		const seen: SeenRequest = {
-			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, at: performance.now(), isAbandoned: false, isRightStream: false,
+			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, isShed, at: performance.now(), isAbandoned: false, isRightStream: false,
 		};
 		this.seen.push(seen);
 		response.once('close', () => {
 			seen.isAbandoned = !response.writableFinished;
 		});
-		const own = {'Attempt-Id': id, 'Server-Stamp': stampOf(this.id), ...(this.limit === undefined ? {} : {'Server-Limit': this.limit})};
+		const own = {
+			'Attempt-Id': id,
+			'Server-Stamp': stampOf(this.id),
+			...(this.limit === undefined ? {} : {'Server-Limit': this.limit}),
+			...(this.isLeaving ? {'Server-Leaving': '1'} : {}),
+			...(isShed ? {'Retry-After': shedding.retryAfter} : {}),
+		};
 		if (!hasRun) {
 			response.writeHead(isElsewhere ? 421 : 503, {...own, 'Not-Executed': '1', 'Content-Length': '0'}).end();
 			return;
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -29,6 +29,7 @@
 import {LeastWaitChoice} from '../replicas/replica-choice.js';
 import {ReplicaDirectory} from '../replicas/replica-directory.js';
 import {ReplicaLimits} from '../replicas/replica-limits.js';
+import {ReplicaStatements} from '../replicas/replica-statements.js';
 import {ServiceDemands} from '../replicas/service-demand.js';
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
@@ -206,6 +207,9 @@
 		table.onDidApply(({version}) => {
 			metrics.configurationVersion.set(version);
 		});
+		const limits = ReplicaLimits.create({
+			clock, log, commonTime: () => peers.commonTime, stretch: service => this.stretches.of(service), listed: start => replicas.ofStart(start),
+		});
 		const bounds = () => settings().bounds;
 		return {
 			clock,
@@ -216,9 +220,8 @@
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas,
 			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkOld: () => topology.isLarge}),
-			limits: ReplicaLimits.create({
-				clock, log, commonTime: () => peers.commonTime, stretch: service => this.stretches.of(service), listed: start => replicas.ofStart(start),
-			}),
+			limits,
+			statements: ReplicaStatements.create({clock, log, limits}),
 			limitQueue: LimitQueue.create(clock),
 			demands: ServiceDemands.create(clock),
 			connections,
--- a/src/relay/relay-format.ts
+++ b/src/relay/relay-format.ts
@@ -2,6 +2,7 @@
  * How requests and answers look on the wire; the adapter at the root implements it.
  */
 import type {IncomingMessage} from 'node:http';
+import type {ReplicaStatement} from '../replicas/replica-statement.js';
 
 /** A part of a prompt, which requests may share. */
 export type PromptPart = {
@@ -51,11 +52,8 @@
 	readonly isPlain: boolean;
 	/** Milliseconds for which the replica keeps the connection; `undefined` where it does not say. */
 	readonly idleLifetime: number | undefined;
-	/**
-	 * Requests a second that the replica takes of all boxes together, for as long as its answers say so; `undefined` where it names no limit, `unreadable`
-	 * where it names one that is no number of requests.
-	 */
-	readonly limit: number | 'unreadable' | undefined;
+	/** What the replica says of itself. */
+	readonly statement: ReplicaStatement;
 };
 
 /** Reads and writes heads. */
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -8,6 +8,7 @@
 import type {ReplicaChoice} from '../replicas/replica-choice.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import type {ReplicaLimits} from '../replicas/replica-limits.js';
+import type {ReplicaStatements} from '../replicas/replica-statements.js';
 import type {ServiceDemands} from '../replicas/service-demand.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
 import type {UsageCounts} from '../duties/usage-counts.js';
@@ -30,6 +31,7 @@
 	readonly replicas: ReplicaDirectory;
 	readonly choice: ReplicaChoice;
 	readonly limits: ReplicaLimits;
+	readonly statements: ReplicaStatements;
 	readonly limitQueue: LimitQueue;
 	readonly demands: ServiceDemands;
 	readonly connections: ConnectionBook;
--- a/src/relay/replica-try.ts
+++ b/src/relay/replica-try.ts
@@ -107,7 +107,7 @@
 	/** Everything that decides is looked at again here: the connection may have taken its time, or the process stood still. */
 	private send({socket}: Connection): Effect.Effect<void, AttemptFailure> {
 		return Effect.suspend(() => {
-			const {services: {clock, connections, format, limits, metrics}, story} = this.parts;
+			const {services: {clock, connections, format, limits, statements, metrics}, story} = this.parts;
 			const {replica} = this.plan;
 			const ofReplica = connections.of(replica);
 			const withheld = this.whyWithheld();
@@ -122,8 +122,8 @@
 				metrics.limitedTries.inc({service: replica.entry.service});
 			}
 
-			const onHead = ({limit}: AnswerHead) => {
-				limits.noteAnswer(replica, limit, this.sentAt);
+			const onHead = ({statement}: AnswerHead) => {
+				statements.noteAnswer(replica, statement, this.sentAt);
 			};
 
 			return openAnswer({
--- a/src/relay/test/stream-passage.test.ts
+++ b/src/relay/test/stream-passage.test.ts
@@ -6,13 +6,14 @@
 import {setImmediate as turn} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import {PlatformRelayFormat} from '../../../platform/relay-format.js';
+import {noStatement} from '../../replicas/replica-statement.js';
 import type {AttemptFailure} from '../attempt-failure.js';
 import {ClientAnswer} from '../client-answer.js';
 import {RelayMetrics} from '../relay-metrics.js';
 import {StreamPassage} from '../stream-passage.js';
 
 const head = {
-	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined, limit: undefined,
+	id: undefined, isNotRun: false, isElsewhere: false, isPlain: true, idleLifetime: undefined, statement: noStatement,
 };
 
 /** A client's connection that keeps what it is sent. */
