Reproduce requests at replicas that leave or have asked for none (known to fail)

Four relays, 24 clients, three replicas, one of which begins to say so; its entry in the store stays ready.

--- /dev/null
+++ b/src/node/test/replica-statements.test.ts
@@ -0,0 +1,93 @@
+/*
+ * Boxes went on sending requests to a replica whose answers said that it leaves, until the store's list said so, and to one that had answered 503 and asked
+ * for a time without requests.
+ */
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {RelayInstallation, until, type ClientView} from '../../../development/relay/relay-installation.js';
+import type {ReplicaStandin, SeenRequest} from '../../../development/relay/replica-standin.js';
+import {groupBy} from '../../base/group-by.js';
+
+const relayCount = 4;
+const clientCount = 24;
+/** Milliseconds between two requests of a client. */
+const clientPause = 60;
+/** Milliseconds for which requests are counted after a replica has said something of itself. */
+const observed = 6000;
+/** Milliseconds after an answer that says that its replica leaves, from which on the box that got it sends it nothing. */
+const drainTime = 2000;
+/** Seconds without requests that a replica asks for. */
+const pauseAsked = 3;
+/** Milliseconds after the answer that asks for them, from which on requests count. */
+const pauseNotice = 500;
+/** Requests that may come in that time all the same. */
+const pauseSlack = 2;
+const settleTime = 1500;
+
+let installation: RelayInstallation;
+let views: ClientView[];
+let over: AbortController;
+let clients: Promise<unknown>;
+let calls = 0;
+
+const told = (): ReplicaStandin => installation.replicas.get('i-1')!;
+const relayOf = ({id}: SeenRequest): string => id.split(':')[0]!;
+const byRelay = (requests: readonly SeenRequest[]): ReadonlyMap<string, readonly SeenRequest[]> => groupBy(requests, request => relayOf(request));
+
+async function callOn(client: number): Promise<void> {
+	for (let count = 0; !over.signal.aborted; count++) {
+		const relay = installation.relays[(client + count) % relayCount]!;
+		calls++;
+		views.push(await installation.call({path: `/calls/${client}`, headers: {'Attempt-Id': `${relay.name}:${calls}`}}, relay));
+		await pause(clientPause);
+	}
+}
+
+/** Requests at a replica that a relay sent in a time in which that relay had been asked for none. */
+function inPauses(requests: readonly SeenRequest[]): readonly number[] {
+	return requests
+		.filter(({isShed}) => isShed)
+		.map(({at}) => requests.filter(other => other.at > at + pauseNotice && other.at < at + (pauseAsked * 1000)).length);
+}
+
+beforeEach(async () => {
+	installation = await RelayInstallation.start({relays: relayCount, replicas: ['i-1', 'i-2', 'i-3']});
+	installation.prepareReplicas(replica => {
+		replica.behave({delay: 20});
+	});
+	views = [];
+	over = new AbortController();
+	clients = Promise.all(Array.from({length: clientCount}, async (_, client) => callOn(client)));
+	await until(() => [...byRelay(told().seen).values()].length === relayCount);
+	await pause(settleTime);
+});
+
+afterEach(async () => {
+	over.abort();
+	await clients;
+	await installation.close();
+});
+
+test('a box sends nothing to a replica that says in its answers that it leaves, whatever its entry in the store says', async () => {
+	const before = views.length;
+	const saidAt = performance.now();
+	told().isLeaving = true;
+	await pause(observed);
+	const after = [...byRelay(told().seen.filter(({at}) => at >= saidAt)).values()];
+	const late = after.flatMap(requests => requests.filter(({at}) => at > requests[0]!.at + drainTime));
+	assert.equal(late.length, 0, `${late.length} requests later than ${drainTime} ms after the first answer that said so`);
+	const served = views.slice(before).filter(({status}) => status === 200);
+	assert.equal(served.length, views.length - before, 'all are served');
+});
+
+test('a box sends nothing to a replica that has turned it away and asked for a time without requests', async () => {
+	const before = views.length;
+	told().shedding = {every: 2, retryAfter: String(pauseAsked)};
+	await pause(observed);
+	const most = Math.max(...[...byRelay(told().seen).values()].flatMap(requests => inPauses(requests)));
+	assert.ok(told().seen.some(({isShed}) => isShed), 'requests are turned away');
+	assert.ok(most <= pauseSlack, `${most} requests of one box in ${pauseAsked} s in which it had been asked for none`);
+	const served = views.slice(before).filter(({status}) => status === 200);
+	assert.equal(served.length, views.length - before, 'all are served');
+});
