Send nothing to a replica that announces its leaving in its answers

Seen by callers: requests reached a replica up to 5 s after an answer had told the box that the replica leaves (bound 2 s); one of them ended with 500. The store was down, so the entry said ready for 12 s more.

Cause: Server-Leaving was read by nobody; only the store's entry and a 421 counted.

Change: the announcement is kept by start of the replica in the directory, where the choice, the look before sending, the queue and the fleet's size already ask. It holds until the replica starts again, also where its entry says ready, lapses and is written again, or an older answer comes later. Boxes tell it to each other with the limits, as statements of one kind, so that a box without an answer of its own knows it while the store is down.

A request whose replicas all leave is refused at once.

--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -17,6 +17,7 @@
 import {QuotaLedger} from '../../src/quota/quota-ledger.js';
 import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
 import {ReplicaLimits} from '../../src/replicas/replica-limits.js';
+import {ReplicaStatements} from '../../src/replicas/replica-statements.js';
 import {ServiceDemands} from '../../src/replicas/service-demand.js';
 
 /** What the fleet is like. */
@@ -164,6 +165,9 @@
 		const limits = ReplicaLimits.create({
 			clock, log, commonTime: () => peers.commonTime, stretch: service => stretches.of(service), listed: start => replicas.ofStart(start),
 		});
+		const statements = ReplicaStatements.create({
+			clock, log, limits, replicas,
+		});
 		const usage = UsageCounts.create(() => clock.wall(), () => 5000);
 		for (let index = 0; index < shape.clientAccounts; index++) {
 			quota.take(`acct${index}`, 5000);
@@ -181,7 +185,7 @@
 		const replicaRole = {told: {at: 812, age: 95}, take: () => undefined, changesSince: () => ({at: 812, changes: []})};
 		const parts = {
 			clock, log, peers, topology, services: {
-				replicas, quota, demands, usage, table, quarantine, limits,
+				replicas, quota, demands, usage, table, quarantine, limits, statements,
 			}, configuration, replicaRole, stretches, isStopping: () => false,
 		};
 		// Only what the exchange asks of the other parts is there.
--- a/development/harness/limit-fleet.ts
+++ b/development/harness/limit-fleet.ts
@@ -11,7 +11,9 @@
 import type {Slot} from '../../src/replicas/limit-slots.js';
 import type {Replica} from '../../src/replicas/replica.js';
 import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
-import {mostLimitsTold, ReplicaLimits} from '../../src/replicas/replica-limits.js';
+import {ReplicaLimits} from '../../src/replicas/replica-limits.js';
+import {mostStatementsTold} from '../../src/replicas/replica-statement.js';
+import {ReplicaStatements} from '../../src/replicas/replica-statements.js';
 import {ServiceDemands} from '../../src/replicas/service-demand.js';
 import {mostWithin} from './most-within.js';
 import {MovedClock} from './moved-clock.js';
@@ -43,6 +45,7 @@
 	readonly stretches: LimitStretches;
 	readonly replicas: ReplicaDirectory;
 	readonly limits: ReplicaLimits;
+	readonly statements: ReplicaStatements;
 	readonly incarnation: string;
 	/** When an answer to this box first named a limit. */
 	toldAt: number;
@@ -133,8 +136,11 @@
 		const limits = ReplicaLimits.create({
 			clock, log, commonTime: () => peers.commonTime, stretch: name => stretches.of(name), listed: start => replicas.ofStart(start),
 		});
+		const statements = ReplicaStatements.create({
+			clock, log, limits, replicas,
+		});
 		return {
-			index, address, clock, peers, topology, demands, stretches, replicas, limits,
+			index, address, clock, peers, topology, demands, stretches, replicas, limits, statements,
 			incarnation: String(this.now), toldAt: Number.POSITIVE_INFINITY, sequence: 0, round: index, nextRoundAt: this.now + (this.random() * 200),
 		};
 	}
@@ -210,8 +216,8 @@
 		box.nextRoundAt = this.now + topology.pause(this.random());
 		const isWhole = !topology.isLarge || box.round % roundsBetweenWholeStates === 0;
 		box.limits.lookForSlots();
-		const told = box.limits.told(isWhole, ['answer'], topology.isLarge ? mostLimitsTold.large : mostLimitsTold.small);
-		const message = this.messageOf(box, {demand: box.demands.told, ...(told ? {limits: told} : {})});
+		const told = box.statements.told(isWhole, ['answer'], topology.isLarge ? mostStatementsTold.large : mostStatementsTold.small);
+		const message = this.messageOf(box, {demand: box.demands.told, ...(told ? {statements: told} : {})});
 		const targets = topology.targets(box.round);
 		for (const [place, {address}] of targets.entries()) {
 			peers.noteTold(address.name);
@@ -223,12 +229,14 @@
 	}
 
 	private hear(box: Box, sender: Box, message: GossipMessage, isAsked: boolean): void {
-		const {peers, limits, stretches, topology} = box;
+		const {
+			peers, limits, statements, stretches, topology,
+		} = box;
 		if (peers.take(message) === undefined) {
 			return;
 		}
 
-		limits.takeTold(message.limits ?? [], message.digest ? 'digest' : 'box');
+		statements.takeTold(message.statements ?? [], message.digest ? 'digest' : 'box');
 		if (message.digest) {
 			peers.noteFleetSize(message.digest.boxes);
 			stretches.take(message.digest.stretches ?? []);
@@ -236,10 +244,10 @@
 		}
 
 		if (topology.isLarge) {
-			const told = limits.told(isAsked, ['answer', 'box'], mostLimitsTold.large);
+			const told = statements.told(isAsked, ['answer', 'box'], mostStatementsTold.large);
 			const answer = this.messageOf(box, {
 				wall: peers.commonTime,
-				...(told ? {limits: told} : {}),
+				...(told ? {statements: told} : {}),
 				digest: {boxes: peers.knownBoxes, ...(topology.isAggregator ? {stretches: stretches.toldTo(sender.address.name, limits.services)} : {})},
 			});
 			this.deliver(box, sender, () => {
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -8,6 +8,7 @@
 import {createDecoder} from '../base/faults.js';
 import type {EndNews} from '../quarantine/end-ledger.js';
 import {Fingerprint} from '../quarantine/fingerprint.js';
+import type {ToldStatement} from '../replicas/replica-statement.js';
 import type {GossipMessage, MemberAddress, ReplicaLoad} from './gossip-message.js';
 
 /** Name, host, port, capacity. */
@@ -30,8 +31,8 @@
 /** Request, age. */
 const CompletionRow = Schema.Tuple([Schema.String, Schema.Number]);
 
-/** Start, limit, age. */
-const LimitRow = Schema.Tuple([Schema.String, Schema.NullOr(Schema.Number), Schema.Number]);
+/** Start, kind, value, age. */
+const StatementRow = Schema.Tuple([Schema.String, Schema.Literals(['limit', 'leaving']), Schema.NullOr(Schema.Number), Schema.Number]);
 /** Service, from, length. */
 const StretchRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number]);
 
@@ -68,7 +69,7 @@
 	asksDigest: Schema.optionalKey(Schema.Boolean),
 	digest: Schema.optionalKey(DigestLayout),
 	ends: Schema.optionalKey(Schema.Tuple([Schema.Array(EndRow), Schema.Array(CompletionRow)])),
-	limits: Schema.optionalKey(Schema.Array(LimitRow)),
+	statements: Schema.optionalKey(Schema.Array(StatementRow)),
 	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
 	usage: Schema.Array(UsageRow),
 	members: Schema.Array(MemberRow),
@@ -90,7 +91,7 @@
  * @returns Its datagram.
  */
 export function encodeGossip(message: GossipMessage): Uint8Array {
-	const {sender, quota, work, demand, digest, usage, members, ends, limits, ...plain} = message;
+	const {sender, quota, work, demand, digest, usage, members, ends, statements, ...plain} = message;
 	const layout: Layout = {
 		...plain,
 		sender: rowOf(sender),
@@ -99,7 +100,7 @@
 		...(demand ? {demand: demand.map(load => demandRowOf(load))} : {}),
 		...(digest ? {digest: digestLayoutOf(digest)} : {}),
 		...(ends ? {ends: endLayoutOf(ends)} : {}),
-		...(limits ? {limits: limits.map(({start, limit, age}) => [start, limit ?? null, age] as const)} : {}),
+		...(statements ? {statements: statements.map(({start, kind, value, age}) => [start, kind, value ?? null, age] as const)} : {}),
 		usage: usage.map(({window, counts}) => [window, counts] as const),
 		members: members.map(member => rowOf(member)),
 	};
@@ -120,7 +121,7 @@
 }
 
 function messageOf(layout: Layout): GossipMessage {
-	const {sender, quota, work, demand, digest, usage, members, ends, limits, ...plain} = layout;
+	const {sender, quota, work, demand, digest, usage, members, ends, statements, ...plain} = layout;
 	return {
 		...plain,
 		sender: memberOf(sender),
@@ -131,7 +132,7 @@
 		...(demand ? {demand: demand.map(row => demandOf(row))} : {}),
 		...(digest ? {digest: digestOf(digest)} : {}),
 		...(ends ? {ends: endNewsOf(ends)} : {}),
-		...(limits ? {limits: limits.filter(([, limit]) => limit === null || limit >= 0).map(([start, limit, age]) => ({start, limit: limit ?? undefined, age: Math.max(0, age)}))} : {}),
+		...(statements ? {statements: statements.flatMap(row => statementOf(row) ?? [])} : {}),
 		usage: usage.map(([window, counts]) => ({window, counts})),
 		members: members.map(row => memberOf(row)),
 	};
@@ -147,6 +148,14 @@
 	};
 }
 
+function statementOf([start, kind, value, age]: typeof StatementRow.Type): ToldStatement | undefined {
+	return value === null || value >= 0
+		? {
+			start, kind, value: value ?? undefined, age: Math.max(0, age),
+		}
+		: undefined;
+}
+
 function endLayoutOf({ends, completions}: EndNews): NonNullable<Layout['ends']> {
 	return [
 		ends.map(({start, service, software, age, suspects}) => [start, service, software, age, suspects.map(({fingerprint, ranFor}) => [fingerprint, ranFor] as const)] as const),
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -5,7 +5,7 @@
 import type {EndNews} from '../quarantine/end-ledger.js';
 import type {Stretch} from '../replicas/limit-slots.js';
 import type {ReplicaWork} from '../replicas/replica.js';
-import type {ToldLimit} from '../replicas/replica-limits.js';
+import type {ToldStatement} from '../replicas/replica-statement.js';
 import type {Demand} from '../replicas/service-demand.js';
 import type {Changes} from '../follow/metadata-store.js';
 
@@ -118,8 +118,8 @@
 	readonly departed: ReadonlyArray<{readonly id: string; readonly revision: number}>;
 	/** Replicas that ended under requests, and such requests that were served since; absent where there are none. */
 	readonly ends?: EndNews;
-	/** Limits that replicas named in answers to the sender, in an answer of an aggregator to any box; absent where there are none. */
-	readonly limits?: readonly ToldLimit[];
+	/** What replicas said of themselves in answers to the sender, in an answer of an aggregator to any box; absent where there is nothing. */
+	readonly statements?: readonly ToldStatement[];
 	readonly usage: readonly WindowUsage[];
 	/** Some of the boxes that the sender knows. */
 	readonly members: readonly MemberAddress[];
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -28,7 +28,7 @@
 const roundsBetweenSeeds = 25;
 
 /** What every message holds besides what the exchange itself adds. */
-export type LocalNews = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'departed' | 'replicas' | 'ends' | 'limits'>;
+export type LocalNews = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'departed' | 'replicas' | 'ends' | 'statements'>;
 
 /** What a box tells of its own work. */
 export type LocalState = LocalNews & Pick<GossipMessage, 'quota' | 'isWhole' | 'work' | 'demand' | 'usage'>;
--- a/src/gossip/test/gossip-codec.test.ts
+++ b/src/gossip/test/gossip-codec.test.ts
@@ -21,6 +21,14 @@
 	replicas: {at: 812, age: 95},
 	asksDigest: true,
 	departed: [{id: 'i-2', revision: 800}],
+	statements: [
+		{
+			start: 'i-1/7', kind: 'limit', value: 0.5, age: 3,
+		},
+		{
+			start: 'i-2/7', kind: 'leaving', value: undefined, age: 40,
+		},
+	],
 	ends: {
 		ends: [{
 			start: 'i-3/1700000000000', service: 's', software: '2', age: 250, suspects: [{fingerprint: Fingerprint('AbC-_1234567'), ranFor: 75}],
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -10,7 +10,7 @@
 } from '../gossip/gossip-message.js';
 import type {Meeting, Peer, PeerTable} from '../gossip/peer-table.js';
 import {mostEndsTold} from '../quarantine/end-ledger.js';
-import {mostLimitsTold, type LimitSource} from '../replicas/replica-limits.js';
+import {mostStatementsTold, type StatementSource} from '../replicas/replica-statement.js';
 import type {RelayServices} from '../relay/relay-services.js';
 import type {ConfigurationRole} from './configuration-role.js';
 import type {LimitStretches} from './limit-stretches.js';
@@ -58,15 +58,15 @@
 
 	/**
 	 * @param isWhole - Whether all is told that others must know, not only what is new.
-	 * @param limitSources - Whose words on limits are told: in an answer also those of other boxes.
+	 * @param sources - How the statements of replicas that are told were learnt: in an answer also from other boxes.
 	 * @returns What this box tells in any message.
 	 */
-	news(isWhole: boolean, limitSources: readonly LimitSource[] = ['answer', 'box']): LocalNews {
+	news(isWhole: boolean, sources: readonly StatementSource[] = ['answer', 'box']): LocalNews {
 		const {
-			services: {table, replicas, quarantine, limits: replicaLimits}, configuration, replicaRole, isStopping, topology,
+			services: {table, replicas, quarantine, statements: replicaStatements}, configuration, replicaRole, isStopping, topology,
 		} = this.parts;
 		const ends = quarantine.told(isWhole, topology.isLarge ? mostEndsTold.large : mostEndsTold.small);
-		const limits = replicaLimits.told(isWhole, limitSources, topology.isLarge ? mostLimitsTold.large : mostLimitsTold.small);
+		const statements = replicaStatements.told(isWhole, sources, topology.isLarge ? mostStatementsTold.large : mostStatementsTold.small);
 		return {
 			version: table.version,
 			...(Number.isFinite(table.proofAge) ? {proofAge: Math.ceil(table.proofAge)} : {}),
@@ -75,7 +75,7 @@
 			departed: replicas.departedWithin(topology.isLarge ? newsTime : undefined),
 			...(replicaRole.told ? {replicas: replicaRole.told} : {}),
 			...(ends ? {ends} : {}),
-			...(limits ? {limits} : {}),
+			...(statements ? {statements} : {}),
 		};
 	}
 
@@ -185,8 +185,8 @@
 	}
 
 	/** What any message may bring: a newer configuration, a newer list, replicas that leave. */
-	private takeNews(message: GossipMessage, limitSource: LimitSource): void {
-		const {services: {table, replicas, quarantine, limits}, configuration, replicaRole} = this.parts;
+	private takeNews(message: GossipMessage, source: StatementSource): void {
+		const {services: {table, replicas, quarantine, statements}, configuration, replicaRole} = this.parts;
 		if (message.version > table.version) {
 			configuration.fetchFrom(message.sender);
 		}
@@ -199,8 +199,8 @@
 			quarantine.take(message.ends);
 		}
 
-		if (message.limits) {
-			limits.takeTold(message.limits, limitSource);
+		if (message.statements) {
+			statements.takeTold(message.statements, source);
 		}
 
 		if (message.replicas) {
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -143,7 +143,7 @@
 		replicas.onDidGo(replica => {
 			this.services.ends.noteGone(replica);
 			this.services.connections.forget(replica);
-			this.services.limits.forget(replica);
+			this.services.statements.forget(replica);
 		});
 	}
 
@@ -221,7 +221,9 @@
 			replicas,
 			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkOld: () => topology.isLarge}),
 			limits,
-			statements: ReplicaStatements.create({clock, log, limits}),
+			statements: ReplicaStatements.create({
+				clock, log, limits, replicas,
+			}),
 			limitQueue: LimitQueue.create(clock),
 			demands: ServiceDemands.create(clock),
 			connections,
--- a/src/node/test/replica-statements.test.ts
+++ b/src/node/test/replica-statements.test.ts
@@ -23,6 +23,8 @@
 const pauseNotice = 500;
 /** Requests that may come in that time all the same. */
 const pauseSlack = 2;
+/** Milliseconds within which what cannot be served is refused. */
+const refusalTime = 200;
 const settleTime = 1500;
 
 let installation: RelayInstallation;
@@ -52,7 +54,8 @@
 }
 
 beforeEach(async () => {
-	installation = await RelayInstallation.start({relays: relayCount, replicas: ['i-1', 'i-2', 'i-3']});
+	// One relay has no clients.
+	installation = await RelayInstallation.start({relays: relayCount + 1, replicas: ['i-1', 'i-2', 'i-3']});
 	installation.prepareReplicas(replica => {
 		replica.behave({delay: 20});
 	});
@@ -79,6 +82,23 @@
 	assert.equal(late.length, 0, `${late.length} requests later than ${drainTime} ms after the first answer that said so`);
 	const served = views.slice(before).filter(({status}) => status === 200);
 	assert.equal(served.length, views.length - before, 'all are served');
+	const idle = installation.relays[relayCount]!;
+	assert.ok(idle.log.lines.some(({eventName, source}) => eventName === 'replicaAnnouncedLeaving' && source === 'box'), 'a box without requests learns of it');
+	await installation.end('i-1');
+	await until(() => told().isUp && told().runs.length > 0);
+});
+
+test('a request whose replicas all leave is refused at once, with a time to come back', async () => {
+	for (const replica of installation.replicas.values()) {
+		replica.isLeaving = true;
+	}
+
+	await pause(drainTime);
+	const since = performance.now();
+	const view = await installation.call({path: '/calls/late'});
+	assert.equal(view.status, 503);
+	assert.ok(Number(view.headers['retry-after']) > 0);
+	assert.ok(performance.now() - since < refusalTime);
 });
 
 test('a box sends nothing to a replica that has turned it away and asked for a time without requests', async () => {
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -5,12 +5,25 @@
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import {Replica, type ReplicaEntry} from './replica.js';
+import type {StatementSource} from './replica-statement.js';
 
 /** Milliseconds for which departures are kept and told to peers. */
 const departureMemory = 10_000;
 /** Milliseconds after its departure for which a replica may still be sent to where there is no other. */
 const lastResort = 600;
 
+/** Starts of replicas that are kept as leaving by their own announcement at most. */
+const mostAnnouncements = 4096;
+
+/** A replica's announcement that it leaves. */
+export type Announcement = {
+	/** Names the start of the replica. */
+	readonly start: string;
+	/** Monotonic milliseconds at which the replica made it. */
+	readonly at: number;
+	readonly source: StatementSource;
+};
+
 /** A replica that began to leave. */
 export type Departure = {
 	readonly id: string;
@@ -36,6 +49,8 @@
 
 	private readonly replicas = new Map<string, Replica>();
 	private readonly departures = new Map<string, KnownDeparture>();
+	/** By start of the replica; an entry that still says that it is ready does not undo it. */
+	private readonly announced = new Map<string, Announcement>();
 	private lately: readonly Replica[] = [];
 	/** When a replica of a service was last found ready. */
 	private readonly servedAt = new Map<string, number>();
@@ -72,6 +87,11 @@
 		return [...this.departures.values()].filter(({at}) => at >= now - within).map(({id, revision}) => ({id, revision}));
 	}
 
+	/** What listed replicas announced of their leaving, and what those did whose entries have not come yet or have lapsed. */
+	get announcements(): readonly Announcement[] {
+		return [...this.announced.values()];
+	}
+
 	/** Milliseconds since a replica was last listed for the first time. */
 	get settledFor(): number {
 		return this.clock.monotonic() - this.lastListedAt;
@@ -173,7 +193,7 @@
 			return;
 		}
 
-		const added = Replica.create(entry, this.clock);
+		const added = this.create(entry);
 		// An entry that lapsed and was written again is newer than its departure.
 		if ((this.departures.get(entry.id)?.revision ?? 0) >= entry.revision) {
 			added.leave();
@@ -222,13 +242,48 @@
 		}
 	}
 
+	/**
+	 * Notes that a replica has announced in an answer that it leaves. That holds until it starts again: its entry may be older, or the store may be down.
+	 *
+	 * @param announcement - What it announced, and how this box learnt of it.
+	 */
+	noteAnnouncement(announcement: Announcement): void {
+		const {start, at, source} = announcement;
+		if (this.announced.has(start)) {
+			return;
+		}
+
+		const [oldest] = this.announced.keys();
+		if (this.announced.size >= mostAnnouncements && oldest !== undefined) {
+			this.announced.delete(oldest);
+		}
+
+		this.announced.set(start, announcement);
+		const replica = this.ofStart(start);
+		const wasLeaving = replica?.isLeaving;
+		replica?.leave();
+		this.log.write('replicaAnnouncedLeaving', {
+			replica: replica?.entry.id ?? start, service: replica?.entry.service, source, age: Math.round(this.clock.monotonic() - at), wasLeaving,
+		});
+	}
+
+	/** @returns A replica of which nothing else is known than what its start has announced. */
+	private create(entry: ReplicaEntry): Replica {
+		const replica = Replica.create(entry, this.clock);
+		if (this.announced.has(replica.start)) {
+			replica.leave();
+		}
+
+		return replica;
+	}
+
 	/**
 	 * A replica that starts again under its id holds and knows nothing of before, and neither does what is believed of it. What
 	 * was chosen for the start before is not sent to it: its process is gone.
 	 */
 	private replace(replica: Replica, entry: ReplicaEntry): void {
 		replica.noteReplaced();
-		this.replicas.set(entry.id, Replica.create(entry, this.clock));
+		this.replicas.set(entry.id, this.create(entry));
 		this.log.write('replicaStartedAgain', {
 			replica: entry.id, service: entry.service, bornAt: entry.bornAt, address: `${entry.host}:${entry.port}`, isDraining: entry.isDraining,
 		});
--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -7,10 +7,12 @@
 import type {EventFields, EventLog} from '../base/event-log.js';
 import type {EventName} from '../base/event-catalogue.js';
 import {getOrCreate} from '../base/get-or-create.js';
+import {rotated} from '../base/rotated.js';
 import {
 	ownSlots, slotLifetime, type Slot, type Stretch,
 } from './limit-slots.js';
 import type {Replica} from './replica.js';
+import type {StatementSource} from './replica-statement.js';
 
 /** A replica's word on its limit as boxes tell it; the newest counts. */
 export type ToldLimit = {
@@ -22,9 +24,6 @@
 	readonly age: number;
 };
 
-/** How a box came to know a word: what it was told in a digest it tells nobody, or words would go round and grow young by it. */
-export type LimitSource = 'answer' | 'box' | 'digest';
-
 /** What the limits need. */
 export type ReplicaLimitServices = {
 	readonly clock: Clock;
@@ -45,7 +44,7 @@
 	 * that names a limit and was heard first.
 	 */
 	readonly at: number;
-	readonly source: LimitSource;
+	readonly source: StatementSource;
 	/** Monotonic milliseconds since which this limit has been known. */
 	readonly changedAt: number;
 };
@@ -78,8 +77,6 @@
 const endMemory = 10_000;
 /** Milliseconds for which a large fleet is told of a change with each message. */
 const newsTime = 2500;
-/** Limits in one message at most; which of more are told changes from one to the next. */
-export const mostLimitsTold = {small: 64, large: 12} as const;
 /** Words kept at most of replicas that are not listed yet. */
 const mostUnlisted = 1024;
 /** Milliseconds for which the limited replicas are not looked for anew: an aggregator is asked for their services with each message that it answers. */
@@ -239,7 +236,7 @@
 	 * @param most - Limits to tell at most.
 	 * @returns What to tell other boxes; `undefined` where that is nothing.
 	 */
-	told(isWhole: boolean, sources: readonly LimitSource[], most: number): readonly ToldLimit[] | undefined {
+	told(isWhole: boolean, sources: readonly StatementSource[], most: number): readonly ToldLimit[] | undefined {
 		if (this.words.size === 0) {
 			return undefined;
 		}
@@ -248,8 +245,7 @@
 		const since = now - (isWhole ? Number.POSITIVE_INFINITY : newsTime);
 		const words = [...this.words].filter(([, {source, changedAt, limit, at}]) => sources.includes(source) && changedAt >= since && (limit !== undefined || now - at <= endMemory));
 		this.tellings++;
-		const first = words.length <= most ? 0 : (this.tellings * most) % words.length;
-		const told = [...words, ...words].slice(first, first + Math.min(most, words.length));
+		const told = rotated(words, most, this.tellings);
 		return told.length > 0 ? told.map(([start, {limit, at}]) => ({start, limit, age: Math.max(0, Math.round(now - at))})) : undefined;
 	}
 
@@ -259,7 +255,7 @@
 	 * @param words - What it tells.
 	 * @param source - Whether it tells what it has heard from replicas itself.
 	 */
-	takeTold(words: readonly ToldLimit[], source: LimitSource): void {
+	takeTold(words: readonly ToldLimit[], source: StatementSource): void {
 		const now = this.parts.clock.monotonic();
 		for (const {start, limit, age} of words) {
 			this.takeWord(start, {limit, at: now - age, source});
--- a/src/replicas/replica-statement.ts
+++ b/src/replicas/replica-statement.ts
@@ -12,5 +12,22 @@
 	readonly pause: number | 'unreadable' | undefined;
 };
 
+/** How a box learnt a statement. What came in a digest is not forwarded: each hop would reset its age. */
+export type StatementSource = 'answer' | 'box' | 'digest';
+
+/** One statement of a replica, as boxes tell it to each other. */
+export type ToldStatement = {
+	/** Names the start of the replica. */
+	readonly start: string;
+	readonly kind: 'limit' | 'leaving';
+	/** Requests a second for a limit; `undefined` where the replica names none any more, and for a replica that leaves. */
+	readonly value: number | undefined;
+	/** Milliseconds since the replica said so. */
+	readonly age: number;
+};
+
+/** Statements of one kind in one message at most; which of more are told changes from one to the next. */
+export const mostStatementsTold = {small: 64, large: 12} as const;
+
 /** A statement that says nothing. */
 export const noStatement: ReplicaStatement = {limit: undefined, isLeaving: false, pause: undefined};
--- a/src/replicas/test/replica-limits.test.ts
+++ b/src/replicas/test/replica-limits.test.ts
@@ -4,7 +4,8 @@
 import {EventLog, type EventFields} from '../../base/event-log.js';
 import type {EventName} from '../../base/event-catalogue.js';
 import {Replica} from '../replica.js';
-import {mostLimitsTold, ReplicaLimits} from '../replica-limits.js';
+import {ReplicaLimits} from '../replica-limits.js';
+import {mostStatementsTold} from '../replica-statement.js';
 
 /** Milliseconds of the boxes' common time at which the clock shows zero. */
 const epoch = 1_764_700_000_000;
@@ -90,8 +91,8 @@
 		limits.noteAnswer(replica, limit, 9000);
 	}
 
-	const told = Array.from({length: 4}, () => limits.told(true, ['answer'], mostLimitsTold.large)!);
-	assert.ok(told.every(({length}) => length === mostLimitsTold.large));
+	const told = Array.from({length: 4}, () => limits.told(true, ['answer'], mostStatementsTold.large)!);
+	assert.ok(told.every(({length}) => length === mostStatementsTold.large));
 	assert.equal(new Set(told.flat().map(({start}) => start)).size, 40);
 });
 
--- /dev/null
+++ b/src/replicas/test/replica-statements.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {SilentEventLog} from '../../base/event-log.js';
+import {ReplicaDirectory} from '../replica-directory.js';
+import {ReplicaLimits} from '../replica-limits.js';
+import {mostStatementsTold, noStatement, type StatementSource} from '../replica-statement.js';
+import {ReplicaStatements} from '../replica-statements.js';
+import type {ReplicaEntry} from '../replica.js';
+
+const leaving = {...noStatement, isLeaving: true};
+const entry = (id: string, changes: Partial<ReplicaEntry> = {}): ReplicaEntry => ({
+	id, bornAt: 7, software: '', revision: 1, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 8, isDraining: false, isReclaimable: false, leavesIn: undefined, ...changes,
+});
+
+function boxAt(clock: MovedClock, ids: readonly string[] = ['i-1', 'i-2']) {
+	const log = SilentEventLog.create();
+	const replicas = ReplicaDirectory.create(clock, log);
+	replicas.replaceAll(ids.map(id => entry(id)), 5);
+	const limits = ReplicaLimits.create({
+		clock, log, commonTime: () => clock.now, stretch: () => ({from: 0, length: 1}), listed: start => replicas.ofStart(start),
+	});
+	const statements = ReplicaStatements.create({
+		clock, log, limits, replicas,
+	});
+	return {replicas, statements, ready: () => replicas.ready('s').map(replica => replica.entry.id).sort()};
+}
+
+const toldBy = ({statements}: ReturnType<typeof boxAt>, sources: readonly StatementSource[] = ['answer', 'box'], isWhole = true) => statements.told(isWhole, sources, mostStatementsTold.small) ?? [];
+
+test('a replica that announced its leaving stays without work though its entry says ready, lapses and is written again, until it starts anew', () => {
+	const clock = new MovedClock(10_000);
+	const {replicas, statements, ready} = boxAt(clock);
+	statements.noteAnswer(replicas.named('i-1')!, leaving, 9900);
+	assert.deepEqual(ready(), ['i-2']);
+	// An answer to a request that was sent before says nothing of it.
+	statements.noteAnswer(replicas.named('i-1')!, noStatement, 9000);
+	replicas.put(entry('i-1', {revision: 6}));
+	assert.deepEqual(ready(), ['i-2']);
+	replicas.remove('i-1', 8);
+	replicas.put(entry('i-1', {revision: 9}));
+	assert.deepEqual(ready(), ['i-2']);
+	replicas.put(entry('i-1', {revision: 10, bornAt: 8}));
+	assert.deepEqual(ready(), ['i-1', 'i-2'], 'another start may serve');
+});
+
+test('a box that has no answer of a replica learns that it leaves from the others, also before it is listed, and does not forward what a digest told', () => {
+	const clock = new MovedClock(10_000);
+	const [first, second, third] = [boxAt(clock), boxAt(clock, ['i-2']), boxAt(clock)];
+	first.statements.noteAnswer(first.replicas.named('i-1')!, leaving, 9900);
+	second.statements.takeTold(toldBy(first), 'box');
+	second.replicas.put(entry('i-1'));
+	assert.deepEqual(second.ready(), ['i-2']);
+	third.statements.takeTold(toldBy(second), 'digest');
+	assert.deepEqual(third.ready(), ['i-2']);
+	assert.deepEqual([toldBy(second), toldBy(second, ['answer']), toldBy(third)].map(({length}) => length), [1, 0, 0]);
+});
+
+test('a large fleet is told of a departure at once and then with whole states, for as long as the replica is listed', () => {
+	const clock = new MovedClock(10_000);
+	const box = boxAt(clock);
+	box.statements.noteAnswer(box.replicas.named('i-1')!, leaving, 9900);
+	assert.equal(toldBy(box, ['answer'], false).length, 1);
+	clock.now += 60_000;
+	assert.equal(toldBy(box, ['answer'], false).length, 0);
+	assert.deepEqual(toldBy(box), [{
+		start: 'i-1/7', kind: 'leaving', value: undefined, age: 60_000,
+	}]);
+	box.replicas.remove('i-1', 9);
+	assert.deepEqual(toldBy(box), []);
+});
+
+test('of many departures each is told in its turn', () => {
+	const clock = new MovedClock(10_000);
+	const ids = Array.from({length: 30}, (_, index) => `i-${index}`);
+	const {replicas, statements} = boxAt(clock, ids);
+	for (const replica of replicas.all) {
+		statements.noteAnswer(replica, leaving, 9900);
+	}
+
+	const told = Array.from({length: 3}, () => statements.told(true, ['answer'], mostStatementsTold.large)!);
+	assert.ok(told.every(({length}) => length === mostStatementsTold.large));
+	assert.equal(new Set(told.flat().map(({start}) => start)).size, ids.length);
+});
