Send nothing to a replica in the time without requests that it asked for

Seen by callers: a replica had answered a box 503 with Retry-After: 3 and got a third request from it in that time (two are allowed). Of requests tried at three such replicas some were refused after three tries in vain.

Cause: Retry-After of a replica's 503 was read by nobody. A refusing replica was avoided for 0.3 s, and for longer only while no answer came between. Ruled out: a header that is read and undone by an answer that was sent before, and requests past the choice (the log showed each statement once, and 10 to 15 of them a box in 6 s, with requests between).

Change: the pause is kept by start of the replica and ends by time alone; a later answer may extend it. The choice and the look before sending ask; other boxes are told and prefer other replicas, but are not bound: the replica has asked one box. Where all replicas have asked, a request waits if a pause ends in time, else it is refused at once: with the time left where all boxes were asked, soon where another box may serve it. The two requests that are allowed meanwhile stay a margin. The fleet's size counts a replica as what the boxes that were not asked get of it.

--- a/development/harness/limit-fleet.ts
+++ b/development/harness/limit-fleet.ts
@@ -236,7 +236,7 @@
 			return;
 		}
 
-		statements.takeTold(message.statements ?? [], message.digest ? 'digest' : 'box');
+		statements.takeTold(sender.address.name, message.statements ?? [], message.digest ? 'digest' : 'box');
 		if (message.digest) {
 			peers.noteFleetSize(message.digest.boxes);
 			stretches.take(message.digest.stretches ?? []);
--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -34,6 +34,8 @@
 	readonly policy: FleetPolicy;
 	/** @returns Requests a second that a replica takes of all boxes; `undefined` where it has named no limit. */
 	readonly limitOf: (replica: Replica) => number | undefined;
+	/** @returns Part of all boxes from which a replica wants no requests for a time; 0 to 1. */
+	readonly pausedPart: (replica: Replica) => number;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
@@ -119,8 +121,17 @@
 	}
 
 	private lostOf(name: string): number {
-		const {replicas, limitOf, demand} = this.services;
-		return this.lost.of(name, replicas.ready(name).map(replica => limitOf(replica) ?? Number.POSITIVE_INFINITY), demand(name).rate);
+		const {replicas, limitOf, pausedPart, demand} = this.services;
+		const {rate} = demand(name);
+		const ready = replicas.ready(name);
+		const whole = rate / Math.max(1, ready.length);
+		const rateOf = (replica: Replica): number => {
+			const paused = pausedPart(replica);
+			const limit = limitOf(replica) ?? Number.POSITIVE_INFINITY;
+			return paused === 0 ? limit : Math.min(limit, whole * (1 - paused));
+		};
+
+		return this.lost.of(name, ready.map(replica => rateOf(replica)), rate);
 	}
 
 	/**
--- a/src/duties/test/fleet-duty.test.ts
+++ b/src/duties/test/fleet-duty.test.ts
@@ -39,6 +39,7 @@
 	const duty = FleetDuty.create({
 		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(),
 		limitOf: () => undefined,
+		pausedPart: () => 0,
 		demand: () => ({
 			requests: 0, reading: 0, readRate: 0, goal: 0, residualReading: 0, rate: 20, missedPart: 0, boxes: 1,
 		}),
--- a/src/duties/test/fleet-take-over.test.ts
+++ b/src/duties/test/fleet-take-over.test.ts
@@ -49,7 +49,12 @@
 	}
 }
 
-const openFleet = (dryDataCentre: string | undefined, demand: () => FleetDemand, limitOf: (replica: Replica) => number | undefined = () => undefined) => {
+const openFleet = (
+	dryDataCentre: string | undefined,
+	demand: () => FleetDemand,
+	limitOf: (replica: Replica) => number | undefined = () => undefined,
+	pausedPart: (replica: Replica) => number = () => 0,
+) => {
 	const clock = new MovedClock(1000);
 	const log = SilentEventLog.create();
 	const store = new OneObjectStore();
@@ -80,7 +85,7 @@
 	});
 	const lease = leaseOf('next');
 	const duty = FleetDuty.create({
-		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(), demand, limitOf,
+		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(), demand, limitOf, pausedPart,
 	});
 	return {
 		clock, calls, lease, duty, former: leaseOf('former'),
@@ -136,6 +141,21 @@
 	assert.deepEqual(fleet.calls.taken.filter(({count, isReclaimable}) => isReclaimable && count < orderedEach), []);
 });
 
+test('replicas that want no requests from some boxes count as what the other boxes get of them', async () => {
+	const demand: FleetDemand = {...demandSeen, requests: 1500, rate: 400};
+	const totalWith = async (paused: number): Promise<number> => {
+		const fleet = openFleet(undefined, () => demand, undefined, ({entry}) => entry.dataCentre === 'a' ? paused : 0);
+		await takeOver(fleet);
+		return dataCentres
+			.map(dataCentre => fleet.calls.taken.findLast(order => order.dataCentre === dataCentre && order.isReclaimable)?.count ?? orderedEach)
+			.reduce((sum, count) => sum + count, 0);
+	};
+
+	const [none, half, all] = [await totalWith(0), await totalWith(0.5), await totalWith(1)];
+	assert.ok(half - none >= 8 && half - none <= 20, `${half - none} more for 20 replicas that want none from half of the boxes`);
+	assert.ok(all - none >= 16 && all - none <= 36, `${all - none} more for 20 replicas that want none from any box`);
+});
+
 test('replicas that have named limits count as what they give, and as whole again soon after', async () => {
 	// Each of 80 replicas would get five requests a second.
 	const demand: FleetDemand = {...demandSeen, requests: 1500, rate: 400};
--- a/src/duties/test/fleet-unknown.test.ts
+++ b/src/duties/test/fleet-unknown.test.ts
@@ -43,6 +43,7 @@
 	const duty = FleetDuty.create({
 		lease, calls, table, replicas, clock, log, policy: MeasuredLoadPolicy.create(),
 		limitOf: () => undefined,
+		pausedPart: () => 0,
 		demand: () => ({
 			requests: 0, reading: 0, readRate: 0, goal: 0, residualReading: 0, rate: 20, missedPart: 0, boxes: 1,
 		}),
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -32,7 +32,7 @@
 const CompletionRow = Schema.Tuple([Schema.String, Schema.Number]);
 
 /** Start, kind, value, age. */
-const StatementRow = Schema.Tuple([Schema.String, Schema.Literals(['limit', 'leaving']), Schema.NullOr(Schema.Number), Schema.Number]);
+const StatementRow = Schema.Tuple([Schema.String, Schema.Literals(['limit', 'leaving', 'pause']), Schema.NullOr(Schema.Number), Schema.Number]);
 /** Service, from, length. */
 const StretchRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number]);
 
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -101,6 +101,7 @@
 			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: MeasuredLoadPolicy.create(),
 			demand: service => this.demandFor(service),
 			limitOf: replica => services.limits.limitOf(replica),
+			pausedPart: replica => Math.min(1, services.statements.boxesPaused(replica) / peers.boxes),
 		});
 	}
 
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -200,7 +200,7 @@
 		}
 
 		if (message.statements) {
-			statements.takeTold(message.statements, source);
+			statements.takeTold(message.sender.name, message.statements, source);
 		}
 
 		if (message.replicas) {
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -213,6 +213,7 @@
 		const bounds = () => settings().bounds;
 		return {
 			clock,
+			boxes: () => peers.boxes,
 			log,
 			metrics,
 			table,
@@ -342,7 +343,7 @@
 		return Effect.forever(Effect.sync(() => {
 			this.noteStandstill();
 			const {metrics} = this.parts;
-			const {table, replicas, limits} = this.services;
+			const {table, replicas, limits, statements} = this.services;
 			metrics.proofAge.set(table.proofAge / millisecondsPerSecond);
 			metrics.quarantined.set(this.services.quarantine.kept.length);
 			metrics.membersHeard.set(this.peers.heard.length);
@@ -354,6 +355,11 @@
 			}
 
 			metrics.replicas.reset();
+			metrics.replicaPause.reset();
+			for (const replica of replicas.all.filter(one => statements.pauseLeft(one) > 0)) {
+				metrics.replicaPause.set({replica: replica.entry.id}, statements.pauseLeft(replica) / millisecondsPerSecond);
+			}
+
 			for (const {entry, isLeaving} of replicas.all) {
 				metrics.replicas.inc({service: entry.service, state: isLeaving ? 'leaving' : 'ready'});
 			}
--- a/src/node/test/replica-statements.test.ts
+++ b/src/node/test/replica-statements.test.ts
@@ -101,6 +101,28 @@
 	assert.ok(performance.now() - since < refusalTime);
 });
 
+test('a request whose replicas have all asked its box for a pause is refused at once; another box serves it until it is asked too', async () => {
+	over.abort();
+	await clients;
+	for (const replica of installation.replicas.values()) {
+		replica.shedding = {every: 1, retryAfter: String(pauseAsked)};
+	}
+
+	await installation.call({path: '/calls/first'});
+	for (const replica of installation.replicas.values()) {
+		replica.shedding = undefined;
+	}
+
+	const since = performance.now();
+	const refused = await installation.call({path: '/calls/second'});
+	assert.equal(refused.status, 503);
+	assert.ok(performance.now() - since < refusalTime);
+	assert.ok(Number(refused.headers['retry-after']) < 1, 'another box may serve it soon');
+	assert.equal((await installation.call({path: '/calls/third'}, installation.relays[1])).status, 200);
+	await pause((pauseAsked * 1000) + pauseNotice);
+	assert.equal((await installation.call({path: '/calls/fourth'})).status, 200);
+});
+
 test('a box sends nothing to a replica that has turned it away and asked for a time without requests', async () => {
 	const before = views.length;
 	told().shedding = {every: 2, retryAfter: String(pauseAsked)};
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -38,6 +38,14 @@
 		name: 'waydrift_relay_kept_from_limited_total', help: 'Requests kept from a replica for the limit that it had named, by service.', labelNames: ['service'], registers: [this.registry],
 	});
 
+	readonly keptFromPaused = new Counter({
+		name: 'waydrift_relay_kept_from_paused_total', help: 'Requests kept from a replica that had asked this box for a pause, by service.', labelNames: ['service'], registers: [this.registry],
+	});
+
+	readonly replicaPause = new Gauge({
+		name: 'waydrift_relay_replica_pause_seconds', help: 'Seconds for which a replica still wants no requests from this box.', labelNames: ['replica'], registers: [this.registry],
+	});
+
 	readonly replicaLimit = new Gauge({
 		name: 'waydrift_relay_replica_limit', help: 'Requests a second that a replica takes of all boxes, as it named them.', labelNames: ['replica'], registers: [this.registry],
 	});
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -23,6 +23,8 @@
 /** The services of one box that serve requests. */
 export type RelayServices = {
 	readonly clock: Clock;
+	/** @returns How many boxes there are, this one too. */
+	readonly boxes: () => number;
 	readonly log: EventLog;
 	readonly metrics: RelayMetrics;
 	readonly format: RelayFormat;
--- a/src/relay/replica-try.ts
+++ b/src/relay/replica-try.ts
@@ -138,12 +138,16 @@
 	}
 
 	private whyWithheld(): string | undefined {
-		const {replicas, guard, limits} = this.parts.services;
+		const {replicas, guard, limits, statements} = this.parts.services;
 		const {replica, slot} = this.plan;
 		if (!replicas.mayBeSent(replica)) {
 			return 'the replica began to leave';
 		}
 
+		if (statements.pauseLeft(replica) > 0) {
+			return 'the replica has asked for a time without requests';
+		}
+
 		if (this.plan.request.clientAccount && !guard.allowsKeys) {
 			return 'the configuration may be out of date';
 		}
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -58,7 +58,7 @@
 	private readonly tried = new Set<Replica>();
 	/** Present while it waits for room at a replica. */
 	private queued: QueuedRequest | undefined;
-	private wasKept = false;
+	private readonly wasKept = {limited: false, paused: false};
 
 	private constructor(private readonly parts: RunChoiceServices) {}
 
@@ -107,24 +107,25 @@
 	 * @returns The best ones; `undefined` where all of them refuse connections.
 	 */
 	private candidatesAmong(open: readonly Replica[]): readonly Replica[] | undefined {
-		const {services: {limits}, story} = this.parts;
+		const {services: {limits, statements}, story} = this.parts;
 		const mayBeRefused = story.refusedConnections < mostRefusedConnections;
 		const untried = open.filter(replica => !this.tried.has(replica) && (mayBeRefused || !replica.refusesConnections));
 		const responsive = untried.filter(({isSilent}) => !isSilent);
 		const listening = responsive.filter(({refusesConnections}) => !refusesConnections);
 		const sound = listening.filter(({isAvoided}) => !isAvoided);
 		const due = sound.filter(replica => limits.isDue(replica));
+		const willing = sound.filter(replica => statements.boxesPaused(replica) === 0);
 		const again = open.filter(replica => this.tried.has(replica) && !replica.refusesConnections);
-		return [due, sound, listening, responsive, untried, again].find(({length}) => length > 0);
+		return [due, willing, sound, listening, responsive, untried, again].find(({length}) => length > 0);
 	}
 
 	/** Whoever waits for room at limited replicas goes before those that come later or are less urgent. */
 	private withRoom(ready: readonly Replica[]): readonly Replica[] {
-		const {services: {limits, limitQueue}, request} = this.parts;
+		const {services: {limits, limitQueue, statements}, request} = this.parts;
 		const {service, urgency} = request();
-		const open = ready.filter(replica => limits.hasRoom(replica));
+		const open = ready.filter(replica => statements.hasRoom(replica));
 		if (open.length < ready.length) {
-			this.noteKept(ready.length - open.length);
+			this.noteKept(ready.filter(replica => !open.includes(replica)));
 		}
 
 		const areAllLimited = open.every(replica => limits.limitOf(replica) !== undefined);
@@ -132,12 +133,19 @@
 		return mustQueue ? [] : open;
 	}
 
-	private noteKept(count: number): void {
-		const {services: {metrics}, story, request} = this.parts;
-		story.keptFrom = Math.max(story.keptFrom, count);
-		if (!this.wasKept) {
-			this.wasKept = true;
-			metrics.keptFromLimited.inc({service: request().service});
+	private noteKept(full: readonly Replica[]): void {
+		const {services: {metrics, statements}, story, request} = this.parts;
+		const {service} = request();
+		const paused = full.filter(replica => statements.pauseLeft(replica) > 0).length;
+		story.keptFrom = Math.max(story.keptFrom, full.length);
+		if (paused > 0 && !this.wasKept.paused) {
+			this.wasKept.paused = true;
+			metrics.keptFromPaused.inc({service});
+		}
+
+		if (paused < full.length && !this.wasKept.limited) {
+			this.wasKept.limited = true;
+			metrics.keptFromLimited.inc({service});
 		}
 	}
 
@@ -163,11 +171,11 @@
 
 	/** A slot of this box is sure, so that waiting for it serves the caller sooner than coming back would; but only where the answer is still in time. */
 	private awaitRoom(ready: readonly Replica[]): RunDecision {
-		const {services: {limits, limitQueue}, request} = this.parts;
+		const {services: {limitQueue, statements}, request} = this.parts;
 		const {service, urgency} = request();
 		this.queued ??= limitQueue.join(service, urgency);
 		const timeLeft = this.timeLeftFor(ready);
-		const wait = limits.untilRoom(ready, limitQueue.placeOf(this.queued), Math.max(0, timeLeft));
+		const wait = statements.untilRoom(ready, limitQueue.placeOf(this.queued), Math.max(0, timeLeft));
 		if (wait <= timeLeft) {
 			return {kind: 'wait', wait: Math.min(looks.longest, Math.max(looks.least, wait))};
 		}
@@ -176,13 +184,23 @@
 		return {
 			kind: 'refuse',
 			reason: 'replica-limit',
-			detail: `All ${ready.length} replicas of service ${service} have named limits, and this box's part of them is used.`,
-			comeBack: limitQueue.comeBackAfter({
-				service, urgency, untilRoom: Math.max(0, Number.isFinite(wait) ? wait : timeLeft), rate: sumOf(ready.map(replica => limits.partOf(replica))),
-			}),
+			detail: `All ${ready.length} replicas of service ${service} have asked this box for a pause, or have named limits of which its part is used.`,
+			comeBack: this.comeBackAfter(ready, Math.max(0, Number.isFinite(wait) ? wait : timeLeft)),
 		};
 	}
 
+	/** A pause binds one box: where a replica has not asked all of them, another box may serve the client at once. */
+	private comeBackAfter(full: readonly Replica[], untilRoom: number): number {
+		const {services: {limits, limitQueue, statements, boxes}, request} = this.parts;
+		const {service, urgency} = request();
+		const mayServeElsewhere = full.some(replica => statements.pauseLeft(replica) > 0 && statements.boxesPaused(replica) < boxes());
+		return mayServeElsewhere
+			? 0
+			: limitQueue.comeBackAfter({
+				service, urgency, untilRoom, rate: sumOf(full.map(replica => limits.partOf(replica))),
+			});
+	}
+
 	/** Milliseconds for which it may still wait here so that its answer begins in time, or at all where it was begun before. */
 	private timeLeftFor(ready: readonly Replica[]): number {
 		const {services: {clock}, story, request} = this.parts;
--- a/src/relay/run-story.ts
+++ b/src/relay/run-story.ts
@@ -12,6 +12,6 @@
 	/** Failures of tries in order. */
 	failures: string;
 	firstByteAt: number | undefined;
-	/** Replicas that it was kept from at one time, for the limits that they had named. */
+	/** Replicas that it was kept from at one time, for the limits that they had named or the pauses that they had asked for. */
 	keptFrom: number;
 };
--- a/src/replicas/replica-statement.ts
+++ b/src/replicas/replica-statement.ts
@@ -19,8 +19,11 @@
 export type ToldStatement = {
 	/** Names the start of the replica. */
 	readonly start: string;
-	readonly kind: 'limit' | 'leaving';
-	/** Requests a second for a limit; `undefined` where the replica names none any more, and for a replica that leaves. */
+	readonly kind: 'limit' | 'leaving' | 'pause';
+	/**
+	 * Requests a second for a limit, `undefined` where the replica names none any more; milliseconds for a pause, which it asked the sender for; `undefined` for
+	 * a replica that leaves.
+	 */
 	readonly value: number | undefined;
 	/** Milliseconds since the replica said so. */
 	readonly age: number;
--- a/src/replicas/replica-statements.ts
+++ b/src/replicas/replica-statements.ts
@@ -7,6 +7,7 @@
 import type {Replica} from './replica.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaLimits} from './replica-limits.js';
+import {ReplicaPauses} from './replica-pauses.js';
 import type {ReplicaStatement, StatementSource, ToldStatement} from './replica-statement.js';
 
 /** What the statements need. */
@@ -19,6 +20,8 @@
 
 /** Milliseconds between two lines on a statement of one replica that cannot be read. */
 const lineInterval = 1000;
+/** Milliseconds of a pause from which on it is logged as a warning: the replica is of no use for so long. */
+const longPause = 60_000;
 /** Milliseconds for which a large fleet is told of a new statement with each message. */
 const newsTime = 2500;
 
@@ -34,9 +37,12 @@
 
 	/** When a statement that cannot be read was last logged, by start of the replica. */
 	private readonly loggedAt = new Map<string, number>();
+	private readonly pauses: ReplicaPauses;
 	private tellings = 0;
 
-	private constructor(private readonly services: ReplicaStatementServices) {}
+	private constructor(private readonly services: ReplicaStatementServices) {
+		this.pauses = ReplicaPauses.create(services.clock);
+	}
 
 	/**
 	 * Notes what an answer says.
@@ -68,32 +74,77 @@
 		const limited = (limits.told(isWhole, sources, most) ?? []).map(({start, limit, age}): ToldStatement => ({
 			start, kind: 'limit', value: limit, age,
 		}));
+		const paused = sources.includes('answer') ? this.pauses.told : [];
+		const pauses = paused.map(({start, length, age}): ToldStatement => ({
+			start, kind: 'pause', value: length, age,
+		}));
 		this.tellings++;
-		const told = [...rotated(leaving, most, this.tellings), ...limited];
+		const told = [...rotated(leaving, most, this.tellings), ...rotated(pauses, most, this.tellings), ...limited];
 		return told.length > 0 ? told : undefined;
 	}
 
 	/**
 	 * Takes what another box tells.
 	 *
+	 * @param box - Its name.
 	 * @param statements - What it tells.
 	 * @param source - Whether replicas have told it that themselves.
 	 */
-	takeTold(statements: readonly ToldStatement[], source: StatementSource): void {
+	takeTold(box: string, statements: readonly ToldStatement[], source: StatementSource): void {
 		const {clock, limits, replicas} = this.services;
 		const now = clock.monotonic();
 		for (const {start, kind, value, age} of statements) {
+			const replica = replicas.ofStart(start);
 			if (kind === 'limit') {
 				limits.takeTold([{start, limit: value, age}], source);
-			} else {
+			} else if (kind === 'leaving') {
 				replicas.noteAnnouncement({start, at: now - age, source});
+			} else if (replica) {
+				this.pauses.note(replica, value ?? 0, age, box);
 			}
 		}
 	}
 
+	/**
+	 * @param replica - A replica.
+	 * @returns Whether this box may send it a request now, as far as the replica's own statements are concerned.
+	 */
+	hasRoom(replica: Replica): boolean {
+		return this.pauses.left(replica) === 0 && this.services.limits.hasRoom(replica);
+	}
+
+	/**
+	 * @param replica - A replica.
+	 * @returns Milliseconds for which it still wants no requests from this box; zero where it takes them.
+	 */
+	pauseLeft(replica: Replica): number {
+		return this.pauses.left(replica);
+	}
+
+	/**
+	 * @param replica - A replica.
+	 * @returns How many boxes it wants no requests from, as far as is known, this one too.
+	 */
+	boxesPaused(replica: Replica): number {
+		return this.pauses.boxesOf(replica);
+	}
+
+	/**
+	 * @param replicas - Replicas without room.
+	 * @param place - Requests of this box that go before.
+	 * @param horizon - Milliseconds to look ahead for slots of limits.
+	 * @returns Milliseconds until one of them may have room; without end where that is not known.
+	 */
+	untilRoom(replicas: readonly Replica[], place: number, horizon: number): number {
+		const pauses = replicas.map(replica => this.pauses.left(replica)).filter(left => left > 0);
+		const limited = replicas.filter(replica => this.pauses.left(replica) === 0);
+		return Math.min(...pauses, this.services.limits.untilRoom(limited, place, horizon));
+	}
+
 	/** @param replica - A replica that is listed no longer, or another start of which has taken its id. */
 	forget(replica: Replica): void {
 		this.services.limits.forget(replica);
+		this.pauses.forget(replica);
 		this.loggedAt.delete(replica.start);
 	}
 
@@ -108,9 +159,9 @@
 	private notePause(replica: Replica, pause: ReplicaStatement['pause']): void {
 		if (pause === 'unreadable') {
 			this.tellUnreadable(replica, 'pause');
-		} else if (pause !== undefined) {
-			this.services.log.write('replicaPaused', {
-				replica: replica.entry.id, service: replica.entry.service, pause, source: 'answer',
+		} else if (pause !== undefined && this.pauses.note(replica, pause)) {
+			this.services.log.write(pause > longPause ? 'replicaPausedLong' : 'replicaPaused', {
+				replica: replica.entry.id, service: replica.entry.service, pause, boxes: this.pauses.boxesOf(replica),
 			});
 		}
 	}
--- a/src/replicas/test/replica-statements.test.ts
+++ b/src/replicas/test/replica-statements.test.ts
@@ -48,10 +48,10 @@
 	const clock = new MovedClock(10_000);
 	const [first, second, third] = [boxAt(clock), boxAt(clock, ['i-2']), boxAt(clock)];
 	first.statements.noteAnswer(first.replicas.named('i-1')!, leaving, 9900);
-	second.statements.takeTold(toldBy(first), 'box');
+	second.statements.takeTold('first', toldBy(first), 'box');
 	second.replicas.put(entry('i-1'));
 	assert.deepEqual(second.ready(), ['i-2']);
-	third.statements.takeTold(toldBy(second), 'digest');
+	third.statements.takeTold('second', toldBy(second), 'digest');
 	assert.deepEqual(third.ready(), ['i-2']);
 	assert.deepEqual([toldBy(second), toldBy(second, ['answer']), toldBy(third)].map(({length}) => length), [1, 0, 0]);
 });
@@ -82,3 +82,53 @@
 	assert.ok(told.every(({length}) => length === mostStatementsTold.large));
 	assert.equal(new Set(told.flat().map(({start}) => start)).size, ids.length);
 });
+
+test('a pause ends by time alone: a later answer may extend it, and neither shortens nor ends it', () => {
+	const clock = new MovedClock(10_000);
+	const {replicas, statements} = boxAt(clock);
+	const replica = replicas.named('i-1')!;
+	statements.noteAnswer(replica, {...noStatement, pause: 3000}, 9990);
+	clock.now += 1000;
+	statements.noteAnswer(replica, noStatement, 10_500);
+	statements.noteAnswer(replica, {...noStatement, pause: 500}, 10_500);
+	statements.noteAnswer(replica, {...noStatement, pause: 'unreadable'}, 10_500);
+	assert.deepEqual([statements.pauseLeft(replica), statements.hasRoom(replica)], [2000, false]);
+	statements.noteAnswer(replica, {...noStatement, pause: 3000}, 10_500);
+	clock.now += 2999;
+	assert.equal(statements.hasRoom(replica), false);
+	clock.now++;
+	assert.equal(statements.hasRoom(replica), true);
+});
+
+test('a pause binds the box that was asked for it; the others know of it, by its age', () => {
+	const clock = new MovedClock(10_000);
+	const [first, second, third] = [boxAt(clock), boxAt(clock), boxAt(clock)];
+	first.statements.noteAnswer(first.replicas.named('i-1')!, {...noStatement, pause: 3000}, 9990);
+	clock.now += 500;
+	const told = toldBy(first);
+	clock.now += 200;
+	second.statements.takeTold('first', told, 'box');
+	const replica = second.replicas.named('i-1')!;
+	assert.deepEqual([second.statements.hasRoom(replica), second.statements.boxesPaused(replica)], [true, 1]);
+	third.statements.takeTold('second', toldBy(second), 'digest');
+	assert.equal(third.statements.boxesPaused(third.replicas.named('i-1')!), 0, 'what was told is not told on');
+	clock.now += 2800;
+	assert.equal(second.statements.boxesPaused(replica), 0);
+	assert.deepEqual(toldBy(first), []);
+});
+
+test('the next start of a replica has asked for nothing', () => {
+	const clock = new MovedClock(10_000);
+	const {replicas, statements} = boxAt(clock);
+	statements.noteAnswer(replicas.named('i-1')!, {...noStatement, pause: 60_000}, 9990);
+	replicas.put(entry('i-1', {revision: 9, bornAt: 8}));
+	assert.equal(statements.hasRoom(replicas.named('i-1')!), true);
+});
+
+test('room at replicas of which some have asked for a pause comes with the first that ends', () => {
+	const clock = new MovedClock(10_000);
+	const {replicas, statements} = boxAt(clock);
+	statements.noteAnswer(replicas.named('i-1')!, {...noStatement, pause: 3000}, 9990);
+	statements.noteAnswer(replicas.named('i-2')!, {...noStatement, pause: 1500}, 9990);
+	assert.equal(statements.untilRoom(replicas.all, 4, 100), 1500);
+});
