Reproduce a store that comes back from a copy (known to fail)

Four relays, 16 clients; the store loses its last 40 writes in half a second of absence, then one replica leaves and another is listed.

--- /dev/null
+++ b/src/node/test/restored-store.test.ts
@@ -0,0 +1,76 @@
+/*
+ * After the store had come back from a copy, boxes ignored its list of replicas until its revision had passed the one that they knew: they went on sending to
+ * a replica that left, and used no new one.
+ */
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {RelayInstallation, until} from '../../../development/relay/relay-installation.js';
+import type {StoreCopy} from '../../../development/relay/store-standin.js';
+
+const relayCount = 4;
+const clientCount = 16;
+/** Milliseconds between two requests of a client. */
+const clientPause = 40;
+/** Milliseconds for which the store is away. */
+const away = 500;
+/** Writes that the store loses. */
+const writesLost = 40;
+/** Milliseconds after the store has taken that a replica leaves, from which on it gets nothing. */
+const drainTime = 2000;
+/** Milliseconds for which requests are counted. */
+const observed = 5000;
+
+let installation: RelayInstallation;
+let over: AbortController;
+let clients: Promise<unknown>;
+let copy: StoreCopy;
+
+const arrivalsAt = (id: string): readonly number[] => installation.replicas.get(id)?.seen.map(({at}) => at) ?? [];
+
+async function callOn(client: number): Promise<void> {
+	for (let count = 0; !over.signal.aborted; count++) {
+		await installation.call({path: `/calls/${client}`}, installation.relays[(client + count) % relayCount]);
+		await pause(clientPause);
+	}
+}
+
+/** Comes back from a copy that lacks the last writes, having been away for a while. */
+async function loseWrites(): Promise<void> {
+	const {store} = installation;
+	store.faults = {isSilent: false, isBusy: true, losesAnswers: false};
+	await pause(away);
+	store.restore(copy);
+	store.heal();
+}
+
+beforeEach(async () => {
+	installation = await RelayInstallation.start({relays: relayCount, replicas: ['i-1', 'i-2', 'i-3']});
+	over = new AbortController();
+	clients = Promise.all(Array.from({length: clientCount}, async (_, client) => callOn(client)));
+	await until(() => arrivalsAt('i-1').length > clientCount);
+	copy = installation.store.copy();
+	for (let write = 0; write < writesLost; write++) {
+		installation.list('i-2', {cold_left_ms: writesLost - write});
+	}
+
+	await pause(drainTime / 2);
+});
+
+afterEach(async () => {
+	over.abort();
+	await clients;
+	await installation.close();
+});
+
+test('boxes take the list of a store that has lost its last writes, though its revisions are lower', async () => {
+	await loseWrites();
+	await pause(200);
+	installation.list('i-1', {state: 'draining', seq: 2});
+	const takenAt = performance.now();
+	await installation.addReplica('i-4');
+	await pause(observed);
+	const late = arrivalsAt('i-1').filter(at => at > takenAt + drainTime);
+	assert.equal(late.length, 0, `${late.length} requests at a replica later than ${drainTime} ms after the store had taken that it leaves`);
+	assert.ok(arrivalsAt('i-4').some(at => at < takenAt + drainTime), 'a new replica is used');
+});
