Take the list of a store that came back from a copy

Seen by callers: requests reached a replica 2,031 and 2,379 ms after the store had taken that it leaves (bound 2,000 ms), and a new replica was not used.

Cause: a box ignored each list and each change whose revision was not above the one that it knew. A store that comes back from a copy gives revisions out again, so the box was blind until the store had counted past the old one: in the record all nine boxes learnt of the departure within 3 ms, at revision 96, 2.5 s late. Ruled out: watches that hang (they would not end within 3 ms on nine boxes) and older lists of peers (no line tells of the departure before).

What is missing in the copy is held for 2 s, as after an outage, since replicas write it again. What had left stays without work, by its start, until a later entry says otherwise. An ignored list and a restored store are logged (2206, 2207).

--- a/development/harness/one-object-store.ts
+++ b/development/harness/one-object-store.ts
@@ -8,6 +8,7 @@
 
 /** The store. */
 export class OneObjectStore extends MetadataStore {
+	override readonly era = 0;
 	private object: StoredObject | undefined;
 
 	/** @param afterWrite - Called when the object has been written, before that is answered. */
--- a/src/base/event-catalogue.ts
+++ b/src/base/event-catalogue.ts
@@ -36,6 +36,7 @@
 	routesUnreadable: event(2202, 'error', 'A configuration cannot be read; the one before stays in force.'),
 	historyGone: event(2203, 'warn', 'The store has forgotten its history; the kind is listed anew.'),
 	listOutdated: event(2206, 'warn', 'A list of a kind is older than what is known; it changes nothing.'),
+	storeRestored: event(2207, 'warn', 'The store came back from a copy; its list counts, though its revision is lower.'),
 	storeLost: event(2204, 'warn', 'The store does not answer for a kind; what is known stays so.'),
 	storeRegained: event(2205, 'info', 'The store answers for a kind again.'),
 	replicaListed: event(3201, 'info', 'A replica is listed.'),
--- a/src/follow/metadata-store.ts
+++ b/src/follow/metadata-store.ts
@@ -7,7 +7,7 @@
 /** An object as the store holds it. */
 export type StoredObject = {
 	readonly name: string;
-	/** Number of its last change; rises over all objects. */
+	/** Position of its last change; rises over all objects. */
 	readonly revision: number;
 	readonly spec: unknown;
 };
@@ -15,7 +15,7 @@
 /** All objects of a kind at one moment. */
 export type Listing = {
 	readonly objects: readonly StoredObject[];
-	/** Revision of the store. */
+	/** Position of the store. */
 	readonly at: number;
 };
 
@@ -31,7 +31,7 @@
 export type Changes = {
 	readonly changes: readonly Change[];
 	readonly at: number;
-	/** Revision behind which they begin, as another box tells them; absent where it is the one that was asked for. */
+	/** Position behind which they begin, as another box tells them; absent where it is the one that was asked for. */
 	readonly from?: number;
 };
 
@@ -48,8 +48,11 @@
 /** The object is not as the write expected. */
 export class RevisionConflict extends Data.TaggedError('RevisionConflict')<{readonly name: string}> {}
 
-/** The store. */
+/** The store. Its positions only rise: see store-position.ts. */
 export abstract class MetadataStore {
+	/** Rises each time the store comes back from a copy, as far as this box knows. What it acknowledged in an era before may be gone. */
+	abstract readonly era: number;
+
 	/**
 	 * @param kind - Kind of objects.
 	 * @returns All of them, as of one moment after the call was sent.
@@ -67,7 +70,7 @@
 	 * Waits for changes.
 	 *
 	 * @param kind - Kind of objects.
-	 * @param after - Revision that is known.
+	 * @param after - Position that is known.
 	 * @param wait - Milliseconds to wait at most.
 	 * @returns Changes since; none where none came in that time.
 	 */
@@ -89,7 +92,7 @@
 	 * @param kind - Kind of the object.
 	 * @param name - Its name.
 	 * @param spec - What it is to hold.
-	 * @param expected - Revision it must be at.
+	 * @param expected - Position of the change it must be at; one of an era before never is.
 	 * @returns The object.
 	 */
 	abstract replace(kind: string, name: string, spec: unknown, expected: number): Effect.Effect<StoredObject, StoreUnavailable | RevisionConflict>;
@@ -99,7 +102,7 @@
 	 *
 	 * @param kind - Kind of the object.
 	 * @param name - Its name.
-	 * @param expected - Revision it must be at.
+	 * @param expected - Position of the change it must be at.
 	 * @returns Ends when it is gone, also where it was before.
 	 */
 	abstract remove(kind: string, name: string, expected: number): Effect.Effect<void, StoreUnavailable | RevisionConflict>;
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -70,7 +70,7 @@
 	digest: Schema.optionalKey(DigestLayout),
 	ends: Schema.optionalKey(Schema.Tuple([Schema.Array(EndRow), Schema.Array(CompletionRow)])),
 	statements: Schema.optionalKey(Schema.Array(StatementRow)),
-	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number})),
+	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number, start: Schema.optionalKey(Schema.String)})),
 	usage: Schema.Array(UsageRow),
 	members: Schema.Array(MemberRow),
 });
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -5,6 +5,7 @@
 import type {EndNews} from '../quarantine/end-ledger.js';
 import type {Stretch} from '../replicas/limit-slots.js';
 import type {ReplicaWork} from '../replicas/replica.js';
+import type {Departure} from '../replicas/replica-directory.js';
 import type {ToldStatement} from '../replicas/replica-statement.js';
 import type {Demand} from '../replicas/service-demand.js';
 import type {Changes} from '../follow/metadata-store.js';
@@ -115,7 +116,7 @@
 	/** Present in the answer of an aggregator, which then tells nothing of its own counters. */
 	readonly digest?: FleetDigest;
 	/** Replicas that began to leave lately. */
-	readonly departed: ReadonlyArray<{readonly id: string; readonly revision: number}>;
+	readonly departed: readonly Departure[];
 	/** Replicas that ended under requests, and such requests that were served since; absent where there are none. */
 	readonly ends?: EndNews;
 	/** What replicas said of themselves in answers to the sender, in an answer of an aggregator to any box; absent where there is nothing. */
--- a/src/gossip/test/gossip-codec.test.ts
+++ b/src/gossip/test/gossip-codec.test.ts
@@ -20,7 +20,7 @@
 	}],
 	replicas: {at: 812, age: 95},
 	asksDigest: true,
-	departed: [{id: 'i-2', revision: 800}],
+	departed: [{id: 'i-2', revision: 800}, {id: 'i-3', revision: 801, start: 'i-3/7'}],
 	statements: [
 		{
 			start: 'i-1/7', kind: 'limit', value: 0.5, age: 3,
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -5,12 +5,13 @@
 import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
 import type {Clock} from '../base/clock.js';
-import type {EventLog} from '../base/event-log.js';
+import type {EventFields, EventLog} from '../base/event-log.js';
 import {createDecoder, describeFaults} from '../base/faults.js';
 import {KindFollower} from '../follow/kind-follower.js';
 import type {
 	Change, Changes, Listing, StoredObject,
 } from '../follow/metadata-store.js';
+import {eraOf, revisionOf} from '../follow/store-position.js';
 import {unknownAge, type GossipMessage, type MemberAddress} from '../gossip/gossip-message.js';
 import type {ReplicaEntry} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
@@ -176,7 +177,8 @@
 	 * @param changes - What this box misses, where the peer could tell it.
 	 */
 	take(sender: MemberAddress, told: NonNullable<GossipMessage['replicas']>, changes: Changes | undefined): void {
-		if (told.at > this.at && (this.at < 0 || !changes || (changes.from ?? this.at) > this.at)) {
+		const isLaterEra = eraOf(told.at) > eraOf(this.at);
+		if (told.at > this.at && (isLaterEra || !changes || (changes.from ?? this.at) > this.at)) {
 			this.fetch.from(sender);
 			return;
 		}
@@ -199,13 +201,22 @@
 	takeListing({at, objects, lapsed = []}: ReplicaListing, sentAt: number): void {
 		const {replicas, log, link: {names}} = this.services;
 		if (at < this.at) {
-			log.write('listOutdated', {kind: names.replicaKind, at, known: this.at});
+			log.write('listOutdated', {kind: names.replicaKind, ...fieldsOf(at, this.at)});
 			return;
 		}
 
 		const listed = new Set(objects.map(({name}) => name));
 		const missing = [...this.objects.values()].filter(({name}) => !listed.has(name));
-		const held = missing.filter(object => this.mayHaveLapsed(object));
+		const isRestored = this.at >= 0 && eraOf(at) > eraOf(this.at);
+		if (isRestored) {
+			log.write('storeRestored', {
+				kind: names.replicaKind, ...fieldsOf(at, this.at), missing: missing.map(({name}) => name).join(' '),
+			});
+			replicas.keepDepartures(at);
+		}
+
+		// Replicas write again what the store has lost of theirs.
+		const held = missing.filter(object => this.mayHaveLapsed(object, isRestored));
 		for (const {name} of held) {
 			this.hold(name, at);
 		}
@@ -341,3 +352,7 @@
 		this.services.replicas.remove(name, revision);
 	}
 }
+
+const fieldsOf = (position: number, known: number): EventFields => ({
+	era: eraOf(position), revision: revisionOf(position), knownEra: eraOf(known), knownRevision: revisionOf(known),
+});
--- a/src/node/test/replica-role.test.ts
+++ b/src/node/test/replica-role.test.ts
@@ -4,6 +4,7 @@
 import {SilentEventLog} from '../../base/event-log.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import type {Changes, StoredObject} from '../../follow/metadata-store.js';
+import {positionOf} from '../../follow/store-position.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
 import type {PlatformLink} from '../platform-link.js';
 import {ReplicaRole} from '../replica-role.js';
@@ -129,3 +130,37 @@
 	assert.equal(role.told?.at, 10);
 	assert.deepEqual(ready(replicas), ['x']);
 });
+
+/** A position after the store came back from a copy. */
+const restored = (revision: number): number => positionOf(1, revision)!;
+
+test('the list of a store that came back from a copy counts, though its revision is lower, and one of before that comes late does not', () => {
+	const {role, replicas, clock} = roleWith([object('x', 1), object('y', 2)], 90);
+	role.takeListing({at: restored(20), objects: [object('x', restored(1), true), object('z', restored(12))]}, clock.monotonic());
+	assert.deepEqual(ready(replicas), ['y', 'z'], 'what is missing may be written again');
+	role.takeListing({at: 95, objects: [object('x', 1), object('y', 2)]}, clock.monotonic());
+	tell(role, {at: 95, changes: [gone('z', 94)]});
+	assert.deepEqual(ready(replicas), ['y', 'z']);
+	clock.now += 2500;
+	role.dropLapsed();
+	assert.deepEqual(ready(replicas), ['z']);
+});
+
+test('what a peer tells of an era before is older, whatever its revision, and its changes of a later era are no whole list', () => {
+	const {role, replicas} = roleWith([object('x', restored(1))], restored(20));
+	role.take(sender, {at: 90, age: 0}, {at: 90, changes: [gone('x', 90)]});
+	assert.deepEqual(ready(replicas), ['x']);
+	const behind = roleWith([object('x', 1)], 90);
+	behind.role.take(sender, {at: restored(20), age: 0}, {at: restored(20), changes: [put('y', restored(19))]});
+	assert.deepEqual(ready(behind.replicas), ['x']);
+});
+
+test('an entry that left before the store lost that stays without work, and its next start or a later entry of it counts', () => {
+	const {role, replicas, clock} = roleWith([object('w', 1), object('x', 2), object('y', 3), object('z', 4)], 50);
+	tell(role, {at: 80, changes: [put('w', 60, true), gone('x', 70), gone('y', 71)]});
+	role.takeListing({at: restored(20), objects: [object('w', restored(1)), object('x', restored(2)), object('y', restored(3)), object('z', restored(4))]}, clock.monotonic());
+	assert.deepEqual(ready(replicas), ['z']);
+	assert.ok(replicas.departedWithin().every(({revision}) => revision === restored(20)), 'boxes that have taken the list are told so too');
+	tell(role, {at: restored(30), changes: [gone('x', restored(22)), put('x', restored(25))]});
+	assert.deepEqual(ready(replicas), ['x', 'z']);
+});
--- a/src/node/test/replica-start-model.test.ts
+++ b/src/node/test/replica-start-model.test.ts
@@ -6,23 +6,31 @@
 import {SilentEventLog} from '../../base/event-log.js';
 import type {Change, StoredObject} from '../../follow/metadata-store.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
+import {positionOf, revisionOf} from '../../follow/store-position.js';
 import type {PlatformLink} from '../platform-link.js';
 import {ReplicaRole} from '../replica-role.js';
 
+const newsKinds = ['list', 'whole', 'late', 'departure', 'restore', 'write-again'] as const;
+
 /** What may happen to the entry of a replica in the store, or to what a box hears of it. */
 type Step =
 	| {readonly kind: 'start' | 'drain' | 'go' | 'spoil'; readonly id: string}
-	| {readonly kind: 'list' | 'whole' | 'late' | 'departure'; readonly id: string; readonly part: number};
+	| {readonly kind: typeof newsKinds[number]; readonly id: string; readonly part: number};
 
+/** Milliseconds after which what may have lapsed counts as gone. */
+const lapseTime = 2500;
 const ids = ['i-1', 'i-2', 'i-3'] as const;
 const sender = {name: 'peer', host: '127.0.0.1', port: 1};
 const id = fc.constantFrom(...ids);
 const step: fc.Arbitrary<Step> = fc.oneof(
 	fc.record({kind: fc.constantFrom('start' as const, 'drain' as const, 'go' as const, 'spoil' as const), id}),
-	fc.record({kind: fc.constantFrom('list' as const, 'whole' as const, 'late' as const, 'departure' as const), id, part: fc.double({min: 0, max: 1, noNaN: true})}),
+	fc.record({kind: fc.constantFrom(...newsKinds), id, part: fc.double({min: 0, max: 1, noNaN: true})}),
 );
 
-/** A store with its history, and a box that hears of it in any order that the exchange allows. */
+/** What the store held at one moment. */
+type Copy = {readonly objects: ReadonlyMap<string, StoredObject>; readonly revision: number; readonly history: ReadonlyArray<Change & {readonly at: number}>};
+
+/** A store with its history, which may come back from a copy, and a box that hears of it in any order that the exchange allows. */
 class Model {
 	private readonly clock = new MovedClock(100_000);
 	private readonly replicas = ReplicaDirectory.create(this.clock, SilentEventLog.create());
@@ -31,10 +39,18 @@
 		clock: this.clock, replicas: this.replicas, log: SilentEventLog.create(), leads: () => false, patience: 5000,
 	});
 
-	private readonly objects = new Map<string, StoredObject>();
+	private objects = new Map<string, StoredObject>();
+	/** Changes of eras before. */
+	private lostHistory: ReadonlyArray<Change & {readonly at: number}> = [];
+	/** What replicas wrote last, whatever the store has lost of it. */
+	private readonly written = new Map<string, unknown>();
+	private copies: readonly Copy[] = [];
+	private era = 0;
 	private history: ReadonlyArray<Change & {readonly at: number}> = [];
 	private revision = 1;
 	private toldTo = 1;
+	/** Whether the box has read a list since the store last came back from a copy. */
+	private isListed = true;
 
 	constructor() {
 		this.role.takeListing({at: this.revision, objects: []}, this.clock.monotonic());
@@ -64,13 +80,12 @@
 			}
 
 			case 'list': {
-				this.tell(Math.floor(what.part * this.revision));
+				this.tell(positionOf(this.era, Math.floor(what.part * revisionOf(this.revision)))!);
 				break;
 			}
 
 			case 'whole': {
-				this.role.takeListing({at: this.revision, objects: [...this.objects.values()]}, this.clock.monotonic());
-				this.toldTo = this.revision;
+				this.listAnew();
 				break;
 			}
 
@@ -85,9 +100,20 @@
 				break;
 			}
 
+			case 'restore': {
+				this.restore(what.part);
+				break;
+			}
+
+			case 'write-again': {
+				this.writeAgain(what.id);
+				break;
+			}
+
 			case 'departure': {
 				// Another box saw that an earlier state of the replica was leaving.
-				const draining = this.history.filter(({object, isGone}) => object.name === what.id && (isGone || (object.spec as {readonly state: string}).state === 'draining'));
+				const own = [...this.lostHistory, ...this.history].filter(({object}) => object.name === what.id);
+				const draining = own.filter(({object, isGone}) => isGone || (object.spec as {readonly state: string}).state === 'draining');
 				const one = draining[Math.floor(what.part * draining.length)];
 				if (one) {
 					this.replicas.noteLeaving({id: what.id, revision: one.at}, 'peer');
@@ -101,6 +127,13 @@
 	/** @returns Replicas that the box would use, and those that the store names to use, once all news are in. */
 	settle(): readonly [used: readonly string[], named: readonly string[]] {
 		this.tell(this.revision);
+		for (const name of ids) {
+			this.writeAgain(name);
+		}
+
+		this.tell(this.revision);
+		this.clock.now += lapseTime;
+		this.role.dropLapsed();
 		const used = this.replicas.all.filter(({isLeaving}) => !isLeaving).map(({start}) => start).sort();
 		const named = [...this.objects.values()].filter(({spec}) => {
 			const {state, addr} = spec as {readonly state: string; readonly addr: unknown};
@@ -109,10 +142,36 @@
 		return [used, named];
 	}
 
+	private restore(part: number): void {
+		const copy = this.copies[Math.floor(part * this.copies.length)];
+		if (!copy) {
+			return;
+		}
+
+		this.era++;
+		this.objects = new Map(copy.objects);
+		this.revision = positionOf(this.era, revisionOf(copy.revision))!;
+		this.lostHistory = [...this.lostHistory, ...this.history];
+		// The box has to list anew.
+		this.history = [];
+		this.copies = [];
+		this.isListed = false;
+	}
+
+	/** What a replica wrote and the store has lost is written again; the entry of one that has gone lapses. */
+	private writeAgain(name: string): void {
+		const spec = this.written.get(name);
+		if (spec === undefined) {
+			this.remove(name);
+		} else if (this.objects.get(name)?.spec !== spec) {
+			this.write(name, spec as Readonly<Record<string, unknown>>);
+		}
+	}
+
 	private change(name: string, changes: Readonly<Record<string, unknown>>): void {
-		const known = this.objects.get(name);
-		if (known) {
-			this.write(name, {...known.spec as Readonly<Record<string, unknown>>, ...changes});
+		const known = this.written.get(name);
+		if (known !== undefined) {
+			this.write(name, {...known as Readonly<Record<string, unknown>>, ...changes});
 		}
 	}
 
@@ -123,21 +182,36 @@
 				service: 's', addr: '127.0.0.1:1', slots: 8, ...changes,
 			},
 		};
+		this.copies = [...this.copies, {objects: new Map(this.objects), revision: this.revision - 1, history: this.history}];
+		this.written.set(name, object.spec);
 		this.objects.set(name, object);
 		this.history = [...this.history, {object, isGone: false, at: this.revision}];
 	}
 
 	private remove(name: string): void {
+		this.written.delete(name);
 		const known = this.objects.get(name);
 		if (known) {
+			this.copies = [...this.copies, {objects: new Map(this.objects), revision: this.revision, history: this.history}];
 			this.revision++;
 			this.objects.delete(name);
 			this.history = [...this.history, {object: known, isGone: true, at: this.revision}];
 		}
 	}
 
+	private listAnew(): void {
+		this.role.takeListing({at: this.revision, objects: [...this.objects.values()]}, this.clock.monotonic());
+		this.toldTo = this.revision;
+		this.isListed = true;
+	}
+
 	/** Changes up to a revision, from anywhere before: batches overlap. */
 	private tell(upTo: number): void {
+		if (!this.isListed) {
+			this.listAnew();
+			return;
+		}
+
 		const changes = this.history.filter(({at}) => at <= upTo);
 		this.toldTo = Math.max(this.toldTo, upTo);
 		this.role.take(sender, {at: upTo, age: 0}, {at: upTo, changes});
@@ -153,5 +227,5 @@
 
 		const [used, named] = model.settle();
 		assert.deepEqual(used, named);
-	}), {seed: 30, numRuns: 1500});
+	}), {seed: 30, numRuns: 4000});
 });
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -29,6 +29,8 @@
 	readonly id: string;
 	/** Number of the change by which it did. */
 	readonly revision: number;
+	/** Names the start that left; absent where that is not known. */
+	readonly start?: string;
 };
 
 type KnownDeparture = Departure & {readonly at: number};
@@ -84,7 +86,7 @@
 			}
 		}
 
-		return [...this.departures.values()].filter(({at}) => at >= now - within).map(({id, revision}) => ({id, revision}));
+		return [...this.departures.values()].filter(({at}) => at >= now - within).map(({at, ...departure}) => departure);
 	}
 
 	/** What listed replicas announced of their leaving, and what those did whose entries have not come yet or have lapsed. */
@@ -171,6 +173,20 @@
 		this.known = true;
 	}
 
+	/**
+	 * Dates departures by a list of a store that came back from a copy: entries in it may be older than the departures, and do not undo them.
+	 *
+	 * @param position - Position of the list.
+	 */
+	keepDepartures(position: number): void {
+		for (const [id, departure] of this.departures) {
+			// Of an unknown start it cannot be told whether the entry is its own.
+			if (departure.start !== undefined) {
+				this.departures.set(id, {...departure, revision: Math.max(departure.revision, position)});
+			}
+		}
+	}
+
 	/** @param entry - A replica that is new or has changed. */
 	put(entry: ReplicaEntry): void {
 		const replica = this.replicas.get(entry.id);
@@ -187,15 +203,16 @@
 			const wasLeaving = replica.isLeaving;
 			replica.update(entry);
 			if (!wasLeaving && replica.isLeaving) {
-				this.noteDeparture(entry, 'list');
+				this.noteDeparture(entry, replica.start, 'list');
 			}
 
 			return;
 		}
 
 		const added = this.create(entry);
+		const departure = this.departures.get(entry.id);
 		// An entry that lapsed and was written again is newer than its departure.
-		if ((this.departures.get(entry.id)?.revision ?? 0) >= entry.revision) {
+		if (departure && isOfDeparture(added, departure)) {
 			added.leave();
 		}
 
@@ -219,7 +236,7 @@
 		this.replicas.delete(id);
 		replica.leave();
 		this.lately = [...this.lately.filter(other => this.mayBeSent(other)), replica];
-		this.noteDeparture({id, revision}, 'list');
+		this.noteDeparture({id, revision}, replica.start, 'list');
 		this.log.write('replicaGone', {replica: id, service: replica.entry.service, revision});
 		for (const listener of this.goneListeners) {
 			listener(replica);
@@ -234,9 +251,9 @@
 	 */
 	noteLeaving(departure: Departure, source: 'peer' | 'replica'): void {
 		const replica = this.replicas.get(departure.id);
-		if (replica && !replica.isLeaving && replica.entry.revision <= departure.revision) {
+		if (replica && !replica.isLeaving && isOfDeparture(replica, departure)) {
 			replica.leave();
-			this.noteDeparture(departure, source);
+			this.noteDeparture(departure, replica.start, source);
 		} else if (!replica && source === 'peer' && !this.departures.has(departure.id)) {
 			this.departures.set(departure.id, {...departure, at: this.clock.monotonic()});
 		}
@@ -292,15 +309,22 @@
 		}
 	}
 
-	private noteDeparture({id, revision}: Departure, source: string): void {
+	private noteDeparture({id, revision}: Departure, start: string, source: string): void {
 		if (!this.departures.has(id)) {
 			this.log.write('replicaLeaving', {replica: id, source, revision});
 		}
 
-		this.departures.set(id, {id, revision, at: this.clock.monotonic()});
+		this.departures.set(id, {
+			id, revision, at: this.clock.monotonic(), start,
+		});
 	}
 }
 
+/** Whether a departure is that of a replica as it is listed, not of a start or an entry before. */
+function isOfDeparture({entry, start}: Replica, departure: Departure): boolean {
+	return entry.revision <= departure.revision && (departure.start ?? start) === start;
+}
+
 /** Whether an entry is of an earlier start; nobody can tell where one does not say when it was born. */
 function isOlder({bornAt: left}: ReplicaEntry, {bornAt: right}: ReplicaEntry): boolean {
 	return left !== undefined && right !== undefined && left < right;
