Carry the duties across a store that comes back from a copy

Seen in tests: a holder whose record the store has lost had used fence f + 1, and the next one, which read the copy, got f + 1 again; it also counted anew a window whose report the store had lost, and would have reported it with other counts.

Cause: the fence, the decided report and the holder were taken from the copy as though nothing had been acknowledged since.

Change: the first fence of an era is above all of the era before. A record whose fence is of an earlier era names no holder: nobody acts on it, permits of it end, and the box that it names has 2 s to take the duties anew before others do. A new holder goes on from the later of the copy and what it decided itself, waits as for a holder that it does not know, and reports no window that a lost holder may have reported.

Ruled out: fences told between boxes (all of them may start meanwhile). Costs at most the windows due around a restore.

--- a/src/duties/duty-campaign.ts
+++ b/src/duties/duty-campaign.ts
@@ -9,6 +9,8 @@
 	readonly self: string;
 	readonly incarnation: string;
 	readonly record: DutyRecord | undefined;
+	/** Milliseconds since the store came back from a copy and nobody has taken the duties anew; zero where the record counts. */
+	readonly outdatedFor: number;
 	/** Boxes that were heard lately. */
 	readonly heard: readonly Peer[];
 	/** Those of them that may take the duties over too. */
@@ -26,6 +28,8 @@
 const candidateSilence = 2500;
 /** Milliseconds of silence after which a holder, which writes each second, is taken to be out of the store's reach. */
 const holderSilence = 3000;
+/** Milliseconds for which the box that a restored record names is left to take the duties anew. */
+const renewalTime = 2000;
 /** Part of the boxes that must be heard to take the duties over from a box that may only be out of hearing. */
 const majorityPart = 0.5;
 
@@ -33,13 +37,13 @@
  * @param facts - What the decision rests on.
  * @returns Whether the box that holds the duties is at work, as far as this one can tell.
  */
-export function isHolderAtWork({self, incarnation, record, heard}: CampaignFacts): boolean {
-	if (!record || record.holder === '') {
+export function isHolderAtWork({self, incarnation, record, outdatedFor, heard}: CampaignFacts): boolean {
+	if (!record || record.holder === '' || outdatedFor > renewalTime) {
 		return false;
 	}
 
 	if (record.holder === self) {
-		return record.incarnation === incarnation;
+		return record.incarnation === incarnation && outdatedFor === 0;
 	}
 
 	const last = heard.find(({address}) => address.name === record.holder)?.last;
@@ -51,7 +55,7 @@
  * @returns Whether this box is the one to take the duties over: the box that held them last, where it is
  * there again, since its own acts need not be waited out; else the first by name.
  */
-export function isCandidate({self, record, rivals, storeSilence, isStopping, isAggregator}: CampaignFacts): boolean {
+export function isCandidate({self, record, outdatedFor, rivals, storeSilence, isStopping, isAggregator}: CampaignFacts): boolean {
 	if (isStopping || !isAggregator || storeSilence > candidateSilence) {
 		return false;
 	}
@@ -61,7 +65,7 @@
 		return true;
 	}
 
-	return !others.includes(record?.holder ?? '') && others.every(name => self < name);
+	return (outdatedFor > renewalTime || !others.includes(record?.holder ?? '')) && others.every(name => self < name);
 }
 
 /**
--- a/src/duties/duty-lease.ts
+++ b/src/duties/duty-lease.ts
@@ -13,7 +13,9 @@
 import type {EventLog} from '../base/event-log.js';
 import type {MetadataStore, RevisionConflict, StoreUnavailable} from '../follow/metadata-store.js';
 import type {DutySigner} from './duty-calls.js';
-import {decodeDutyRecord, firstRecord, type DutyRecord} from './duty-record.js';
+import {
+	decodeDutyRecord, firstFenceOf, firstRecord, type DutyRecord,
+} from './duty-record.js';
 
 /** Kind and name of the object. */
 const dutyKind = 'waydrift-duties';
@@ -43,6 +45,8 @@
 	readonly wait: () => number;
 	/** @returns Whether the platform itself refuses acts of a holder that somebody has followed. */
 	readonly isFenced: () => boolean;
+	/** @returns The record to go on from where the store may have lost what holders decided; the one that is known by default. */
+	readonly amendRestored?: (record: DutyRecord) => DutyRecord;
 };
 
 /** The duties, as this box sees them. */
@@ -61,6 +65,10 @@
 	/** Monotonic milliseconds up to which this box may have acted: another start of it until this one began. */
 	private actedUntil: number;
 	private isUnsure = false;
+	/** What this start last decided or took as a holder. */
+	private ownRecord: DutyRecord | undefined;
+	/** Monotonic milliseconds since which the record that is known is of an era before. */
+	private outdatedSince: number | undefined;
 	/** Monotonic milliseconds at which the record was last read or written. */
 	private knownAt = Number.NEGATIVE_INFINITY;
 
@@ -76,7 +84,20 @@
 	/** Whether this start of this box holds the duties, as far as it knows. */
 	get isHeld(): boolean {
 		const {self, incarnation} = this.services;
-		return this.record?.holder === self && this.record.incarnation === incarnation;
+		return this.record?.holder === self && this.record.incarnation === incarnation && !this.isOutdated;
+	}
+
+	/** Milliseconds since the store has come back from a copy without a holder taking the duties in its new era, as far as is known; zero before. */
+	get outdatedFor(): number {
+		const now = this.services.clock.monotonic();
+		this.outdatedSince = this.isOutdated ? this.outdatedSince ?? now : undefined;
+		return this.outdatedSince === undefined ? 0 : now - this.outdatedSince;
+	}
+
+	/** Whether a holder of an era before wrote the record that is known: the store may have lost the ones that followed. */
+	private get isOutdated(): boolean {
+		const fence = this.record?.fence ?? 0;
+		return fence > 0 && fence < firstFenceOf(this.services.store.era);
 	}
 
 	/** Whether it may act: it holds the duties and has waited. */
@@ -102,18 +123,22 @@
 	/** @returns Takes the duties over if nobody else does so first. */
 	acquire(): Effect.Effect<void, StoreUnavailable | RevisionConflict> {
 		return Effect.gen({self: this}, function * () {
-			const {self, incarnation, clock, log} = this.services;
+			const {self, incarnation, log, store, amendRestored = asItIs} = this.services;
 			yield * this.look();
 			if (this.isHeld) {
 				return;
 			}
 
-			const before = this.record!;
+			const isRestored = this.isOutdated || (this.record!.fence === 0 && this.ownRecord !== undefined);
+			const before = isRestored ? amendRestored(laterOf(this.record!, this.ownRecord)) : this.record!;
+			const fence = Math.max(before.fence + 1, firstFenceOf(store.era));
 			yield * this.write({
-				...before, holder: self, incarnation, fence: before.fence + 1, decision: before.decision + 1, ...formerHolder(before),
+				...before, holder: self, incarnation, fence, decision: before.decision + 1, ...formerHolder(before),
+			});
+			this.actsFrom = isRestored ? this.firstActAfterRestore() : this.firstActAfter(before);
+			log.write('dutyAcquired', {
+				fence, before: before.holder, isRestored, reportsFrom: before.reportsFrom,
 			});
-			this.actsFrom = this.firstActAfter(before);
-			log.write('dutyAcquired', {fence: before.fence + 1, before: before.holder});
 		});
 	}
 
@@ -125,7 +150,7 @@
 	 */
 	decide(decide: (record: DutyRecord) => DutyRecord): Effect.Effect<ActPermit, StoreUnavailable | DutyTaken> {
 		return Effect.gen({self: this}, function * () {
-			const {self, clock} = this.services;
+			const {self, clock, store} = this.services;
 			if (this.isUnsure || this.knownAt <= clock.lastWake()) {
 				yield * this.look();
 			}
@@ -141,7 +166,7 @@
 			return {
 				record,
 				signer: {holder: self, fence: record.fence},
-				isValid: () => clock.ageOf(sentAt) < actWithin,
+				isValid: () => clock.ageOf(sentAt) < actWithin && record.fence >= firstFenceOf(store.era),
 			};
 		});
 	}
@@ -182,6 +207,13 @@
 		return former === self ? Math.max(now, this.actedUntil + wait()) : now;
 	}
 
+	/** Holders that the store has lost may have acted until a moment ago, whoever the record names. */
+	private firstActAfterRestore(): number {
+		const {isFenced, clock, wait} = this.services;
+		const now = clock.monotonic();
+		return isFenced() ? Math.max(now, this.actedUntil + wait()) : now + wait();
+	}
+
 	private lookAfterConflict(): Effect.Effect<never, StoreUnavailable | DutyTaken> {
 		return this.look().pipe(Effect.andThen(Effect.suspend(() => Effect.fail(new DutyTaken({holder: this.record?.holder ?? ''})))));
 	}
@@ -195,6 +227,7 @@
 			Effect.map(({revision}) => {
 				this.revision = revision;
 				this.record = record;
+				this.ownRecord = record;
 				this.knownAt = this.services.clock.monotonic();
 			}),
 			Effect.tapError(() => Effect.sync(() => {
@@ -209,6 +242,13 @@
 	}
 }
 
+const asItIs = (record: DutyRecord): DutyRecord => record;
+
+/** Decisions are counted, so that the record with more of them holds what the other one does. */
+function laterOf(stored: DutyRecord, own: DutyRecord | undefined): DutyRecord {
+	return own && own.decision > stored.decision ? own : stored;
+}
+
 /** Nobody holds the duties between a release and the next holder: then the one that released them is the former. */
 function formerHolder({holder}: DutyRecord): Pick<DutyRecord, 'formerHolder'> {
 	return holder === '' ? {} : {formerHolder: holder};
--- a/src/duties/duty-record.ts
+++ b/src/duties/duty-record.ts
@@ -28,11 +28,13 @@
 	incarnation: Schema.String,
 	/** Name of the box that held them before; absent where nobody did. */
 	formerHolder: Schema.optionalKey(Schema.String),
-	/** Rises with each holder. */
+	/** Rises with each holder, also where the store has lost holders: see `firstFenceOf`. */
 	fence: Schema.Number,
 	/** Rises with each decision, so that each write changes something. */
 	decision: Schema.Number,
 	report: Schema.optionalKey(DecidedReport),
+	/** Windows before this one may have been reported by a holder that the store has lost; absent where it has lost none. */
+	reportsFrom: Schema.optionalKey(Schema.Number),
 	orders: Schema.Array(StandingOrder),
 	/** Replicas that each service had when the system first started. */
 	baseline: Schema.Array(Schema.Struct({
@@ -48,6 +50,14 @@
 /** The first fleet of one service. */
 export type FirstFleet = DutyRecord['baseline'][number];
 
+const fencesPerEra = 1_000_000;
+
+/**
+ * @param era - Era of the store.
+ * @returns The least fence of a holder in that era. The store may lose holders when a new era begins: their fences must not be given out again.
+ */
+export const firstFenceOf = (era: number): number => (era * fencesPerEra) + 1;
+
 /** The record before anybody held the duties. */
 export const firstRecord: DutyRecord = {
 	holder: '', incarnation: '', fence: 0, decision: 0, orders: [], baseline: [],
--- a/src/duties/test/duty-campaign.test.ts
+++ b/src/duties/test/duty-campaign.test.ts
@@ -4,14 +4,16 @@
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {StoreStandin} from '../../../development/relay/store-standin.js';
 import {HttpMetadataStore} from '../../../platform/metadata-store.js';
-import {isCandidate, mustLookForLife, type CampaignFacts} from '../duty-campaign.js';
+import {
+	isCandidate, isHolderAtWork, mustLookForLife, type CampaignFacts,
+} from '../duty-campaign.js';
 import {firstRecord} from '../duty-record.js';
 import {HolderLife} from '../holder-life.js';
 
 const facts = (changes: Partial<CampaignFacts>): CampaignFacts => ({
 	self: 'box-2', incarnation: 'one', record: {
 		...firstRecord, holder: 'box-1', incarnation: 'x', fence: 3,
-	}, heard: [], rivals: [], heardPart: 1, storeSilence: 0,
+	}, outdatedFor: 0, heard: [], rivals: [], heardPart: 1, storeSilence: 0,
 	isStopping: false, isAggregator: true, ...changes,
 });
 
@@ -50,3 +52,15 @@
 	assert.equal(await look(false), true, 'what was seen long ago says nothing');
 	await standin.close();
 });
+
+test('after the store came back from a copy the box that it names takes the duties anew, and the first of the others where it does not', () => {
+	const named = {name: 'box-1', host: '10.0.0.1', port: 1};
+	const last = {incarnation: 'x', isStopping: false, storeAge: 100};
+	const peer = {address: named, last} as unknown as CampaignFacts['heard'][number];
+	const self = facts({self: 'box-1', incarnation: 'x', outdatedFor: 1});
+	assert.deepEqual([isHolderAtWork(self), isCandidate(self)], [false, true]);
+	const other = {self: 'box-0', heard: [peer], rivals: [peer]};
+	assert.equal(isHolderAtWork(facts({...other, outdatedFor: 500})), true);
+	const waited = facts({...other, outdatedFor: 2500});
+	assert.deepEqual([isHolderAtWork(waited), isCandidate(waited)], [false, true]);
+});
--- a/src/duties/test/duty-lease.test.ts
+++ b/src/duties/test/duty-lease.test.ts
@@ -3,6 +3,7 @@
 	after, before, beforeEach, test,
 } from 'node:test';
 import * as Effect from 'effect/Effect';
+import * as Exit from 'effect/Exit';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {StoreStandin} from '../../../development/relay/store-standin.js';
 import {HttpMetadataStore} from '../../../platform/metadata-store.js';
@@ -74,3 +75,55 @@
 	await acquire(first);
 	assert.ok(first.mayAct);
 });
+
+const order = {
+	service: 's', dataCentre: 'x', reclaimable: 3, kept: 1,
+};
+
+/** @returns What a box before the restore decided. */
+const reportOf = (window: number) => ({window, counts: [['basin', window]] as ReadonlyArray<readonly [string, number]>});
+
+test('a fence is not given out twice where the store has lost the holder that had it', async () => {
+	const first = leaseOf('a', true);
+	await acquire(first);
+	const copy = standin.copy();
+	const second = leaseOf('b', true);
+	await acquire(second);
+	const {signer} = await Effect.runPromise(second.decide(record => record));
+	standin.restore(copy);
+	const third = leaseOf('c', true);
+	await acquire(third);
+	clock.now += wait;
+	const permit = await Effect.runPromise(third.decide(record => record));
+	assert.ok(permit.signer.fence > signer.fence, `${permit.signer.fence} after ${signer.fence}`);
+	const late = await Effect.runPromiseExit(first.decide(record => record));
+	assert.equal(Exit.isFailure(late), true, 'the holder that the copy names does not know of it yet, and gets no permit');
+});
+
+test('a holder does not act on what the store has lost until it has taken the duties again, and goes on from what it decided', async () => {
+	const lease = leaseOf('a', false);
+	await acquire(lease);
+	const copy = standin.copy();
+	const before = await Effect.runPromise(lease.decide(record => ({...record, report: reportOf(7), orders: [order]})));
+	standin.restore(copy);
+	await Effect.runPromise(lease.look());
+	assert.deepEqual([lease.isHeld, lease.mayAct, before.isValid()], [false, false, false]);
+	await acquire(lease);
+	assert.deepEqual([lease.isHeld, lease.mayAct], [true, false], 'another box may have held them, and acted');
+	clock.now += wait;
+	const after = await Effect.runPromise(lease.decide(record => record));
+	assert.deepEqual([after.record.report, after.record.orders], [before.record.report, before.record.orders]);
+	assert.ok(after.signer.fence > before.signer.fence);
+});
+
+test('a box that did not hold the duties goes on from the copy', async () => {
+	const first = leaseOf('a', false);
+	await acquire(first);
+	await Effect.runPromise(first.decide(record => ({...record, report: reportOf(6)})));
+	const copy = standin.copy();
+	await Effect.runPromise(first.decide(record => ({...record, report: reportOf(7)})));
+	standin.restore(copy);
+	const second = leaseOf('b', false);
+	await acquire(second);
+	assert.deepEqual(second.known!.report, reportOf(6));
+});
--- a/src/duties/usage-duty.ts
+++ b/src/duties/usage-duty.ts
@@ -8,6 +8,7 @@
 import type {StoreUnavailable} from '../follow/metadata-store.js';
 import type {DutyCalls} from './duty-calls.js';
 import type {DutyLease, DutyTaken} from './duty-lease.js';
+import type {DutyRecord} from './duty-record.js';
 import type {UsageCounts} from './usage-counts.js';
 
 /** Milliseconds after a window's end at which it is reported where every box has been heard. */
@@ -15,6 +16,9 @@
 /** Milliseconds after a window's end at which it is reported whatever has been heard. */
 const latest = 4500;
 
+/** Milliseconds by which boxes may differ in what they take for true time. */
+const timeSpread = 500;
+
 /** What the duty needs. */
 export type UsageDutyServices = {
 	readonly lease: DutyLease;
@@ -64,6 +68,16 @@
 		});
 	}
 
+	/**
+	 * @param record - A record that the store, which came back from a copy, holds of the duties.
+	 * @returns The same without the windows whose reports it may have lost: counted anew they could differ.
+	 */
+	afterRestore(record: DutyRecord): DutyRecord {
+		const {trueTime, windowLength} = this.services;
+		const firstUndecided = Math.floor((trueTime() - earliest + timeSpread) / windowLength());
+		return {...record, reportsFrom: Math.max(record.reportsFrom ?? 0, firstUndecided)};
+	}
+
 	/** Milliseconds since a window ended. */
 	private ageOf(window: number): number {
 		const {trueTime, windowLength} = this.services;
@@ -74,7 +88,7 @@
 		const {trueTime, windowLength, delay, hasHeardAll} = this.services;
 		const current = Math.floor(trueTime() / windowLength());
 		const oldest = current - Math.ceil(delay() / windowLength());
-		const next = Math.max(last === undefined ? this.firstWindow : last + 1, oldest);
+		const next = Math.max(last === undefined ? this.firstWindow : last + 1, oldest, this.services.lease.known?.reportsFrom ?? 0);
 		const age = this.ageOf(next);
 		const isDue = age >= latest || (age >= earliest && hasHeardAll(age - 300));
 		return isDue && age < delay() ? next : undefined;
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -81,6 +81,7 @@
 		const {self, incarnation, link: {store}, clock, log, settings, services, peers} = parts;
 		this.lease = DutyLease.create({
 			self, incarnation, store, clock, log, wait: () => settings().bounds.lease, isFenced: () => settings().bounds.isFenceRequired,
+			amendRestored: record => this.usage.afterRestore(record),
 		});
 		this.usage = UsageDuty.create({
 			lease: this.lease,
@@ -196,6 +197,7 @@
 			self,
 			incarnation,
 			record: this.lease.known,
+			outdatedFor: this.lease.outdatedFor,
 			heard: peers.heard,
 			rivals: peers.heard.filter(peer => aggregators.some(({address}) => address.name === peer.address.name)),
 			heardPart: peers.heardPart,
--- a/src/node/test/restored-store.test.ts
+++ b/src/node/test/restored-store.test.ts
@@ -5,7 +5,8 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {RelayInstallation, until} from '../../../development/relay/relay-installation.js';
+import {configurationKind, configurationName} from '../../../platform/formats.js';
+import {RelayInstallation, testKey, until} from '../../../development/relay/relay-installation.js';
 import type {StoreCopy} from '../../../development/relay/store-standin.js';
 
 const relayCount = 4;
@@ -18,6 +19,8 @@
 const writesLost = 40;
 /** Milliseconds after the store has taken that a replica leaves, from which on it gets nothing. */
 const drainTime = 2000;
+/** Milliseconds within which boxes find out that the store holds what they know. */
+const provingTime = 2500;
 /** Milliseconds for which requests are counted. */
 const observed = 5000;
 
@@ -45,7 +48,7 @@
 }
 
 beforeEach(async () => {
-	installation = await RelayInstallation.start({relays: relayCount, replicas: ['i-1', 'i-2', 'i-3']});
+	installation = await RelayInstallation.start({relays: relayCount, replicas: ['i-1', 'i-2', 'i-3'], withDuties: true});
 	over = new AbortController();
 	clients = Promise.all(Array.from({length: clientCount}, async (_, client) => callOn(client)));
 	await until(() => arrivalsAt('i-1').length > clientCount);
@@ -74,3 +77,49 @@
 	assert.equal(late.length, 0, `${late.length} requests at a replica later than ${drainTime} ms after the store had taken that it leaves`);
 	assert.ok(arrivalsAt('i-4').some(at => at < takenAt + drainTime), 'a new replica is used');
 });
+
+test('boxes keep the configuration that the store has lost, also one that starts then, and a key that was taken away stays so', async () => {
+	const {store, relays} = installation;
+	const tenants = [{
+		name: 'basin', api_keys: ['another'], unit: 'requests', plain_tokens: 1, rate_per_s: 0, burst: 0,
+	}];
+	const version = installation.configure({tenants});
+	await until(() => relays.every(({log}) => log.lines.some(line => line.eventName === 'routesApplied' && line.version === version)));
+	const written = store.spec(configurationKind, configurationName);
+	await loseWrites();
+	await until(() => relays.every(({log}) => log.lines.some(({eventName}) => eventName === 'storeRestored')));
+	const started = await installation.startRelay('relay-late');
+	relays.push(started);
+	await until(() => started.log.lines.some(line => line.eventName === 'routesApplied' && line.version === version));
+	const statuses = async () => {
+		const views = await Promise.all(relays.map(async relay => installation.call({path: '/calls/x', headers: {Authorization: `Bearer ${testKey}`}}, relay)));
+		return views.map(({status}) => status);
+	};
+
+	assert.ok((await statuses()).every(status => status === 401 || status === 503), 'a box that cannot tell whether it knows the newest one refuses');
+	store.put(configurationKind, configurationName, written);
+	await pause(provingTime);
+	assert.deepEqual(await statuses(), relays.map(() => 401));
+});
+
+test('duties go on after the store has lost their record, with fences that only rise and no window reported twice', async () => {
+	const {store} = installation;
+	const usage = () => store.dutyCalls.filter(({path}) => path === '/usage');
+	await until(() => usage().length > 1);
+	copy = store.copy();
+	const known = usage().length;
+	await until(() => usage().length > known + 1);
+	await loseWrites();
+	const before = usage().length;
+	await until(() => usage().length > before + 2);
+	const counts = new Map<unknown, string>();
+	for (const {body} of usage()) {
+		const text = JSON.stringify(body.counts);
+		assert.equal(counts.get(body.window_id) ?? text, text, `window ${String(body.window_id)}`);
+		counts.set(body.window_id, text);
+	}
+
+	const fences = usage().map(({fence}) => fence);
+	assert.deepEqual(fences, [...fences].sort((left, right) => left - right));
+	assert.ok(fences.at(-1)! > fences[before - 1]!);
+});
