Lay statements of replicas out by kind, without a word in each row

The test of the exchange on a small link failed: the kind in each row took the bytes that a link of 7 Mbit/s has left where every replica has named a limit to each box. It passes again (npm test -- exchange-load).

--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -8,7 +8,7 @@
 import {createDecoder} from '../base/faults.js';
 import type {EndNews} from '../quarantine/end-ledger.js';
 import {Fingerprint} from '../quarantine/fingerprint.js';
-import type {ToldStatement} from '../replicas/replica-statement.js';
+import {statementKinds, type ToldStatement} from '../replicas/replica-statement.js';
 import type {GossipMessage, MemberAddress, ReplicaLoad} from './gossip-message.js';
 
 /** Name, host, port, capacity. */
@@ -31,8 +31,9 @@
 /** Request, age. */
 const CompletionRow = Schema.Tuple([Schema.String, Schema.Number]);
 
-/** Start, kind, value, age. */
-const StatementRow = Schema.Tuple([Schema.String, Schema.Literals(['limit', 'leaving', 'pause']), Schema.NullOr(Schema.Number), Schema.Number]);
+/** Start, value, age. */
+const StatementRow = Schema.Tuple([Schema.String, Schema.NullOr(Schema.Number), Schema.Number]);
+const StatementRows = Schema.Array(StatementRow);
 /** Service, from, length. */
 const StretchRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number]);
 
@@ -69,7 +70,8 @@
 	asksDigest: Schema.optionalKey(Schema.Boolean),
 	digest: Schema.optionalKey(DigestLayout),
 	ends: Schema.optionalKey(Schema.Tuple([Schema.Array(EndRow), Schema.Array(CompletionRow)])),
-	statements: Schema.optionalKey(Schema.Array(StatementRow)),
+	/** By kind, in the order of `statementKinds`. */
+	statements: Schema.optionalKey(Schema.Tuple([StatementRows, StatementRows, StatementRows])),
 	departed: Schema.Array(Schema.Struct({id: Schema.String, revision: Schema.Number, start: Schema.optionalKey(Schema.String)})),
 	usage: Schema.Array(UsageRow),
 	members: Schema.Array(MemberRow),
@@ -100,7 +102,7 @@
 		...(demand ? {demand: demand.map(load => demandRowOf(load))} : {}),
 		...(digest ? {digest: digestLayoutOf(digest)} : {}),
 		...(ends ? {ends: endLayoutOf(ends)} : {}),
-		...(statements ? {statements: statements.map(({start, kind, value, age}) => [start, kind, value ?? null, age] as const)} : {}),
+		...(statements ? {statements: statementLayoutOf(statements)} : {}),
 		usage: usage.map(({window, counts}) => [window, counts] as const),
 		members: members.map(member => rowOf(member)),
 	};
@@ -132,7 +134,7 @@
 		...(demand ? {demand: demand.map(row => demandOf(row))} : {}),
 		...(digest ? {digest: digestOf(digest)} : {}),
 		...(ends ? {ends: endNewsOf(ends)} : {}),
-		...(statements ? {statements: statements.flatMap(row => statementOf(row) ?? [])} : {}),
+		...(statements ? {statements: statementKinds.flatMap((kind, index) => statements[index]!.flatMap(row => statementOf(kind, row)))} : {}),
 		usage: usage.map(([window, counts]) => ({window, counts})),
 		members: members.map(row => memberOf(row)),
 	};
@@ -148,12 +150,21 @@
 	};
 }
 
-function statementOf([start, kind, value, age]: typeof StatementRow.Type): ToldStatement | undefined {
+function statementLayoutOf(statements: readonly ToldStatement[]): NonNullable<Layout['statements']> {
+	const rowsOf = (kind: ToldStatement['kind']) => statements
+		.filter(statement => statement.kind === kind)
+		.map(({start, value, age}) => [start, value ?? null, age] as const);
+	const [limits, leaving, pauses] = statementKinds;
+	return [rowsOf(limits), rowsOf(leaving), rowsOf(pauses)];
+}
+
+/** @returns The statement; none where its value is below zero. */
+function statementOf(kind: ToldStatement['kind'], [start, value, age]: typeof StatementRow.Type): readonly ToldStatement[] {
 	return value === null || value >= 0
-		? {
+		? [{
 			start, kind, value: value ?? undefined, age: Math.max(0, age),
-		}
-		: undefined;
+		}]
+		: [];
 }
 
 function endLayoutOf({ends, completions}: EndNews): NonNullable<Layout['ends']> {
--- a/src/gossip/test/gossip-codec.test.ts
+++ b/src/gossip/test/gossip-codec.test.ts
@@ -28,6 +28,9 @@
 		{
 			start: 'i-2/7', kind: 'leaving', value: undefined, age: 40,
 		},
+		{
+			start: 'i-3/7', kind: 'pause', value: 3000, age: 5,
+		},
 	],
 	ends: {
 		ends: [{
--- a/src/replicas/replica-statement.ts
+++ b/src/replicas/replica-statement.ts
@@ -15,11 +15,13 @@
 /** How a box learnt a statement. What came in a digest is not forwarded: each hop would reset its age. */
 export type StatementSource = 'answer' | 'box' | 'digest';
 
+export const statementKinds = ['limit', 'leaving', 'pause'] as const;
+
 /** One statement of a replica, as boxes tell it to each other. */
 export type ToldStatement = {
 	/** Names the start of the replica. */
 	readonly start: string;
-	readonly kind: 'limit' | 'leaving' | 'pause';
+	readonly kind: typeof statementKinds[number];
 	/**
 	 * Requests a second for a limit, `undefined` where the replica names none any more; milliseconds for a pause, which it asked the sender for; `undefined` for
 	 * a replica that leaves.
