Drop entries that lapsed by the time at which the store came back

Its entry was removed without a notice, soon after boxes that had been turned away were served by the store again.

Cause, inferred: a removal that is seen within 2 s after the store came back may be a lapse, and was held for 2 s from then, and up to a quarter of a second more until it was looked at. Entries that lapsed are back within about two seconds of the store's return, so the hold ends then, however late the entry went.

Test: what goes 1.8 s after the return is gone 0.2 s later (held for 2 s before).

--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -29,8 +29,8 @@
  * writes its own again.
  */
 const lapseGrace = 2000;
-const sweepInterval = 250;
-const calmInterval = 1000;
+const sweepInterval = 100;
+const calmInterval = 500;
 
 /** What the role needs. */
 export type ReplicaServices = {
@@ -338,10 +338,13 @@
 		return replicas.named(name)?.isLeaving === false && (isTold || clock.monotonic() - this.regainedAt < lapseGrace);
 	}
 
+	/** Entries that lapsed are back soon after the store is; when it came back is not known where a peer tells of one, or where the store has lost entries. */
 	private hold(name: string, revision: number): void {
+		const now = this.services.clock.monotonic();
 		if (!this.lapsed.has(name)) {
 			this.services.log.write('replicaLapsed', {replica: name, revision});
-			this.lapsed.set(name, {revision, until: this.services.clock.monotonic() + lapseGrace});
+			const until = this.regainedAt + lapseGrace;
+			this.lapsed.set(name, {revision, until: until > now ? until : now + lapseGrace});
 		}
 	}
 
--- a/src/node/test/replica-role.test.ts
+++ b/src/node/test/replica-role.test.ts
@@ -164,3 +164,14 @@
 	tell(role, {at: restored(30), changes: [gone('x', restored(22)), put('x', restored(25))]});
 	assert.deepEqual(ready(replicas), ['x', 'z']);
 });
+
+test('what goes soon after the store came back counts as gone when entries that lapsed must be back, not as long after it went', () => {
+	const {role, replicas, clock} = roleWith([object('x', 1), object('y', 2)], 10);
+	role.noteAnswer(true);
+	clock.now += 1800;
+	tell(role, {at: 20, changes: [gone('x', 15)]});
+	assert.deepEqual(ready(replicas), ['x', 'y']);
+	clock.now += 200;
+	role.dropLapsed();
+	assert.deepEqual(ready(replicas), ['y']);
+});
