Soak replicas that speak of themselves and a store that comes back from a copy

The judge counts, for each relay, what reaches a replica later than the drain time after an answer that a client has said so, and in a pause.

What each replica last wrote is kept now.

--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -136,6 +136,8 @@
 	readonly replicas = new Map<string, ReplicaStandin>();
 	/** Every start of every replica there ever was. */
 	readonly everyReplica: ReplicaStandin[] = [];
+	/** What each replica last wrote of itself, whatever the store holds. */
+	readonly entries = new Map<string, unknown>();
 	readonly relays: RelayMember[] = [];
 	private prepare: ((replica: ReplicaStandin) => void) | undefined;
 	private version = 0;
@@ -192,9 +194,10 @@
 	 * @param entry - What it says otherwise than usual.
 	 */
 	list(id: string, entry: Readonly<Record<string, unknown>> = {}): void {
-		this.store.put(replicaKind, id, {
+		this.entries.set(id, {
 			service: 'plain', addr: `127.0.0.1:${this.replicas.get(id)!.port}`, zone: 'zone-1', slots: 8, state: 'ready', seq: 1, born: this.born.get(id), version: 1, ...entry,
 		});
+		this.store.put(replicaKind, id, this.entries.get(id));
 	}
 
 	/** @param prepare - Called for each replica of now and later. */
@@ -222,6 +225,7 @@
 
 	/** @param id - Id of a replica that is listed no longer. */
 	unlist(id: string): void {
+		this.entries.delete(id);
 		this.store.remove(replicaKind, id);
 	}
 
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -52,13 +52,16 @@
 	readonly hasRun: boolean;
 	/** Monotonic milliseconds at which it came. */
 	readonly at: number;
-	/** Whether it was turned away with a time to stay away. */
-	readonly isShed: boolean;
+	/** Milliseconds without requests that its answer asked for; `undefined` where it was not turned away so. */
+	readonly pauseAsked: number | undefined;
+	/** Whether its answer said that the replica leaves. */
+	readonly saidLeaving: boolean;
 	isAbandoned: boolean;
 	/** Whether it is a stream that was written to its end, as it should be, and read. */
 	isRightStream: boolean;
 };
 
+const millisecondsPerSecond = 1000;
 /** Bytes of an event that come before a cut inside it. */
 const partOfEvent = 14;
 /** Faults of a stream itself; with another one a request for a stream is answered as one for a whole answer. */
@@ -177,7 +180,8 @@
 		const isShed = shedding !== undefined && (this.seen.length + 1) % shedding.every === 0;
 		const hasRun = !isElsewhere && !isShed && conduct.fault !== 'refuse';
 		const seen: SeenRequest = {
-			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, isShed, at: performance.now(), isAbandoned: false, isRightStream: false,
+			id, method: request.method, target: incoming.url ?? '', body: request.body, headers, hasRun, at: performance.now(), isAbandoned: false, isRightStream: false,
+			pauseAsked: isShed ? Number(shedding.retryAfter) * millisecondsPerSecond : undefined, saidLeaving: this.isLeaving,
 		};
 		this.seen.push(seen);
 		response.once('close', () => {
--- a/development/soak/soak-faults.ts
+++ b/development/soak/soak-faults.ts
@@ -38,6 +38,10 @@
 const datagramDelay = 400;
 /** Milliseconds between changes of settings, on average. */
 const settingsPause = 60;
+/** Milliseconds after which replicas and the operator write again what the store has lost. */
+const writingAgain = 500;
+/** Seconds without requests that replicas ask for. */
+const pausesAsked = [0.7, 1.5, 3];
 /** HTTP statuses with which the store turns a box away. */
 const storeRefusals = [503, 429];
 
@@ -51,6 +55,8 @@
 	service: 'plain', addr: '127.0.0.1:99999', slots: 'many', state: 'ready',
 }];
 
+const versionOf = (configuration: unknown): number => (configuration as {readonly version: number}).version;
+
 /** A replica that said that it leaves. */
 export type Drain = {readonly replica: ReplicaStandin; readonly at: number};
 
@@ -153,6 +159,11 @@
 				break;
 			}
 
+			case 'says': {
+				await this.strikeStatement(kind, id, fault);
+				break;
+			}
+
 			case 'limit': {
 				await this.strikeLimit(id, fault);
 				break;
@@ -212,6 +223,11 @@
 			return;
 		}
 
+		if (kind === 'store-restored') {
+			await this.restoreStore(duration);
+			return;
+		}
+
 		if (kind === 'store-forgets') {
 			store.forgetHistory();
 			return;
@@ -222,6 +238,51 @@
 		store.heal();
 	}
 
+	/** The store loses what was written for a while; replicas and the operator write theirs again soon. */
+	private async restoreStore(duration: number): Promise<void> {
+		const {store} = this.installation;
+		const copy = store.copy();
+		await pause(duration);
+		const lost = store.copy();
+		store.restore(copy, duration % 2 === 0);
+		await pause(writingAgain);
+		for (const [id, entry] of this.installation.entries) {
+			if (store.spec(replicaKind, id) !== entry) {
+				store.put(replicaKind, id, entry);
+			}
+		}
+
+		for (const id of [...copy.objects.get(replicaKind)?.keys() ?? []].filter(name => !this.installation.entries.has(name))) {
+			store.remove(replicaKind, id);
+		}
+
+		const configuration = lost.objects.get(configurationKind)?.get(configurationName)?.spec;
+		if (versionOf(store.spec(configurationKind, configurationName)) < versionOf(configuration)) {
+			store.put(configurationKind, configurationName, configuration);
+		}
+	}
+
+	/** A replica says that it leaves while its entry says that it is ready, and ends; or it turns requests away and asks for a pause. */
+	private async strikeStatement(kind: SoakFaultKind, id: string, {duration, target}: SoakFault): Promise<void> {
+		const replica = this.installation.replicas.get(id)!;
+		if (!replica.isUp || replica.shedding !== undefined || replica.isLeaving) {
+			return;
+		}
+
+		if (kind === 'says-pause') {
+			replica.shedding = {every: 1 + (target % 3), retryAfter: String(pausesAsked[target % pausesAsked.length])};
+			await pause(duration);
+			replica.shedding = undefined;
+			return;
+		}
+
+		replica.isLeaving = true;
+		await pause(drainTime + duration);
+		if (replica.isUp && this.installation.replicas.get(id) === replica) {
+			await this.installation.end(id);
+		}
+	}
+
 	/** A key is taken away while a box can hear of it from nobody; a client with an open connection goes on using it there. */
 	private async strikeAlone(relay: SoakRelay): Promise<void> {
 		const from = performance.now();
@@ -372,7 +433,7 @@
 		store.put(replicaKind, id, spoilt);
 		await pause(duration);
 		if (store.spec(replicaKind, id) === spoilt) {
-			store.put(replicaKind, id, own);
+			store.put(replicaKind, id, this.installation.entries.get(id) ?? own);
 		}
 	}
 
--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -46,6 +46,9 @@
 const limitSlack = {factor: 1.5, requests: 5} as const;
 /** Milliseconds for which a relay that starts has no need to know of limits. */
 const startTime = 4500;
+/** Milliseconds after an answer that asks for a pause from which on requests count, and how many may come all the same. */
+const pauseNotice = 500;
+const pauseSlack = 2;
 const refusals: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** The judge. */
@@ -66,9 +69,11 @@
 
 	/** The relay that each request was sent to. */
 	private readonly relayOf: ReadonlyMap<string, SoakRelay>;
+	private readonly attemptOf: ReadonlyMap<string, SoakAttempt>;
 
 	private constructor(private readonly record: SoakRecord) {
 		this.relayOf = new Map(record.attempts.map(({id, relay}) => [id, relay]));
+		this.attemptOf = new Map(record.attempts.map(attempt => [attempt.id, attempt]));
 		for (const {replica, ...seen} of record.replicas.flatMap(({id: replica, seen}) => seen.map(request => ({...request, replica})))) {
 			const {id, hasRun, at} = seen;
 			this.lastRunOf.set(id, at >= (this.lastRunOf.get(id)?.at ?? 0) ? seen : this.lastRunOf.get(id)!);
@@ -82,6 +87,8 @@
 		return [
 			...this.record.attempts.flatMap(attempt => this.faultsOf(attempt)),
 			...this.lateArrivals,
+			...this.lateAfterStatement,
+			...this.inPauses,
 			...this.poison,
 			...this.beyondLimits,
 			...this.ends,
@@ -126,6 +133,38 @@
 			.map(seen => `${seen.id} reached ${replica.id} ${Math.round(seen.at - at)} ms after it said that it leaves`));
 	}
 
+	/** Requests at replicas that had told the relay, in an answer that a client has, that they leave. */
+	private get lateAfterStatement(): readonly string[] {
+		return this.record.replicas.flatMap(({id: replica, seen}) => {
+			const told = new Map<SoakRelay, number>();
+			for (const {id} of seen.filter(({saidLeaving, hasRun}) => saidLeaving && hasRun)) {
+				const attempt = this.attemptOf.get(id);
+				if (attempt?.status === 200 && this.runnersOf.get(id)?.at(-1) === replica) {
+					told.set(attempt.relay, Math.min(attempt.endedAt, told.get(attempt.relay) ?? Number.POSITIVE_INFINITY));
+				}
+			}
+
+			return seen.flatMap(({id, at}) => {
+				const toldAt = told.get(this.relayOf.get(id)!) ?? Number.POSITIVE_INFINITY;
+				return at > toldAt + drainTime + arrivalTime && !this.wasStartedSince(id, toldAt - startTime, at)
+					? [`${id} reached ${replica} ${Math.round(at - toldAt)} ms after an answer had told its relay that the replica leaves`]
+					: [];
+			});
+		});
+	}
+
+	/** Requests of a relay in a time in which a replica had asked it for none. */
+	private get inPauses(): readonly string[] {
+		return this.record.replicas.flatMap(({id: replica, seen}) => seen.flatMap(({id, at, pauseAsked}) => {
+			const relay = this.relayOf.get(id);
+			const until = at + (pauseAsked ?? 0);
+			const others = pauseAsked === undefined ? [] : seen.filter(other => other.at > at + pauseNotice && other.at < until && this.relayOf.get(other.id) === relay);
+			return others.length > pauseSlack && !this.wasStartedSince(id, at - startTime, until)
+				? [`${replica} asked ${relay?.name} for ${pauseAsked} ms without requests and got ${others.length}`]
+				: [];
+		}));
+	}
+
 	/** Whether the relay that sent a request could hear nothing between a replica's word and the request. */
 	private isUnheard(id: string, saidAt: number, seenAt: number): boolean {
 		const relay = this.relayOf.get(id);
--- a/development/soak/soak-plan.ts
+++ b/development/soak/soak-plan.ts
@@ -48,8 +48,12 @@
 const cutOffKinds = ['box-cut-off'] as const;
 /** Replicas that name how many requests a second they take of all boxes. */
 const limitKinds = ['limit-named', 'limit-changing'] as const;
+/** Replicas that say of themselves that they leave, or want no requests for a time. */
+const statementKinds = ['says-leaving', 'says-pause'] as const;
+/** A store that comes back from a copy. */
+const restoreKinds = ['store-restored'] as const;
 /** Every sort of fault. */
-export const soakFaultKinds = [...generalKinds, ...streamKinds, ...boxKinds, ...cutOffKinds, ...limitKinds] as const;
+export const soakFaultKinds = [...generalKinds, ...streamKinds, ...boxKinds, ...cutOffKinds, ...limitKinds, ...statementKinds, ...restoreKinds] as const;
 export type SoakFaultKind = typeof soakFaultKinds[number];
 
 const shortestFault = 300;
@@ -60,6 +64,8 @@
 const boxPause = 600;
 const cutOffPause = 8000;
 const limitPause = 3000;
+const statementPause = 1500;
+const restorePause = 4000;
 /** Relays of a usual soak; for each one more, faults of relays come that often. */
 const usualRelays = 4;
 const crowdPause = 4000;
@@ -78,6 +84,8 @@
 		...drawFaults(seededBy(seed, 'boxes'), length, boxKinds, boxPause),
 		...drawFaults(seededBy(seed, 'cut-offs'), length, cutOffKinds, cutOffPause),
 		...drawFaults(seededBy(seed, 'limits'), length, limitKinds, limitPause),
+		...drawFaults(seededBy(seed, 'statements'), length, statementKinds, statementPause),
+		...drawFaults(seededBy(seed, 'restores'), length, restoreKinds, restorePause),
 		...(relays > usualRelays ? drawFaults(seededBy(seed, 'crowd'), length, [...relayKinds, ...boxKinds], crowdPause / (relays - usualRelays)) : []),
 	].sort((left, right) => left.at - right.at);
 }
--- a/src/node/test/replica-statements.test.ts
+++ b/src/node/test/replica-statements.test.ts
@@ -49,7 +49,7 @@
 /** Requests at a replica that a relay sent in a time in which that relay had been asked for none. */
 function inPauses(requests: readonly SeenRequest[]): readonly number[] {
 	return requests
-		.filter(({isShed}) => isShed)
+		.filter(({pauseAsked: asked}) => asked !== undefined)
 		.map(({at}) => requests.filter(other => other.at > at + pauseNotice && other.at < at + (pauseAsked * 1000)).length);
 }
 
@@ -128,7 +128,7 @@
 	told().shedding = {every: 2, retryAfter: String(pauseAsked)};
 	await pause(observed);
 	const most = Math.max(...[...byRelay(told().seen).values()].flatMap(requests => inPauses(requests)));
-	assert.ok(told().seen.some(({isShed}) => isShed), 'requests are turned away');
+	assert.ok(told().seen.some(({pauseAsked: asked}) => asked !== undefined), 'requests are turned away');
 	assert.ok(most <= pauseSlack, `${most} requests of one box in ${pauseAsked} s in which it had been asked for none`);
 	const served = views.slice(before).filter(({status}) => status === 200);
 	assert.equal(served.length, views.length - before, 'all are served');
