--- a/development/soak/soak-judge.ts
+++ b/development/soak/soak-judge.ts
@@ -146,7 +146,7 @@
 
 			return seen.flatMap(({id, at}) => {
 				const toldAt = told.get(this.relayOf.get(id)!) ?? Number.POSITIVE_INFINITY;
-				return at > toldAt + drainTime + arrivalTime && !this.wasStartedSince(id, toldAt - startTime, at)
+				return at > toldAt + drainTime + arrivalTime && !this.wasStartedSince(id, toldAt, at)
 					? [`${id} reached ${replica} ${Math.round(at - toldAt)} ms after an answer had told its relay that the replica leaves`]
 					: [];
 			});
@@ -159,7 +159,7 @@
 			const relay = this.relayOf.get(id);
 			const until = at + (pauseAsked ?? 0);
 			const others = pauseAsked === undefined ? [] : seen.filter(other => other.at > at + pauseNotice && other.at < until && this.relayOf.get(other.id) === relay);
-			return others.length > pauseSlack && !this.wasStartedSince(id, at - startTime, until)
+			return others.length > pauseSlack && !this.wasStartedSince(id, at, until)
 				? [`${replica} asked ${relay?.name} for ${pauseAsked} ms without requests and got ${others.length}`]
 				: [];
 		}));
