Test the soak's checks of leaving replicas and pauses on records of their own

The test hands the judge a record with three requests in a pause, and one later than the drain time.

--- /dev/null
+++ b/development/soak/test/soak-judge.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {SeenRequest} from '../../relay/replica-standin.js';
+import type {SoakAttempt} from '../soak-clients.js';
+import {SoakJudge, type SoakRecord} from '../soak-judge.js';
+import type {SoakRelay} from '../soak-relay.js';
+
+const relay = {
+	name: 'relay-1', kills: [] as number[], stops: [] as number[], ownEnds: 0, hasGraceEnded: () => false,
+};
+
+/** A request that reached the replica, and what the replica said in its answer. */
+const reached = (at: number, said: Partial<Pick<SeenRequest, 'pauseAsked' | 'saidLeaving'>> = {}): SeenRequest => ({
+	id: `request-${at}`, method: 'GET', target: '/calls/x', body: '', headers: {}, hasRun: said.pauseAsked === undefined, at,
+	pauseAsked: undefined, saidLeaving: false, isAbandoned: false, isRightStream: false, ...said,
+});
+
+function brokenBy(seen: readonly SeenRequest[], {kills = []}: {readonly kills?: number[]} = {}): readonly string[] {
+	const own = {...relay, kills} as unknown as SoakRelay;
+	const attempts = seen.map(({id, at, hasRun}) => ({
+		id, relay: own, kind: 'calls', key: 'k', sent: '', body: '', status: hasRun ? 200 : 503, sentAt: at - 5, endedAt: at + 5, isWhole: true, headers: {},
+	}) as unknown as SoakAttempt);
+	const record = {
+		attempts, replicas: [{id: 'i-1', seen}], relays: [own], drains: [], cutOffs: [], limitSpells: [], poisonEnds: [], takenAt: new Map(), streamEvents: 1, lines: [],
+	} as unknown as SoakRecord;
+	return SoakJudge.create(record).broken.filter(line => line.includes('reached') || line.includes('asked'));
+}
+
+test('requests in a pause that a replica asked a relay for break a promise from the third on, unless the relay was started anew meanwhile', () => {
+	const inPause = [reached(10_000, {pauseAsked: 3000}), reached(10_400), reached(10_600), reached(11_000)];
+	assert.deepEqual(brokenBy(inPause), []);
+	assert.equal(brokenBy([...inPause, reached(12_900)]).length, 1);
+	assert.deepEqual(brokenBy([...inPause, reached(13_100)]), []);
+	assert.deepEqual(brokenBy([...inPause, reached(12_900)], {kills: [10_800]}), []);
+});
+
+test('a request later than the drain time after an answer that said that its replica leaves breaks a promise', () => {
+	const told = reached(10_000, {saidLeaving: true});
+	assert.deepEqual(brokenBy([told, reached(11_900)]), []);
+	assert.equal(brokenBy([told, reached(13_000)]).length, 1);
+	assert.deepEqual(brokenBy([told, reached(13_000)], {kills: [11_000]}), []);
+});
