Use one bounded log of replicas, one client loop in tests, one time for news

Behaviour is as before. ReplicaStatements bounded its lines by a second copy of what ReplicaLimits did: both use ReplicaLog now. The client loop stood in three tests of relays: development/relay/steady-clients.ts. The time for which a large fleet is told of a change stood three times. What a box tells of leaving replicas is looked up by the listed ones, not among all announcements of its life; a replica whose pauses are over leaves nothing behind. Assertions are unchanged.

--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -10,7 +10,7 @@
 } from '../gossip/gossip-message.js';
 import type {Meeting, Peer, PeerTable} from '../gossip/peer-table.js';
 import {mostEndsTold} from '../quarantine/end-ledger.js';
-import {mostStatementsTold, type StatementSource} from '../replicas/replica-statement.js';
+import {mostStatementsTold, newsTime, type StatementSource} from '../replicas/replica-statement.js';
 import type {RelayServices} from '../relay/relay-services.js';
 import type {ConfigurationRole} from './configuration-role.js';
 import type {LimitStretches} from './limit-stretches.js';
@@ -18,11 +18,6 @@
 
 /** Milliseconds for which the work of all boxes is not added up anew. */
 const workMemory = 100;
-/**
- * Milliseconds for which a large fleet is told of a replica that leaves: some rounds. Whoever misses that hears it from the list;
- * where a whole data centre leaves, each message would carry it for long.
- */
-const newsTime = 2500;
 /** Milliseconds since its start in which an aggregator still takes buckets from others, which know more. */
 const learningTime = 4000;
 
--- a/src/node/test/replica-limit.test.ts
+++ b/src/node/test/replica-limit.test.ts
@@ -8,7 +8,8 @@
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {mostWithin} from '../../../development/harness/most-within.js';
-import {RelayInstallation, until, type ClientView} from '../../../development/relay/relay-installation.js';
+import {RelayInstallation, until} from '../../../development/relay/relay-installation.js';
+import {SteadyClients} from '../../../development/relay/steady-clients.js';
 
 const relayCount = 4;
 const replicaIds = ['i-1', 'i-2', 'i-3'];
@@ -30,45 +31,35 @@
 const leastShare = 0.5;
 
 let installation: RelayInstallation;
-const over = new AbortController();
-let clients: Promise<unknown>;
-const views: ClientView[] = [];
+let clients: SteadyClients;
 
 const replica = (id: string) => installation.replicas.get(id)!;
 const arrivalsSince = (id: string, since: number): readonly number[] => replica(id).seen.filter(({at}) => at >= since).map(({at}) => at);
 
-async function callOn(client: number): Promise<void> {
-	for (let count = 0; !over.signal.aborted; count++) {
-		views.push(await installation.call({path: `/calls/${client}`}, installation.relays[(client + count) % relayCount]));
-		await pause(clientPause);
-	}
-}
-
 before(async () => {
 	// One relay has no clients.
 	installation = await RelayInstallation.start({relays: relayCount + 1, replicas: replicaIds});
 	installation.prepareReplicas(each => {
 		each.behave({delay: 20});
 	});
-	clients = Promise.all(Array.from({length: clientCount}, async (_, client) => callOn(client)));
+	clients = SteadyClients.start(installation, {clients: clientCount, pause: clientPause, relays: installation.relays.slice(0, relayCount)});
 });
 
 after(async () => {
-	over.abort();
-	await clients;
+	await clients.stop();
 	await installation.close();
 });
 
 test('a replica that names a limit gets no more than that of all boxes together, and everybody is served elsewhere', async () => {
 	await until(() => arrivalsSince(limited, 0).length > clientCount);
 	const namedAt = performance.now();
-	const viewsBefore = views.length;
+	const viewsBefore = clients.views.length;
 	replica(limited).limit = String(limit);
 	await pause(contactTime + (observedSpans * span));
 	const most = mostWithin(arrivalsSince(limited, namedAt + contactTime), span);
-	const served = views.slice(viewsBefore).filter(({status, isWhole}) => status === 200 && isWhole);
+	const served = clients.views.slice(viewsBefore).filter(({status, isWhole}) => status === 200 && isWhole);
 	assert.ok(most <= allowed, `${most} requests in ${span} ms at a replica that takes ${limit} a second; ${allowed} allowed`);
-	assert.equal(served.length, views.length - viewsBefore, 'all are served');
+	assert.equal(served.length, clients.views.length - viewsBefore, 'all are served');
 	const lines = installation.relays.flatMap(({log}) => log.lines.filter(({eventName}) => eventName === 'requestAnswered'));
 	assert.ok(lines.some(({keptFrom}) => keptFrom === 1), 'a line says that its request was kept from a replica');
 	const inVain = lines.filter(({failures}) => String(failures).includes('withheld'));
--- a/src/node/test/replica-statements.test.ts
+++ b/src/node/test/replica-statements.test.ts
@@ -5,7 +5,8 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {RelayInstallation, until, type ClientView} from '../../../development/relay/relay-installation.js';
+import {RelayInstallation, until} from '../../../development/relay/relay-installation.js';
+import {SteadyClients} from '../../../development/relay/steady-clients.js';
 import type {ReplicaStandin, SeenRequest} from '../../../development/relay/replica-standin.js';
 import {groupBy} from '../../base/group-by.js';
 
@@ -28,24 +29,12 @@
 const settleTime = 1500;
 
 let installation: RelayInstallation;
-let views: ClientView[];
-let over: AbortController;
-let clients: Promise<unknown>;
-let calls = 0;
+let clients: SteadyClients;
 
 const told = (): ReplicaStandin => installation.replicas.get('i-1')!;
 const relayOf = ({id}: SeenRequest): string => id.split(':')[0]!;
 const byRelay = (requests: readonly SeenRequest[]): ReadonlyMap<string, readonly SeenRequest[]> => groupBy(requests, request => relayOf(request));
 
-async function callOn(client: number): Promise<void> {
-	for (let count = 0; !over.signal.aborted; count++) {
-		const relay = installation.relays[(client + count) % relayCount]!;
-		calls++;
-		views.push(await installation.call({path: `/calls/${client}`, headers: {'Attempt-Id': `${relay.name}:${calls}`}}, relay));
-		await pause(clientPause);
-	}
-}
-
 /** Requests at a replica that a relay sent in a time in which that relay had been asked for none. */
 function inPauses(requests: readonly SeenRequest[]): readonly number[] {
 	return requests
@@ -59,29 +48,28 @@
 	installation.prepareReplicas(replica => {
 		replica.behave({delay: 20});
 	});
-	views = [];
-	over = new AbortController();
-	clients = Promise.all(Array.from({length: clientCount}, async (_, client) => callOn(client)));
+	clients = SteadyClients.start(installation, {
+		clients: clientCount, pause: clientPause, relays: installation.relays.slice(0, relayCount), headers: ({name}, number) => ({'Attempt-Id': `${name}:${number}`}),
+	});
 	await until(() => [...byRelay(told().seen).values()].length === relayCount);
 	await pause(settleTime);
 });
 
 afterEach(async () => {
-	over.abort();
-	await clients;
+	await clients.stop();
 	await installation.close();
 });
 
 test('a box sends nothing to a replica that says in its answers that it leaves, whatever its entry in the store says', async () => {
-	const before = views.length;
+	const before = clients.views.length;
 	const saidAt = performance.now();
 	told().isLeaving = true;
 	await pause(observed);
 	const after = [...byRelay(told().seen.filter(({at}) => at >= saidAt)).values()];
 	const late = after.flatMap(requests => requests.filter(({at}) => at > requests[0]!.at + drainTime));
 	assert.equal(late.length, 0, `${late.length} requests later than ${drainTime} ms after the first answer that said so`);
-	const served = views.slice(before).filter(({status}) => status === 200);
-	assert.equal(served.length, views.length - before, 'all are served');
+	const served = clients.views.slice(before).filter(({status}) => status === 200);
+	assert.equal(served.length, clients.views.length - before, 'all are served');
 	const idle = installation.relays[relayCount]!;
 	assert.ok(idle.log.lines.some(({eventName, source}) => eventName === 'replicaAnnouncedLeaving' && source === 'box'), 'a box without requests learns of it');
 	await installation.end('i-1');
@@ -102,8 +90,7 @@
 });
 
 test('a request whose replicas have all asked its box for a pause is refused at once; another box serves it until it is asked too', async () => {
-	over.abort();
-	await clients;
+	await clients.stop();
 	for (const replica of installation.replicas.values()) {
 		replica.shedding = {every: 1, retryAfter: String(pauseAsked)};
 	}
@@ -124,12 +111,12 @@
 });
 
 test('a box sends nothing to a replica that has turned it away and asked for a time without requests', async () => {
-	const before = views.length;
+	const before = clients.views.length;
 	told().shedding = {every: 2, retryAfter: String(pauseAsked)};
 	await pause(observed);
 	const most = Math.max(...[...byRelay(told().seen).values()].flatMap(requests => inPauses(requests)));
 	assert.ok(told().seen.some(({pauseAsked: asked}) => asked !== undefined), 'requests are turned away');
 	assert.ok(most <= pauseSlack, `${most} requests of one box in ${pauseAsked} s in which it had been asked for none`);
-	const served = views.slice(before).filter(({status}) => status === 200);
-	assert.equal(served.length, views.length - before, 'all are served');
+	const served = clients.views.slice(before).filter(({status}) => status === 200);
+	assert.equal(served.length, clients.views.length - before, 'all are served');
 });
--- a/src/node/test/restored-store.test.ts
+++ b/src/node/test/restored-store.test.ts
@@ -7,6 +7,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {configurationKind, configurationName} from '../../../platform/formats.js';
 import {RelayInstallation, testKey, until} from '../../../development/relay/relay-installation.js';
+import {SteadyClients} from '../../../development/relay/steady-clients.js';
 import type {StoreCopy} from '../../../development/relay/store-standin.js';
 
 const relayCount = 4;
@@ -25,19 +26,11 @@
 const observed = 5000;
 
 let installation: RelayInstallation;
-let over: AbortController;
-let clients: Promise<unknown>;
+let clients: SteadyClients;
 let copy: StoreCopy;
 
 const arrivalsAt = (id: string): readonly number[] => installation.replicas.get(id)?.seen.map(({at}) => at) ?? [];
 
-async function callOn(client: number): Promise<void> {
-	for (let count = 0; !over.signal.aborted; count++) {
-		await installation.call({path: `/calls/${client}`}, installation.relays[(client + count) % relayCount]);
-		await pause(clientPause);
-	}
-}
-
 /** Comes back from a copy that lacks the last writes, having been away for a while. */
 async function loseWrites(): Promise<void> {
 	const {store} = installation;
@@ -49,8 +42,7 @@
 
 beforeEach(async () => {
 	installation = await RelayInstallation.start({relays: relayCount, replicas: ['i-1', 'i-2', 'i-3'], withDuties: true});
-	over = new AbortController();
-	clients = Promise.all(Array.from({length: clientCount}, async (_, client) => callOn(client)));
+	clients = SteadyClients.start(installation, {clients: clientCount, pause: clientPause, relays: [...installation.relays]});
 	await until(() => arrivalsAt('i-1').length > clientCount);
 	copy = installation.store.copy();
 	for (let write = 0; write < writesLost; write++) {
@@ -61,8 +53,7 @@
 });
 
 afterEach(async () => {
-	over.abort();
-	await clients;
+	await clients.stop();
 	await installation.close();
 });
 
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -89,9 +89,9 @@
 		return [...this.departures.values()].filter(({at}) => at >= now - within).map(({at, ...departure}) => departure);
 	}
 
-	/** What listed replicas announced of their leaving, and what those did whose entries have not come yet or have lapsed. */
+	/** What listed replicas announced of their leaving. */
 	get announcements(): readonly Announcement[] {
-		return [...this.announced.values()];
+		return this.announced.size === 0 ? [] : this.all.flatMap(({start}) => this.announced.get(start) ?? []);
 	}
 
 	/** Milliseconds since a replica was last listed for the first time. */
--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -4,15 +4,14 @@
  * @remarks Source: docs/DESIGN.md, "Limits that replicas name".
  */
 import type {Clock} from '../base/clock.js';
-import type {EventFields, EventLog} from '../base/event-log.js';
-import type {EventName} from '../base/event-catalogue.js';
-import {getOrCreate} from '../base/get-or-create.js';
+import type {EventLog} from '../base/event-log.js';
 import {rotated} from '../base/rotated.js';
 import {
 	ownSlots, slotLifetime, type Slot, type Stretch,
 } from './limit-slots.js';
 import type {Replica} from './replica.js';
-import type {StatementSource} from './replica-statement.js';
+import {ReplicaLog} from './replica-log.js';
+import {newsTime, type StatementSource} from './replica-statement.js';
 
 /** A replica's word on its limit as boxes tell it; the newest counts. */
 export type ToldLimit = {
@@ -75,14 +74,10 @@
 const longestSetback = 1000;
 /** Milliseconds for which it is told that a replica names no limit any more. */
 const endMemory = 10_000;
-/** Milliseconds for which a large fleet is told of a change with each message. */
-const newsTime = 2500;
 /** Words kept at most of replicas that are not listed yet. */
 const mostUnlisted = 1024;
 /** Milliseconds for which the limited replicas are not looked for anew: an aggregator is asked for their services with each message that it answers. */
 const findingTime = 100;
-/** Milliseconds between two lines on one replica: it may name another limit with every answer. */
-const lineInterval = 1000;
 
 /** The limited replicas that were found, and when, in monotonic milliseconds. */
 type Finding = {readonly replicas: readonly Replica[]; readonly at: number};
@@ -101,12 +96,13 @@
 	/** By start of the replica. */
 	private readonly words = new Map<string, LimitWord>();
 	private readonly books = new Map<string, SlotBook>();
-	/** When each event was last logged, by start of the replica. */
-	private readonly loggedAt = new Map<string, Map<EventName, number>>();
+	private readonly lines: ReplicaLog;
 	private tellings = 0;
 	private found: Finding = nothingFound;
 
-	private constructor(private readonly parts: ReplicaLimitServices) {}
+	private constructor(private readonly parts: ReplicaLimitServices) {
+		this.lines = ReplicaLog.create(parts.clock, parts.log);
+	}
 
 	/** Services that have limited replicas. */
 	get services(): readonly string[] {
@@ -221,7 +217,7 @@
 	 */
 	noteAnswer(replica: Replica, limit: number | 'unreadable' | undefined, sentAt: number): void {
 		if (limit === 'unreadable') {
-			this.tell('replicaLimitUnreadable', replica);
+			this.lines.write('replicaLimitUnreadable', replica);
 			return;
 		}
 
@@ -270,10 +266,11 @@
 	}
 
 	/** @param replica - A replica that is listed no longer, or another start of which has taken its id. */
-	forget({start}: Replica): void {
+	forget(replica: Replica): void {
+		const {start} = replica;
 		this.words.delete(start);
 		this.books.delete(start);
-		this.loggedAt.delete(start);
+		this.lines.forget(replica);
 		// Its slots would else be looked for once more, and kept for good.
 		this.found = nothingFound;
 	}
@@ -304,7 +301,7 @@
 
 		if (replica) {
 			const age = Math.round(this.parts.clock.monotonic() - at);
-			this.tell(limit === undefined ? 'replicaLimitEnded' : 'replicaLimited', replica, {
+			this.lines.write(limit === undefined ? 'replicaLimitEnded' : 'replicaLimited', replica, {
 				limit, before: known?.limit, source, age,
 			});
 		} else {
@@ -338,15 +335,6 @@
 		const stretch = this.parts.stretch(replica.entry.service);
 		return ownSlots({start: replica.start, limit: usedLimit(this.limitOf(replica) ?? 0), stretch}, after, until);
 	}
-
-	private tell(event: EventName, {start, entry}: Replica, fields: EventFields = {}): void {
-		const now = this.parts.clock.monotonic();
-		const logged = getOrCreate(this.loggedAt, start, () => new Map<EventName, number>());
-		if (now - (logged.get(event) ?? Number.NEGATIVE_INFINITY) >= lineInterval) {
-			logged.set(event, now);
-			this.parts.log.write(event, {replica: entry.id, service: entry.service, ...fields});
-		}
-	}
 }
 
 const usedLimit = (limit: number): number => Math.max(trialRate, limit);
--- a/src/replicas/replica-pauses.ts
+++ b/src/replicas/replica-pauses.ts
@@ -88,6 +88,10 @@
 			}
 		}
 
+		if (ofReplica.size === 0) {
+			this.pauses.delete(start);
+		}
+
 		return ofReplica.size;
 	}
 
--- a/src/replicas/replica-statement.ts
+++ b/src/replicas/replica-statement.ts
@@ -31,6 +31,12 @@
 	readonly age: number;
 };
 
+/**
+ * Milliseconds for which a large fleet is told of a new statement, or of a replica that leaves, with each message: some rounds. Boxes that miss them learn it
+ * from whole states and from the list; where a whole data centre leaves, each message would carry it for long.
+ */
+export const newsTime = 2500;
+
 /** Statements of one kind in one message at most; which of more are told changes from one to the next. */
 export const mostStatementsTold = {small: 64, large: 12} as const;
 
--- a/src/replicas/replica-statements.ts
+++ b/src/replicas/replica-statements.ts
@@ -7,8 +7,11 @@
 import type {Replica} from './replica.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaLimits} from './replica-limits.js';
+import {ReplicaLog} from './replica-log.js';
 import {ReplicaPauses} from './replica-pauses.js';
-import type {ReplicaStatement, StatementSource, ToldStatement} from './replica-statement.js';
+import {
+	newsTime, type ReplicaStatement, type StatementSource, type ToldStatement,
+} from './replica-statement.js';
 
 /** What the statements need. */
 export type ReplicaStatementServices = {
@@ -18,12 +21,8 @@
 	readonly replicas: ReplicaDirectory;
 };
 
-/** Milliseconds between two lines on a statement of one replica that cannot be read. */
-const lineInterval = 1000;
 /** Milliseconds of a pause from which on it is logged as a warning: the replica is of no use for so long. */
 const longPause = 60_000;
-/** Milliseconds for which a large fleet is told of a new statement with each message. */
-const newsTime = 2500;
 
 /** The statements of all replicas. */
 export class ReplicaStatements {
@@ -35,13 +34,13 @@
 		return new ReplicaStatements(services);
 	}
 
-	/** When a statement that cannot be read was last logged, by start of the replica. */
-	private readonly loggedAt = new Map<string, number>();
+	private readonly lines: ReplicaLog;
 	private readonly pauses: ReplicaPauses;
 	private tellings = 0;
 
 	private constructor(private readonly services: ReplicaStatementServices) {
 		this.pauses = ReplicaPauses.create(services.clock);
+		this.lines = ReplicaLog.create(services.clock, services.log);
 	}
 
 	/**
@@ -67,7 +66,7 @@
 		const {clock, limits, replicas} = this.services;
 		const now = clock.monotonic();
 		const since = now - (isWhole ? Number.POSITIVE_INFINITY : newsTime);
-		const announcements = replicas.announcements.filter(({start, at, source}) => at >= since && sources.includes(source) && replicas.ofStart(start));
+		const announcements = replicas.announcements.filter(({at, source}) => at >= since && sources.includes(source));
 		const leaving = announcements.map(({start, at}): ToldStatement => ({
 			start, kind: 'leaving', value: undefined, age: Math.round(now - at),
 		}));
@@ -145,12 +144,12 @@
 	forget(replica: Replica): void {
 		this.services.limits.forget(replica);
 		this.pauses.forget(replica);
-		this.loggedAt.delete(replica.start);
+		this.lines.forget(replica);
 	}
 
 	private noteLeaving(replica: Replica, isLeaving: ReplicaStatement['isLeaving']): void {
 		if (isLeaving === 'unreadable') {
-			this.tellUnreadable(replica, 'leaving');
+			this.lines.write('replicaStatementUnreadable', replica, {statement: 'leaving'});
 		} else if (isLeaving) {
 			this.services.replicas.noteAnnouncement({start: replica.start, at: this.services.clock.monotonic(), source: 'answer'});
 		}
@@ -158,19 +157,11 @@
 
 	private notePause(replica: Replica, pause: ReplicaStatement['pause']): void {
 		if (pause === 'unreadable') {
-			this.tellUnreadable(replica, 'pause');
+			this.lines.write('replicaStatementUnreadable', replica, {statement: 'pause'});
 		} else if (pause !== undefined && this.pauses.note(replica, pause)) {
 			this.services.log.write(pause > longPause ? 'replicaPausedLong' : 'replicaPaused', {
 				replica: replica.entry.id, service: replica.entry.service, pause, boxes: this.pauses.boxesOf(replica),
 			});
 		}
 	}
-
-	private tellUnreadable({start, entry}: Replica, statement: string): void {
-		const now = this.services.clock.monotonic();
-		if (now - (this.loggedAt.get(start) ?? Number.NEGATIVE_INFINITY) >= lineInterval) {
-			this.loggedAt.set(start, now);
-			this.services.log.write('replicaStatementUnreadable', {replica: entry.id, service: entry.service, statement});
-		}
-	}
 }
