Log why a missing replica stays in use, for how long, and which requests it got

The logs as landed could not tell the hypotheses of the incident apart: replicaLapsed named neither what caused the hold nor its end, and no line of a request said that the entry of its replica was missing.

replicaLapsed now has the source (list, change, peer, restored), the milliseconds since the store answered again, and the milliseconds for which the replica stays in use; replicaGone and the line of a request have how long the entry had been missing; the gauge of replicas counts the state missing.

No logic has changed. Test: replica-role.test.ts, 'a hold is logged with ...'.

--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -360,8 +360,9 @@
 				metrics.replicaPause.set({replica: replica.entry.id}, statements.pauseLeft(replica) / millisecondsPerSecond);
 			}
 
-			for (const {entry, isLeaving} of replicas.all) {
-				metrics.replicas.inc({service: entry.service, state: isLeaving ? 'leaving' : 'ready'});
+			for (const {entry, isLeaving, isMissing} of replicas.all) {
+				const stateInUse = isMissing ? 'missing' : 'ready';
+				metrics.replicas.inc({service: entry.service, state: isLeaving ? 'leaving' : stateInUse});
 			}
 		}).pipe(Effect.andThen(Effect.sleep(sampleInterval))));
 	}
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -218,7 +218,7 @@
 		// Replicas write again what the store has lost of theirs.
 		const held = missing.filter(object => this.mayHaveLapsed(object, isRestored));
 		for (const {name} of held) {
-			this.hold(name, at);
+			this.hold(name, at, isRestored ? 'restored' : 'list');
 		}
 
 		for (const {name} of missing.filter(object => !held.includes(object))) {
@@ -230,14 +230,14 @@
 			this.lapsed.delete(object.name);
 		}
 
-		for (const name of lapsed.filter(one => this.objects.has(one))) {
-			this.hold(name, at);
-		}
-
 		this.at = at;
 		this.history = [];
 		this.historyFrom = at;
 		replicas.replaceAll([...this.objects.values()].flatMap(object => this.entryOf(object) ?? []), at);
+		for (const name of lapsed.filter(one => this.objects.has(one))) {
+			this.hold(name, at, 'peer');
+		}
+
 		this.prove(sentAt);
 	}
 
@@ -283,7 +283,7 @@
 		const isHeld = isGone && known !== undefined && this.mayHaveLapsed(known, change.mayHaveLapsed);
 		this.remember(isHeld ? {...change, mayHaveLapsed: true} : change, at);
 		if (isHeld) {
-			this.hold(object.name, revision);
+			this.hold(object.name, revision, change.mayHaveLapsed ? 'peer' : 'change');
 			return;
 		}
 
@@ -339,12 +339,18 @@
 	}
 
 	/** Entries that lapsed are back soon after the store is; when it came back is not known where a peer tells of one, or where the store has lost entries. */
-	private hold(name: string, revision: number): void {
-		const now = this.services.clock.monotonic();
+	private hold(name: string, revision: number, source: 'list' | 'change' | 'peer' | 'restored'): void {
+		const {clock, log, replicas} = this.services;
+		const now = clock.monotonic();
 		if (!this.lapsed.has(name)) {
-			this.services.log.write('replicaLapsed', {replica: name, revision});
-			const until = this.regainedAt + lapseGrace;
-			this.lapsed.set(name, {revision, until: until > now ? until : now + lapseGrace});
+			const end = this.regainedAt + lapseGrace;
+			const until = end > now ? end : now + lapseGrace;
+			const storeAnsweredFor = Math.min(unknownAge, Math.round(now - this.regainedAt));
+			log.write('replicaLapsed', {
+				replica: name, revision, source, storeAnsweredFor, inUseFor: Math.round(until - now),
+			});
+			this.lapsed.set(name, {revision, until});
+			replicas.noteMissing(name);
 		}
 	}
 
--- a/src/node/test/replica-role.test.ts
+++ b/src/node/test/replica-role.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import * as Result from 'effect/Result';
-import {SilentEventLog} from '../../base/event-log.js';
+import {SilentEventLog, type EventLog} from '../../base/event-log.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {KeepingLog} from '../../../development/relay/relay-installation.js';
 import type {Changes, StoredObject} from '../../follow/metadata-store.js';
 import {positionOf} from '../../follow/store-position.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
@@ -16,9 +17,9 @@
 const gone = (name: string, revision: number) => ({object: object(name, revision), isGone: true});
 
 /** A role that learns from others alone, given a list to begin with. */
-const roleWith = (objects: readonly StoredObject[], at: number) => {
+const roleWith = (objects: readonly StoredObject[], at: number, log: EventLog = SilentEventLog.create()) => {
 	const clock = new MovedClock(1000);
-	const replicas = ReplicaDirectory.create(clock, SilentEventLog.create());
+	const replicas = ReplicaDirectory.create(clock, log);
 	const link = {
 		names: {
 			decodeReplica: ({name, revision, spec}: StoredObject) => Result.succeed({
@@ -28,7 +29,7 @@
 		},
 	} as unknown as PlatformLink;
 	const role = ReplicaRole.create({
-		link, clock, replicas, log: SilentEventLog.create(), leads: () => false, patience: 5000,
+		link, clock, replicas, log, leads: () => false, patience: 5000,
 	});
 	role.takeListing({at, objects}, clock.monotonic());
 	return {role, replicas, clock};
@@ -175,3 +176,22 @@
 	role.dropLapsed();
 	assert.deepEqual(ready(replicas), ['y']);
 });
+
+test('a hold is logged with what caused it, how long the store has answered and how long it lasts', () => {
+	const log = new KeepingLog();
+	const {role, clock} = roleWith([object('x', 1), object('y', 2)], 10, log);
+	role.noteAnswer(true);
+	clock.now += 500;
+	tell(role, {at: 20, changes: [gone('x', 15)]});
+	clock.now += 1600;
+	role.dropLapsed();
+	const lines = log.lines.filter(({eventName}) => eventName === 'replicaLapsed' || eventName === 'replicaGone');
+	assert.deepEqual(lines, [
+		{
+			eventName: 'replicaLapsed', replica: 'x', revision: 15, source: 'change', storeAnsweredFor: 500, inUseFor: 1500,
+		},
+		{
+			eventName: 'replicaGone', replica: 'x', service: 's', revision: 15, missingFor: 1600,
+		},
+	]);
+});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -53,7 +53,7 @@
 
 	/** What became of it so far. */
 	readonly story: RunStory = {
-		tries: 0, runs: 0, refusedConnections: 0, replica: undefined, failures: '', firstByteAt: undefined, keptFrom: 0,
+		tries: 0, runs: 0, refusedConnections: 0, replica: undefined, failures: '', firstByteAt: undefined, keptFrom: 0, missingFor: undefined,
 	};
 
 	/** What it has to do with ends of replicas. */
--- a/src/relay/replica-try.ts
+++ b/src/relay/replica-try.ts
@@ -118,6 +118,7 @@
 
 			this.sentAt = clock.monotonic();
 			story.runs++;
+			story.missingFor = replica.isMissing ? Math.round(replica.missingFor) : undefined;
 			if (limits.limitOf(replica) !== undefined) {
 				metrics.limitedTries.inc({service: replica.entry.service});
 			}
--- a/src/relay/request-story.ts
+++ b/src/relay/request-story.ts
@@ -129,6 +129,7 @@
 				tries: run.story.tries,
 				refusedConnections: run.story.refusedConnections === 0 ? undefined : run.story.refusedConnections,
 				keptFrom: run.story.keptFrom === 0 ? undefined : run.story.keptFrom,
+				missingFor: run.story.missingFor,
 				failures: run.story.failures === '' ? undefined : run.story.failures,
 				...run.streamFields,
 				fingerprint: run.suspicion.told,
--- a/src/relay/run-story.ts
+++ b/src/relay/run-story.ts
@@ -14,4 +14,6 @@
 	firstByteAt: number | undefined;
 	/** Replicas that it was kept from at one time, for the limits that they had named or the pauses that they had asked for. */
 	keptFrom: number;
+	/** Milliseconds for which the entry of the last replica had been missing when the request was sent; `undefined` where it was listed. */
+	missingFor: number | undefined;
 };
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -223,6 +223,11 @@
 		});
 	}
 
+	/** @param id - Id of a replica whose entry is missing, though it may be written again: it stays in use. */
+	noteMissing(id: string): void {
+		this.replicas.get(id)?.noteMissing();
+	}
+
 	/**
 	 * @param id - Id of a replica that is listed no longer.
 	 * @param revision - Number of the change by which it went.
@@ -237,7 +242,9 @@
 		replica.leave();
 		this.lately = [...this.lately.filter(other => this.mayBeSent(other)), replica];
 		this.noteDeparture({id, revision}, replica.start, 'list');
-		this.log.write('replicaGone', {replica: id, service: replica.entry.service, revision});
+		this.log.write('replicaGone', {
+			replica: id, service: replica.entry.service, revision, missingFor: replica.isMissing ? Math.round(replica.missingFor) : undefined,
+		});
 		for (const listener of this.goneListeners) {
 			listener(replica);
 		}
--- a/src/replicas/replica.ts
+++ b/src/replicas/replica.ts
@@ -70,6 +70,7 @@
 	private errorMean = 0;
 	private latencyMean = 0;
 	private leavingSince: number | undefined;
+	private missingSince: number | undefined;
 	private hasSuccessor = false;
 	/** When it was last heard, or got a request after having none. */
 	private heardAt = 0;
@@ -101,6 +102,16 @@
 		return this.leavingSince === undefined ? 0 : this.clock.monotonic() - this.leavingSince;
 	}
 
+	/** Milliseconds for which its entry has been missing while it stays in use; zero where it is listed. */
+	get missingFor(): number {
+		return this.missingSince === undefined ? 0 : this.clock.monotonic() - this.missingSince;
+	}
+
+	/** Whether its entry is missing while it stays in use. */
+	get isMissing(): boolean {
+		return this.missingSince !== undefined;
+	}
+
 	/** Whether it has requests of this box and has sent nothing for long. */
 	get isSilent(): boolean {
 		const allowed = Math.max(leastSilence, this.latencyMean * silencePerLatency);
@@ -153,6 +164,7 @@
 
 	/** @param entry - What the list says now. */
 	update(entry: ReplicaEntry): void {
+		this.missingSince = entry.revision > this.listed.revision ? undefined : this.missingSince;
 		this.listed = entry;
 		if (entry.isDraining) {
 			this.leave();
@@ -164,6 +176,11 @@
 		this.leavingSince ??= this.clock.monotonic();
 	}
 
+	/** Notes that its entry is missing, though it may be written again. */
+	noteMissing(): void {
+		this.missingSince ??= this.clock.monotonic();
+	}
+
 	/** Notes that another start has taken its id. */
 	noteReplaced(): void {
 		this.hasSuccessor = true;
