Reproduce requests at replicas that have left, after single lost answers (known to fail)

A model in virtual time: the real follower, list, directory, topology and exchange of 1, 4, 9 and 20 boxes, a store that acknowledges, replicas that keep their entries with heartbeats, datagrams that are lost. Boxes lose single answers of the store; an entry changes as they list anew; then a replica leaves. Each box sends to each replica whenever it may; the oracle is the store's acknowledgement plus the bound.

The role takes the way to documents of peers as a service, so that the model can stand in for HTTP; no logic has changed.

--- /dev/null
+++ b/development/harness/departure-fleet.ts
@@ -0,0 +1,284 @@
+/**
+ * Boxes that follow the list of replicas in virtual time: they tell each other what they know, lose datagrams and answers of the store, and would send to
+ * each replica whenever they may. Development only.
+ */
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import * as Result from 'effect/Result';
+import {type EventLog, SilentEventLog} from '../../src/base/event-log.js';
+import type {StoredObject} from '../../src/follow/metadata-store.js';
+import {ExchangeTopology} from '../../src/gossip/exchange-topology.js';
+import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
+import type {GossipMessage, MemberAddress} from '../../src/gossip/gossip-message.js';
+import {PeerTable} from '../../src/gossip/peer-table.js';
+import {ConfigurationRole} from '../../src/node/configuration-role.js';
+import {ExchangeState, type ExchangeParts} from '../../src/node/exchange-state.js';
+import type {PlatformLink} from '../../src/node/platform-link.js';
+import {ReplicaRole} from '../../src/node/replica-role.js';
+import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
+import type {RouteTableView} from '../../src/routes/route-table-view.js';
+import {VirtualClock, type VirtualTime} from '../fuzz/virtual-time.js';
+import {
+	modelReplicaKind, ModelStore, ModelStoreDoor, type ModelReplica,
+} from './model-metadata-store.js';
+import {randomOf} from './seeded-random.js';
+
+/** What the fleet is like. */
+export type DepartureFleetShape = {
+	readonly boxes: number;
+	readonly replicas: number;
+	/** Milliseconds from the store's acknowledgement that a replica leaves, from which on it gets nothing. */
+	readonly bound: number;
+	/** Share of datagrams that are lost. */
+	readonly loss: number;
+	readonly seed: number;
+};
+
+/** A request that reached a replica too late. */
+export type LateRequest = {
+	readonly box: string;
+	readonly replica: string;
+	/** Milliseconds after the store had acknowledged that it leaves. */
+	readonly after: number;
+};
+
+type Box = {
+	readonly address: MemberAddress;
+	readonly clock: VirtualClock;
+	readonly peers: PeerTable;
+	readonly topology: ExchangeTopology;
+	readonly replicas: ReplicaDirectory;
+	readonly role: ReplicaRole;
+	readonly state: ExchangeState;
+	readonly door: ModelStoreDoor;
+	readonly fibers: ReadonlyArray<Fiber.Fiber<unknown>>;
+	sequence: number;
+	round: number;
+};
+
+const service = 's';
+const step = 20;
+const datagramWay = 2;
+const clockSpread = 100_000;
+const epoch = 1_764_700_000_000;
+
+/** The fleet. */
+export class DepartureFleet {
+	/**
+	 * @param shape - What it is like.
+	 * @param time - Virtual time, started.
+	 * @param log - Where the boxes write.
+	 * @returns A fleet that has just started.
+	 */
+	static create(shape: DepartureFleetShape, time: VirtualTime, log: EventLog = SilentEventLog.create()): DepartureFleet {
+		return new DepartureFleet(shape, time, log);
+	}
+
+	readonly store: ModelStore;
+	readonly boxes: readonly Box[];
+	/** Requests that came later than the bound allows. */
+	readonly late: LateRequest[] = [];
+	readonly random: () => number;
+	private readonly addresses: readonly MemberAddress[];
+	private isOver = false;
+
+	private constructor(private readonly shape: DepartureFleetShape, private readonly time: VirtualTime, private readonly log: EventLog) {
+		this.random = randomOf(shape.seed);
+		this.store = ModelStore.create(() => time.now, this.random);
+		for (let index = 0; index < shape.replicas; index++) {
+			this.store.add(`i-${index}`);
+		}
+
+		this.addresses = Array.from({length: shape.boxes}, (_, index) => ({name: `edge-${index}`, host: '10.0.0.1', port: 1 + index}));
+		this.boxes = this.addresses.map((address, index) => this.start(address, index));
+		for (const box of this.boxes) {
+			this.schedule(box);
+		}
+	}
+
+	/** @param duration - Milliseconds that pass; each box sends to every replica that it may send to all the while. */
+	async pass(duration: number): Promise<void> {
+		const end = this.time.now + duration;
+		while (this.time.now < end) {
+			await this.time.advance(step);
+			this.store.pass();
+			await nextTurn();
+			for (const box of this.boxes) {
+				this.sendFrom(box);
+			}
+		}
+	}
+
+	/**
+	 * @param replica - A replica.
+	 * @returns How many boxes would send to it.
+	 */
+	usersOf({id}: ModelReplica): number {
+		return this.boxes.filter(({replicas}) => replicas.ready(service).some(({entry}) => entry.id === id)).length;
+	}
+
+	/** Ends everything. */
+	async close(): Promise<void> {
+		this.isOver = true;
+		await Promise.all(this.boxes.flatMap(({fibers}) => fibers.map(async fiber => Effect.runPromise(Fiber.interrupt(fiber)))));
+	}
+
+	private start(address: MemberAddress, index: number): Box {
+		const {log} = this;
+		const clock = VirtualClock.create(this.time, index * clockSpread);
+		clock.wallStep = epoch;
+		const peers = PeerTable.create(address.name, clock, log);
+		peers.learn(this.addresses);
+		const topology = ExchangeTopology.create(address, peers);
+		const replicas = ReplicaDirectory.create(clock, log);
+		const door = ModelStoreDoor.create(this.store);
+		const table = tableOf(clock);
+		const followed = {
+			link: {store: door, names} as unknown as PlatformLink, clock, log, leads: () => topology.isAggregator,
+		};
+		const configuration = ConfigurationRole.create({...followed, table, patience: 3000 + (100 * index)});
+		const role = ReplicaRole.create({
+			...followed, replicas, patience: 4500 + (100 * index), openFetch: (_, take) => this.fetchFor(take),
+		});
+		// Only what the list of replicas needs is there.
+		const parts = {
+			clock, log, peers, topology, configuration, replicaRole: role, isStopping: () => false, stretches: {take: () => undefined}, services: {replicas, table, ...otherServices},
+		} as unknown as ExchangeParts;
+		const fibers = [role.follow(), role.sweep(), configuration.follow(), configuration.prove()].map(effect => Effect.runFork(effect));
+		return {
+			address, clock, peers, topology, replicas, role, state: ExchangeState.create(parts), door, fibers, sequence: 0, round: index,
+		};
+	}
+
+	private fetchFor(take: (content: unknown) => void) {
+		return {
+			from: ({name}: MemberAddress) => {
+				const box = this.boxes.find(({address}) => address.name === name)!;
+				this.deliver(() => {
+					const content: unknown = structuredClone(box.role.listing);
+					this.deliver(() => {
+						take(content);
+					});
+				});
+			},
+		};
+	}
+
+	private sendFrom(box: Box): void {
+		for (const {entry: {id}} of box.replicas.ready(service)) {
+			const {leftAt} = this.store.replicas.find(replica => replica.id === id)!;
+			const after = leftAt === undefined ? 0 : this.time.now - leftAt;
+			if (after > this.shape.bound) {
+				this.late.push({box: box.address.name, replica: id, after});
+			}
+		}
+	}
+
+	private schedule(box: Box): void {
+		setTimeout(() => {
+			if (!this.isOver) {
+				this.tell(box);
+				this.schedule(box);
+			}
+		}, box.topology.pause(this.random()));
+	}
+
+	private tell(box: Box): void {
+		const {peers, topology, state} = box;
+		peers.sweep();
+		peers.isLarge = topology.isLarge;
+		peers.heardWithin = topology.heardWithin;
+		box.round++;
+		const message = this.messageOf(box, state.local(true));
+		const targets = topology.targets(box.round);
+		for (const [place, {address}] of targets.entries()) {
+			peers.noteTold(address.name);
+			const other = this.boxes.find(({address: {name}}) => name === address.name)!;
+			const asksDigest = topology.isLarge && place === box.round % targets.length;
+			this.deliver(() => {
+				this.hear(other, box, encodeGossip({...message, ...(asksDigest ? {asksDigest} : {})}));
+			});
+		}
+	}
+
+	private hear(box: Box, sender: Box, data: Uint8Array): void {
+		const message = decodeGossip(data)!;
+		const {peers, topology, state} = box;
+		const meeting = peers.take(message);
+		if (meeting === undefined) {
+			return;
+		}
+
+		if (message.digest) {
+			peers.noteFleetSize(message.digest.boxes);
+			state.takeDigest(message, message.digest);
+			return;
+		}
+
+		state.take(message, meeting);
+		if (topology.isLarge) {
+			const isWhole = message.asksDigest === true;
+			const answer = this.messageOf(box, {
+				...state.news(isWhole), quota: [], isWhole: false, work: [], usage: [], digest: state.digestFor(peers.named(sender.address.name)!, isWhole),
+			});
+			this.deliver(() => {
+				this.hear(sender, box, encodeGossip(answer));
+			});
+		}
+	}
+
+	private messageOf(box: Box, parts: Omit<GossipMessage, 'sender' | 'incarnation' | 'sequence' | 'uptime' | 'wall' | 'members'>): GossipMessage {
+		box.sequence++;
+		return {
+			...parts, sender: box.address, incarnation: 'first', sequence: box.sequence, uptime: box.peers.uptime, wall: box.clock.wall(), members: [],
+		};
+	}
+
+	private deliver(happen: () => void): void {
+		if (this.random() >= this.shape.loss) {
+			setTimeout(() => {
+				if (!this.isOver) {
+					happen();
+				}
+			}, datagramWay);
+		}
+	}
+}
+
+const names = {
+	replicaKind: modelReplicaKind,
+	configurationKind: 'config',
+	configurationName: 'main',
+	decodeConfiguration: () => Result.succeed({version: 1}),
+	decodeReplica: ({name, revision, spec}: StoredObject) => Result.succeed({
+		id: name, bornAt: undefined, software: '', revision, service, host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 1,
+		isReclaimable: false, leavesIn: undefined, ...spec as {readonly isDraining: boolean},
+	}),
+};
+
+const otherServices = {
+	quarantine: {told: () => undefined},
+	statements: {told: () => undefined},
+	quota: {
+		counts: [], recentCounts: [], levelsFor: () => [], knows: () => true, takeCounts: () => undefined, adopt: () => undefined,
+	},
+	usage: {told: [], recent: [], take: () => undefined},
+	demands: {told: []},
+	limits: {services: [], lookForSlots: () => undefined},
+};
+
+/** A configuration that never changes. */
+function tableOf(clock: VirtualClock): RouteTableView {
+	let provenAt = Number.NEGATIVE_INFINITY;
+	const table = {
+		version: 1,
+		get proofAge() {
+			return clock.monotonic() - provenAt;
+		},
+		prove(_: number, at: number) {
+			provenAt = Math.max(provenAt, at);
+		},
+	};
+	return table as unknown as RouteTableView;
+}
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -44,8 +44,13 @@
 	readonly patience: number;
 	/** Counts an entry that cannot be read, by its kind. */
 	readonly noteUnreadable?: (kind: string) => void;
+	/** Opens the way to a document of peers; over HTTP where it is absent. */
+	readonly openFetch?: (path: string, take: (content: unknown) => void) => DocumentFetch;
 };
 
+/** A way to a document of peers. */
+export type DocumentFetch = Pick<PeerFetch, 'from'>;
+
 /** The list as peers give it out. */
 const Document = Schema.Struct({
 	at: Schema.Finite,
@@ -85,11 +90,12 @@
 	private readonly lapsed = new Map<string, {readonly revision: number; readonly until: number}>();
 	/** Entries that cannot be read, and the revision that the log has told of. */
 	private readonly unreadable = new Map<string, number>();
-	private readonly fetch: PeerFetch;
+	private readonly fetch: DocumentFetch;
 
 	private constructor(private readonly services: ReplicaServices) {
 		this.provenAt = services.clock.monotonic();
-		this.fetch = PeerFetch.create(replicasPath, content => {
+		const {openFetch = PeerFetch.create} = services;
+		this.fetch = openFetch(replicasPath, content => {
 			this.takeDocument(content);
 		});
 	}
