Notice a hanging watch of replicas before boxes count as in touch again

What callers saw: none reported. While the connections to the store hang and new ones work, a box went on sending to a replica that had left until 3.9 s after its last watch had begun, longer than it takes to count as in touch again (3 s).

Cause: a watch waited 3 s and its answer 0.9 s more; nothing added these up against the bound.

Change: a watch of replicas waits 1 to 2 s, drawn anew each time, so that the first box to notice tells the others. The configuration keeps its 3 s: its proving reads notice a change by themselves. Price: about 0.3 calls a second more for each box that follows the store.

--- a/src/follow/kind-follower.ts
+++ b/src/follow/kind-follower.ts
@@ -6,8 +6,6 @@
 import type {EventLog} from '../base/event-log.js';
 import type {Changes, Listing, MetadataStore} from './metadata-store.js';
 
-/** Milliseconds a watch waits: a connection that has gone silent is noticed soon after. */
-const watchWait = 3000;
 /** Milliseconds between two tries while the store does not answer; doubles up to the longest. */
 const retryPause = 250;
 const longestRetryPause = 600;
@@ -39,6 +37,8 @@
 	readonly log: EventLog;
 	/** @returns Whether this box follows the kind; where it does not, it learns of it from others. */
 	readonly isNeeded: () => boolean;
+	/** Milliseconds that a watch waits: a connection that has gone silent is noticed soon after. Drawn anew for each watch, so that boxes do not all wait as long. */
+	readonly watchWait: {readonly least: number; readonly spread: number};
 };
 
 /** Follows one kind. */
@@ -86,7 +86,7 @@
 
 	private follow() {
 		return Effect.gen({self: this}, function * () {
-			const {store, clock} = this.services;
+			const {store, clock, watchWait: {least, spread}} = this.services;
 			const sentAt = clock.monotonic();
 			const listing = yield * store.list(this.kind);
 			this.noteAnswer();
@@ -94,7 +94,7 @@
 			let {at} = listing;
 			while (this.services.isNeeded()) {
 				const watchedFrom = clock.monotonic();
-				const changes = yield * store.watch(this.kind, at, watchWait);
+				const changes = yield * store.watch(this.kind, at, least + (Math.random() * spread));
 				this.noteAnswer();
 				at = Math.max(at, changes.at);
 				this.listener.change(changes, watchedFrom);
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -24,6 +24,8 @@
 /** Milliseconds after the start before the first question. */
 const firstProof = 400;
 const failurePause = 400;
+/** The reads that prove the configuration notice a watch that hangs. */
+const watchWait = {least: 3000, spread: 0} as const;
 /** Path at which peers give out the configuration. */
 export const configurationPath = '/configuration';
 
@@ -66,7 +68,7 @@
 	follow(): Effect.Effect<never> {
 		const {link: {store, names}, clock, log, leads, contact} = this.services;
 		return KindFollower.create(names.configurationKind, {
-			store, clock, log, isNeeded: leads,
+			store, clock, log, watchWait, isNeeded: leads,
 		}, {
 			onAnswer() {
 				contact.noteOwnAnswer();
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -25,6 +25,8 @@
 const historyLength = 512;
 /** Changes told in one message; a peer that misses more fetches the whole list. */
 const mostChangesTold = 32;
+/** Milliseconds that a watch waits: with the time for its answer, less than boxes whose connections went silent need to count as in touch again. */
+const watchWait = {least: 1000, spread: 1000} as const;
 /** Milliseconds after the store came back by which a replica that lives has written its entry again if it lapsed meanwhile. */
 const rewriteTime = 2000;
 /** Milliseconds of the bound on a departure that are left for what follows the last check: the way of a request to its replica. */
@@ -146,7 +148,7 @@
 	follow(): Effect.Effect<never> {
 		const {link: {store, names}, clock, log, contact, leads, patience} = this.services;
 		return KindFollower.create(names.replicaKind, {
-			store, clock, log, isNeeded: () => leads() || this.age > patience,
+			store, clock, log, watchWait, isNeeded: () => leads() || this.age > patience,
 		}, {
 			onAnswer() {
 				contact.noteOwnAnswer();
--- a/src/node/test/departure-model.test.ts
+++ b/src/node/test/departure-model.test.ts
@@ -132,3 +132,24 @@
 test('a replica that leaves once the store is back gets no requests later than allowed', async () => {
 	assert.deepEqual(await lateAfter(leaveAfterOutage), []);
 });
+
+/** Milliseconds after which a box counts as in touch again whose connections went silent. */
+const contactTime = 3000;
+
+/** Guards against a departure that is not noticed while the connections to the store hang, although new ones work. */
+test('a replica that leaves while all watches hang gets no requests once boxes count as in touch again', async () => {
+	for (const {boxes, histories} of fleets) {
+		for (const seed of seedsUpTo(histories)) {
+			const {late} = await play({boxes, bound: contactTime, seed}, async fleet => {
+				await fleet.pass(fleet.random() * contactTime);
+				for (const {door} of fleet.boxes) {
+					door.loseAnswer('silent');
+				}
+
+				fleet.store.leave(fleet.store.replicas[1]!, 'removed');
+				await fleet.pass(contactTime * 2);
+			});
+			assert.deepEqual(late, [], `${boxes} boxes, seed ${seed}: ${summaryOf(late)}`);
+		}
+	}
+});
