Bound the time for which a peer's list can hold a missing replica

What callers saw: none reported. A list that a peer gives out names held entries with the time that is left; a box that never knew such an entry would have used its replica for whatever time the list named.

Evidence: replica-role.test.ts, 'a peer cannot hold a replica for longer than an entry takes to be written again', failed before.

Change: no hold is longer than the time in which an entry is written again. The class that knows of outages is named StoreAvailability, its parts for answers and outages; no decision of it changed.

--- a/development/fuzz/decoder-suite.ts
+++ b/development/fuzz/decoder-suite.ts
@@ -17,7 +17,7 @@
 import {Fingerprint} from '../../src/quarantine/fingerprint.js';
 import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
 import {RouteTable} from '../../src/routes/route-table.js';
-import {usualContact} from '../harness/store-absence.js';
+import {usualAvailability} from '../harness/store-outage.js';
 import {step, type Suite} from './suite.js';
 import {VirtualClock, type VirtualTime} from './virtual-time.js';
 
@@ -74,7 +74,7 @@
 		this.ledger = EndLedger.create(clock);
 		this.replicas = ReplicaDirectory.create(clock, log);
 		this.role = ReplicaRole.create({
-			link: {names: {replicaKind: 'replicas', decodeReplica}} as unknown as PlatformLink, clock, log, replicas: this.replicas, leads: () => true, patience: 5000, ...usualContact(clock),
+			link: {names: {replicaKind: 'replicas', decodeReplica}} as unknown as PlatformLink, clock, log, replicas: this.replicas, leads: () => true, patience: 5000, ...usualAvailability(clock),
 		});
 		this.role.takeListing({at: this.revision, objects: ['good-1', 'good-2'].map(name => ({name, revision: 1, spec: goodReplica}))}, 0);
 	}
--- a/development/harness/departure-fleet.ts
+++ b/development/harness/departure-fleet.ts
@@ -8,7 +8,7 @@
 import * as Result from 'effect/Result';
 import {type EventLog, SilentEventLog} from '../../src/base/event-log.js';
 import type {StoredObject} from '../../src/follow/metadata-store.js';
-import {StoreContact} from '../../src/follow/store-contact.js';
+import {StoreAvailability} from '../../src/follow/store-availability.js';
 import {ExchangeTopology} from '../../src/gossip/exchange-topology.js';
 import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
 import type {GossipMessage, MemberAddress} from '../../src/gossip/gossip-message.js';
@@ -135,9 +135,9 @@
 		const replicas = ReplicaDirectory.create(clock, log);
 		const door = ModelStoreDoor.create(this.store);
 		const table = tableOf(clock);
-		const contact = StoreContact.create(clock, () => lapseTime(heartbeat));
+		const availability = StoreAvailability.create(clock, () => lapseTime(heartbeat));
 		const followed = {
-			link: {store: door, names} as unknown as PlatformLink, clock, log, contact, leads: () => topology.isAggregator,
+			link: {store: door, names} as unknown as PlatformLink, clock, log, availability, leads: () => topology.isAggregator,
 		};
 		const configuration = ConfigurationRole.create({...followed, table, patience: 3000 + (100 * index)});
 		const role = ReplicaRole.create({
@@ -145,7 +145,7 @@
 		});
 		// Only what the list of replicas needs is there.
 		const parts = {
-			clock, log, peers, topology, contact, configuration, replicaRole: role, isStopping: () => false, stretches: {take: () => undefined}, services: {replicas, table, ...otherServices},
+			clock, log, peers, topology, availability, configuration, replicaRole: role, isStopping: () => false, stretches: {take: () => undefined}, services: {replicas, table, ...otherServices},
 		} as unknown as ExchangeParts;
 		const fibers = [role.follow(), role.sweep(), configuration.follow(), configuration.prove()].map(effect => Effect.runFork(effect));
 		return {
--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -182,12 +182,12 @@
 
 		const table = {version: 33, proofAge: 420};
 		const configuration = {fetchFrom: () => undefined};
-		const contact = {ownSilence: 120, noteAnswerElsewhere: () => undefined};
+		const availability = {ownSilence: 120, notePeerAnswer: () => undefined};
 		const replicaRole = {told: {at: 812, age: 95}, take: () => undefined, changesSince: () => ({at: 812, changes: []})};
 		const parts = {
 			clock, log, peers, topology, services: {
 				replicas, quota, demands, usage, table, quarantine, limits, statements,
-			}, contact, configuration, replicaRole, stretches, isStopping: () => false,
+			}, availability, configuration, replicaRole, stretches, isStopping: () => false,
 		};
 		// Only what the exchange asks of the other parts is there.
 		return {
--- a/src/follow/store-contact.ts
+++ b/src/follow/store-availability.ts
@@ -1,26 +1,25 @@
 /**
- * When the store answered this box and others, and when it last came back after it had answered nobody for so long that entries which their owners could not
- * write may have lapsed.
+ * When the store answered this box and others, and when it last came back after an outage in which entries may have lapsed because nobody could write them.
  */
 import {unknownAge, type Clock} from '../base/clock.js';
 
-/** The contact. */
-export class StoreContact {
+/** The availability of the store. */
+export class StoreAvailability {
 	/**
 	 * @param clock - For ages.
 	 * @param lapseTime - Milliseconds without an answer to any box after which entries may have lapsed.
-	 * @returns A contact of which nothing is known.
+	 * @returns The availability of a store that has not answered yet.
 	 */
-	static create(clock: Clock, lapseTime: () => number): StoreContact {
-		return new StoreContact(clock, lapseTime);
+	static create(clock: Clock, lapseTime: () => number): StoreAvailability {
+		return new StoreAvailability(clock, lapseTime);
 	}
 
 	private ownAnswerAt = Number.NEGATIVE_INFINITY;
 	/** When the store last answered any box. */
 	private answeredAt: number | undefined;
-	/** The last answer before the store was away, and the first one after. */
+	/** The last answer before the last outage, and the first one after it. */
 	private lostAt = Number.NEGATIVE_INFINITY;
-	private returnedAt = Number.NEGATIVE_INFINITY;
+	private regainedAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly clock: Clock, private readonly lapseTime: () => number) {}
 
@@ -29,9 +28,9 @@
 		return this.clock.ageOf(this.ownAnswerAt);
 	}
 
-	/** Monotonic milliseconds at which the store came back; below zero without end where it was not away as far as is known. */
-	get returned(): number {
-		return this.returnedAt;
+	/** Monotonic milliseconds at which the last outage ended; below zero without end where there was none as far as is known. */
+	get returnedAt(): number {
+		return this.regainedAt;
 	}
 
 	/** Notes that the store has answered this box. */
@@ -41,42 +40,42 @@
 	}
 
 	/** @param age - Milliseconds since the store answered another box, as that one says; `unknownAge` says nothing. */
-	noteAnswerElsewhere(age: number): void {
+	notePeerAnswer(age: number): void {
 		if (age < unknownAge) {
 			this.noteAnswer(this.clock.monotonic() - age);
 		}
 	}
 
 	/**
-	 * Notes what a peer says of the age of what it knows, which it may have from other boxes: each hop takes its time, which is not in the age. So it may
-	 * prove that the store is back, but not that it was not away.
+	 * Notes an answer that a peer may know of from other boxes. The time of each hop is missing in its age, so that it may prove the end of an outage but not
+	 * that there was none.
 	 *
-	 * @param age - Milliseconds since the store answered some box.
+	 * @param age - Milliseconds since the store answered some box; `unknownAge` says nothing.
 	 */
-	noteHearsay(age: number): void {
-		if (age < unknownAge && this.isAfterAbsence(this.clock.monotonic() - age)) {
-			this.noteAnswer(this.clock.monotonic() - age);
+	noteIndirectAnswer(age: number): void {
+		if (this.isAfterOutage(this.clock.monotonic() - age)) {
+			this.notePeerAnswer(age);
 		}
 	}
 
-	/** Notes that the store came back from a copy: it may lack entries however short it was away. */
+	/** Notes that the store came back from a copy: it may lack entries however short the outage was. */
 	noteRestore(): void {
-		this.returnedAt = this.clock.monotonic();
-		this.lostAt = this.returnedAt;
+		this.regainedAt = this.clock.monotonic();
+		this.lostAt = this.regainedAt;
 	}
 
-	private isAfterAbsence(at: number): boolean {
+	private isAfterOutage(at: number): boolean {
 		return this.answeredAt !== undefined && at - this.answeredAt >= this.lapseTime();
 	}
 
-	/** One box's lost answers are no absence: others are answered meanwhile. */
+	/** Answers that one box lost are no outage: others are answered meanwhile. */
 	private noteAnswer(at: number): void {
-		const isEarlierReturn = at - this.lostAt >= this.lapseTime() && at < this.returnedAt;
-		if (this.isAfterAbsence(at)) {
+		const isEarlierReturn = at - this.lostAt >= this.lapseTime() && at < this.regainedAt;
+		if (this.isAfterOutage(at)) {
 			this.lostAt = this.answeredAt ?? this.lostAt;
-			this.returnedAt = at;
+			this.regainedAt = at;
 		} else if (isEarlierReturn) {
-			this.returnedAt = at;
+			this.regainedAt = at;
 		}
 
 		this.answeredAt = Math.max(at, this.answeredAt ?? at);
--- /dev/null
+++ b/src/follow/test/store-availability.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MovedClock} from '../../../development/harness/moved-clock.js';
+import {StoreAvailability} from '../store-availability.js';
+
+const lapseTime = 2400;
+const never = Number.NEGATIVE_INFINITY;
+
+const availabilityAt = (now: number) => {
+	const clock = new MovedClock(now);
+	return {clock, availability: StoreAvailability.create(clock, () => lapseTime)};
+};
+
+test('the store was away only when it answered nobody for as long as entries last', () => {
+	const {clock, availability} = availabilityAt(10_000);
+	availability.noteOwnAnswer();
+	assert.equal(availability.returnedAt, never, 'the first answer is no return');
+	clock.now += 2000;
+	availability.notePeerAnswer(500);
+	clock.now += 1500;
+	availability.noteOwnAnswer();
+	assert.equal(availability.returnedAt, never);
+	clock.now += lapseTime;
+	availability.noteOwnAnswer();
+	assert.equal(availability.returnedAt, clock.now);
+});
+
+test('the return is the earliest answer after the absence that any box tells of', () => {
+	const {clock, availability} = availabilityAt(10_000);
+	availability.noteOwnAnswer();
+	clock.now += 5000;
+	availability.noteOwnAnswer();
+	availability.notePeerAnswer(150);
+	assert.equal(availability.returnedAt, clock.now - 150);
+	availability.notePeerAnswer(5100);
+	availability.notePeerAnswer(4995);
+	assert.equal(availability.returnedAt, clock.now - 150, 'an answer from before the absence says nothing of the return');
+});
+
+test('a store that came back from a copy counts as returned, whatever was answered before', () => {
+	const {clock, availability} = availabilityAt(10_000);
+	availability.noteOwnAnswer();
+	clock.now += 300;
+	availability.noteRestore();
+	availability.notePeerAnswer(200);
+	assert.equal(availability.returnedAt, clock.now);
+});
+
+test('its own silence is that of this box', () => {
+	const {clock, availability} = availabilityAt(10_000);
+	assert.equal(availability.ownSilence, Number.POSITIVE_INFINITY);
+	availability.noteOwnAnswer();
+	clock.now += 700;
+	availability.notePeerAnswer(0);
+	assert.equal(availability.ownSilence, 700);
+});
--- a/src/node/configuration-role.ts
+++ b/src/node/configuration-role.ts
@@ -8,7 +8,7 @@
 import {describeFaults} from '../base/faults.js';
 import {KindFollower} from '../follow/kind-follower.js';
 import type {StoredObject} from '../follow/metadata-store.js';
-import type {StoreContact} from '../follow/store-contact.js';
+import type {StoreAvailability} from '../follow/store-availability.js';
 import type {MemberAddress} from '../gossip/gossip-message.js';
 import type {RouteTableView, TableSource} from '../routes/route-table-view.js';
 import {PeerFetch} from './peer-fetch.js';
@@ -24,7 +24,7 @@
 /** Milliseconds after the start before the first question. */
 const firstProof = 400;
 const failurePause = 400;
-/** The reads that prove the configuration notice a watch that hangs. */
+/** Milliseconds that a watch waits; one that hangs is made up for by the reads that prove the configuration. */
 const watchWait = {least: 3000, spread: 0} as const;
 /** Path at which peers give out the configuration. */
 export const configurationPath = '/configuration';
@@ -35,7 +35,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly table: RouteTableView;
-	readonly contact: StoreContact;
+	readonly availability: StoreAvailability;
 	/** @returns Whether this box follows the store, though others may. */
 	readonly leads: () => boolean;
 	/** Milliseconds without a proof from others after which this box asks the store itself. */
@@ -66,12 +66,12 @@
 
 	/** @returns Follows the store until interrupted. */
 	follow(): Effect.Effect<never> {
-		const {link: {store, names}, clock, log, leads, contact} = this.services;
+		const {link: {store, names}, clock, log, leads, availability} = this.services;
 		return KindFollower.create(names.configurationKind, {
 			store, clock, log, watchWait, isNeeded: leads,
 		}, {
 			onAnswer() {
-				contact.noteOwnAnswer();
+				availability.noteOwnAnswer();
 			},
 			list: ({objects}, sentAt) => {
 				const object = objects.find(({name}) => name === names.configurationName);
@@ -89,12 +89,12 @@
 
 	/** @returns Asks the store whenever no proof is new enough, until interrupted. */
 	prove(): Effect.Effect<never> {
-		const {link: {store, names}, clock, contact} = this.services;
+		const {link: {store, names}, clock, availability} = this.services;
 		const ask = Effect.suspend(() => {
 			const sentAt = clock.monotonic();
 			return store.read(names.configurationKind, names.configurationName).pipe(
 				Effect.map(object => {
-					contact.noteOwnAnswer();
+					availability.noteOwnAnswer();
 					if (object) {
 						this.takeObject(object, sentAt);
 					}
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -15,7 +15,7 @@
 import {HolderLife} from '../duties/holder-life.js';
 import {UsageDraft} from '../duties/usage-draft.js';
 import {UsageDuty} from '../duties/usage-duty.js';
-import type {StoreContact} from '../follow/store-contact.js';
+import type {StoreAvailability} from '../follow/store-availability.js';
 import type {ExchangeTopology} from '../gossip/exchange-topology.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 import type {RelayMetrics} from '../relay/relay-metrics.js';
@@ -46,7 +46,7 @@
 	readonly peers: PeerTable;
 	readonly topology: ExchangeTopology;
 	readonly services: RelayServices;
-	readonly contact: StoreContact;
+	readonly availability: StoreAvailability;
 	readonly isStopping: () => boolean;
 };
 
@@ -95,7 +95,7 @@
 		this.life = HolderLife.create(store, clock);
 		this.draft = UsageDraft.create({
 			start: `${self}/${incarnation}`, store, counts: services.usage, clock, onAnswer() {
-				parts.contact.noteOwnAnswer();
+				parts.availability.noteOwnAnswer();
 			},
 		});
 		this.fleet = FleetDuty.create({
@@ -191,7 +191,7 @@
 	}
 
 	private facts(): CampaignFacts {
-		const {self, incarnation, peers, topology, contact, isStopping} = this.parts;
+		const {self, incarnation, peers, topology, availability, isStopping} = this.parts;
 		const {aggregators} = topology;
 		return {
 			self,
@@ -201,7 +201,7 @@
 			heard: peers.heard,
 			rivals: peers.heard.filter(peer => aggregators.some(({address}) => address.name === peer.address.name)),
 			heardPart: peers.heardPart,
-			storeSilence: contact.ownSilence,
+			storeSilence: availability.ownSilence,
 			isStopping: isStopping(),
 			isAggregator: topology.isAggregator,
 		};
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -3,7 +3,7 @@
  */
 import {unknownAge, type Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
-import type {StoreContact} from '../follow/store-contact.js';
+import type {StoreAvailability} from '../follow/store-availability.js';
 import type {ExchangeTopology} from '../gossip/exchange-topology.js';
 import type {LocalNews, LocalState} from '../gossip/gossip.js';
 import {
@@ -29,7 +29,7 @@
 	readonly services: RelayServices;
 	readonly peers: PeerTable;
 	readonly topology: ExchangeTopology;
-	readonly contact: StoreContact;
+	readonly availability: StoreAvailability;
 	readonly configuration: ConfigurationRole;
 	readonly replicaRole: ReplicaRole;
 	readonly stretches: LimitStretches;
@@ -60,7 +60,7 @@
 	 */
 	news(isWhole: boolean, sources: readonly StatementSource[] = ['answer', 'box']): LocalNews {
 		const {
-			services: {table, replicas, quarantine, statements: replicaStatements}, contact, replicaRole, isStopping, topology,
+			services: {table, replicas, quarantine, statements: replicaStatements}, availability, replicaRole, isStopping, topology,
 		} = this.parts;
 		const ends = quarantine.told(isWhole, topology.isLarge ? mostEndsTold.large : mostEndsTold.small);
 		const statements = replicaStatements.told(isWhole, sources, topology.isLarge ? mostStatementsTold.large : mostStatementsTold.small);
@@ -68,7 +68,7 @@
 			version: table.version,
 			...(Number.isFinite(table.proofAge) ? {proofAge: Math.ceil(table.proofAge)} : {}),
 			isStopping: isStopping(),
-			storeAge: Math.min(unknownAge, Math.round(contact.ownSilence)),
+			storeAge: Math.min(unknownAge, Math.round(availability.ownSilence)),
 			departed: replicas.departedWithin(topology.isLarge ? newsTime : undefined),
 			...(replicaRole.told ? {replicas: replicaRole.told} : {}),
 			...(ends ? {ends} : {}),
@@ -183,8 +183,8 @@
 
 	/** What any message may bring: a newer configuration, a newer list, replicas that leave. */
 	private takeNews(message: GossipMessage, source: StatementSource): void {
-		const {services: {table, replicas, quarantine, statements}, contact, configuration, replicaRole} = this.parts;
-		contact.noteAnswerElsewhere(message.storeAge);
+		const {services: {table, replicas, quarantine, statements}, availability, configuration, replicaRole} = this.parts;
+		availability.notePeerAnswer(message.storeAge);
 		if (message.version > table.version) {
 			configuration.fetchFrom(message.sender);
 		}
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -10,7 +10,7 @@
 import {shareOf} from '../base/rendezvous.js';
 import {superviseRoles, type Role} from '../daemon/role.js';
 import {UsageCounts} from '../duties/usage-counts.js';
-import {StoreContact} from '../follow/store-contact.js';
+import {StoreAvailability} from '../follow/store-availability.js';
 import {aggregatorCapacity} from '../gossip/aggregator-capacity.js';
 import {ExchangeTopology} from '../gossip/exchange-topology.js';
 import {ExchangeTraffic} from '../gossip/exchange-traffic.js';
@@ -93,7 +93,7 @@
 	private readonly peers: PeerTable;
 	private readonly topology: ExchangeTopology;
 	private readonly services: RelayServices;
-	private readonly contact: StoreContact;
+	private readonly availability: StoreAvailability;
 	private readonly stretches: LimitStretches;
 	private readonly configuration: ConfigurationRole;
 	private readonly replicaRole: ReplicaRole;
@@ -115,10 +115,10 @@
 			self: node, clock: this.clock, peers: this.peers, topology: this.topology, demands: this.services.demands,
 		});
 		const {table, replicas} = this.services;
-		this.contact = StoreContact.create(this.clock, () => lapseTime(settings().bounds.heartbeat));
-		const {contact} = this;
+		this.availability = StoreAvailability.create(this.clock, () => lapseTime(settings().bounds.heartbeat));
+		const {availability} = this;
 		const followed = {
-			link, log, clock: this.clock, contact, leads: () => this.topology.isAggregator,
+			link, log, clock: this.clock, availability, leads: () => this.topology.isAggregator,
 		};
 		this.configuration = ConfigurationRole.create({...followed, table, patience: patienceOf(node, configurationPatience)});
 		this.replicaRole = ReplicaRole.create({
@@ -136,7 +136,7 @@
 			services: this.services,
 			peers: this.peers,
 			topology: this.topology,
-			contact,
+			availability,
 			configuration: this.configuration,
 			replicaRole: this.replicaRole,
 			stretches: this.stretches,
@@ -314,7 +314,7 @@
 			...openDuties({
 				link, log, settings, clock: this.clock, peers, topology, services: this.services, self: self.name, metrics,
 				incarnation: this.incarnation,
-				contact: this.contact,
+				availability: this.availability,
 				isStopping: () => this.stoppingSince !== undefined,
 			}),
 		];
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -11,7 +11,7 @@
 import type {
 	Change, Changes, Listing, StoredObject,
 } from '../follow/metadata-store.js';
-import type {StoreContact} from '../follow/store-contact.js';
+import type {StoreAvailability} from '../follow/store-availability.js';
 import {eraOf, revisionOf} from '../follow/store-position.js';
 import type {GossipMessage, MemberAddress} from '../gossip/gossip-message.js';
 import type {ReplicaEntry} from '../replicas/replica.js';
@@ -50,7 +50,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly replicas: ReplicaDirectory;
-	readonly contact: StoreContact;
+	readonly availability: StoreAvailability;
 	/** @returns Milliseconds from the store's acknowledgement that a replica leaves, from which on it gets no requests. */
 	readonly drain: () => number;
 	/** @returns Whether this box follows the store, though others may. */
@@ -110,6 +110,7 @@
 	private readonly objects = new Map<string, StoredObject>();
 	private history: readonly PastChange[] = [];
 	private historyFrom = Number.POSITIVE_INFINITY;
+	/** Entries that are missing and may only have lapsed. */
 	private readonly held = new Map<string, HeldEntry>();
 	/** Entries that cannot be read, and the revision that the log has told of. */
 	private readonly unreadable = new Map<string, number>();
@@ -146,12 +147,12 @@
 
 	/** @returns Follows the store while that is needed, until interrupted. */
 	follow(): Effect.Effect<never> {
-		const {link: {store, names}, clock, log, contact, leads, patience} = this.services;
+		const {link: {store, names}, clock, log, availability, leads, patience} = this.services;
 		return KindFollower.create(names.replicaKind, {
 			store, clock, log, watchWait, isNeeded: () => leads() || this.age > patience,
 		}, {
 			onAnswer() {
-				contact.noteOwnAnswer();
+				availability.noteOwnAnswer();
 			},
 			list: (listing, sentAt) => {
 				this.takeListing(listing, sentAt);
@@ -202,7 +203,7 @@
 	 * @param changes - What this box misses, where the peer could tell it.
 	 */
 	take(sender: MemberAddress, told: NonNullable<GossipMessage['replicas']>, changes: Changes | undefined): void {
-		this.services.contact.noteHearsay(told.age);
+		this.services.availability.noteIndirectAnswer(told.age);
 		const isLaterEra = eraOf(told.at) > eraOf(this.at);
 		if (told.at > this.at && (isLaterEra || !changes || (changes.from ?? this.at) > this.at)) {
 			this.fetch.from(sender);
@@ -233,8 +234,9 @@
 
 		const listed = new Set(objects.map(({name}) => name));
 		const missing = [...this.objects.values()].filter(({name}) => !listed.has(name));
-		const isStranger = ({object: {name}}: {readonly object: StoredObject}) => !listed.has(name) && !this.objects.has(name) && !this.held.has(name);
-		const strangers = held.filter(entry => isStranger(entry));
+		// Of an entry that this box knew it judges by itself whether it may have lapsed.
+		const isUnknown = (name: string) => !listed.has(name) && !this.objects.has(name) && !this.held.has(name);
+		const heldByPeer = held.filter(({object: {name}}) => isUnknown(name));
 		const isRestored = this.at >= 0 && eraOf(at) > eraOf(this.at);
 		if (isRestored) {
 			this.noteRestore(at, missing);
@@ -252,9 +254,9 @@
 		this.at = at;
 		this.history = [];
 		this.historyFrom = at;
-		const known = [...objects, ...[...this.held.values(), ...strangers].map(({object}) => object)];
+		const known = [...objects, ...[...this.held.values(), ...heldByPeer].map(({object}) => object)];
 		replicas.replaceAll(known.flatMap(object => this.entryOf(object) ?? []), at);
-		for (const {object, left} of strangers) {
+		for (const {object, left} of heldByPeer) {
 			this.hold(object, {revision: at, source: 'peer', left});
 		}
 
@@ -263,11 +265,11 @@
 
 	/** Replicas write again what the store has lost of theirs. */
 	private noteRestore(at: number, missing: readonly StoredObject[]): void {
-		const {replicas, log, contact, link: {names}} = this.services;
+		const {replicas, log, availability, link: {names}} = this.services;
 		log.write('storeRestored', {
 			kind: names.replicaKind, ...fieldsOf(at, this.at), missing: missing.map(({name}) => name).join(' '),
 		});
-		contact.noteRestore();
+		availability.noteRestore();
 		replicas.keepDepartures(at);
 	}
 
@@ -281,7 +283,7 @@
 		}
 
 		const {age, ...listing} = decoded.success;
-		this.services.contact.noteHearsay(Math.max(0, age));
+		this.services.availability.noteIndirectAnswer(Math.max(0, age));
 		this.takeListing(listing, clock.monotonic() - Math.max(0, age));
 	}
 
@@ -358,15 +360,19 @@
 		return revision <= Math.max(this.at, known?.revision ?? 0);
 	}
 
+	/** Milliseconds for which an entry that is missing now may still be written again. */
+	private get graceLeft(): number {
+		const {clock, availability, drain} = this.services;
+		return availability.returnedAt + Math.min(rewriteTime, drain() - sendingTime) - clock.monotonic();
+	}
+
 	/**
-	 * An entry that is missing soon after the store was away may only have lapsed. What counts is the store's return, not when this box learnt of the loss: a
-	 * replica that leaves after the return is dropped within the bound, whoever told of it and when.
+	 * An entry that is missing soon after an outage of the store may only have lapsed. The grace begins with the store's return, not when this box learns of the
+	 * loss: a replica that leaves after the return is dropped within the bound, whoever tells of it and when.
 	 */
 	private takeLoss(object: StoredObject, revision: number, source: LossSource): void {
-		const {clock, contact, drain, replicas} = this.services;
-		const grace = Math.min(rewriteTime, drain() - sendingTime);
-		const left = contact.returned + grace - clock.monotonic();
-		if (left > 0 && replicas.named(object.name)?.isLeaving === false) {
+		const left = this.graceLeft;
+		if (left > 0 && this.services.replicas.named(object.name)?.isLeaving === false) {
 			this.objects.delete(object.name);
 			this.hold(object, {revision, source, left});
 		} else {
@@ -375,12 +381,12 @@
 	}
 
 	private hold(object: StoredObject, {revision, source, left}: {readonly revision: number; readonly source: LossSource; readonly left: number}): void {
-		const {clock, log, replicas, contact} = this.services;
+		const {clock, log, replicas, availability} = this.services;
 		const now = clock.monotonic();
-		const until = now + left;
-		const storeBackFor = Math.min(unknownAge, Math.round(now - contact.returned));
+		const until = now + Math.min(rewriteTime, left);
+		const storeBackFor = Math.min(unknownAge, Math.round(now - availability.returnedAt));
 		log.write('replicaLapsed', {
-			replica: object.name, revision, source, storeBackFor, inUseFor: Math.round(left),
+			replica: object.name, revision, source, storeBackFor, inUseFor: Math.round(until - now),
 		});
 		this.held.set(object.name, {object, revision, until});
 		replicas.hold(object.name, until);
--- a/src/node/test/replica-role.test.ts
+++ b/src/node/test/replica-role.test.ts
@@ -3,7 +3,7 @@
 import * as Result from 'effect/Result';
 import {SilentEventLog, type EventLog} from '../../base/event-log.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
-import {passAbsence, usualContact} from '../../../development/harness/store-absence.js';
+import {passOutage, usualAvailability} from '../../../development/harness/store-outage.js';
 import {KeepingLog} from '../../../development/relay/relay-installation.js';
 import type {Changes, StoredObject} from '../../follow/metadata-store.js';
 import {positionOf} from '../../follow/store-position.js';
@@ -29,17 +29,17 @@
 			}),
 		},
 	} as unknown as PlatformLink;
-	const following = usualContact(clock);
+	const following = usualAvailability(clock);
 	const role = ReplicaRole.create({
 		link, clock, replicas, log, leads: () => false, patience: 5000, ...following,
 	});
 	role.takeListing({at, objects}, clock.monotonic());
 	const comeBack = () => {
-		passAbsence(following.contact, clock);
+		passOutage(following.availability, clock);
 	};
 
 	return {
-		role, replicas, clock, comeBack, contact: following.contact,
+		role, replicas, clock, comeBack, availability: following.availability,
 	};
 };
 
@@ -206,12 +206,12 @@
 
 /** Guards against a departed replica that stays in use because one answer of the store was lost. */
 test('an entry that goes after one lost answer of the store, while others are answered, counts as gone at once', () => {
-	const {role, replicas, clock, contact} = roleWith([object('x', 1), object('y', 2), object('z', 3)], 10);
-	contact.noteOwnAnswer();
+	const {role, replicas, clock, availability} = roleWith([object('x', 1), object('y', 2), object('z', 3)], 10);
+	availability.noteOwnAnswer();
 	clock.now += 1500;
-	contact.noteAnswerElsewhere(200);
+	availability.notePeerAnswer(200);
 	clock.now += 1500;
-	contact.noteOwnAnswer();
+	availability.noteOwnAnswer();
 	tell(role, {at: 20, changes: [gone('x', 15)]});
 	role.takeListing({at: 30, objects: [object('z', 3)]}, clock.monotonic());
 	assert.deepEqual(ready(replicas), ['z']);
@@ -239,3 +239,12 @@
 	role.dropLapsed();
 	assert.deepEqual(ready(replicas), []);
 });
+
+/** Guards against a peer whose list, or a list that was spoilt on its way, keeps a replica in use for any time. */
+test('a peer cannot hold a replica for longer than an entry takes to be written again', () => {
+	const {role, replicas, clock} = roleWith([object('y', 2)], 10);
+	role.takeListing({at: 20, objects: [object('y', 2)], held: [{object: object('x', 1), left: 1e9}]}, clock.monotonic());
+	assert.deepEqual(ready(replicas), ['x', 'y']);
+	clock.now += 2000;
+	assert.deepEqual(ready(replicas), ['y']);
+});
--- a/src/node/test/replica-start-model.test.ts
+++ b/src/node/test/replica-start-model.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import * as fc from 'fast-check';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
-import {passAbsence, usualContact} from '../../../development/harness/store-absence.js';
+import {passOutage, usualAvailability} from '../../../development/harness/store-outage.js';
 import {decodeReplica} from '../../../platform/formats.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import type {Change, StoredObject} from '../../follow/metadata-store.js';
@@ -35,7 +35,7 @@
 class Model {
 	private readonly clock = new MovedClock(100_000);
 	private readonly replicas = ReplicaDirectory.create(this.clock, SilentEventLog.create());
-	private readonly following = usualContact(this.clock);
+	private readonly following = usualAvailability(this.clock);
 	private readonly role = ReplicaRole.create({
 		link: {names: {replicaKind: 'replicas', decodeReplica}} as unknown as PlatformLink,
 		clock: this.clock, replicas: this.replicas, log: SilentEventLog.create(), leads: () => false, patience: 5000, ...this.following,
@@ -108,7 +108,7 @@
 			}
 
 			case 'away': {
-				passAbsence(this.following.contact, this.clock);
+				passOutage(this.following.availability, this.clock);
 				break;
 			}
 
--- a/src/node/test/suspension.test.ts
+++ b/src/node/test/suspension.test.ts
@@ -3,7 +3,7 @@
 	after, before, beforeEach, mock, test,
 } from 'node:test';
 import * as Effect from 'effect/Effect';
-import {usualContact} from '../../../development/harness/store-absence.js';
+import {usualAvailability} from '../../../development/harness/store-outage.js';
 import {MovedClock} from '../../../development/harness/moved-clock.js';
 import {StoreStandin} from '../../../development/relay/store-standin.js';
 import {ReplicaStandin} from '../../../development/relay/replica-standin.js';
@@ -89,7 +89,7 @@
 	}],
 	['the list of replicas is not told as new', (time: number) => {
 		const role = ReplicaRole.create({
-			link: {names: {}} as unknown as PlatformLink, clock, log, replicas: ReplicaDirectory.create(clock, log), leads: () => false, patience: 5000, ...usualContact(clock),
+			link: {names: {}} as unknown as PlatformLink, clock, log, replicas: ReplicaDirectory.create(clock, log), leads: () => false, patience: 5000, ...usualAvailability(clock),
 		});
 		role.takeListing({at: 4, objects: []}, clock.now);
 		assert.equal(role.told?.age, 0);
