Drop an unused fault of the model store, and say in plain words why watches of replicas are short

The model's door to the store had a lasting fault that no history sets. One test of the model gets its line on what it guards against.

--- a/development/harness/model-metadata-store.ts
+++ b/development/harness/model-metadata-store.ts
@@ -181,8 +181,6 @@
 	}
 
 	override readonly era = 0;
-	/** What becomes of calls of this box. */
-	fault: CallFault | undefined;
 	/** What becomes of its next call, or of the one that waits. */
 	private next: CallFault | undefined;
 	private waiting: Waiting | undefined;
@@ -268,7 +266,7 @@
 
 	private call<Answer>(answer: () => Answer, isLosable = true): Effect.Effect<Answer, StoreUnavailable> {
 		return Effect.suspend(() => {
-			const fault = this.store.outage ?? this.fault ?? (isLosable ? this.next : undefined);
+			const fault = this.store.outage ?? (isLosable ? this.next : undefined);
 			this.next = isLosable ? undefined : this.next;
 			if (fault === 'silent') {
 				return Effect.sleep(answerTimeout).pipe(Effect.andThen(Effect.fail(unavailable('timeout'))));
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -25,7 +25,7 @@
 const historyLength = 512;
 /** Changes told in one message; a peer that misses more fetches the whole list. */
 const mostChangesTold = 32;
-/** Milliseconds that a watch waits: with the time for its answer, less than boxes whose connections went silent need to count as in touch again. */
+/** Milliseconds that a watch waits: short, so that a connection that has gone silent does not hide departures for long. */
 const watchWait = {least: 1000, spread: 1000} as const;
 /** Milliseconds after the store came back by which a replica that lives has written its entry again if it lapsed meanwhile. */
 const rewriteTime = 2000;
--- a/src/node/test/departure-model.test.ts
+++ b/src/node/test/departure-model.test.ts
@@ -78,6 +78,7 @@
 	await fleet.pass(4000);
 }
 
+/** Guards against a departed replica that stays in use at all boxes because one of them lost an answer of the store. */
 test('no replica gets requests later than allowed after its departure, whichever boxes lose single answers of the store', async () => {
 	assert.deepEqual(await lateAfter(loseAnswersAndLeave), []);
 });
