--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -74,8 +74,10 @@
 const maxClockSetback = 1000;
 /** Milliseconds for which the end of a limit is sent to other boxes. */
 const endedLimitRetention = 10_000;
-/** Limits that are kept for replicas that are not listed yet. */
+/** Limits that are kept for replicas that are not listed. */
 const maxUnlistedLimits = 1024;
+/** Milliseconds for which the limit of a replica that is not listed is kept: its entry may be written again after an outage of the store. */
+const unlistedRetention = 30_000;
 /** Milliseconds for which the set of limited replicas is cached: an aggregator reads it for each message that it answers. */
 const cacheLifetime = 100;
 
@@ -238,6 +240,7 @@
 			return undefined;
 		}
 
+		this.dropUnlisted();
 		const now = this.dependencies.clock.monotonic();
 		const since = now - (isWhole ? Number.POSITIVE_INFINITY : recentWindow);
 		const eligible = [...this.knownLimits].filter(([, {source, changedAt, limit, at}]) => sources.includes(source) && changedAt >= since
@@ -267,7 +270,13 @@
 		}
 	}
 
-	/** @param replica - A replica that was removed from the list, or replaced by a newer incarnation. */
+	/** Records that an entry was removed from the list; it may be written again. */
+	recordRemoval(): void {
+		this.cache = emptyCache;
+		this.dropUnlisted();
+	}
+
+	/** @param replica - A replica that was replaced by a newer incarnation. */
 	forget(replica: Replica): void {
 		const {start} = replica;
 		this.knownLimits.delete(start);
@@ -311,10 +320,15 @@
 		}
 	}
 
-	/** Evicts the oldest limits of replicas that are not listed: a limit may arrive before the list that contains its replica. */
+	/**
+	 * Evicts expired limits and the oldest ones of replicas that are not listed: a limit may arrive before the list that contains its
+	 * replica, and an entry that was removed may be written again.
+	 */
 	private dropUnlisted(): void {
-		const unlisted = [...this.knownLimits.keys()].filter(start => !this.dependencies.listed(start));
-		for (const start of unlisted.slice(0, Math.max(0, unlisted.length - maxUnlistedLimits))) {
+		const since = this.dependencies.clock.monotonic() - unlistedRetention;
+		const unlisted = [...this.knownLimits].filter(([start]) => !this.dependencies.listed(start));
+		const expired = unlisted.filter(([, {at}], index) => at < since || index < unlisted.length - maxUnlistedLimits);
+		for (const [start] of expired) {
 			this.knownLimits.delete(start);
 			this.slotStates.delete(start);
 		}
--- a/src/replicas/replica-pauses.ts
+++ b/src/replicas/replica-pauses.ts
@@ -25,6 +25,8 @@
 
 /** Key of this box. */
 const self = '';
+/** Incarnations whose pauses are kept; the oldest ones are evicted. */
+const maxIncarnations = 4096;
 
 /** Pauses that replicas asked boxes for. A box is bound only by its own; those of other boxes indicate where its next request may be rejected. */
 export class ReplicaPauses {
@@ -42,21 +44,22 @@
 	private constructor(private readonly clock: Clock) {}
 
 	/**
-	 * Records a pause. It ends only by time, since a response that arrives later may have been produced earlier.
+	 * Records a pause. It ends only by time: a response that arrives later may have been produced earlier, and an entry that is removed
+	 * may be written again.
 	 *
-	 * @param replica - The replica.
+	 * @param replica - The replica, or its incarnation where it is not listed yet.
 	 * @param length - Duration in milliseconds.
 	 * @param age - Milliseconds since the replica asked for the pause.
 	 * @param box - Name of the box that was asked; this box by default.
 	 * @returns Whether the pause ends later than the known one.
 	 */
-	record({start}: Replica, length: number, age = 0, box = self): boolean {
+	record({start}: Pick<Replica, 'start'>, length: number, age = 0, box = self): boolean {
 		const at = this.clock.monotonic() - age;
 		const until = at + length;
-		const pausesByBox = getOrCreate(this.pauses, start, () => new Map<string, Pause>());
-		const isLonger = until > Math.max(this.clock.monotonic(), pausesByBox.get(box)?.until ?? 0);
+		const isLonger = until > Math.max(this.clock.monotonic(), this.pauses.get(start)?.get(box)?.until ?? 0);
 		if (isLonger) {
-			pausesByBox.set(box, {at, until});
+			getOrCreate(this.pauses, start, () => new Map<string, Pause>()).set(box, {at, until});
+			this.evict();
 		}
 
 		return isLonger;
@@ -104,8 +107,15 @@
 		});
 	}
 
-	/** @param replica - A replica that was removed from the list, or replaced by a newer incarnation. */
+	/** @param replica - A replica that was replaced by a newer incarnation. */
 	forget({start}: Replica): void {
 		this.pauses.delete(start);
 	}
+
+	private evict(): void {
+		const [oldest] = this.pauses.keys();
+		if (this.pauses.size > maxIncarnations && oldest !== undefined) {
+			this.pauses.delete(oldest);
+		}
+	}
 }
--- a/src/replicas/replica-statements.ts
+++ b/src/replicas/replica-statements.ts
@@ -94,13 +94,12 @@
 		const {clock, limits, replicas} = this.services;
 		const now = clock.monotonic();
 		for (const {start, kind, value, age} of statements) {
-			const replica = replicas.byStart(start);
 			if (kind === 'limit') {
 				limits.merge([{start, limit: value, age}], source);
 			} else if (kind === 'leaving') {
 				replicas.recordAnnouncement({start, at: now - age, source});
-			} else if (replica) {
-				this.pauses.record(replica, value ?? 0, age, box);
+			} else {
+				this.pauses.record({start}, value ?? 0, age, box);
 			}
 		}
 	}
@@ -141,11 +140,20 @@
 		return Math.min(...pauses, this.services.limits.timeUntilRoom(limited, requestsAhead, horizon));
 	}
 
-	/** @param replica - A replica that was removed from the list, or replaced by a newer incarnation. */
+	/**
+	 * Drops the statements of an incarnation that was replaced. Those of one whose entry was removed stay, since the entry may be written
+	 * again.
+	 *
+	 * @param replica - A replica that was removed from the list, or replaced by a newer incarnation.
+	 */
 	forget(replica: Replica): void {
-		this.services.limits.forget(replica);
-		this.pauses.forget(replica);
 		this.replicaLog.forget(replica);
+		if (replica.isReplaced) {
+			this.services.limits.forget(replica);
+			this.pauses.forget(replica);
+		} else {
+			this.services.limits.recordRemoval();
+		}
 	}
 
 	private recordLeaving(replica: Replica, isLeaving: ReplicaStatement['isLeaving']): void {
--- a/src/replicas/test/replica-statements.test.ts
+++ b/src/replicas/test/replica-statements.test.ts
@@ -23,7 +23,9 @@
 	const statements = ReplicaStatements.create({
 		clock, log, limits, replicas,
 	});
-	return {replicas, statements, ready: () => replicas.ready('s').map(replica => replica.entry.id).sort()};
+	return {
+		replicas, statements, limits, ready: () => replicas.ready('s').map(replica => replica.entry.id).sort(),
+	};
 }
 
 const updatesOf = ({statements}: ReturnType<typeof boxAt>, sources: readonly StatementSource[] = ['answer', 'box'], isWhole = true) =>
@@ -126,6 +128,45 @@
 	assert.equal(statements.hasRoom(replicas.byId('i-1')!), true);
 });
 
+test('a pause and a limit stay in force while the entry of the replica goes and is written again', () => {
+	const clock = new ManualClock(10_000);
+	const {replicas, statements, limits} = boxAt(clock);
+	statements.recordResponse(replicas.byId('i-1')!, {...emptyStatement, pause: 3000}, 9990);
+	statements.recordResponse(replicas.byId('i-2')!, {...emptyStatement, limit: 1}, 9990);
+	for (const id of ['i-1', 'i-2']) {
+		const replica = replicas.byId(id)!;
+		replicas.remove(id, 8);
+		statements.forget(replica);
+	}
+
+	clock.now += 1000;
+	replicas.put(entry('i-1', {revision: 9}));
+	replicas.put(entry('i-2', {revision: 10}));
+	assert.equal(statements.remainingPause(replicas.byId('i-1')!), 2000);
+	assert.equal(limits.limitOf(replicas.byId('i-2')!), 1);
+});
+
+test('the limit of a replica that stays away is dropped', () => {
+	const clock = new ManualClock(10_000);
+	const box = boxAt(clock);
+	const replica = box.replicas.byId('i-1')!;
+	box.statements.recordResponse(replica, {...emptyStatement, limit: 1}, 9990);
+	box.replicas.remove('i-1', 8);
+	box.statements.forget(replica);
+	clock.now += 60_000;
+	assert.deepEqual(updatesOf(box), []);
+	assert.equal(box.limits.limitOf(replica), undefined);
+});
+
+test('a pause that another box sends before its replica is listed counts once it is', () => {
+	const clock = new ManualClock(10_000);
+	const [first, second] = [boxAt(clock), boxAt(clock, ['i-2'])];
+	first.statements.recordResponse(first.replicas.byId('i-1')!, {...emptyStatement, pause: 3000}, 9990);
+	second.statements.merge('first', updatesOf(first), 'box');
+	second.replicas.put(entry('i-1'));
+	assert.equal(second.statements.pausedBoxCount(second.replicas.byId('i-1')!), 1);
+});
+
 test('among paused replicas, there is room when the first pause ends', () => {
 	const clock = new ManualClock(10_000);
 	const {replicas, statements} = boxAt(clock);
