--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -44,6 +44,7 @@
 	readonly replicas: ReplicaDirectory;
 	readonly quarantine: Quarantine;
 	readonly limits: ReplicaLimits;
+	readonly demands: ServiceDemands;
 };
 
 /** A simulated large fleet. */
@@ -80,8 +81,13 @@
 		const senders = this.boxes.filter(box => box !== aggregator);
 		const requests = senders.map(box => encodeGossip({...this.headerOf(box, membersNamed, false), ...box.state.localState(this.rounds % roundsBetweenWholeStates === 0), asksDigest: true}));
 		const beganAt = performance.now();
-		const responses = requests.map((data, index) => this.respondTo(data, index % aggregatorCount === 0));
+		const responses = requests.map((data, index) => this.respondTo(data, (index + this.rounds) % aggregatorCount === 0));
 		this.processingTime += performance.now() - beganAt;
+		for (const [index, data] of responses.entries()) {
+			const message = decodeGossip(data)!;
+			senders[index]!.state.applyDigest(message, message.digest!);
+		}
+
 		const bytesOf = (datagrams: readonly Uint8Array[]) => sumOf(datagrams.map(({length}) => length));
 		return {messages: senders.length, received: bytesOf(requests), sent: bytesOf(responses)};
 	}
@@ -105,6 +111,11 @@
 		}
 	}
 
+	/** Demand of the aggregator and of the boxes that send to it; the other aggregators receive nothing in this simulation. */
+	get demands(): readonly ServiceDemands[] {
+		return this.boxes.filter(box => box === this.aggregator || !box.topology.isAggregator).map(({demands}) => demands);
+	}
+
 	private get aggregator(): Box {
 		return this.boxes.find(({topology}) => topology.isAggregator)!;
 	}
@@ -191,7 +202,7 @@
 		};
 		// Contains only the members that the exchange uses.
 		return {
-			address, peers, topology, replicas, quarantine, limits, state: ExchangeState.create(parts as unknown as ExchangeParts),
+			address, peers, topology, replicas, quarantine, limits, demands, state: ExchangeState.create(parts as unknown as ExchangeParts),
 		};
 	}
 }
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -23,6 +23,10 @@
 const DemandRow = Schema.Tuple([
 	Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number, Schema.Number,
 ]);
+/** Service, number of samples, the last samples. */
+const ReadRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Array(Schema.Number)]);
+/** Service, read rate. */
+const ReadRateRow = Schema.Tuple([Schema.String, Schema.Number]);
 /** Window; pairs of a client account and its requests. */
 const UsageRow = Schema.Tuple([Schema.Number, Schema.Array(Schema.Tuple([Schema.String, Schema.Number]))]);
 
@@ -47,6 +51,7 @@
 	quota: Schema.optionalKey(Schema.Array(LevelRow)),
 	work: Schema.optionalKey(Schema.Array(WorkRow)),
 	stretches: Schema.optionalKey(Schema.Array(RangeRow)),
+	readRates: Schema.optionalKey(Schema.Array(ReadRateRow)),
 	changes: Schema.optionalKey(Schema.Struct({at: Schema.Number, from: Schema.optionalKey(Schema.Number), changes: Schema.Array(ReplicaChange)})),
 });
 
@@ -65,6 +70,7 @@
 	quota: Schema.Array(CountRow),
 	work: Schema.Array(WorkRow),
 	demand: Schema.optionalKey(Schema.Array(DemandRow)),
+	reads: Schema.optionalKey(Schema.Array(ReadRow)),
 	replicas: Schema.optionalKey(Schema.Struct({at: Schema.Number, age: Schema.Number})),
 	asksDigest: Schema.optionalKey(Schema.Boolean),
 	digest: Schema.optionalKey(DigestLayout),
@@ -92,13 +98,14 @@
  * @returns The payload of its datagram.
  */
 export function encodeGossip(message: GossipMessage): Uint8Array {
-	const {sender, quota, work, demand, digest, usage, members, ends, statements, ...plain} = message;
+	const {sender, quota, work, demand, reads, digest, usage, members, ends, statements, ...plain} = message;
 	const layout: Layout = {
 		...plain,
 		sender: memberRowOf(sender),
 		quota: quota.map(({clientAccount, passed, level, asked}) => [clientAccount, passed, level, asked] as const),
 		work: work.map(load => workRowOf(load)),
 		...(demand ? {demand: demand.map(load => demandRowOf(load))} : {}),
+		...(reads ? {reads: reads.map(({service, count, rates}) => [service, count, rates] as const)} : {}),
 		...(digest ? {digest: digestLayoutOf(digest)} : {}),
 		...(ends ? {ends: crashLayoutOf(ends)} : {}),
 		...(statements ? {statements: statementLayoutOf(statements)} : {}),
@@ -122,7 +129,7 @@
 }
 
 function messageOf(layout: Layout): GossipMessage {
-	const {sender, quota, work, demand, digest, usage, members, ends, statements, ...plain} = layout;
+	const {sender, quota, work, demand, reads, digest, usage, members, ends, statements, ...plain} = layout;
 	return {
 		...plain,
 		sender: memberOf(sender),
@@ -131,6 +138,7 @@
 		})),
 		work: work.map(row => workOf(row)),
 		...(demand ? {demand: demand.map(row => demandOf(row))} : {}),
+		...(reads ? {reads: reads.map(([service, count, rates]) => ({service, count, rates: rates.filter(rate => rate > 0)}))} : {}),
 		...(digest ? {digest: digestOf(digest)} : {}),
 		...(ends ? {ends: crashUpdateOf(ends)} : {}),
 		...(statements ? {statements: statementKinds.flatMap((kind, index) => statements[index]!.flatMap(row => statementOf(kind, row)))} : {}),
@@ -182,7 +190,7 @@
 	};
 }
 
-function digestLayoutOf({quota, work, stretches, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
+function digestLayoutOf({quota, work, stretches, readRates, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
 	return {
 		...plain,
 		...(quota
@@ -192,6 +200,7 @@
 			: {}),
 		...(work ? {work: work.map(load => workRowOf(load))} : {}),
 		...(stretches ? {stretches: stretches.map(({service, from, length}) => [service, roundedPosition(from), roundedPosition(length)] as const)} : {}),
+		...(readRates ? {readRates: readRates.map(({service, rate}) => [service, rate] as const)} : {}),
 	};
 }
 
@@ -199,7 +208,7 @@
 const positionPrecision = 1e5;
 const roundedPosition = (position: number): number => Math.round(position * positionPrecision) / positionPrecision;
 
-function digestOf({quota, work, stretches, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
+function digestOf({quota, work, stretches, readRates, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
 	return {
 		...plain,
 		...(quota
@@ -211,5 +220,6 @@
 			: {}),
 		...(work ? {work: work.map(row => workOf(row))} : {}),
 		...(stretches ? {stretches: stretches.map(([service, from, length]) => ({service, from, length: Math.min(1, Math.max(0, length))}))} : {}),
+		...(readRates ? {readRates: readRates.map(([service, rate]) => ({service, rate})).filter(({rate}) => rate > 0)} : {}),
 	};
 }
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -7,7 +7,7 @@
 import type {ReplicaWork} from '../replicas/replica.js';
 import type {Departure} from '../replicas/replica-directory.js';
 import type {StatementUpdate} from '../replicas/replica-statement.js';
-import type {Demand} from '../replicas/service-demand.js';
+import type {Demand, ReadSamples, ServiceReadRate} from '../replicas/service-demand.js';
 import type {Changes} from '../follow/metadata-store.js';
 
 /** Name and address of a box that takes part in the exchange. */
@@ -75,6 +75,8 @@
 	readonly work?: readonly ReplicaLoad[];
 	/** The receiver's shares, for services that have replicas with a limit; absent where there are none. */
 	readonly stretches?: readonly ServiceRange[];
+	/** Read rates estimated from the samples of all boxes; absent where the receiver did not ask for a digest. */
+	readonly readRates?: readonly ServiceReadRate[];
 	/** Changes of the replica list that the receiver does not have yet; absent where the sender does not have them. */
 	readonly changes?: Changes;
 };
@@ -106,6 +108,8 @@
 	readonly work: readonly ReplicaLoad[];
 	/** Demand for services at the sender. */
 	readonly demand?: readonly ServiceLoad[];
+	/** Read rates that the sender measured; absent where there are none. */
+	readonly reads?: readonly ReadSamples[];
 	/** Store position up to which the sender knows the replica list, and the milliseconds since the list was known to be complete. */
 	readonly replicas?: {readonly at: number; readonly age: number};
 	/** Whether the sender asks for a full digest of the other boxes. */
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -94,6 +94,7 @@
 			isWhole,
 			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
 			demand: demands.snapshots,
+			reads: demands.readSamples,
 			usage: isWhole ? usage.ownUsage : usage.recentOwnUsage,
 		};
 	}
@@ -104,7 +105,7 @@
 	 * @returns The state of the fleet as this box knows it, without the peer's own work.
 	 */
 	digestFor({last, address}: Peer, isWhole: boolean): FleetDigest {
-		const {services: {quota, limits}, peers, topology, replicaRole, slotRanges} = this.parts;
+		const {services: {quota, limits, demands}, peers, topology, replicaRole, slotRanges} = this.parts;
 		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
 		const limited = topology.isLarge && topology.isAggregator ? limits.services : [];
 		const update = {
@@ -120,6 +121,7 @@
 		return {
 			...update,
 			quota: last ? quota.levelsFor(processNameOf(last)) : [],
+			readRates: demands.readRates,
 			work: this.totalWork().map(load => subtractWork(load, own.get(load.replica))).filter(({requests}) => requests > 0),
 		};
 	}
@@ -131,13 +133,17 @@
 	 * @param meeting - How the sender was known before; see `QuotaLedger.applyCounts`.
 	 */
 	applyMessage(message: GossipMessage, meeting: SenderRelation): void {
-		const {services: {replicas, quota, usage}, topology, peers} = this.parts;
-		const {sender, work} = message;
+		const {services: {replicas, quota, usage, demands}, topology, peers} = this.parts;
+		const {sender, work, reads = []} = message;
 		const start = processNameOf(message);
 		this.applyCommonUpdate(message, 'box');
 		// A sender that is known from its digests alone counts as new to the quota, so that requests that it admitted earlier are not charged now.
 		quota.applyCounts(start, message.quota, quota.knows(start) ? meeting : peers.classifyAsNew(message), message.isWhole);
 		usage.merge(start, message.usage);
+		for (const samples of reads) {
+			demands.of(samples.service).mergeReads(start, samples);
+		}
+
 		if (!topology.isAggregator) {
 			return;
 		}
@@ -160,7 +166,7 @@
 	 * @param digest - Its part about all boxes.
 	 */
 	applyDigest(message: GossipMessage, digest: FleetDigest): void {
-		const {services: {replicas, quota}, topology, peers} = this.parts;
+		const {services: {replicas, quota, demands}, topology, peers} = this.parts;
 		this.applyCommonUpdate(message, 'digest');
 		if (!topology.isLarge) {
 			return;
@@ -172,7 +178,15 @@
 			quota.adopt(digest.quota ?? []);
 		}
 
-		if (isAggregator || !digest.work) {
+		if (isAggregator) {
+			return;
+		}
+
+		for (const {service, rate} of digest.readRates ?? []) {
+			demands.of(service).adoptReadRate(rate);
+		}
+
+		if (!digest.work) {
 			return;
 		}
 
--- a/src/replicas/service-demand.ts
+++ b/src/replicas/service-demand.ts
@@ -5,19 +5,16 @@
 import type {Clock} from '../base/clock.js';
 import {getOrCreate} from '../base/get-or-create.js';
 import {RateMeter} from '../base/rate-meter.js';
+import {ReadRateEstimate} from './read-rate-estimate.js';
 
 /** Milliseconds over which arrivals are averaged: longer than bursts of requests, shorter than waves of load. */
 const arrivalWindow = 4000;
 /** Prompt tokens below which the network dominates the time to the first event, so that it gives no read rate. */
 const minTokens = 1000;
-/** Quantile of the samples that is used as the read rate: lower samples come from requests that shared the replica with others. */
-const readRateQuantile = 0.95;
-/** Minimum fraction of the read rate by which one sample may move it. */
-const minStep = 0.03;
-/** Maximum fraction by which one sample may move the read rate. The first samples move it more, since the very first may have been queued. */
-const maxStep = 0.08;
-/** Samples that are needed for a read rate. */
-const minSamples = 20;
+/** Read rates of the last requests that a message includes: more than a box of a large fleet measures between two messages. */
+const maxReadsSent = 4;
+/** Boxes whose number of merged read rates is kept; the oldest are evicted. */
+const maxMergedBoxes = 1024;
 /** Weight of one request in the means of arrivals; low, so that rare long prompts do not distort them. */
 const arrivalWeight = 0.002;
 /** Weight of one request in the mean duration; averages over a few hundred requests, within which queues build up and drain. */
@@ -46,6 +43,22 @@
 	readonly missed: number;
 };
 
+/** Read rates that a box measured. */
+export type ReadSamples = {
+	readonly service: string;
+	/** Number of samples since the box started, so that a receiver knows which of them are new to it. */
+	readonly count: number;
+	/** The last samples, in prompt tokens a second, oldest first. */
+	readonly rates: readonly number[];
+};
+
+/** Estimated read rate of the replicas of a service. */
+export type ServiceReadRate = {
+	readonly service: string;
+	/** Prompt tokens a second. */
+	readonly rate: number;
+};
+
 /** The demand for one service at this box. */
 export class ServiceDemand {
 	/**
@@ -66,8 +79,11 @@
 	private meanGoal = 0;
 	private meanDuration = 0;
 	private durationSamples = 0;
-	private tokensPerMillisecond = 0;
-	private readSamples = 0;
+	private readonly reads = ReadRateEstimate.create();
+	private readCount = 0;
+	private recentReads: readonly number[] = [];
+	/** Number of read rates that each other box had measured at its last message, by process of the box. */
+	private readonly mergedReads = new Map<string, number>();
 
 	private constructor(clock: Clock) {
 		this.arrivals = RateMeter.create(clock, arrivalWindow);
@@ -87,7 +103,12 @@
 
 	/** Prompt tokens that a replica reads in a second beside its other work; zero without enough samples. */
 	get readRate(): number {
-		return this.readSamples < minSamples ? 0 : this.tokensPerMillisecond * millisecondsPerSecond;
+		return this.reads.rate;
+	}
+
+	/** Read rates that this box measured, to be sent to other boxes. */
+	get readSamples(): Omit<ReadSamples, 'service'> {
+		return {count: this.readCount, rates: this.recentReads.map(rate => Math.round(rate))};
 	}
 
 	/** Mean milliseconds that a request spends at a replica without queueing; zero before the first. */
@@ -143,12 +164,35 @@
 			return;
 		}
 
-		const sample = tokens / duration;
-		this.readSamples++;
-		const step = Math.min(maxStep, Math.max(minStep, 1 / this.readSamples));
-		this.tokensPerMillisecond = this.tokensPerMillisecond === 0
-			? sample
-			: this.tokensPerMillisecond * (1 + (step * (sample > this.tokensPerMillisecond ? readRateQuantile : readRateQuantile - 1)));
+		const rate = tokens / duration * millisecondsPerSecond;
+		this.readCount++;
+		this.recentReads = [...this.recentReads, rate].slice(-maxReadsSent);
+		this.reads.addSample(rate);
+	}
+
+	/**
+	 * Adds the read rates that another box measured; those of an earlier message are not added again.
+	 *
+	 * @param box - Process of the box.
+	 * @param samples - Its read rates.
+	 */
+	mergeReads(box: string, {count, rates}: Omit<ReadSamples, 'service'>): void {
+		const unmerged = Math.min(rates.length, count - (this.mergedReads.get(box) ?? 0));
+		const [oldest] = this.mergedReads.keys();
+		if (this.mergedReads.size >= maxMergedBoxes && oldest !== undefined) {
+			this.mergedReads.delete(oldest);
+		}
+
+		this.mergedReads.delete(box);
+		this.mergedReads.set(box, count);
+		for (const rate of unmerged > 0 ? rates.slice(-unmerged) : []) {
+			this.reads.addSample(rate);
+		}
+	}
+
+	/** @param rate - Read rate in prompt tokens a second that a box estimated from the samples of all boxes. */
+	adoptReadRate(rate: number): void {
+		this.reads.adopt(rate);
 	}
 }
 
@@ -181,6 +225,16 @@
 		}));
 	}
 
+	/** Read rates that this box measured, to be sent to other boxes. */
+	get readSamples(): readonly ReadSamples[] {
+		return [...this.demands].map(([service, {readSamples}]) => ({service, ...readSamples})).filter(({count}) => count > 0);
+	}
+
+	/** Estimated read rates, to be sent to boxes that do not receive the samples of all others. */
+	get readRates(): readonly ServiceReadRate[] {
+		return [...this.demands].map(([service, {readRate}]) => ({service, rate: Math.round(readRate)})).filter(({rate}) => rate > 0);
+	}
+
 	/**
 	 * @param service - Name of a service.
 	 * @returns Its demand.
--- a/src/replicas/test/service-demand.test.ts
+++ b/src/replicas/test/service-demand.test.ts
@@ -104,3 +104,19 @@
 	assert.equal(pooledDemand(demands).readRate, 26_000);
 	assert.equal(pooledDemand(demands).reading, 15_000, 'the demand of that box is included');
 });
+
+test('the read rates of another box count once, even if its messages are repeated, and again after it restarts', () => {
+	const clock = new ManualClock();
+	const [sender, receiver, reference] = [ServiceDemands.create(clock).of('s'), ServiceDemands.create(clock).of('s'), ServiceDemands.create(clock).of('s')];
+	for (let index = 0; index < 30; index++) {
+		sender.recordRead(5000, 50 + index);
+		reference.recordRead(5000, 50 + index);
+		receiver.mergeReads('box/1', sender.readSamples);
+		receiver.mergeReads('box/1', sender.readSamples);
+	}
+
+	assert.ok(Math.abs(receiver.readRate - reference.readRate) < reference.readRate * 0.01);
+	const before = receiver.readRate;
+	receiver.mergeReads('box/2', {count: 1, rates: [before * 2]});
+	assert.ok(receiver.readRate > before);
+});
