--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -246,6 +246,7 @@
 				bound: name => table.inForce?.content.clientAccounts.find(clientAccount => clientAccount.name === name),
 				reachableFraction: () => topology.isAggregator ? peers.heardPart : 1 / peers.boxes,
 				burstFraction: () => topology.isLarge ? largeFleetBurst : 1,
+				exchangeInterval: () => topology.interval,
 			}, clock, settings().isFirstStart),
 			budgets: RetryBudgets.create(
 				() => ({ratio: bounds().retryRatio, slack: bounds().retrySlack, window: bounds().retryWindow}),
--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -6,7 +6,9 @@
  * Boxes that admit requests at the same time do not know of each other's yet. The excess is at most the demand times the interval
  * between two exchanges, and it is paid back, since the bucket goes below zero. Boxes that cannot reach each other leave a fair part
  * to each other. In a large fleet a few aggregators receive all counters and send the level of the bucket and its rate of use to
- * the other boxes, which extrapolate from there until the next message. Source: docs/PLATFORM.md, "QUOTA".
+ * the other boxes, which extrapolate from there until the next message. Where few units are left, each box admits the same fraction of
+ * the requests: most boxes receive none of a client account's requests within an exchange interval, so that parts of the rate by box would
+ * lie unused at some boxes while others refuse requests. Source: docs/PLATFORM.md, "QUOTA".
  */
 import type {Clock} from '../base/clock.js';
 import {RateMeter} from '../base/rate-meter.js';
@@ -29,6 +31,8 @@
 	readonly reachableFraction: () => number;
 	/** @returns Fraction of the burst that may be used; the rest is a reserve for units that other boxes admitted and have not reported yet. */
 	readonly burstFraction?: () => number;
+	/** @returns Mean milliseconds between two levels from aggregators. */
+	readonly exchangeInterval?: () => number;
 	/** @returns A number from 0 to 1. */
 	readonly random?: () => number;
 };
@@ -37,8 +41,8 @@
 export type QuotaBasis = {
 	/** Level of this box's copy of the bucket, in units. */
 	readonly level: number;
-	/** Fraction of the rate that this box may use; absent where there are enough units for all, or where no aggregator sent a level. */
-	readonly share: number | undefined;
+	/** Fraction of the requests that is admitted; absent where there are enough units for all, or where no aggregator sent a level. */
+	readonly admittedFraction: number | undefined;
 	/** Milliseconds since an aggregator sent the level; absent where the last one has expired. */
 	readonly levelAge: number | undefined;
 	/** Fraction of all boxes that are reachable. */
@@ -64,10 +68,10 @@
 	refillRate: number;
 	/** Monotonic milliseconds at which the last level was received. */
 	levelReceivedAt: number;
-	/** Fraction of the rate that this box may use where few units are left; `undefined` where there are enough for all. */
-	share: number | undefined;
-	/** Factor on the rate at which the share is spent, so that the level of the shared bucket returns to zero. */
-	pace: number;
+	/** Fraction of the requests that is admitted where few units are left; `undefined` where there are enough for all. */
+	admittedFraction: number | undefined;
+	/** Sum of the fractions of the last requests, less the admitted ones; a request is admitted when it reaches 1. */
+	admittedCredit: number;
 	/** Moving average of the units of a request. */
 	meanUnits: number;
 	readonly demandMeter: RateMeter;
@@ -75,26 +79,24 @@
 	readonly othersMeter: RateMeter;
 };
 
-/** Milliseconds for which a received level is extrapolated. */
-const levelLifetime = 1500;
-/** Milliseconds by which a received level lags behind the other boxes: half an exchange interval on average. */
-const levelLag = 200;
+/** Mean milliseconds between two levels from aggregators, by default. */
+const defaultExchangeInterval = 400;
+/** Exchange intervals for which a received level is extrapolated, since messages may be lost. */
+const levelLifetimeInIntervals = 4;
+/** Exchange intervals by which a received level lags behind the other boxes, on average. */
+const levelLagInIntervals = 0.5;
 /** Max. fraction of the burst that is reserved for units in flight. */
 const maxInFlightFraction = 0.5;
-/** Milliseconds of demand that the bucket must hold to count as enough for all: one exchange interval. */
-const minReserveTime = 400;
 /** Demand as a factor of the rate up to which it does not count as overload: the measured demand fluctuates by this much. */
 const overloadFactor = 1.15;
 /** Milliseconds in which a bucket below zero returns to zero. */
 const recoveryTime = 2000;
-/** Min. factor on the rate. */
-const minPace = 0.3;
-/** Factor on the rate under overload at level zero; the rest is a reserve for units that other boxes admitted and have not reported yet. */
-const basePace = 0.9;
-/** Max. factor on the rate. */
-const maxPace = 1;
-/** Milliseconds of its share that a box may accumulate. */
-const maxSavingTime = 1000;
+/** Fraction of the rate that is admitted at level zero; the rest is a reserve for units that other boxes admitted and have not reported yet. */
+const basePace = 0.95;
+/** Minimum milliseconds after which a refused client may retry: one exchange interval of a large fleet, after which the level may have changed. */
+const minRetryDelay = 500;
+/** Width of the jitter as a fraction of the retry delay; without it, clients that are refused together would return together. */
+const jitterFraction = 0.5;
 /** Milliseconds over which the demand is averaged, so that a few large requests do not count as overload. */
 const demandTimeConstant = 1000;
 /** Weight of a request in the moving average of the units of a request. */
@@ -160,8 +162,8 @@
 		bucket.changedAt = this.clock.monotonic();
 		bucket.demandMeter.addSample(units);
 		bucket.meanUnits += (units - bucket.meanUnits) * (bucket.meanUnits === 0 ? 1 : meanWeight);
-		if (bucket.level <= 0) {
-			return Math.max(1, -bucket.level / bound.rate * millisecondsPerSecond);
+		if (!this.mayAdmit(bucket)) {
+			return this.retryDelay(bucket, bound);
 		}
 
 		bucket.level -= units;
@@ -196,10 +198,10 @@
 			return undefined;
 		}
 
-		const {level, share, levelReceivedAt} = bucket;
+		const {level, admittedFraction, levelReceivedAt} = bucket;
 		return {
 			level: Math.round(level),
-			share,
+			admittedFraction,
 			levelAge: Number.isFinite(levelReceivedAt) ? Math.round(this.clock.monotonic() - levelReceivedAt) : undefined,
 			reachableFraction: this.facts.reachableFraction(),
 		};
@@ -287,40 +289,66 @@
 
 	/**
 	 * Where there are enough units for all, every box may admit requests. Where few units are left, all boxes would see the last of them
-	 * at the same time and each would admit one more request; each box is then limited to its share of the rate.
+	 * at the same time and each would admit one more request; all boxes then admit the same fraction of the requests.
 	 */
 	private adoptOne({
 		clientAccount, level, refillRate, passRate, askRate, counted,
 	}: QuotaLevel): void {
 		const bound = this.facts.bound(clientAccount);
 		const bucket = this.bucketOf(clientAccount);
-		const now = this.clock.monotonic();
 		this.refill(clientAccount, bucket);
-		bucket.levelReceivedAt = now;
+		bucket.levelReceivedAt = this.clock.monotonic();
 		bucket.refillRate = refillRate;
 		bucket.othersRate = Math.max(0, passRate - bucket.ownMeter.rate);
-		const unitsInFlight = Math.min(askRate * levelLag / millisecondsPerSecond, (bound?.burst ?? 0) * maxInFlightFraction);
+		const unitsInFlight = Math.min(askRate * this.exchangeInterval * levelLagInIntervals / millisecondsPerSecond, (bound?.burst ?? 0) * maxInFlightFraction);
 		const available = level - Math.max(0, bucket.passed - (counted ?? bucket.passed)) - unitsInFlight;
 		const isOverloaded = askRate > refillRate * overloadFactor;
-		if (available > (isOverloaded ? askRate * minReserveTime / millisecondsPerSecond : 0)) {
+		// Until the next level arrives, the boxes admit the demand of an exchange interval.
+		if (available > (isOverloaded ? askRate * this.exchangeInterval / millisecondsPerSecond : 0)) {
 			bucket.level = available;
-			bucket.share = undefined;
+			bucket.admittedFraction = undefined;
 			return;
 		}
 
-		const ownDemand = bucket.demandMeter.rate;
-		const share = ownDemand <= 0 ? 0 : ownDemand / Math.max(askRate, ownDemand);
-		bucket.level = bucket.share === undefined ? (Math.max(0, available) * share) - this.randomOffset(bucket) : bucket.level;
-		bucket.share = share;
-		bucket.pace = Math.min(maxPace, Math.max(minPace, basePace + (level / Math.max(1, refillRate * recoveryTime / millisecondsPerSecond))));
+		const admittedRate = (refillRate * basePace) + (level / recoveryTime * millisecondsPerSecond);
+		bucket.level = level;
+		bucket.admittedFraction = Math.min(1, Math.max(0, admittedRate / Math.max(1, askRate, bucket.demandMeter.rate)));
+	}
+
+	private mayAdmit(bucket: Bucket): boolean {
+		if (bucket.admittedFraction === undefined) {
+			return bucket.level > 0;
+		}
+
+		bucket.admittedCredit += bucket.admittedFraction;
+		if (bucket.admittedCredit < 1) {
+			return false;
+		}
+
+		bucket.admittedCredit--;
+		return true;
+	}
+
+	/** @returns Milliseconds until the level is back at zero, or the next level arrives. */
+	private retryDelay({level}: Bucket, {rate}: QuotaBound): number {
+		const delay = Math.max(minRetryDelay, -level / rate * millisecondsPerSecond);
+		return delay * (1 + (jitterFraction * this.random()));
+	}
+
+	private get exchangeInterval(): number {
+		return this.facts.exchangeInterval?.() ?? defaultExchangeInterval;
+	}
+
+	private random(): number {
+		return (this.facts.random ?? Math.random)();
 	}
 
 	/**
-	 * A bucket above zero admits a request of any size. Where many boxes begin to spend small shares, all would admit one at the same
-	 * time; a random offset of up to one mean request spreads them.
+	 * A bucket above zero admits a request of any size. Where many boxes lose the level at once and begin to spend fair parts, all would
+	 * admit one at the same time; a random offset of up to one mean request spreads them.
 	 */
 	private randomOffset({meanUnits}: Bucket): number {
-		return (this.facts.random ?? Math.random)() * meanUnits;
+		return this.random() * meanUnits;
 	}
 
 	private countsOf(buckets: ReadonlyArray<readonly [string, Bucket]>): readonly QuotaCount[] {
@@ -370,8 +398,8 @@
 			othersRate: 0,
 			refillRate: 0,
 			levelReceivedAt: Number.NEGATIVE_INFINITY,
-			share: undefined,
-			pace: 1,
+			admittedFraction: undefined,
+			admittedCredit: this.random(),
 			meanUnits: 0,
 			demandMeter: RateMeter.create(this.clock, demandTimeConstant),
 			ownMeter: RateMeter.create(this.clock),
@@ -382,13 +410,8 @@
 	}
 
 	/** Extrapolates the level that was last received. */
-	private refilledLevel({level, share, pace, othersRate, refillRate}: Bucket, bound: QuotaBound, elapsed: number): number {
-		if (share === undefined) {
-			return Math.min(this.burstOf(bound), level + (elapsed * (refillRate - othersRate) / millisecondsPerSecond));
-		}
-
-		const ownRate = refillRate * share * pace;
-		return Math.min(Math.max(level, ownRate * maxSavingTime / millisecondsPerSecond), level + (elapsed * ownRate / millisecondsPerSecond));
+	private refilledLevel({level, othersRate, refillRate}: Bucket, bound: QuotaBound, elapsed: number): number {
+		return Math.min(this.burstOf(bound), level + (elapsed * (refillRate - othersRate) / millisecondsPerSecond));
 	}
 
 	private refill(clientAccount: string, bucket: Bucket): void {
@@ -400,13 +423,13 @@
 			return;
 		}
 
-		if (now - bucket.levelReceivedAt < levelLifetime) {
+		if (now - bucket.levelReceivedAt < this.exchangeInterval * levelLifetimeInIntervals) {
 			bucket.level = this.refilledLevel(bucket, bound, elapsed);
 		} else {
 			const fraction = this.facts.reachableFraction();
 			if (bucket.levelReceivedAt > Number.NEGATIVE_INFINITY) {
 				bucket.levelReceivedAt = Number.NEGATIVE_INFINITY;
-				bucket.share = undefined;
+				bucket.admittedFraction = undefined;
 				bucket.level = Math.min(bucket.level, this.burstOf(bound) * fraction) - this.randomOffset(bucket);
 			}
 
--- a/src/relay/request-summary.ts
+++ b/src/relay/request-summary.ts
@@ -119,7 +119,7 @@
 		const basis = reason === 'ceiling-reached' && clientAccount ? this.arrival.services.quota.basisOf(clientAccount.name) : undefined;
 		return basis
 			? {
-				quotaLevel: basis.level, quotaShare: basis.share, quotaToldAge: basis.levelAge, heardPart: basis.reachableFraction,
+				quotaLevel: basis.level, quotaAdmitted: basis.admittedFraction, quotaToldAge: basis.levelAge, heardPart: basis.reachableFraction,
 			}
 			: {};
 	}
