--- a/development/bench/limits.ts
+++ b/development/bench/limits.ts
@@ -33,7 +33,7 @@
 		}
 
 		const choose = (candidates: readonly Replica[]): void => {
-			choice.choose(candidates.length === 0 ? replicas : candidates, request);
+			choice.rank(candidates.length === 0 ? replicas : candidates, request);
 		};
 
 		const withoutLimits = microsecondsPerCall(() => {
--- /dev/null
+++ b/development/placement/test/placement.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {mixedLoad} from '../load-pattern.js';
+import {exchangeIntervalOf, PlacementFleet, type PlacementOutcome} from '../placement-fleet.js';
+
+/** Part that a fleet must serve of the value that one box with perfect knowledge serves in time. */
+const minPart = 0.9;
+/** Greatest ratio of a replica's requests to the mean while replicas are full. */
+const maxImbalance = 2;
+/** Replicas with ample slots, with hardly any left, and too few for the load. */
+const [ample, full, short] = [26, 18, 15];
+const seeds = [1, 2];
+
+const replay = (boxes: number, replicas: number, seed: number): PlacementOutcome => PlacementFleet.replay(mixedLoad(replicas), {
+	boxes, reportInterval: exchangeIntervalOf(boxes), loss: 0.01,
+}, seed);
+
+const partOf = (boxes: number, replicas: number, seed: number): number => replay(boxes, replicas, seed).worth / replay(1, replicas, seed).worth;
+
+for (const boxes of [8, 77, 195, 320]) {
+	test(`${boxes} boxes whose load fills the replicas serve nine tenths of what one box with perfect knowledge serves`, () => {
+		for (const seed of seeds) {
+			const part = partOf(boxes, full, seed);
+			assert.ok(part >= minPart, `${part}, seed ${seed}`);
+		}
+	});
+
+	test(`${boxes} boxes refuse nothing while half of the slots are free and nothing waits`, () => {
+		for (const seed of seeds) {
+			assert.equal(replay(boxes, ample, seed).refusedWithRoom, 0, `seed ${seed}`);
+		}
+	});
+}
+
+test('195 and 320 boxes with too few replicas serve nine tenths of what one box with perfect knowledge serves, and no full replica has more than twice the mean', () => {
+	const cases = [195, 320].flatMap(boxes => [full, short].flatMap(replicas => seeds.map(seed => ({boxes, replicas, seed}))));
+	const missed = cases.flatMap(({boxes, replicas, seed}) => {
+		const outcome = replay(boxes, replicas, seed);
+		const part = outcome.worth / replay(1, replicas, seed).worth;
+		return part >= minPart && outcome.worstImbalance <= maxImbalance
+			? []
+			: [`${boxes} boxes, ${replicas} replicas, seed ${seed}: ${part.toFixed(2)} served, imbalance ${outcome.worstImbalance.toFixed(1)}`];
+	});
+	assert.deepEqual(missed, []);
+});
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -9,7 +9,9 @@
 import type {CrashLedgerUpdate} from '../quarantine/crash-ledger.js';
 import {Fingerprint} from '../quarantine/fingerprint.js';
 import {statementKinds, type StatementUpdate} from '../replicas/replica-statement.js';
-import type {GossipMessage, MemberAddress, ReplicaLoad} from './gossip-message.js';
+import type {
+	GossipMessage, MemberAddress, NamedRates, ReplicaLoad,
+} from './gossip-message.js';
 
 /** Name, host, port, capacity. */
 const MemberRow = Schema.Tuple([Schema.String, Schema.String, Schema.Number, Schema.Number]);
@@ -25,8 +27,8 @@
 ]);
 /** Service, number of samples, the last samples. */
 const ReadRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Array(Schema.Number)]);
-/** Service, read rate. */
-const ReadRateRow = Schema.Tuple([Schema.String, Schema.Number]);
+/** Service, requests, tokens, read rate, duration; see {@link ServiceRates}. */
+const RatesRow = Schema.Tuple([Schema.String, Schema.Number, Schema.Number, Schema.Number, Schema.Number]);
 /** Window; pairs of a client account and its requests. */
 const UsageRow = Schema.Tuple([Schema.Number, Schema.Array(Schema.Tuple([Schema.String, Schema.Number]))]);
 
@@ -51,7 +53,7 @@
 	quota: Schema.optionalKey(Schema.Array(LevelRow)),
 	work: Schema.optionalKey(Schema.Array(WorkRow)),
 	stretches: Schema.optionalKey(Schema.Array(RangeRow)),
-	readRates: Schema.optionalKey(Schema.Array(ReadRateRow)),
+	rates: Schema.optionalKey(Schema.Array(RatesRow)),
 	changes: Schema.optionalKey(Schema.Struct({at: Schema.Number, from: Schema.optionalKey(Schema.Number), changes: Schema.Array(ReplicaChange)})),
 });
 
@@ -190,7 +192,7 @@
 	};
 }
 
-function digestLayoutOf({quota, work, stretches, readRates, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
+function digestLayoutOf({quota, work, stretches, rates, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
 	return {
 		...plain,
 		...(quota
@@ -200,7 +202,20 @@
 			: {}),
 		...(work ? {work: work.map(load => workRowOf(load))} : {}),
 		...(stretches ? {stretches: stretches.map(({service, from, length}) => [service, roundedPosition(from), roundedPosition(length)] as const)} : {}),
-		...(readRates ? {readRates: readRates.map(({service, rate}) => [service, rate] as const)} : {}),
+		...(rates ? {rates: rates.map(row => ratesRowOf(row))} : {}),
+	};
+}
+
+/** Decimal precision of requests a second. */
+const ratePrecision = 100;
+
+function ratesRowOf({service, requests, tokens, readRate, duration}: NamedRates): typeof RatesRow.Type {
+	return [service, Math.round(requests * ratePrecision) / ratePrecision, Math.round(tokens), Math.round(readRate), Math.round(duration)];
+}
+
+function ratesOf([service, requests, tokens, readRate, duration]: typeof RatesRow.Type): NamedRates {
+	return {
+		service, requests, tokens, readRate, duration,
 	};
 }
 
@@ -208,7 +223,7 @@
 const positionPrecision = 1e5;
 const roundedPosition = (position: number): number => Math.round(position * positionPrecision) / positionPrecision;
 
-function digestOf({quota, work, stretches, readRates, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
+function digestOf({quota, work, stretches, rates, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
 	return {
 		...plain,
 		...(quota
@@ -220,6 +235,6 @@
 			: {}),
 		...(work ? {work: work.map(row => workOf(row))} : {}),
 		...(stretches ? {stretches: stretches.map(([service, from, length]) => ({service, from, length: Math.min(1, Math.max(0, length))}))} : {}),
-		...(readRates ? {readRates: readRates.map(([service, rate]) => ({service, rate})).filter(({rate}) => rate > 0)} : {}),
+		...(rates ? {rates: rates.filter(([, ...values]) => values.every(value => value >= 0)).map(row => ratesOf(row))} : {}),
 	};
 }
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -7,7 +7,8 @@
 import type {ReplicaWork} from '../replicas/replica.js';
 import type {Departure} from '../replicas/replica-directory.js';
 import type {StatementUpdate} from '../replicas/replica-statement.js';
-import type {Demand, ReadSamples, ServiceReadRate} from '../replicas/service-demand.js';
+import type {ServiceRates} from '../replicas/load-forecast.js';
+import type {Demand, ReadSamples} from '../replicas/service-demand.js';
 import type {Changes} from '../follow/metadata-store.js';
 
 /** Name and address of a box that takes part in the exchange. */
@@ -36,6 +37,9 @@
 /** Demand for one service at the sender. */
 export type ServiceLoad = Demand & {readonly service: string};
 
+/** Load of all boxes on a service. */
+export type NamedRates = ServiceRates & {readonly service: string};
+
 /** Number of requests of each client account that began in one window. */
 export type WindowUsage = {
 	readonly window: number;
@@ -75,8 +79,8 @@
 	readonly work?: readonly ReplicaLoad[];
 	/** The receiver's shares, for services that have replicas with a limit; absent where there are none. */
 	readonly stretches?: readonly ServiceRange[];
-	/** Read rates estimated from the samples of all boxes; absent where the receiver did not ask for a digest. */
-	readonly readRates?: readonly ServiceReadRate[];
+	/** Load of all boxes on the services; absent where the receiver did not ask for a digest. */
+	readonly rates?: readonly NamedRates[];
 	/** Changes of the replica list that the receiver does not have yet; absent where the sender does not have them. */
 	readonly changes?: Changes;
 };
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -101,7 +101,7 @@
 		});
 		this.fleet = FleetDuty.create({
 			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: MeasuredLoadPolicy.create(),
-			demand: service => this.demandFor(service),
+			demand: service => services.fleetRates.demandFor(service),
 			limitOf: replica => services.limits.limitOf(replica),
 			pausedPart: replica => Math.min(1, services.statements.pausedBoxCount(replica) / peers.boxes),
 		});
@@ -129,15 +129,6 @@
 		}
 	}
 
-	/** Demand for a service at all boxes from which messages arrive, and how fast its replicas read prompts. */
-	private demandFor(service: string): FleetDemand {
-		const {peers, services: {demands}} = this.parts;
-		return pooledDemand([
-			demands.of(service).current,
-			...peers.heard.flatMap(({last}) => last?.demand?.filter(entry => entry.service === service) ?? []),
-		]);
-	}
-
 	private step() {
 		return Effect.gen({self: this}, function * () {
 			const {lease} = this;
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -109,7 +109,7 @@
 	 * @returns The state of the fleet as this box knows it, without the peer's own work.
 	 */
 	digestFor({last, address}: Peer, isWhole: boolean): FleetDigest {
-		const {services: {quota, limits, demands}, peers, topology, replicaRole, slotRanges} = this.parts;
+		const {services: {quota, limits, fleetRates}, peers, topology, replicaRole, slotRanges} = this.parts;
 		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
 		const limited = topology.isLarge && topology.isAggregator ? limits.services : [];
 		const update = {
@@ -125,7 +125,7 @@
 		return {
 			...update,
 			quota: last ? quota.levelsFor(processNameOf(last)) : [],
-			readRates: demands.readRates,
+			rates: fleetRates.all,
 			work: this.totalWork().map(load => subtractWork(load, own.get(load.replica))).filter(({requests}) => requests > 0),
 		};
 	}
@@ -170,7 +170,7 @@
 	 * @param digest - Its part about all boxes.
 	 */
 	applyDigest(message: GossipMessage, digest: FleetDigest): void {
-		const {services: {replicas, quota, demands}, topology, peers} = this.parts;
+		const {services: {replicas, quota, fleetRates}, topology, peers} = this.parts;
 		this.applyCommonUpdate(message, 'digest');
 		if (!topology.isLarge) {
 			return;
@@ -186,10 +186,7 @@
 			return;
 		}
 
-		for (const {service, rate} of digest.readRates ?? []) {
-			demands.of(service).adoptReadRate(rate);
-		}
-
+		fleetRates.adopt(digest.rates ?? []);
 		if (!digest.work) {
 			return;
 		}
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -14,6 +14,7 @@
 import {aggregatorCapacity} from '../gossip/aggregator-capacity.js';
 import {ExchangeTopology} from '../gossip/exchange-topology.js';
 import {ExchangeTraffic} from '../gossip/exchange-traffic.js';
+import {FleetRates} from '../gossip/fleet-rates.js';
 import {Gossip} from '../gossip/gossip.js';
 import type {MemberAddress} from '../gossip/gossip-message.js';
 import {PeerTable} from '../gossip/peer-table.js';
@@ -221,6 +222,10 @@
 			clock, log, commonTime: () => peers.commonTime, slotRange: service => this.slotRanges.of(service), listed: start => replicas.byStart(start),
 		});
 		const bounds = () => settings().bounds;
+		const demands = ServiceDemands.create(clock);
+		const fleetRates = FleetRates.create({
+			clock, peers, topology, demands,
+		});
 		return {
 			clock,
 			boxes: () => peers.boxes,
@@ -230,13 +235,14 @@
 			format: link.format,
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas,
-			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), isWorkStale: () => topology.isLarge}),
+			choice: LeastWaitChoice.create({dataCentre: settings().dataCentre, now: () => clock.monotonic(), staleLoad: service => fleetRates.staleLoad(service)}),
 			limits,
 			statements: ReplicaStatements.create({
 				clock, log, limits, replicas,
 			}),
 			limitQueue: LimitQueue.create(clock),
-			demands: ServiceDemands.create(clock),
+			demands,
+			fleetRates,
 			connections,
 			quarantine,
 			crashDetector: CrashDetector.create({
--- a/src/node/test/fleet-read-rate.test.ts
+++ b/src/node/test/fleet-read-rate.test.ts
@@ -28,6 +28,8 @@
 			clock.now += fleet.interval;
 			for (const demands of fleet.demands.filter(() => random() < readsPerSecond * fleet.interval / 1000)) {
 				const duration = readTime(random);
+				demands.of(service).recordArrival(promptTokens, 1000);
+				demands.of(service).recordOutcome(true);
 				demands.of(service).recordRead(promptTokens, duration);
 				all.recordRead(promptTokens, duration);
 			}
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -3,6 +3,7 @@
  */
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
+import type {FleetRates} from '../gossip/fleet-rates.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import type {QuotaLedger} from '../quota/quota-ledger.js';
 import type {ReplicaChoice} from '../replicas/replica-choice.js';
@@ -36,6 +37,7 @@
 	readonly statements: ReplicaStatements;
 	readonly limitQueue: LimitQueue;
 	readonly demands: ServiceDemands;
+	readonly fleetRates: FleetRates;
 	readonly connections: ConnectionRegistry;
 	readonly crashDetector: CrashDetector;
 	readonly quarantine: Quarantine;
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -4,8 +4,10 @@
 import {sumOf} from '../base/sum.js';
 import type {Slot} from '../replicas/limit-slots.js';
 import type {Replica} from '../replicas/replica.js';
-import type {ChoiceRequest} from '../replicas/replica-choice.js';
-import {retryDelayIfRefused} from './admission.js';
+import type {ChoiceRequest, RankedReplica} from '../replicas/replica-choice.js';
+import {
+	admit, expectedWait, type AdmissionVerdict, type Place,
+} from './admission.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {QueuedRequest} from './limit-queue.js';
 import type {RelayServices} from './relay-services.js';
@@ -96,7 +98,7 @@
 	private chooseAmong(candidates: readonly Replica[]): RunDecision {
 		const {services: {choice}, suspicion, choiceRequest} = this.parts;
 		const eligible = suspicion.eligible(candidates);
-		return eligible.length > 0 ? this.admit(choice.choose(eligible, choiceRequest)) : {kind: 'turn'};
+		return eligible.length > 0 ? this.admit(choice.rank(eligible, choiceRequest)) : {kind: 'turn'};
 	}
 
 	/**
@@ -150,23 +152,34 @@
 	}
 
 	/** Refuses a request in favour of more urgent ones only before its first attempt. */
-	private admit(replica: Replica): RunDecision {
-		const {services: {demands, table, limits}, record, request} = this.parts;
-		const {route, service, urgency} = request();
-		const wait = record.attempts > 0
-			? undefined
-			: retryDelayIfRefused({
-				replica, urgency, demand: demands.of(service), goal: route.goal, urgencies: table.inForce?.urgencies(service) ?? [],
-			});
-		if (wait !== undefined) {
+	private admit(ranked: readonly RankedReplica[]): RunDecision {
+		const {record, request} = this.parts;
+		const {service} = request();
+		const verdict = record.attempts > 0 ? {kind: 'admit' as const, place: ranked[0]!} : this.verdictOn(ranked);
+		if (verdict.kind === 'refuse') {
 			return {
-				kind: 'refuse', reason: 'capacity-short', detail: `Replicas of service ${service} are taken by more urgent requests.`, retryDelay: wait,
+				kind: 'refuse', reason: 'capacity-short', detail: `Replicas of service ${service} are taken by more urgent requests.`, retryDelay: verdict.retryDelay,
 			};
 		}
 
 		this.close();
+		const {replica} = verdict.place;
 		this.tried.add(replica);
-		return {kind: 'go', replica, slot: limits.acquireSlot(replica)};
+		return {kind: 'go', replica, slot: this.parts.services.limits.acquireSlot(replica)};
+	}
+
+	private verdictOn(ranked: readonly RankedReplica[]): AdmissionVerdict<RankedReplica & Place> {
+		const {services: {clock, demands, fleetRates, table}, request} = this.parts;
+		const {route, service, urgency, deadlineAt} = request();
+		const {readRate, duration} = fleetRates.staleLoad(service)?.rates ?? demands.of(service);
+		const places = ranked.map(one => ({
+			...one, wait: expectedWait({
+				work: one.work, slots: one.replica.entry.slots, readRate, duration,
+			}),
+		}));
+		return admit(places, {
+			goal: route.goal, timeLeft: deadlineAt - clock.monotonic(), urgency, urgencies: table.inForce?.urgencies(service) ?? [],
+		});
 	}
 
 	/**
--- a/src/replicas/fleet-demand.ts
+++ b/src/replicas/fleet-demand.ts
@@ -4,6 +4,7 @@
  */
 import {medianOf} from '../base/median.js';
 import {sumOf} from '../base/sum.js';
+import type {ServiceRates} from './load-forecast.js';
 import type {Demand} from './service-demand.js';
 
 /** Demand for a service, pooled over all boxes. */
@@ -24,12 +25,13 @@
 
 /**
  * @param demands - Demand for one service at each box.
+ * @param measuredReadRate - Read rate that was estimated from the samples of these boxes, in prompt tokens a second; zero if unknown.
  * @returns The pooled demand.
  */
-export function pooledDemand(demands: readonly Demand[]): FleetDemand {
+export function pooledDemand(demands: readonly Demand[], measuredReadRate = 0): FleetDemand {
 	const total = (valueOf: (demand: Demand) => number): number => sumOf(demands.map(demand => valueOf(demand)));
 	// The median excludes outliers: a box whose prompts were already cached by the replicas overestimates the read rate.
-	const readRate = medianOf(demands.map(demand => demand.readRate).filter(rate => rate > 0));
+	const readRate = measuredReadRate > 0 ? measuredReadRate : medianOf(demands.map(demand => demand.readRate).filter(rate => rate > 0));
 	const active = demands.filter(({goal}) => goal > 0);
 	const meanTokens = total(demand => demand.meanTokens);
 	const outcomes = total(({met, missed}) => met + missed);
@@ -46,3 +48,15 @@
 		boxes: demands.length,
 	};
 }
+
+/**
+ * @param demand - Pooled demand for a service.
+ * @returns Its rates; `undefined` where no request has been counted.
+ */
+export function ratesOf({rate, reading, readRate, requests}: FleetDemand): ServiceRates | undefined {
+	return rate > 0
+		? {
+			requests: rate, tokens: reading / rate, readRate, duration: requests / rate * millisecondsPerSecond,
+		}
+		: undefined;
+}
--- a/src/replicas/service-demand.ts
+++ b/src/replicas/service-demand.ts
@@ -52,13 +52,6 @@
 	readonly rates: readonly number[];
 };
 
-/** Estimated read rate of the replicas of a service. */
-export type ServiceReadRate = {
-	readonly service: string;
-	/** Prompt tokens a second. */
-	readonly rate: number;
-};
-
 /** The demand for one service at this box. */
 export class ServiceDemand {
 	/**
@@ -230,9 +223,9 @@
 		return [...this.demands].map(([service, {readSamples}]) => ({service, ...readSamples})).filter(({count}) => count > 0);
 	}
 
-	/** Estimated read rates, to be sent to boxes that do not receive the samples of all others. */
-	get readRates(): readonly ServiceReadRate[] {
-		return [...this.demands].map(([service, {readRate}]) => ({service, rate: Math.round(readRate)})).filter(({rate}) => rate > 0);
+	/** Names of the services that had requests. */
+	get services(): readonly string[] {
+		return [...this.demands.keys()];
 	}
 
 	/**
