--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -13,6 +13,7 @@
 import {DemandRecorder} from './demand-recorder.js';
 import type {RelayServices} from './relay-services.js';
 import {ReplicaAttempt, type AttemptParts} from './replica-attempt.js';
+import {spreadRetryDelay} from './retry-delay.js';
 import {RunChoice, type RunDecision} from './run-choice.js';
 import type {RunRecord} from './run-record.js';
 import {CrashSuspicion} from './crash-suspicion.js';
@@ -53,7 +54,8 @@
 
 	/** Outcome of the attempts so far. */
 	readonly record: RunRecord = {
-		attempts: 0, executions: 0, refusedConnections: 0, replica: undefined, failures: '', firstByteAt: undefined, excludedReplicas: 0, missingFor: undefined,
+		attempts: 0, executions: 0, refusedConnections: 0, replica: undefined, failures: '', firstByteAt: undefined, excludedReplicas: 0,
+		missingFor: undefined, expectedWait: undefined, loadAge: undefined,
 	};
 
 	/** Whether the request is suspected of crashing replicas. */
@@ -245,7 +247,7 @@
 			}
 
 			case 'refuse': {
-				return Effect.fail(this.refuse(decision.reason, decision.detail, Math.max(minRetryAfter, decision.retryDelay / millisecondsPerSecond)));
+				return Effect.fail(this.refuse(decision.reason, decision.detail, spreadRetryDelay(decision.retryDelay, Math.random()) / millisecondsPerSecond));
 			}
 		}
 	}
--- a/src/relay/request-summary.ts
+++ b/src/relay/request-summary.ts
@@ -131,6 +131,8 @@
 				verdict: run.verdict,
 				replica: run.record.replica,
 				tries: run.record.attempts,
+				expectedWait: run.record.expectedWait,
+				loadAge: run.record.loadAge,
 				refusedConnections: run.record.refusedConnections === 0 ? undefined : run.record.refusedConnections,
 				keptFrom: run.record.excludedReplicas === 0 ? undefined : run.record.excludedReplicas,
 				missingFor: run.record.missingFor,
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -169,14 +169,17 @@
 	}
 
 	private verdictOn(ranked: readonly RankedReplica[]): AdmissionVerdict<RankedReplica & Place> {
-		const {services: {clock, demands, fleetRates, table}, request} = this.parts;
+		const {services: {clock, demands, fleetRates, table}, request, record} = this.parts;
 		const {route, service, urgency, deadlineAt} = request();
-		const {readRate, duration} = fleetRates.staleLoad(service)?.rates ?? demands.of(service);
+		const stale = fleetRates.staleLoad(service);
+		const {readRate, duration} = stale?.rates ?? demands.of(service);
 		const places = ranked.map(one => ({
 			...one, wait: expectedWait({
 				work: one.work, slots: one.replica.entry.slots, readRate, duration,
 			}),
 		}));
+		record.expectedWait = Math.round(places[0]!.wait);
+		record.loadAge = stale && Math.round(stale.age);
 		return admit(places, {
 			goal: route.goal, timeLeft: deadlineAt - clock.monotonic(), urgency, urgencies: table.inForce?.urgencies(service) ?? [],
 		});
--- a/src/relay/run-record.ts
+++ b/src/relay/run-record.ts
@@ -19,4 +19,8 @@
 	excludedReplicas: number;
 	/** Milliseconds for which the entry of the last replica had been missing when the request was sent; `undefined` if it was listed. */
 	missingFor: number | undefined;
+	/** Expected milliseconds until the best replica started the request, when it was admitted or refused; `undefined` before. */
+	expectedWait: number | undefined;
+	/** Mean age in milliseconds of the load that this was based on; `undefined` if no other box was known. */
+	loadAge: number | undefined;
 };
