--- a/development/harness/departure-fleet.ts
+++ b/development/harness/departure-fleet.ts
@@ -271,7 +271,8 @@
 		counts: [], recentCounts: [], levelsFor: () => [], knows: () => true, applyCounts: () => undefined, adopt: () => undefined,
 	},
 	usage: {ownUsage: [], recentOwnUsage: [], merge: () => undefined},
-	demands: {snapshots: []},
+	demands: {snapshots: [], readSamples: []},
+	fleetRates: {all: [], adopt: () => undefined},
 	limits: {services: [], openDueSlots: () => undefined},
 };
 
