--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -109,6 +109,7 @@
 		} = this.services;
 		peers.sweep();
 		peers.isLarge = topology.isLarge;
+		peers.receivesFromAll = topology.isAggregator;
 		peers.heardWithin = topology.heardWithin;
 		this.rounds++;
 		traffic.logRates({boxes: peers.boxes, heard: peers.heard.length, isAggregator: topology.isLarge && topology.isAggregator});
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -2,7 +2,7 @@
  * The other boxes of the fleet, with the newest message received from each.
  */
 import type {Clock} from '../base/clock.js';
-import type {EventLog} from '../base/event-log.js';
+import type {EventFields, EventLog} from '../base/event-log.js';
 import {medianOf} from '../base/median.js';
 import {canBeSentTo, type GossipMessage, type MemberAddress} from './gossip-message.js';
 
@@ -50,6 +50,8 @@
 	heardWithin = 1000;
 	/** Whether the fleet is so large that a box receives messages only from some of the others. */
 	isLarge = false;
+	/** Whether all other boxes send to this one regularly. If not, only aggregators do, with digests. */
+	receivesFromAll = true;
 	/** Increases with each change of an entry, so that callers can cache derived lists. */
 	changes = 0;
 	private readonly peers = new Map<string, Peer>();
@@ -222,7 +224,7 @@
 		});
 		if (!known || now - known.heardAt > this.heardWithin) {
 			this.lost.delete(sender.name);
-			this.log.write('memberHeard', {member: sender.name, incarnation, meeting});
+			this.logIfRegular('memberHeard', message, {incarnation, meeting});
 		}
 
 		return meeting;
@@ -240,11 +242,11 @@
 	/** Removes boxes that have not been heard within the member lifetime, and logs boxes that are no longer heard. */
 	sweep(): void {
 		const now = this.clock.monotonic();
-		for (const [name, {heardAt, listedAt}] of this.peers) {
+		for (const [name, {heardAt, listedAt, last}] of this.peers) {
 			const silence = now - Math.max(heardAt, listedAt);
 			if (silence > this.heardWithin && heardAt > 0 && !this.lost.has(name)) {
 				this.lost.add(name);
-				this.log.write('memberLost', {member: name, silence: Math.round(silence)});
+				this.logIfRegular('memberLost', last, {member: name, silence: Math.round(silence)});
 			}
 
 			if (silence > memberLifetime) {
@@ -255,6 +257,13 @@
 		}
 	}
 
+	/** Boxes that send to this one now and then, as to a seed, would be logged as received and lost each time. */
+	private logIfRegular(event: 'memberHeard' | 'memberLost', message: GossipMessage | undefined, fields: EventFields): void {
+		if (this.receivesFromAll || message?.digest !== undefined) {
+			this.log.write(event, {member: message?.sender.name, ...fields});
+		}
+	}
+
 	private put(peer: Peer): void {
 		this.peers.set(peer.address.name, peer);
 		this.invalidateLists();
