--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -6,6 +6,7 @@
 import {sumOf} from '../../src/base/sum.js';
 import {UsageCounts} from '../../src/duties/usage-counts.js';
 import {aggregatorCount, ExchangeTopology} from '../../src/gossip/exchange-topology.js';
+import {FleetRates} from '../../src/gossip/fleet-rates.js';
 import {membersAcknowledged, membersNamed, roundsBetweenWholeStates} from '../../src/gossip/gossip.js';
 import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
 import type {GossipMessage, MemberAddress} from '../../src/gossip/gossip-message.js';
@@ -44,6 +45,7 @@
 	readonly replicas: ReplicaDirectory;
 	readonly quarantine: Quarantine;
 	readonly limits: ReplicaLimits;
+	readonly demands: ServiceDemands;
 };
 
 /** A simulated large fleet. */
@@ -80,8 +82,13 @@
 		const senders = this.boxes.filter(box => box !== aggregator);
 		const requests = senders.map(box => encodeGossip({...this.headerOf(box, membersNamed, false), ...box.state.localState(this.rounds % roundsBetweenWholeStates === 0), asksDigest: true}));
 		const beganAt = performance.now();
-		const responses = requests.map((data, index) => this.respondTo(data, index % aggregatorCount === 0));
+		const responses = requests.map((data, index) => this.respondTo(data, (index + this.rounds) % aggregatorCount === 0));
 		this.processingTime += performance.now() - beganAt;
+		for (const [index, data] of responses.entries()) {
+			const message = decodeGossip(data)!;
+			senders[index]!.state.applyDigest(message, message.digest!);
+		}
+
 		const bytesOf = (datagrams: readonly Uint8Array[]) => sumOf(datagrams.map(({length}) => length));
 		return {messages: senders.length, received: bytesOf(requests), sent: bytesOf(responses)};
 	}
@@ -105,6 +112,21 @@
 		}
 	}
 
+	/** Requests that the aggregator counts at all replicas. */
+	get requestsCounted(): number {
+		return sumOf(this.aggregator.replicas.all.map(({work}) => work.requests));
+	}
+
+	/** Requests in progress of all boxes. */
+	get requestsInProgress(): number {
+		return sumOf(this.boxes.flatMap(({replicas}) => replicas.all.map(({ownWork}) => ownWork.requests)));
+	}
+
+	/** Demand of the aggregator and of the boxes that send to it; the other aggregators receive nothing in this simulation. */
+	get demands(): readonly ServiceDemands[] {
+		return this.boxes.filter(box => box === this.aggregator || !box.topology.isAggregator).map(({demands}) => demands);
+	}
+
 	private get aggregator(): Box {
 		return this.boxes.find(({topology}) => topology.isAggregator)!;
 	}
@@ -186,12 +208,14 @@
 		const replicaRole = {listState: {at: 812, age: 95}, applyPeerUpdate: () => undefined, changesSince: () => ({at: 812, changes: []})};
 		const parts = {
 			clock, log, peers, topology, services: {
-				replicas, quota, demands, usage, table, quarantine, limits, statements,
+				replicas, quota, demands, usage, table, quarantine, limits, statements, fleetRates: FleetRates.create({
+					clock, peers, topology, demands,
+				}),
 			}, availability, configuration, replicaRole, slotRanges, isStopping: () => false,
 		};
 		// Contains only the members that the exchange uses.
 		return {
-			address, peers, topology, replicas, quarantine, limits, state: ExchangeState.create(parts as unknown as ExchangeParts),
+			address, peers, topology, replicas, quarantine, limits, demands, state: ExchangeState.create(parts as unknown as ExchangeParts),
 		};
 	}
 }
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -31,7 +31,7 @@
 export type CommonUpdate = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'storeAge' | 'departed' | 'replicas' | 'ends' | 'statements'>;
 
 /** State of this box, including its own counters and work. */
-export type LocalState = CommonUpdate & Pick<GossipMessage, 'quota' | 'isWhole' | 'work' | 'demand' | 'usage'>;
+export type LocalState = CommonUpdate & Pick<GossipMessage, 'quota' | 'isWhole' | 'work' | 'demand' | 'reads' | 'usage'>;
 
 /** Dependencies of the exchange. */
 export type GossipServices = {
@@ -109,6 +109,7 @@
 		} = this.services;
 		peers.sweep();
 		peers.isLarge = topology.isLarge;
+		peers.receivesFromAll = topology.isAggregator;
 		peers.heardWithin = topology.heardWithin;
 		this.rounds++;
 		traffic.logRates({boxes: peers.boxes, heard: peers.heard.length, isAggregator: topology.isLarge && topology.isAggregator});
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -19,6 +19,10 @@
 
 /** Milliseconds for which the sum of the work of all boxes is cached. */
 const workCacheTime = 100;
+/** Exchange intervals for which a report of work counts: one or two messages may be lost. */
+const workLifetimeInIntervals = 4;
+/** Minimum milliseconds for which a report of work counts. */
+const minWorkLifetime = 1000;
 /** Milliseconds since its start in which an aggregator still adopts quota levels from other aggregators, which know more. */
 const quotaAdoptionTime = 4000;
 
@@ -94,6 +98,7 @@
 			isWhole,
 			work: busy.map(({entry, ownWork}) => ({replica: entry.id, ...ownWork})),
 			demand: demands.snapshots,
+			reads: demands.readSamples,
 			usage: isWhole ? usage.ownUsage : usage.recentOwnUsage,
 		};
 	}
@@ -104,7 +109,7 @@
 	 * @returns The state of the fleet as this box knows it, without the peer's own work.
 	 */
 	digestFor({last, address}: Peer, isWhole: boolean): FleetDigest {
-		const {services: {quota, limits}, peers, topology, replicaRole, slotRanges} = this.parts;
+		const {services: {quota, limits, fleetRates}, peers, topology, replicaRole, slotRanges} = this.parts;
 		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
 		const limited = topology.isLarge && topology.isAggregator ? limits.services : [];
 		const update = {
@@ -120,6 +125,7 @@
 		return {
 			...update,
 			quota: last ? quota.levelsFor(processNameOf(last)) : [],
+			rates: fleetRates.all,
 			work: this.totalWork().map(load => subtractWork(load, own.get(load.replica))).filter(({requests}) => requests > 0),
 		};
 	}
@@ -131,13 +137,17 @@
 	 * @param meeting - How the sender was known before; see `QuotaLedger.applyCounts`.
 	 */
 	applyMessage(message: GossipMessage, meeting: SenderRelation): void {
-		const {services: {replicas, quota, usage}, topology, peers} = this.parts;
-		const {sender, work} = message;
+		const {services: {replicas, quota, usage, demands}, topology, peers} = this.parts;
+		const {sender, work, reads = []} = message;
 		const start = processNameOf(message);
 		this.applyCommonUpdate(message, 'box');
 		// A sender that is known from its digests alone counts as new to the quota, so that requests that it admitted earlier are not charged now.
 		quota.applyCounts(start, message.quota, quota.knows(start) ? meeting : peers.classifyAsNew(message), message.isWhole);
 		usage.merge(start, message.usage);
+		for (const samples of reads) {
+			demands.of(samples.service).mergeReads(start, samples);
+		}
+
 		if (!topology.isAggregator) {
 			return;
 		}
@@ -146,7 +156,7 @@
 		for (const replica of replicas.all) {
 			const found = workByReplica.get(replica.entry.id);
 			if (found) {
-				replica.setPeerWork(sender.name, found);
+				replica.setPeerWork(sender.name, found, this.workLifetime);
 			} else {
 				replica.clearPeerWork(sender.name);
 			}
@@ -160,7 +170,7 @@
 	 * @param digest - Its part about all boxes.
 	 */
 	applyDigest(message: GossipMessage, digest: FleetDigest): void {
-		const {services: {replicas, quota}, topology, peers} = this.parts;
+		const {services: {replicas, quota, fleetRates}, topology, peers} = this.parts;
 		this.applyCommonUpdate(message, 'digest');
 		if (!topology.isLarge) {
 			return;
@@ -172,13 +182,18 @@
 			quota.adopt(digest.quota ?? []);
 		}
 
-		if (isAggregator || !digest.work) {
+		if (isAggregator) {
+			return;
+		}
+
+		fleetRates.adopt(digest.rates ?? []);
+		if (!digest.work) {
 			return;
 		}
 
 		const workByReplica = new Map(digest.work.map(entry => [entry.replica, entry]));
 		for (const replica of replicas.all) {
-			replica.setAggregateWork(workByReplica.get(replica.entry.id) ?? {requests: 0, unreadTokens: 0});
+			replica.setAggregateWork(workByReplica.get(replica.entry.id) ?? {requests: 0, unreadTokens: 0}, this.workLifetime);
 		}
 	}
 
@@ -207,6 +222,10 @@
 		}
 	}
 
+	private get workLifetime(): number {
+		return Math.max(minWorkLifetime, this.parts.topology.interval * workLifetimeInIntervals);
+	}
+
 	private totalWork(): readonly ReplicaLoad[] {
 		const {clock, services: {replicas}} = this.parts;
 		const now = clock.monotonic();
--- a/src/relay/request-summary.ts
+++ b/src/relay/request-summary.ts
@@ -119,7 +119,7 @@
 		const basis = reason === 'ceiling-reached' && clientAccount ? this.arrival.services.quota.basisOf(clientAccount.name) : undefined;
 		return basis
 			? {
-				quotaLevel: basis.level, quotaShare: basis.share, quotaToldAge: basis.levelAge, heardPart: basis.reachableFraction,
+				quotaLevel: basis.level, quotaAdmitted: basis.admittedFraction, quotaToldAge: basis.levelAge, heardPart: basis.reachableFraction,
 			}
 			: {};
 	}
@@ -131,6 +131,8 @@
 				verdict: run.verdict,
 				replica: run.record.replica,
 				tries: run.record.attempts,
+				expectedWait: run.record.expectedWait,
+				loadAge: run.record.loadAge,
 				refusedConnections: run.record.refusedConnections === 0 ? undefined : run.record.refusedConnections,
 				keptFrom: run.record.excludedReplicas === 0 ? undefined : run.record.excludedReplicas,
 				missingFor: run.record.missingFor,
--- a/src/replicas/replica.ts
+++ b/src/replicas/replica.ts
@@ -43,10 +43,8 @@
 const minSilence = 900;
 /** Multiple of the mean latency that a slow replica may take without sending data. */
 const silenceLatencyFactor = 5;
-/** Milliseconds after which the load that another box reported is ignored. */
-const peerWorkLifetime = 1000;
-/** Milliseconds after which the load that an aggregator reported is ignored; longer, since aggregators report less often. */
-const aggregateWorkLifetime = 2000;
+/** Milliseconds after which the load that another box reported is ignored, by default. */
+const defaultWorkLifetime = 1000;
 
 /** Load that another box reported, with the monotonic milliseconds at which the report expires. */
 type PeerWork = ReplicaWork & {readonly until: number};
@@ -155,10 +153,11 @@
 		return this.latencyMean;
 	}
 
-	/** Load caused by all boxes, as far as known. */
-	get work(): ReplicaWork {
+	/** Load caused by the other boxes, as they last reported it. */
+	get othersWork(): ReplicaWork {
 		const now = this.clock.monotonic();
-		let {requests, unreadTokens} = this.own;
+		let requests = 0;
+		let unreadTokens = 0;
 		for (const peer of this.peers.values()) {
 			if (peer.until >= now) {
 				requests += peer.requests;
@@ -169,6 +168,12 @@
 		return {requests, unreadTokens};
 	}
 
+	/** Load caused by all boxes, as far as known. */
+	get work(): ReplicaWork {
+		const {requests, unreadTokens} = this.othersWork;
+		return {requests: this.own.requests + requests, unreadTokens: this.own.unreadTokens + unreadTokens};
+	}
+
 	/** @param entry - Changed entry of the list. */
 	update(entry: ReplicaEntry): void {
 		if (entry.revision > this.listed.revision) {
@@ -212,15 +217,19 @@
 	/**
 	 * @param peer - Name of another box.
 	 * @param work - Load that it causes at this replica.
+	 * @param lifetime - Milliseconds for which the report counts; spans several reports.
 	 */
-	setPeerWork(peer: string, work: ReplicaWork): void {
-		this.peers.set(peer, {...work, until: this.clock.monotonic() + peerWorkLifetime});
+	setPeerWork(peer: string, work: ReplicaWork, lifetime = defaultWorkLifetime): void {
+		this.peers.set(peer, {...work, until: this.clock.monotonic() + lifetime});
 	}
 
-	/** @param work - Summed load of all other boxes, as an aggregator reports it. */
-	setAggregateWork(work: ReplicaWork): void {
+	/**
+	 * @param work - Summed load of all other boxes, as an aggregator reports it.
+	 * @param lifetime - Milliseconds for which the report counts; spans several reports.
+	 */
+	setAggregateWork(work: ReplicaWork, lifetime = defaultWorkLifetime): void {
 		this.peers.clear();
-		this.peers.set(allOthers, {...work, until: this.clock.monotonic() + aggregateWorkLifetime});
+		this.peers.set(allOthers, {...work, until: this.clock.monotonic() + lifetime});
 	}
 
 	/** @param peer - Name of a box that no longer has requests at this replica. */
