--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -142,9 +142,9 @@
 			this.readAt.set(id, replicas);
 		}
 
-		const [oldest] = this.readAt.keys();
-		if (this.readAt.size > maxTrackedParts && oldest !== undefined) {
-			this.readAt.delete(oldest);
+		const keys = this.readAt.keys();
+		while (this.readAt.size > maxTrackedParts) {
+			this.readAt.delete(keys.next().value!);
 		}
 	}
 
--- a/src/replicas/test/replica-choice.test.ts
+++ b/src/replicas/test/replica-choice.test.ts
@@ -59,3 +59,15 @@
 	}).rank(replicas, {promptTokens: 9000, sharedParts: [{id: 'part', tokens: 8000}]})[0]!.replica.entry.id);
 	assert.equal(new Set(chosen).size, 1, 'all boxes send the prompt to the same replica without coordination');
 });
+
+test('the number of tracked prompt parts stays bounded, also if requests have several new parts each', () => {
+	const replica = replicasOf(1)[0]!;
+	const choice = LeastWaitChoice.create({dataCentre: 'a', now: () => clock.monotonic()});
+	const requestOf = (index: number) => ({promptTokens: 90, sharedParts: [{id: `${index}-first`, tokens: 30}, {id: `${index}-second`, tokens: 30}, {id: `${index}-third`, tokens: 30}]});
+	for (let index = 0; index < 2000; index++) {
+		choice.recordRead(replica, requestOf(index));
+	}
+
+	assert.equal(choice.unreadTokens(replica, requestOf(1999)), 0);
+	assert.equal(choice.unreadTokens(replica, requestOf(400)), 90, 'the oldest parts are evicted');
+});
