--- a/src/replicas/read-rate-estimate.ts
+++ b/src/replicas/read-rate-estimate.ts
@@ -36,10 +36,12 @@
 	/**
 	 * Replaces the estimate by one of a box that receives the samples of all boxes.
 	 *
-	 * @param rate - Prompt tokens a second.
+	 * @param rate - Prompt tokens a second; zero if that box does not know it either.
 	 */
 	adopt(rate: number): void {
-		this.estimate = rate;
-		this.samples = Math.max(this.samples, minSamples);
+		if (rate > 0) {
+			this.estimate = rate;
+			this.samples = Math.max(this.samples, minSamples);
+		}
 	}
 }
