--- a/src/quota/quota-ledger.ts
+++ b/src/quota/quota-ledger.ts
@@ -14,6 +14,7 @@
 import {RateMeter} from '../base/rate-meter.js';
 import type {QuotaCount, QuotaLevel} from '../gossip/gossip-message.js';
 import type {SenderRelation} from '../gossip/peer-table.js';
+import {spreadRetryDelay} from '../retries/retry-delay.js';
 
 /** The limit of a client account for all boxes together. */
 export type QuotaBound = {
@@ -93,10 +94,6 @@
 const recoveryTime = 2000;
 /** Fraction of the rate that is admitted at level zero; the rest is a reserve for units that other boxes admitted and have not reported yet. */
 const basePace = 0.95;
-/** Minimum milliseconds after which a refused client may retry: one exchange interval of a large fleet, after which the level may have changed. */
-const minRetryDelay = 500;
-/** Width of the jitter as a fraction of the retry delay; without it, clients that are refused together would return together. */
-const jitterFraction = 0.5;
 /** Milliseconds over which the demand is averaged, so that a few large requests do not count as overload. */
 const demandTimeConstant = 1000;
 /** Weight of a request in the moving average of the units of a request. */
@@ -163,7 +160,7 @@
 		bucket.demandMeter.addSample(units);
 		bucket.meanUnits += (units - bucket.meanUnits) * (bucket.meanUnits === 0 ? 1 : meanWeight);
 		if (!this.mayAdmit(bucket)) {
-			return this.retryDelay(bucket, bound);
+			return spreadRetryDelay(-bucket.level / bound.rate * millisecondsPerSecond, this.random());
 		}
 
 		bucket.level -= units;
@@ -329,12 +326,6 @@
 		return true;
 	}
 
-	/** @returns Milliseconds until the level is back at zero, or the next level arrives. */
-	private retryDelay({level}: Bucket, {rate}: QuotaBound): number {
-		const delay = Math.max(minRetryDelay, -level / rate * millisecondsPerSecond);
-		return delay * (1 + (jitterFraction * this.random()));
-	}
-
 	private get exchangeInterval(): number {
 		return this.facts.exchangeInterval?.() ?? defaultExchangeInterval;
 	}
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -13,7 +13,6 @@
 import {DemandRecorder} from './demand-recorder.js';
 import type {RelayServices} from './relay-services.js';
 import {ReplicaAttempt, type AttemptParts} from './replica-attempt.js';
-import {spreadRetryDelay} from './retry-delay.js';
 import {RunChoice, type RunDecision} from './run-choice.js';
 import type {RunRecord} from './run-record.js';
 import {CrashSuspicion} from './crash-suspicion.js';
@@ -247,7 +246,7 @@
 			}
 
 			case 'refuse': {
-				return Effect.fail(this.refuse(decision.reason, decision.detail, spreadRetryDelay(decision.retryDelay, Math.random()) / millisecondsPerSecond));
+				return Effect.fail(this.refuse(decision.reason, decision.detail, Math.max(minRetryAfter, decision.retryDelay / millisecondsPerSecond)));
 			}
 		}
 	}
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -5,6 +5,7 @@
 import type {Slot} from '../replicas/limit-slots.js';
 import type {Replica} from '../replicas/replica.js';
 import type {ChoiceRequest, RankedReplica} from '../replicas/replica-choice.js';
+import {spreadRetryDelay} from '../retries/retry-delay.js';
 import {
 	admit, expectedWait, type AdmissionVerdict, type Place,
 } from './admission.js';
@@ -158,7 +159,7 @@
 		const verdict = record.attempts > 0 ? {kind: 'admit' as const, place: ranked[0]!} : this.verdictOn(ranked);
 		if (verdict.kind === 'refuse') {
 			return {
-				kind: 'refuse', reason: 'capacity-short', detail: `Replicas of service ${service} are taken by more urgent requests.`, retryDelay: verdict.retryDelay,
+				kind: 'refuse', reason: 'capacity-short', detail: `Replicas of service ${service} are taken by more urgent requests.`, retryDelay: spreadRetryDelay(verdict.retryDelay, Math.random()),
 			};
 		}
 
@@ -214,7 +215,7 @@
 		const {service, urgency} = request();
 		const mayServeElsewhere = full.some(replica => statements.remainingPause(replica) > 0 && statements.pausedBoxCount(replica) < boxes());
 		return mayServeElsewhere
-			? 0
+			? spreadRetryDelay(0, Math.random())
 			: limitQueue.reserveRetryDelay({
 				service, urgency, untilCapacity, rate: sumOf(full.map(replica => limits.ownLimit(replica))),
 			});
@@ -237,7 +238,7 @@
 		return this.parts.waitsForReplica()
 			? {kind: 'wait', wait: replicaCheckInterval}
 			: {
-				kind: 'refuse', reason: 'no-upstream', detail, retryDelay: this.untilReplica,
+				kind: 'refuse', reason: 'no-upstream', detail, retryDelay: spreadRetryDelay(this.untilReplica, Math.random()),
 			};
 	}
 
--- a/src/relay/retry-delay.ts
+++ b/src/retries/retry-delay.ts
@@ -1,12 +1,12 @@
 /**
- * Spreads the return of clients that were refused for lack of capacity.
+ * Spreads the return of clients that were refused for lack of capacity or quota.
  *
  * @remarks
  * The load pattern: when replicas disappear, hundreds of clients are refused within moments. If all are given the same delay, they return
  * in the same moment and most are refused again. None is called back before capacity is expected.
  */
 
-/** Shortest delay in milliseconds: the load of the replicas is known anew after it. */
+/** Shortest delay in milliseconds: loads and levels are known anew after it. */
 const minRetryDelay = 500;
 /** Part of the delay over which clients are spread. */
 const spread = 0.5;
