--- a/development/placement/main.ts
+++ b/development/placement/main.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {mixedLoad} from './load-pattern.js';
-import {exchangeIntervalOf, PlacementFleet, type KindOutcome} from './placement-fleet.js';
+import {reportIntervalOf, PlacementFleet, type KindOutcome} from './placement-fleet.js';
 
 /** Fraction of reports that are lost. */
 const loss = 0.01;
@@ -27,7 +27,7 @@
 	.help()
 	.parse();
 for (const size of boxes) {
-	const {kinds, worth, worstImbalance, refusedWithRoom} = PlacementFleet.replay(mixedLoad(replicas), {boxes: size, reportInterval: exchangeIntervalOf(size), loss}, seed);
+	const {kinds, worth, worstImbalance, refusedWithRoom} = PlacementFleet.replay(mixedLoad(replicas), {boxes: size, reportInterval: reportIntervalOf(size), loss}, seed);
 	process.stdout.write(`${size} boxes: worth ${worth.toFixed(3)}, imbalance ${worstImbalance.toFixed(2)}, refused with room ${refusedWithRoom}\n`);
 	process.stdout.write(kinds.map(kind => `    ${textOf(kind)}\n`).join(''));
 }
--- a/development/placement/placement-fleet.ts
+++ b/development/placement/placement-fleet.ts
@@ -5,6 +5,7 @@
 import {sumOf} from '../../src/base/sum.js';
 import {ManualClock} from '../harness/manual-clock.js';
 import {createRandom} from '../harness/seeded-random.js';
+import {exchangeInterval, exchangePause} from '../../src/gossip/exchange-topology.js';
 import {admit, expectedWait} from '../../src/relay/admission.js';
 import type {StaleLoad} from '../../src/replicas/load-forecast.js';
 import {LeastWaitChoice, type ChoiceRequest} from '../../src/replicas/replica-choice.js';
@@ -25,15 +26,9 @@
 
 /**
  * @param boxes - Size of the fleet.
- * @returns Milliseconds between two reports of a box; zero for a single one.
+ * @returns Milliseconds between two reports of a box; zero for a single one, which knows everything.
  */
-export function exchangeIntervalOf(boxes: number): number {
-	if (boxes === 1) {
-		return 0;
-	}
-
-	return boxes <= 12 ? 200 : 400 * Math.max(1, boxes / 100);
-}
+export const reportIntervalOf = (boxes: number): number => boxes === 1 ? 0 : exchangeInterval(boxes);
 
 /** What became of the requests of one kind. */
 export type KindOutcome = {
@@ -192,7 +187,7 @@
 			return;
 		}
 
-		this.events.add(this.clock.now + (reportInterval * (0.75 + (this.random() / 2))), () => {
+		this.events.add(this.clock.now + exchangePause(reportInterval, this.random()), () => {
 			if (this.random() >= loss) {
 				this.report(index);
 			}
--- a/development/placement/test/placement.test.ts
+++ b/development/placement/test/placement.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {mixedLoad} from '../load-pattern.js';
-import {exchangeIntervalOf, PlacementFleet, type PlacementOutcome} from '../placement-fleet.js';
+import {reportIntervalOf, PlacementFleet, type PlacementOutcome} from '../placement-fleet.js';
 
 /** Part that a fleet must serve of the value that one box with perfect knowledge serves in time. */
 const minPart = 0.9;
@@ -12,7 +12,7 @@
 const seeds = [1, 2];
 
 const replay = (boxes: number, replicas: number, seed: number): PlacementOutcome => PlacementFleet.replay(mixedLoad(replicas), {
-	boxes, reportInterval: exchangeIntervalOf(boxes), loss: 0.01,
+	boxes, reportInterval: reportIntervalOf(boxes), loss: 0.01,
 }, seed);
 
 const partOf = (boxes: number, replicas: number, seed: number): number => replay(boxes, replicas, seed).worth / replay(1, replicas, seed).worth;
--- a/src/gossip/exchange-topology.ts
+++ b/src/gossip/exchange-topology.ts
@@ -37,6 +37,27 @@
 /** Minimum milliseconds without a message after which a box counts as silent. */
 const minHeardWithin = 1000;
 
+/**
+ * @param boxes - Size of the fleet.
+ * @returns Mean milliseconds between two rounds of a box.
+ */
+export function exchangeInterval(boxes: number): number {
+	return boxes > maxSmallFleet ? largeInterval * Math.max(1, boxes / boxesAtLargeInterval) : smallInterval;
+}
+
+/**
+ * Adds jitter, so that the rounds of different boxes drift apart. Boxes that start together would otherwise send to an
+ * aggregator at the same moment; its answers would overflow the queue of its link, and the last ones would be lost in each
+ * round.
+ *
+ * @param interval - Mean milliseconds between two rounds.
+ * @param random - A number from 0 to 1.
+ * @returns Milliseconds until the next round.
+ */
+export function exchangePause(interval: number, random: number): number {
+	return interval * (1 + (pauseJitter * (random - 0.5)));
+}
+
 /** A peer and its rank in the aggregator order; lower ranks come first. */
 type Ranked = {readonly peer: Peer; readonly rank: number};
 
@@ -92,19 +113,15 @@
 
 	/** Milliseconds between two rounds, on average. */
 	get interval(): number {
-		return this.isLarge ? largeInterval * Math.max(1, this.peers.boxes / boxesAtLargeInterval) : smallInterval;
+		return exchangeInterval(this.peers.boxes);
 	}
 
 	/**
-	 * Adds jitter, so that the rounds of different boxes drift apart. Boxes that start together would otherwise send to an
-	 * aggregator at the same moment; its answers would overflow the queue of its link, and the last ones would be lost in each
-	 * round.
-	 *
 	 * @param random - A number from 0 to 1.
 	 * @returns Milliseconds until the next round.
 	 */
 	pause(random: number): number {
-		return this.interval * (1 + (pauseJitter * (random - 0.5)));
+		return exchangePause(this.interval, random);
 	}
 
 	/** Milliseconds within which a message is expected from each box that sends to this one. */
--- a/src/quota/test/quota-fleet-model.test.ts
+++ b/src/quota/test/quota-fleet-model.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {ManualClock} from '../../../development/harness/manual-clock.js';
 import {createRandom} from '../../../development/harness/seeded-random.js';
+import {exchangeInterval, exchangePause} from '../../gossip/exchange-topology.js';
 import {QuotaLedger} from '../quota-ledger.js';
 
 /** Units a second; the burst is two seconds of it. */
@@ -30,7 +31,7 @@
 function play({boxes, demand, backlog = 1, startsFull}: Load, seed: number): Outcome {
 	const random = createRandom(seed);
 	const clock = new ManualClock(1000);
-	const interval = 400 * Math.max(1, boxes / 100);
+	const interval = exchangeInterval(boxes);
 	const ledgers = Array.from({length: boxes}, (_, index) => QuotaLedger.create({
 		bound: () => ({rate, burst}), reachableFraction: () => index < aggregators ? 1 : 1 / boxes, burstFraction: () => 0.9, exchangeInterval: () => interval, random,
 	}, clock, startsFull));
@@ -45,7 +46,7 @@
 				continue;
 			}
 
-			nextRound[index] = clock.now + (interval * (0.75 + (random() / 2)));
+			nextRound[index] = clock.now + exchangePause(interval, random());
 			const others = [...ledgers.keys()].filter(other => other < aggregators && other !== index);
 			for (const other of others) {
 				ledgers[other]!.applyCounts(String(index), ledger.counts, 'known');
