--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -4,6 +4,7 @@
  * same state.
  */
 import type {Clock} from '../base/clock.js';
+import {evictOldest} from '../base/evict-oldest.js';
 import {getOrCreate} from '../base/get-or-create.js';
 import type {Suspect} from './crash-attribution.js';
 import type {Fingerprint} from './fingerprint.js';
@@ -226,10 +227,7 @@
 		// Inserted again, so that the newest are last.
 		this.completions.delete(fingerprint);
 		this.completions.set(fingerprint, {at, sentUntil: Math.max(sentUntil, known?.sentUntil ?? 0)});
-		const [oldest] = this.completions.keys();
-		if (this.completions.size > maxCompletions && oldest !== undefined) {
-			this.completions.delete(oldest);
-		}
+		evictOldest(this.completions, maxCompletions);
 
 		for (const start of this.startsOf.get(fingerprint) ?? []) {
 			if (this.crashesByStart.get(start)!.crashedAt <= at) {
--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -1,6 +1,7 @@
 /**
  * Selects a replica for each request.
  */
+import {evictOldest} from '../base/evict-oldest.js';
 import {hashText} from '../base/rendezvous.js';
 import {sumOf} from '../base/sum.js';
 import {
@@ -142,10 +143,7 @@
 			this.readAt.set(id, replicas);
 		}
 
-		const keys = this.readAt.keys();
-		while (this.readAt.size > maxTrackedParts) {
-			this.readAt.delete(keys.next().value!);
-		}
+		evictOldest(this.readAt, maxTrackedParts);
 	}
 
 	private allAmong(candidates: readonly Replica[], request: ChoiceRequest): readonly ComparedReplica[] {
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -3,6 +3,7 @@
  * removed becomes ready again only by a newer entry.
  */
 import type {Clock} from '../base/clock.js';
+import {evictOldest} from '../base/evict-oldest.js';
 import type {EventLog} from '../base/event-log.js';
 import {Replica, type ReplicaEntry} from './replica.js';
 import type {StatementSource} from './replica-statement.js';
@@ -283,12 +284,8 @@
 			return;
 		}
 
-		const [oldest] = this.announcementsByStart.keys();
-		if (this.announcementsByStart.size >= maxAnnouncements && oldest !== undefined) {
-			this.announcementsByStart.delete(oldest);
-		}
-
 		this.announcementsByStart.set(start, announcement);
+		evictOldest(this.announcementsByStart, maxAnnouncements);
 		const replica = this.byStart(start);
 		const wasLeaving = replica?.isLeaving;
 		replica?.markLeaving();
--- a/src/replicas/replica-pauses.ts
+++ b/src/replicas/replica-pauses.ts
@@ -2,6 +2,7 @@
  * Pauses that replicas ask for: a replica that rejects a request may ask the box to send none for some time.
  */
 import type {Clock} from '../base/clock.js';
+import {evictOldest} from '../base/evict-oldest.js';
 import {getOrCreate} from '../base/get-or-create.js';
 import type {Replica} from './replica.js';
 
@@ -59,7 +60,7 @@
 		const isLonger = until > Math.max(this.clock.monotonic(), this.pauses.get(start)?.get(box)?.until ?? 0);
 		if (isLonger) {
 			getOrCreate(this.pauses, start, () => new Map<string, Pause>()).set(box, {at, until});
-			this.evict();
+			evictOldest(this.pauses, maxIncarnations);
 		}
 
 		return isLonger;
@@ -111,11 +112,4 @@
 	forget({start}: Replica): void {
 		this.pauses.delete(start);
 	}
-
-	private evict(): void {
-		const [oldest] = this.pauses.keys();
-		if (this.pauses.size > maxIncarnations && oldest !== undefined) {
-			this.pauses.delete(oldest);
-		}
-	}
 }
--- a/src/replicas/service-demand.ts
+++ b/src/replicas/service-demand.ts
@@ -3,6 +3,7 @@
  * if replicas are short, it grows without bound and does not tell how many replicas would suffice.
  */
 import type {Clock} from '../base/clock.js';
+import {evictOldest} from '../base/evict-oldest.js';
 import {getOrCreate} from '../base/get-or-create.js';
 import {RateMeter} from '../base/rate-meter.js';
 import {ReadRateEstimate} from './read-rate-estimate.js';
@@ -171,13 +172,9 @@
 	 */
 	mergeReads(box: string, {count, rates}: Omit<ReadSamples, 'service'>): void {
 		const unmerged = Math.min(rates.length, count - (this.mergedReads.get(box) ?? 0));
-		const [oldest] = this.mergedReads.keys();
-		if (this.mergedReads.size >= maxMergedBoxes && oldest !== undefined) {
-			this.mergedReads.delete(oldest);
-		}
-
 		this.mergedReads.delete(box);
 		this.mergedReads.set(box, count);
+		evictOldest(this.mergedReads, maxMergedBoxes);
 		for (const rate of unmerged > 0 ? rates.slice(-unmerged) : []) {
 			this.reads.addSample(rate);
 		}
