--- a/src/replicas/replica-limits.ts
+++ b/src/replicas/replica-limits.ts
@@ -114,12 +114,7 @@
 
 	/** Listed replicas that have a limit. */
 	get limited(): readonly Replica[] {
-		const now = this.dependencies.clock.monotonic();
-		if (now - this.cache.at >= cacheLifetime) {
-			const starts = [...this.knownLimits].filter(([, {limit}]) => limit !== undefined).map(([start]) => start);
-			this.cache = {replicas: starts.map(start => this.dependencies.listed(start)).filter(replica => replica !== undefined), at: now};
-		}
-
+		this.refresh();
 		return this.cache.replicas;
 	}
 
@@ -240,7 +235,7 @@
 			return undefined;
 		}
 
-		this.dropUnlisted();
+		this.refresh();
 		const now = this.dependencies.clock.monotonic();
 		const since = now - (isWhole ? Number.POSITIVE_INFINITY : recentWindow);
 		const eligible = [...this.knownLimits].filter(([, {source, changedAt, limit, at}]) => sources.includes(source) && changedAt >= since
@@ -270,10 +265,10 @@
 		}
 	}
 
-	/** Records that an entry was removed from the list; it may be written again. */
-	recordRemoval(): void {
+	/** @param replica - A replica that was removed from the list; its entry may be written again. */
+	recordRemoval(replica: Replica): void {
+		this.replicaLog.forget(replica);
 		this.cache = emptyCache;
-		this.dropUnlisted();
 	}
 
 	/** @param replica - A replica that was replaced by a newer incarnation. */
@@ -320,6 +315,16 @@
 		}
 	}
 
+	/** Drops expired limits and determines the limited replicas, unless that was done a moment ago. */
+	private refresh(): void {
+		const now = this.dependencies.clock.monotonic();
+		if (now - this.cache.at >= cacheLifetime) {
+			this.dropUnlisted();
+			const starts = [...this.knownLimits].filter(([, {limit}]) => limit !== undefined).map(([start]) => start);
+			this.cache = {replicas: starts.map(start => this.dependencies.listed(start)).filter(replica => replica !== undefined), at: now};
+		}
+	}
+
 	/**
 	 * Evicts expired limits and the oldest ones of replicas that are not listed: a limit may arrive before the list that contains its
 	 * replica, and an entry that was removed may be written again.
--- a/src/replicas/replica-statements.ts
+++ b/src/replicas/replica-statements.ts
@@ -152,7 +152,7 @@
 			this.services.limits.forget(replica);
 			this.pauses.forget(replica);
 		} else {
-			this.services.limits.recordRemoval();
+			this.services.limits.recordRemoval(replica);
 		}
 	}
 
