--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -112,7 +112,7 @@
 	readonly work: readonly ReplicaLoad[];
 	/** Demand for services at the sender. */
 	readonly demand?: readonly ServiceLoad[];
-	/** Read rates that the sender measured; absent where there are none. */
+	/** Read rates that the sender measured. */
 	readonly reads?: readonly ReadSamples[];
 	/** Store position up to which the sender knows the replica list, and the milliseconds since the list was known to be complete. */
 	readonly replicas?: {readonly at: number; readonly age: number};
--- a/src/replicas/load-forecast.ts
+++ b/src/replicas/load-forecast.ts
@@ -98,8 +98,7 @@
 
 /** The wait for a slot counts from the first request on: the next request meets a replica that is the nearer to full the more it runs. */
 function waitAt({others, own, slots, penalty}: ReportedLoad, {readRate, duration}: ServiceRates, age: number): number {
-	const remaining = duration === 0 ? 0 : Math.exp(-age / duration);
-	const requests = own.requests + (others.requests * remaining);
+	const requests = own.requests + (others.requests * remainingPart(duration, age));
 	const reading = readingTime(own.unreadTokens, readRate) + Math.max(0, readingTime(others.unreadTokens, readRate) - age);
 	return reading + (requests / slots * duration) + penalty;
 }
@@ -107,13 +106,23 @@
 /** Requests that were added since the reports have partly been completed, and replicas have read prompts all the time. */
 function workAt({others, own}: ReportedLoad, {rates, age, added}: {readonly rates: ServiceRates; readonly age: number; readonly added: number}): ReplicaWork {
 	const {duration, readRate, tokens} = rates;
-	const remaining = duration === 0 ? 0 : Math.exp(-age / duration);
+	const remaining = remainingPart(duration, age);
 	const addedRemaining = age === 0 ? added : added * (1 - remaining) * duration / age;
 	const unread = others.unreadTokens + (added * tokens) - (readRate * age / millisecondsPerSecond);
 	return {requests: own.requests + (others.requests * remaining) + addedRemaining, unreadTokens: own.unreadTokens + Math.max(0, unread)};
 }
 
-function readingTime(tokens: number, readRate: number): number {
+/** Part of the requests that are still in progress after `age` milliseconds. */
+function remainingPart(duration: number, age: number): number {
+	return duration === 0 ? 0 : Math.exp(-age / duration);
+}
+
+/**
+ * @param tokens - Prompt tokens.
+ * @param readRate - Prompt tokens that a replica reads in a second; zero if not measured yet.
+ * @returns Milliseconds that a replica needs to read them; zero if not measured yet.
+ */
+export function readingTime(tokens: number, readRate: number): number {
 	return readRate === 0 ? 0 : tokens / readRate * millisecondsPerSecond;
 }
 
--- a/src/replicas/replica-choice.ts
+++ b/src/replicas/replica-choice.ts
@@ -72,7 +72,7 @@
 /** Milliseconds of penalty for a replica that fails all its requests; proportional to the error share above the mean. */
 const errorCost = 400;
 
-/** Replicas compared in addition to those that are drawn, because they have the last shared part in their cache. */
+/** Replicas compared in addition to the one that is drawn, because they have the last shared part in their cache. */
 const maxCacheHolders = 3;
 /** Fraction of the way to the common level to which other boxes are assumed to have filled a replica: some choose by cached prompts. */
 const filledPart = 0.75;
