Divide the retry budget into parts that add up over all boxes

Cause: each process kept the bound of all boxes for itself, from what it had counted since its start, divided by the number of boxes that it knew. A new process had its part again (50 retries of 20 allowed in a test with five starts), and a box without messages took itself for the whole fleet. A retry counted when it was allowed and could wait for a replica up to its deadline (28 of 17 allowed in a test). A request that another box refused was forwarded again without a retry being counted, also if a replica had received it there.

Ruled out: the ratio alone.

Change: what a box may retry follows from its own requests of the window before and of the window, a part of the slack that a new process gets a window after it has joined, and loans that count at the lender. A retry holds a permit from its reservation until it can no longer arrive. The line of a request says what a denial was based on. The model in virtual time found two faults of a first version: boxes that join again after a partition used the size of the smaller part, and their part of the slack at once.

--- a/development/fuzz/decoder-suite.ts
+++ b/development/fuzz/decoder-suite.ts
@@ -11,6 +11,7 @@
 import {decodeDutyRecord} from '../../src/duties/duty-record.js';
 import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
 import type {GossipMessage} from '../../src/gossip/gossip-message.js';
+import {decodeLoan, encodeLoan, type LoanDatagram} from '../../src/quota/loan-codec.js';
 import {ReplicaRole} from '../../src/node/replica-role.js';
 import type {PlatformLink} from '../../src/node/platform-link.js';
 import {CrashLedger, maxCrashesSent} from '../../src/quarantine/crash-ledger.js';
@@ -122,6 +123,8 @@
 
 	applyDatagram(data: Uint8Array): void {
 		this.faults++;
+		const loan = decodeLoan(data);
+		assert.ok(loan === undefined || Number.isFinite((loan.ask ?? loan.grant)?.amount), 'a loan without an amount');
 		const message = decodeGossip(data);
 		if (!message) {
 			return;
@@ -171,6 +174,8 @@
 }
 
 const bytesOf = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value) ?? '');
+const validLoan: LoanDatagram = {ask: {id: 'one-1', service: 's', amount: 1.5}, grant: {id: 'one-2', amount: 0.5}};
+const loanDatagram = mutated(JSON.parse(Buffer.from(encodeLoan(validLoan)).toString())).map(value => bytesOf(value));
 const validDatagram = JSON.parse(Buffer.from(encodeGossip(validMessage)).toString()) as unknown;
 const datagram = fc.oneof(
 	mutated(validDatagram).map(value => bytesOf(value)),
@@ -181,6 +186,7 @@
 		return data;
 	}),
 	fc.uint8Array({maxLength: 300}),
+	loanDatagram,
 );
 const entry = fc.oneof({weight: 4, arbitrary: mutated(validReplica)}, {weight: 1, arbitrary: invalidValue});
 
--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -158,6 +158,8 @@
 	private onCrash: ((id: string) => void) | undefined;
 	private restarts: ReadonlyArray<Promise<void>> = [];
 	private isClosing = false;
+	/** Names of the relays that were started. */
+	private readonly started = new Set<string>();
 
 	private constructor(private readonly plan: InstallationPlan, readonly store: StoreStandin) {}
 
@@ -266,7 +268,7 @@
 			control: loopback(control),
 			metrics: loopback(metricsPort),
 			seeds: [],
-			isFirstStart: true,
+			isFirstStart: !this.started.has(name),
 			store: loopback(this.store.port),
 			duties: this.plan.withDuties ? loopback(this.store.port) : undefined,
 			dutyKinds: [],
@@ -274,6 +276,7 @@
 			released: this.plan.released ?? [],
 			bounds: {...bounds, ...this.plan.bounds},
 		};
+		this.started.add(name);
 		const log = new RecordingLog();
 		const metrics = RelayMetrics.create();
 		const network = ReplicaNetwork.create();
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -27,6 +27,9 @@
 /** Rounds between two messages to the seeds, sent also while other boxes are heard. */
 const roundsBetweenSeeds = 25;
 
+/** Where a datagram came from, or is sent to. */
+export type DatagramAddress = Omit<MemberAddress, 'name' | 'capacity'>;
+
 /** Fields that this box supplies for every message; the exchange adds the others. */
 export type CommonUpdate = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'unreachable' | 'storeAge' | 'departed' | 'replicas' | 'ends' | 'statements'>;
 
@@ -54,6 +57,8 @@
 	readonly applyDigest: (message: GossipMessage, digest: FleetDigest) => void;
 	/** Records a moment, on this box's monotonic clock, at which a configuration version is known to have been the newest. */
 	readonly recordProof: (version: number, at: number) => void;
+	/** Applies a datagram that is no gossip message. */
+	readonly applyOther: (data: Uint8Array, from: DatagramAddress) => void;
 	/** Addresses to contact before any other box is known. */
 	readonly seeds: () => ReadonlyArray<Omit<MemberAddress, 'name'>>;
 };
@@ -68,6 +73,7 @@
 		return new Gossip(services);
 	}
 
+	private socket: Socket | undefined;
 	private sequence = 0;
 	/** Starts at a random number, so that boxes do the periodic work of some rounds at different times. */
 	private rounds = Math.floor(Math.random() * roundsBetweenSeeds);
@@ -88,19 +94,34 @@
 		return Effect.scoped(rounds);
 	}
 
+	/**
+	 * Sends a datagram that is no gossip message.
+	 *
+	 * @param data - Its payload.
+	 * @param to - Address of another box.
+	 */
+	sendOther(data: Uint8Array, {host, port}: DatagramAddress): void {
+		this.services.traffic.count('sent', data.length);
+		this.socket?.send(data, port, host, ignore);
+	}
+
 	private open(): Effect.Effect<Socket, never, Scope.Scope> {
 		const {self} = this.services;
 		return Effect.acquireRelease(Effect.sync(() => {
 			const socket = createSocket('udp4');
 			// A datagram that cannot be sent is treated like a lost one.
 			socket.on('error', ignore);
-			socket.on('message', data => {
+			socket.on('message', (data, {address, port}) => {
 				this.services.traffic.count('heard', data.length);
-				this.receive(socket, data);
+				this.receive(socket, data, {host: address, port});
 			});
 			socket.bind(self.port, self.host);
+			this.socket = socket;
 			return socket;
-		}), socket => Effect.sync(() => socket.close()));
+		}), socket => Effect.sync(() => {
+			this.socket = undefined;
+			socket.close();
+		}));
 	}
 
 	private round(socket: Socket): void {
@@ -185,12 +206,17 @@
 		socket.send(data, port, host, ignore);
 	}
 
-	private receive(socket: Socket, data: Uint8Array): void {
+	private receive(socket: Socket, data: Uint8Array, from: DatagramAddress): void {
 		const message = decodeGossip(data);
 		const {
 			peers, topology, self, applyMessage, applyDigest, incarnation,
 		} = this.services;
-		if (!message || message.sender.name === self.name || !canBeSentTo(message.sender)) {
+		if (!message) {
+			this.services.applyOther(data, from);
+			return;
+		}
+
+		if (message.sender.name === self.name || !canBeSentTo(message.sender)) {
 			return;
 		}
 
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -15,11 +15,14 @@
 import {ExchangeTopology, maxUnanswered} from '../gossip/exchange-topology.js';
 import {ExchangeTraffic} from '../gossip/exchange-traffic.js';
 import {FleetRates} from '../gossip/fleet-rates.js';
+import {FleetShare} from '../gossip/fleet-share.js';
 import {Gossip} from '../gossip/gossip.js';
 import type {MemberAddress} from '../gossip/gossip-message.js';
 import {PeerTable} from '../gossip/peer-table.js';
 import {Quarantine} from '../quarantine/quarantine.js';
 import {QuotaLedger} from '../quota/quota-ledger.js';
+import {RetryLoans} from '../quota/retry-loans.js';
+import {loanLifetime} from '../quota/service-retry-budget.js';
 import {ConnectionRegistry} from '../relay/connection-registry.js';
 import {CrashDetector} from '../relay/crash-detector.js';
 import {ForwardingBoxes, type BoxAddress} from '../relay/forwarding-boxes.js';
@@ -45,6 +48,7 @@
 import {createDutyRoles} from './duty-roles.js';
 import {ExchangeState} from './exchange-state.js';
 import {SlotRanges} from './slot-ranges.js';
+import {LoanExchange} from './loan-exchange.js';
 import {MemberRole} from './member-role.js';
 import type {PlatformLink} from './platform-link.js';
 import {lapseTime, ReplicaRole, replicasPath} from './replica-role.js';
@@ -103,12 +107,15 @@
 	private readonly self: MemberAddress;
 	private readonly peers: PeerTable;
 	private readonly topology: ExchangeTopology;
+	private readonly fleetShare: FleetShare;
 	private readonly services: RelayServices;
 	private readonly availability: StoreAvailability;
 	private readonly slotRanges: SlotRanges;
 	private readonly configuration: ConfigurationRole;
 	private readonly replicaRole: ReplicaRole;
 	private readonly exchange: ExchangeState;
+	private readonly gossip: Gossip;
+	private readonly loanExchange: LoanExchange;
 	private readonly frontEnd: FrontEnd;
 	private stoppingSince: number | undefined;
 	/** Milliseconds of both clocks at the last sample. */
@@ -121,6 +128,13 @@
 		this.self = {name: node, ...control, capacity: aggregatorCapacity(limits)};
 		this.peers = PeerTable.create(node, this.clock, log);
 		this.topology = ExchangeTopology.create(this.self, this.peers);
+		this.fleetShare = FleetShare.create({
+			clock: this.clock,
+			size: () => this.peers.boxes,
+			isConnected: () => this.isConnected,
+			memory: () => settings().bounds.retryWindow + loanLifetime,
+			isNewFleet: () => settings().isFirstStart && this.peers.all.every(({last}) => (last?.uptime ?? 0) < settings().bounds.retryWindow),
+		});
 		this.services = this.createServices();
 		const {brittle, demands, fleetRates} = this.services;
 		const weights = DemandWeights.create({
@@ -160,6 +174,8 @@
 			weights,
 			isStopping: () => this.stoppingSince !== undefined,
 		});
+		this.gossip = this.createGossip();
+		this.loanExchange = this.createLoanExchange();
 		this.frontEnd = FrontEnd.create(this.services, {
 			isStopping: () => this.stoppingSince !== undefined,
 			isClosing: () => this.stoppingFor > closingDelay,
@@ -248,6 +264,11 @@
 			ready: service => replicas.ready(service),
 			duration: service => demands.of(service).duration,
 		});
+		const budgets = RetryBudgets.create({
+			clock,
+			bound: () => ({ratio: bounds().retryRatio, slack: bounds().retrySlack, window: bounds().retryWindow}),
+			share: () => this.fleetShare.fraction,
+		});
 		const fleetRates = FleetRates.create({
 			clock, peers, topology, demands,
 		});
@@ -283,11 +304,16 @@
 				burstFraction: () => topology.isLarge ? largeFleetBurst : 1,
 				exchangeInterval: () => topology.interval,
 			}, clock, settings().isFirstStart),
-			budgets: RetryBudgets.create(
-				() => ({ratio: bounds().retryRatio, slack: bounds().retrySlack, window: bounds().retryWindow}),
-				() => peers.boxes,
+			budgets,
+			loans: RetryLoans.create({
 				clock,
-			),
+				incarnation: this.incarnation,
+				budgetOf: service => budgets.of(service),
+				ask: create => this.loanExchange.ask(create),
+				onBorrowed(service, amount) {
+					metrics.retriesBorrowed.inc({service}, amount);
+				},
+			}),
 			usage: UsageCounts.create(() => peers.commonTime, () => bounds().reportWindow),
 		};
 	}
@@ -324,12 +350,12 @@
 		});
 	}
 
-	private roles(): readonly Role[] {
-		const {settings, link, log, metrics} = this.parts;
+	private createGossip(): Gossip {
+		const {settings, log, metrics} = this.parts;
 		const {
 			exchange, peers, topology, self,
 		} = this;
-		const gossip = Gossip.create({
+		return Gossip.create({
 			self,
 			incarnation: this.incarnation,
 			clock: this.clock,
@@ -351,8 +377,40 @@
 			recordProof: (version, at) => {
 				this.services.table.prove(version, at);
 			},
+			applyOther: (data, from) => {
+				this.loanExchange.receive(data, from);
+			},
 			seeds: () => settings().seeds,
 		});
+	}
+
+	private createLoanExchange(): LoanExchange {
+		const {peers, topology, services: {loans}} = this;
+		return LoanExchange.create({
+			peers,
+			topology,
+			send: (data, to) => {
+				this.gossip.sendOther(data, to);
+			},
+			grant: request => loans.grant(request),
+			applyGrant(grant, box) {
+				loans.applyGrant(grant, box);
+			},
+		});
+	}
+
+	/** Whether this box and the others receive each other's messages: all of a small fleet, aggregators of a large one. */
+	private get isConnected(): boolean {
+		const {peers, topology, incarnation} = this;
+		const answering = peers.heard.filter(({last}) => last?.echo?.incarnation === incarnation).length;
+		return topology.isLarge ? answering > 0 : answering + 1 >= peers.boxes;
+	}
+
+	private roles(): readonly Role[] {
+		const {settings, link, log, metrics} = this.parts;
+		const {
+			gossip, peers, topology, self,
+		} = this;
 		const members = MemberRole.create({
 			store: link.store, self, peers, log, isNeeded: () => topology.isAggregator || peers.heard.length === 0,
 		});
@@ -401,6 +459,8 @@
 			this.logSuspension();
 			const {metrics} = this.parts;
 			const {table, replicas, limits, statements} = this.services;
+			this.fleetShare.update();
+			metrics.retryShare.set(this.fleetShare.fraction);
 			metrics.proofAge.set(table.proofAge / millisecondsPerSecond);
 			metrics.quarantined.set(this.services.quarantine.quarantined.length);
 			metrics.membersHeard.set(this.peers.heard.length);
--- a/src/node/test/retry-budget.test.ts
+++ b/src/node/test/retry-budget.test.ts
@@ -5,14 +5,20 @@
 import {greatestRetryExcess, type RetryBound} from '../../../development/harness/retry-excess.js';
 import {RelayInstallation, routeTo, until} from '../../../development/relay/relay-installation.js';
 
-const bound: RetryBound = {ratio: 1, slack: 0, window: 2000};
+const bound: RetryBound = {ratio: 0.5, slack: 0, window: 2000};
 const streams = 20;
 /** Starts of a process within one window. */
 const restarts = 5;
 /** Milliseconds for which no replica is listed. */
 const absence = 1800;
 /** Milliseconds from the first arrival of a stream to the crash of its replica; shorter than a stream takes. */
-const timeToCrash = 350;
+const timeToCrash = 600;
+
+/** Milliseconds between two calls of the steady load, which begins two windows before the first crash. */
+const callInterval = 100;
+const warmUp = 4500;
+/** Milliseconds until boxes that have heard each other have their shares. */
+const shareDelay = 1500;
 
 /** Cuts twenty streams, lists the next replica almost a window later, cuts twenty streams there, and lists another replica at once. */
 async function crashTwice(installation: RelayInstallation): Promise<void> {
@@ -21,7 +27,8 @@
 	}));
 	const first = begin('first');
 	const replica = installation.replicas.get('i-1')!;
-	await until(() => replica.seen.length >= streams);
+	await until(() => replica.seen.filter(({target}) => target === '/stream/x').length === streams);
+	await pause(timeToCrash);
 	await replica.close();
 	installation.unlist('i-1');
 	await pause(absence);
@@ -40,16 +47,22 @@
 	const installation = await RelayInstallation.start({
 		relays: 1,
 		replicas: ['i-1'],
-		routes: [routeTo('/stream/', {
+		routes: [routeTo('/calls/'), routeTo('/stream/', {
 			kind: 'streaming', resumable: true, timeout_ms: 8000, max_attempts: 4,
 		})],
 		bounds: {retryRatio: bound.ratio, retryWindow: bound.window, retrySlack: bound.slack},
 	});
 	context.after(async () => installation.close());
 	installation.prepareReplicas(replica => {
-		replica.behave({delay: 20, events: 60, gap: 20});
+		replica.behave({delay: 20, gap: 20});
+		replica.streamEvents = 60;
 	});
+	const load = setInterval(() => {
+		void installation.call({path: '/calls/x'});
+	}, callInterval);
+	await pause(warmUp);
 	await crashTwice(installation);
+	clearInterval(load);
 	assertWithinBudget(installation, bound);
 });
 
@@ -72,6 +85,28 @@
 	assertWithinBudget(installation, restartBound);
 });
 
+/** Guards against a budget of which a box can use its own share alone, although attempts fail at that box only. */
+test('a box at which attempts fail uses the shares of the other boxes too', async context => {
+	const lentBound: RetryBound = {ratio: 0, slack: 40, window: 10_000};
+	const installation = await RelayInstallation.start({
+		relays: 4, replicas: ['i-1', 'i-2', 'i-3'], bounds: {retryRatio: lentBound.ratio, retryWindow: lentBound.window, retrySlack: lentBound.slack},
+	});
+	context.after(async () => installation.close());
+	installation.prepareReplicas(replica => {
+		replica.behave({fault: 'refuse'});
+	});
+	await installation.untilAllHeard();
+	await pause(shareDelay);
+	for (let call = 0; call < streams; call++) {
+		await installation.call({path: '/calls/x'});
+	}
+
+	const arrivals = installation.allReplicas.flatMap(({seen}) => seen);
+	const retries = arrivals.length - new Set(arrivals.map(({id}) => id)).size;
+	assert.ok(retries >= lentBound.slack * 0.8, `${retries} retries`);
+	assertWithinBudget(installation, lentBound);
+});
+
 function assertWithinBudget({allReplicas}: RelayInstallation, allowed: RetryBound): void {
 	const arrivals = allReplicas.flatMap(({seen}) => seen).sort((left, right) => left.at - right.at);
 	const retries = arrivals.filter(({id}, index) => arrivals.findIndex(other => other.id === id) < index);
--- a/src/relay/forward-head.ts
+++ b/src/relay/forward-head.ts
@@ -11,6 +11,7 @@
 	service: 'waydrift-service',
 	reason: 'waydrift-reason',
 	verdict: 'waydrift-verdict',
+	arrivals: 'waydrift-arrivals',
 } as const;
 const headerNames: ReadonlySet<string> = new Set(Object.values(header));
 const verdicts: ReadonlySet<string> = new Set<Verdict>(['not-run', 'may-have-run', 'ran']);
@@ -51,9 +52,17 @@
 
 /**
  * @param refusal - A refusal of a forwarded request.
+ * @param arrivals - Attempts of this box that may have reached a replica.
  * @returns Alternating names and values, which distinguish it from an answer of a replica.
  */
-export const refusalHeaders = ({reason, verdict}: Refusal): readonly string[] => [header.reason, reason, header.verdict, verdict];
+export const refusalHeaders = ({reason, verdict}: Refusal, arrivals: number): readonly string[] =>
+	[header.reason, reason, header.verdict, verdict, header.arrivals, String(arrivals)];
+
+/**
+ * @param answer - A refusal of another box.
+ * @returns Whether a replica may have received the request from it; also true if the box does not tell.
+ */
+export const mayHaveArrived = ({headers}: IncomingMessage): boolean => textOf(headers, header.arrivals) !== '0';
 
 /**
  * @param answer - An answer of another box.
--- a/src/relay/forwarded-attempt.ts
+++ b/src/relay/forwarded-attempt.ts
@@ -11,7 +11,7 @@
 import type {AdmittedRequest} from './admitted-request.js';
 import {AnswerDelivery} from './answer-delivery.js';
 import {AttemptFailure} from './attempt-failure.js';
-import {forwardHeaders, readRefusal} from './forward-head.js';
+import {forwardHeaders, mayHaveArrived, readRefusal} from './forward-head.js';
 import type {ForwardingBox} from './forwarding-boxes.js';
 import type {AnswerHead} from './relay-format.js';
 import type {AttemptParts} from './replica-attempt.js';
@@ -45,6 +45,8 @@
 	private readonly delivery: AnswerDelivery;
 	/** The refusal that the other box answered with; `undefined` if it passed on the answer of a replica. */
 	private refusal: Refusal | undefined;
+	/** Whether a replica may have received the request, although the other box refused it. */
+	private hasArrived = true;
 	private sentAt = 0;
 
 	private constructor(private readonly parts: AttemptParts, private readonly plan: ForwardedAttemptPlan) {
@@ -94,10 +96,18 @@
 				return Effect.fail(AttemptFailure.notRun('withheld', 'the configuration may be out of date'));
 			}
 
+			if (!this.parts.retry.mayBeSent) {
+				box.connections.release(socket, undefined);
+				return Effect.fail(AttemptFailure.notRun('over-budget', 'the retry budget was spent while the request waited'));
+			}
+
 			this.sentAt = clock.monotonic();
 			record.executions++;
 			const path = {connections: box.connections, socket, format: {readAnswer: (answer: IncomingMessage) => this.readAnswer(answer)}};
 			return openAnswer(path, this.outgoing).pipe(
+				Effect.ensuring(Effect.sync(() => {
+					this.parts.retry.recordSent();
+				})),
 				Effect.flatMap(answer => this.refusal ? this.applyRefusal(answer, this.refusal) : this.deliver(answer)),
 				Effect.onInterrupt(() => Effect.sync(() => {
 					abandon(socket);
@@ -127,6 +137,7 @@
 		const head = format.readAnswer(answer);
 		const pause = Number(answer.headers['retry-after'] ?? Number.NaN);
 		this.refusal = readRefusal(answer, Number.isFinite(pause) ? pause : undefined);
+		this.hasArrived = mayHaveArrived(answer);
 		return this.refusal
 			? {
 				...head, id: this.plan.request.head.id, isNotRun: false, isMisdirected: false,
@@ -145,7 +156,7 @@
 			const isOfBox = refusalsOfBox.has(reason) || (reason === 'replica-limit' && clock.monotonic() < receivedAt + route.goal);
 			if (verdict === 'not-run' && isOfBox) {
 				forwarding.avoid(box);
-				return AttemptFailure.notRun('not-forwarded', detail);
+				return AttemptFailure.notRun('not-forwarded', detail, this.hasArrived);
 			}
 
 			return reason === 'upstream-cut' ? AttemptFailure.mayHaveRun('cut', detail) : refusal;
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -129,8 +129,8 @@
 		const {clock, format, log} = this.services;
 		const receivedAt = clock.monotonic();
 		const head = format.readRequest(incoming);
-		const client = ClientAnswer.create(response, this.state.isStopping, forward && refusalHeaders);
-		const summary = RequestSummary.create({
+		const client = ClientAnswer.create(response, this.state.isStopping, forward && (refusal => refusalHeaders(refusal, summary.run?.record.arrivals ?? 0)));
+		const summary: RequestSummary = RequestSummary.create({
 			services: this.services, head, client, origin: forward?.origin, receivedAt,
 		});
 		const serving = Effect.gen({self: this}, function * () {
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -66,6 +66,14 @@
 		name: 'waydrift_relay_retries_total', help: 'Requests sent again, by reason.', labelNames: ['reason'], registers: [this.registry],
 	});
 
+	readonly retriesBorrowed = new Counter({
+		name: 'waydrift_relay_retries_borrowed_total', help: 'Retries that other boxes lent to this one, by service.', labelNames: ['service'], registers: [this.registry],
+	});
+
+	readonly retryShare = new Gauge({
+		name: 'waydrift_relay_retry_share', help: 'Fraction of the slack of the retry budgets that belongs to this box.', registers: [this.registry],
+	});
+
 	readonly retriesDenied = new Counter({
 		name: 'waydrift_relay_retries_denied_total', help: 'Requests not sent again, by what forbade it.', labelNames: ['because'], registers: [this.registry],
 	});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -8,13 +8,14 @@
 import type {Replica} from '../replicas/replica.js';
 import {pickTarget} from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
-import type {AttemptFailure, AttemptFailureReason} from './attempt-failure.js';
+import type {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import {DemandRecorder} from './demand-recorder.js';
 import {ForwardedAttempt} from './forwarded-attempt.js';
 import type {ForwardingBox} from './forwarding-boxes.js';
 import type {RelayServices} from './relay-services.js';
 import {ReplicaAttempt, type AttemptParts} from './replica-attempt.js';
+import {RetryReservation} from './retry-reservation.js';
 import {RunChoice, type RunDecision} from './run-choice.js';
 import type {RunRecord} from './run-record.js';
 import {CrashSuspicion} from './crash-suspicion.js';
@@ -25,8 +26,6 @@
  * whose process is gone stays listed for some heartbeats and is chosen first, since it has no work.
  */
 const maxAttempts = 4;
-/** Failures of attempts that reached no replica, which are not retries in the sense of the budget. */
-const reasonsBeforeArrival: ReadonlySet<AttemptFailureReason> = new Set(['unreachable', 'withheld', 'not-forwarded']);
 /** Milliseconds that must be left until the deadline for another attempt to be useful. */
 const minAttemptTime = 30;
 /** Shortest `Retry-After`, in seconds, of a request that no replica could serve. */
@@ -57,8 +56,8 @@
 
 	/** Outcome of the attempts so far. */
 	readonly record: RunRecord = {
-		attempts: 0, executions: 0, refusedConnections: 0, forwards: 0, via: undefined, replica: undefined, failures: '', firstByteAt: undefined, excludedReplicas: 0,
-		missingFor: undefined, expectedWait: undefined, loadAge: undefined,
+		attempts: 0, executions: 0, arrivals: 0, refusedConnections: 0, forwards: 0, via: undefined, replica: undefined, failures: '', firstByteAt: undefined, excludedReplicas: 0,
+		missingFor: undefined, expectedWait: undefined, loadAge: undefined, retryBasis: undefined,
 	};
 
 	/** Whether the request is suspected of crashing replicas. */
@@ -66,6 +65,7 @@
 	private readonly streamForwarder: StreamForwarder;
 	private readonly choice: RunChoice;
 	private readonly parts: AttemptParts;
+	private readonly retry: RetryReservation;
 	/** Sends the error answer of an earlier attempt; used if no later attempt succeeds. */
 	private failedAnswer: (() => void) | undefined;
 	/** Monotonic milliseconds at which it first waited for suspected requests to finish. */
@@ -99,8 +99,11 @@
 			request: () => this.request,
 			waitsForReplica: () => this.verdict === 'may-have-run' && !this.failedAnswer,
 		});
+		this.retry = RetryReservation.create({
+			loans: services.loans, record: this.record, service: () => ({name: this.request.service, budget: services.budgets.of(this.request.service)}),
+		});
 		this.parts = {
-			services, client, streamForwarder: this.streamForwarder, suspicion: this.suspicion, demandRecorder: this.demandRecorder, choiceRequest, record: this.record,
+			services, client, streamForwarder: this.streamForwarder, suspicion: this.suspicion, demandRecorder: this.demandRecorder, choiceRequest, record: this.record, retry: this.retry,
 		};
 	}
 
@@ -132,6 +135,7 @@
 			})),
 			Effect.ensuring(Effect.sync(() => {
 				this.choice.close();
+				this.retry.release();
 			})),
 		);
 	}
@@ -174,10 +178,7 @@
 					return;
 				}
 
-				const refusal = this.refusalAfter(failure);
-				if (refusal) {
-					yield * Effect.fail(refusal);
-				}
+				yield * this.prepareRetry(failure);
 			}
 		});
 	}
@@ -316,7 +317,7 @@
 	private recordFailure(replica: Replica, failure: AttemptFailure): void {
 		const {replicas} = this.services;
 		this.noteFailure(replica.entry.id, failure);
-		if (failure.verdict === 'not-run' && !reasonsBeforeArrival.has(failure.reason)) {
+		if (failure.verdict === 'not-run' && failure.mayHaveArrived) {
 			this.record.executions--;
 		}
 
@@ -336,40 +337,41 @@
 		this.record.failures += `${this.record.failures === '' ? '' : '; '}${target}: ${reason}: ${detail}`;
 	}
 
-	/** @returns The refusal that ends the request; `undefined` if another attempt is allowed. */
-	private refusalAfter(failure: AttemptFailure): Refusal | undefined {
-		const {clock, metrics, budgets} = this.services;
-		const {route, service} = this.request;
-		const deny = (because: string): Refusal => {
-			metrics.retriesDenied.inc({because});
-			return this.refusalOf(failure);
-		};
+	/** @returns An effect that succeeds if another attempt is allowed, and otherwise fails with the refusal that ends the request. */
+	private prepareRetry(failure: AttemptFailure): Effect.Effect<void, Refusal> {
+		return Effect.gen({self: this}, function * () {
+			const {metrics} = this.services;
+			const reason = this.reasonToDeny(failure) ?? (failure.mayHaveArrived && !(yield * this.retry.acquire()) ? 'budget' : undefined);
+			if (reason !== undefined) {
+				metrics.retriesDenied.inc({because: reason});
+				yield * Effect.fail(this.refusalOf(failure));
+			}
+
+			metrics.retries.inc({reason: failure.reason});
+		});
+	}
+
+	/** @returns Why no other attempt is allowed, whatever the retry budget; `undefined` if one is. */
+	private reasonToDeny(failure: AttemptFailure): 'budget' | 'kind' | 'attempts' | 'suspect' | 'time' | undefined {
+		if (failure.reason === 'over-budget') {
+			return 'budget';
+		}
 
 		if (failure.verdict !== 'not-run' && !this.mayRunAgain(failure)) {
-			return deny('kind');
+			return 'kind';
 		}
 
-		if (this.record.executions >= route.maximumAttempts && failure.verdict !== 'not-run') {
-			return deny('attempts');
+		if (this.record.executions >= this.request.route.maximumAttempts && failure.verdict !== 'not-run') {
+			return 'attempts';
 		}
 
 		// The probe that decides whether this cut was a crash is still running; a request that is already suspected must not run again before.
 		if (failure.reason === 'cut' && this.suspicion.refreshStatus() !== 'sound') {
-			return deny('suspect');
+			return 'suspect';
 		}
 
 		const hasTries = this.record.attempts - this.record.refusedConnections < maxAttempts;
-		if (!hasTries || this.request.deadlineAt - clock.monotonic() < minAttemptTime) {
-			return deny('time');
-		}
-
-		const isArrival = !reasonsBeforeArrival.has(failure.reason);
-		if (isArrival && !budgets.of(service).withdraw()) {
-			return deny('budget');
-		}
-
-		metrics.retries.inc({reason: failure.reason});
-		return undefined;
+		return !hasTries || this.request.deadlineAt - this.services.clock.monotonic() < minAttemptTime ? 'time' : undefined;
 	}
 
 	/** Whether another box forwarded the request to this one. That box counts its executions, so this one runs it at most once. */
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -6,6 +6,7 @@
 import type {FleetRates} from '../gossip/fleet-rates.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import type {QuotaLedger} from '../quota/quota-ledger.js';
+import type {RetryLoans} from '../quota/retry-loans.js';
 import type {BrittleReplicas} from '../replicas/brittle-replicas.js';
 import type {ReplicaChoice} from '../replicas/replica-choice.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
@@ -51,5 +52,6 @@
 	readonly quarantine: Quarantine;
 	readonly quota: QuotaLedger;
 	readonly budgets: RetryBudgets;
+	readonly loans: RetryLoans;
 	readonly usage: UsageCounts;
 };
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -16,6 +16,7 @@
 import {
 	abandon, hasBody, openAnswer, type OpenAnswer, type OutgoingRequest,
 } from './replica-exchange.js';
+import type {RetryReservation} from './retry-reservation.js';
 import type {RunRecord} from './run-record.js';
 import type {CrashSuspicion} from './crash-suspicion.js';
 import type {StreamForwarder} from './stream-forwarder.js';
@@ -34,6 +35,7 @@
 	readonly demandRecorder: DemandRecorder;
 	readonly choiceRequest: ChoiceRequest;
 	readonly record: RunRecord;
+	readonly retry: RetryReservation;
 };
 
 /** Parameters of one attempt. */
@@ -126,8 +128,14 @@
 				return Effect.fail(AttemptFailure.notRun('withheld', withheld));
 			}
 
+			if (!this.parts.retry.mayBeSent) {
+				ofReplica.release(socket, undefined);
+				return Effect.fail(AttemptFailure.notRun('over-budget', 'the retry budget was spent while the request waited'));
+			}
+
 			this.sentAt = clock.monotonic();
 			record.executions++;
+			record.arrivals++;
 			record.missingFor = replica.isMissing ? Math.round(replica.missingFor) : undefined;
 			if (limits.limitOf(replica) !== undefined) {
 				metrics.limitedAttempts.inc({service: replica.entry.service});
@@ -143,6 +151,7 @@
 			}, this.outgoing).pipe(
 				Effect.ensuring(Effect.sync(() => {
 					clearTimeout(silence);
+					this.parts.retry.recordSent();
 				})),
 				Effect.flatMap(answer => this.forward(answer)),
 				Effect.onInterrupt(() => Effect.sync(() => {
--- a/src/relay/request-summary.ts
+++ b/src/relay/request-summary.ts
@@ -3,6 +3,7 @@
  */
 import type {EventFields} from '../base/event-log.js';
 import type {Refusal} from '../base/verdict.js';
+import type {RetryBasis} from '../quota/service-retry-budget.js';
 import type {Route, ClientAccount} from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {ClientAnswer} from './client-answer.js';
@@ -149,6 +150,7 @@
 				refusedConnections: run.record.refusedConnections === 0 ? undefined : run.record.refusedConnections,
 				keptFrom: run.record.excludedReplicas === 0 ? undefined : run.record.excludedReplicas,
 				missingFor: run.record.missingFor,
+				...retryFields(run.record.retryBasis),
 				failures: run.record.failures === '' ? undefined : run.record.failures,
 				...run.streamFields,
 				fingerprint: run.suspicion.reportedFingerprint,
@@ -157,3 +159,10 @@
 			: {};
 	}
 }
+
+/** The figures that the last decision on a retry was based on; they are those of this box and have no age. */
+const retryFields = (basis: RetryBasis | undefined): EventFields => basis
+	? {
+		retryRoom: basis.room, retryShare: basis.share, retryCredit: basis.credit, retriesOpen: basis.open,
+	}
+	: {};
--- a/src/relay/run-record.ts
+++ b/src/relay/run-record.ts
@@ -2,11 +2,15 @@
  * Outcome of a request's attempts at replicas.
  */
 
+import type {RetryBasis} from '../quota/service-retry-budget.js';
+
 /** Outcome so far, updated by the attempts and written to the log record of the request. */
 export type RunRecord = {
 	attempts: number;
 	/** Attempts in which the replica may have run the request. */
 	executions: number;
+	/** Attempts of this box that sent the request to a replica. */
+	arrivals: number;
 	/** Attempts at replicas whose addresses refused the connection. */
 	refusedConnections: number;
 	/** Attempts to forward the request through another box. */
@@ -21,6 +25,8 @@
 	firstByteAt: number | undefined;
 	/** Greatest number of replicas that were excluded at one time because of their rate limits or requested pauses. */
 	excludedReplicas: number;
+	/** What the last decision on a retry was based on; `undefined` if there was none. */
+	retryBasis: RetryBasis | undefined;
 	/** Milliseconds for which the entry of the last replica had been missing when the request was sent; `undefined` if it was listed. */
 	missingFor: number | undefined;
 	/** Expected milliseconds until the best replica started the request, when it was admitted or refused; `undefined` before. */
