Log the software versions of attempts, and which stream a client takes up

No line says which version an attempt was sent to, nor that a client takes a stream up, so retries within an answer can't be told from streams that clients take up. The line of a request now names both.

--- a/src/relay/relay-format.ts
+++ b/src/relay/relay-format.ts
@@ -24,6 +24,8 @@
 	readonly parts: readonly PromptPart[];
 	/** Id of the last event that the client has, if it resumes a stream. */
 	readonly lastEventId: string | undefined;
+	/** Id of the client's attempt that brought the first event of that stream; `undefined` if not given. */
+	readonly resumedAttempt: string | undefined;
 };
 
 /** What this box adds to the head of a client's request before it sends the request to a replica. */
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -136,6 +136,7 @@
 			this.sentAt = clock.monotonic();
 			record.executions++;
 			record.arrivals++;
+			record.software = record.software.at(-1) === replica.entry.software ? record.software : [...record.software, replica.entry.software];
 			record.missingFor = replica.isMissing ? Math.round(replica.missingFor) : undefined;
 			if (limits.limitOf(replica) !== undefined) {
 				metrics.limitedAttempts.inc({service: replica.entry.service});
--- a/src/relay/run-record.ts
+++ b/src/relay/run-record.ts
@@ -19,6 +19,8 @@
 	via: string | undefined;
 	/** Id of the replica of the last attempt. */
 	replica: string | undefined;
+	/** Software versions of the replicas that the attempts were sent to, in order; consecutive equal ones are listed once. */
+	software: readonly string[];
 	/** Failures of the attempts in order, separated by semicolons. */
 	failures: string;
 	/** Monotonic milliseconds of the first byte of an answer; `undefined` before. */
