Bind a stream to the software version that began it

Cause: no choice of a replica knew versions. Within an answer a retry went to any replica, and a stream that its client took up at another box went to any replica too, since only the box that began it could know the version.

Change: one filter (StreamVersion) holds for retries, forwarding and streams that clients take up, and is checked again before the request is sent. The box that gets the first event tells the others the version before it passes that event on, while several versions have served. A box that does not know a stream asks; if no box knows it and several versions have served, the stream is refused at once.

Ruled out: a version chosen by a hash of the attempt id, since boxes that see other sets of versions would join two of them without noticing it.

Both replicas of the soak's versions serve side by side from now on.

--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -104,6 +104,8 @@
 	readonly services?: ReadonlyArray<Readonly<Record<string, unknown>>>;
 	readonly bounds?: Partial<RelayBounds>;
 	readonly withDuties?: boolean;
+	/** @returns Software version of a replica; by default all have the same. */
+	readonly versionOf?: (id: string) => string;
 	/** Fingerprints of requests that are exempt from quarantine, even if they crashed replicas. */
 	readonly released?: readonly string[];
 };
@@ -208,7 +210,15 @@
 	 */
 	list(id: string, entry: Readonly<Record<string, unknown>> = {}): void {
 		this.entries.set(id, {
-			service: 'plain', addr: `127.0.0.1:${this.replicas.get(id)!.port}`, zone: 'zone-1', slots: 8, state: 'ready', seq: 1, born: this.startTimes.get(id), version: 1, ...entry,
+			service: 'plain',
+			addr: `127.0.0.1:${this.replicas.get(id)!.port}`,
+			zone: 'zone-1',
+			slots: 8,
+			state: 'ready',
+			seq: 1,
+			born: this.startTimes.get(id),
+			version: this.plan.versionOf?.(id) ?? 1,
+			...entry,
 		});
 		this.store.put(replicaKind, id, this.entries.get(id));
 	}
--- a/development/soak/soak-answers.ts
+++ b/development/soak/soak-answers.ts
@@ -14,6 +14,12 @@
 	readonly streamEvents: number;
 };
 
+/**
+ * @param body - Body of a stream.
+ * @returns Ids of the replicas that produced its events.
+ */
+export const makersOf = (body: string): readonly string[] => [...body.matchAll(/(?<replica>i-\d+) for /gv)].map(({groups}) => groups!.replica!);
+
 const betweenEvents = /(?<=\n\n)/v;
 /** Characters of the body that a description shows. */
 const shownCharacters = 160;
--- a/development/soak/soak-checker.ts
+++ b/development/soak/soak-checker.ts
@@ -6,12 +6,13 @@
 import {routeTimeout, testKey} from '../relay/relay-installation.js';
 import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
-import {describeAnswerFault} from './soak-answers.js';
+import {describeAnswerFault, makersOf} from './soak-answers.js';
 import {type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
 import {
 	drainTime, poisonMark, revokeTime, type CutOff, type Drain, type LimitPeriod,
 } from './soak-faults.js';
 import type {SoakRelay} from './soak-relay.js';
+import {softwareOf} from './soak-streams.js';
 
 /** Observations of one soak test. */
 export type SoakObservations = {
@@ -97,6 +98,7 @@
 	get violations(): readonly string[] {
 		return [
 			...this.record.attempts.flatMap(attempt => this.violationsOf(attempt)),
+			...this.joinedStreams,
 			...this.lateArrivals,
 			...this.arrivalsAfterAnnouncement,
 			...this.arrivalsDuringPauses,
@@ -144,6 +146,15 @@
 			.map(seen => `${seen.id} reached ${replica.id} ${Math.round(seen.at - at)} ms after it announced that it is leaving`));
 	}
 
+	/** Streams with events of several software versions, in one answer or over the attempts of their client. */
+	private get joinedStreams(): readonly string[] {
+		return this.record.attempts.filter(({kind}) => kind === 'stream').flatMap(({id, body, resumes}) => {
+			const earlier = resumes === undefined ? '' : this.attemptOf.get(resumes)?.body ?? '';
+			const versions = new Set(makersOf(earlier + body).map(replica => softwareOf(replica)));
+			return versions.size > 1 ? [`${id} has events of the software versions ${[...versions].join(' and ')}`] : [];
+		});
+	}
+
 	/** Requests that a relay sent to a replica after an answer through that relay had announced that the replica is leaving. */
 	private get arrivalsAfterAnnouncement(): readonly string[] {
 		return this.record.replicas.flatMap(({id: replica, seen}) => {
--- a/development/soak/soak-clients.ts
+++ b/development/soak/soak-clients.ts
@@ -19,6 +19,8 @@
 	readonly sent: string;
 	readonly relay: SoakRelay;
 	readonly key: string;
+	/** Id of the attempt that brought the first event of a stream that is taken up; `undefined` for other requests. */
+	readonly resumes: string | undefined;
 	/** Number of the last event already received, after which the stream is to continue; zero requests the whole stream. */
 	readonly after: number;
 	/** Monotonic milliseconds at which the request was sent, and at which its answer ended. */
@@ -45,6 +47,7 @@
 	readonly agent?: Agent;
 	readonly key?: string;
 	readonly after?: number;
+	readonly resumes?: string;
 };
 
 /** The clients of one soak test. */
@@ -92,16 +95,20 @@
 	 * @param way - Relay, connections, key and position in the stream.
 	 * @returns The attempt with its outcome.
 	 */
-	async send(kind: SoakRequestKind, body: string, {relay, agent, key = testKey, after = 0}: SoakDestination): Promise<SoakAttempt> {
+	async send(kind: SoakRequestKind, body: string, {
+		relay, agent, key = testKey, after = 0, resumes,
+	}: SoakDestination): Promise<SoakAttempt> {
 		this.sentCount++;
 		const id = `soak-${this.sentCount}`;
 		const sentAt = performance.now();
-		const headers = {'Attempt-Id': id, Authorization: `Bearer ${key}`, ...(after > 0 ? {'Last-Event-Id': String(after)} : {})};
+		const headers = {
+			'Attempt-Id': id, Authorization: `Bearer ${key}`, ...(after > 0 ? {'Last-Event-Id': String(after)} : {}), ...(resumes === undefined ? {} : {Resumes: resumes}),
+		};
 		const view = await this.installation.call({
 			path: `/${kind}/x`, method: 'POST', body, headers, ...(agent ? {agent} : {}),
 		}, relay);
 		const attempt = {
-			...view, id, kind, sent: body, relay, key, after, sentAt, endedAt: performance.now(),
+			...view, id, kind, sent: body, relay, key, after, resumes, sentAt, endedAt: performance.now(),
 		};
 		this.attempts.push(attempt);
 		return attempt;
@@ -126,7 +133,9 @@
 			await pause(clientPause);
 			const after = lastEventOf(attempt);
 			if (after > 0 && !attempt.isWhole) {
-				await this.send(kind, body, {...this.chooseRelay(agents), key, after});
+				await this.send(kind, body, {
+					...this.chooseRelay(agents), key, after, resumes: attempt.id,
+				});
 				await pause(clientPause);
 			}
 		}
--- a/development/soak/soak-streams.ts
+++ b/development/soak/soak-streams.ts
@@ -16,6 +16,12 @@
 /** Fraction of the breaks that also affect runs that continue a stream. */
 const anyRunShare = 0.5;
 
+/**
+ * @param replica - Id of a replica.
+ * @returns Its software version; replicas of two versions serve side by side.
+ */
+export const softwareOf = (replica: string): string => Number(replica.slice(replica.indexOf('-') + 1)) % 2 === 0 ? 'v2' : 'v1';
+
 type Draw = {
 	/** @returns One of the choices, drawn uniformly. */
 	readonly among: <Choice>(choices: readonly Choice[]) => Choice;
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -17,7 +17,7 @@
 import {SoakChecker, fingerprintOfRequest, wrongQuarantines} from './soak-checker.js';
 import {planSoak, type SoakFault} from './soak-plan.js';
 import {SoakRelay} from './soak-relay.js';
-import {SoakStreams} from './soak-streams.js';
+import {SoakStreams, softwareOf} from './soak-streams.js';
 
 /** Options of a soak test. */
 export type SoakOptions = {
@@ -67,7 +67,9 @@
  */
 export async function soak({seed, length, relays: count}: SoakOptions): Promise<SoakReport> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'waydrift-soak-'));
-	const installation = await RelayInstallation.start({relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, revocableKey, isolationKey]}});
+	const installation = await RelayInstallation.start({
+		relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, revocableKey, isolationKey]}, versionOf: softwareOf,
+	});
 	const streams = SoakStreams.create(seed, streamEvents);
 	installation.prepareReplicas(replica => {
 		streams.prepare(replica);
--- a/development/soak/test/soak-answers.test.ts
+++ b/development/soak/test/soak-answers.test.ts
@@ -23,7 +23,7 @@
 const judge = ({kind = 'stream', body, isWhole = true, after = 0, signer = 'i-1', id = 'r', runners = ['i-1', 'i-2']}: Seen): string | undefined => {
 	const headers = {'attempt-id': id, 'server-stamp': stampOf(signer)};
 	const attempt: SoakAttempt = {
-		kind, body, isWhole, after, id: 'r', sent: '', status: 200, headers, relay: nowhere, key: '', sentAt: 0, endedAt: 0,
+		kind, body, isWhole, after, resumes: undefined, id: 'r', sent: '', status: 200, headers, relay: nowhere, key: '', sentAt: 0, endedAt: 0,
 	};
 	return describeAnswerFault({attempt, runners, streamEvents});
 };
--- a/src/base/refusal-reason.ts
+++ b/src/base/refusal-reason.ts
@@ -38,6 +38,8 @@
 	'replica-limit': refusal(503, 'The replicas take no more requests now', 'not-run', 1),
 	'no-upstream': refusal(503, 'No upstream can take the request', 'not-run', 2),
 	'upstream-refused': refusal(503, 'The upstream refused', 'not-run', 1),
+	'stream-origin-unknown': refusal(503, 'The stream cannot go on, since the version that began it is not known', 'not-run'),
+	'stream-version-gone': refusal(503, 'The stream cannot go on, since no replica of its version is left', 'not-run', 1),
 	quarantined: refusal(503, 'The request ends the replicas that run it', 'not-run', 60),
 	'upstream-unreachable': refusal(502, 'The upstream could not be reached', 'not-run', 1),
 	'upstream-cut': refusal(502, 'The upstream connection was cut', 'may-have-run'),
--- /dev/null
+++ b/src/node/origin-exchange.ts
@@ -0,0 +1,154 @@
+/**
+ * Sends and receives the datagrams by which boxes tell each other which software version began a stream.
+ */
+import * as Effect from 'effect/Effect';
+import type {ExchangeTopology} from '../gossip/exchange-topology.js';
+import type {DatagramAddress} from '../gossip/gossip.js';
+import type {PeerTable} from '../gossip/peer-table.js';
+import {decodeOrigins, encodeOrigins} from '../relay/origin-codec.js';
+import {copiesFor, type StreamName, type StreamOrigin} from '../relay/stream-origins.js';
+
+/** Milliseconds between two rounds of a question: a message may be lost. */
+const roundInterval = 20;
+/** Rounds of a question, after which the stream counts as unknown. */
+const rounds = 4;
+/** Streams in one datagram; more than that might not fit into a packet. */
+const maxStreamsInDatagram = 12;
+/** Milliseconds between two repetitions of what was told. */
+const repetitionInterval = 100;
+
+/** Dependencies of the exchange. */
+export type OriginExchangeServices = {
+	/** Distinguishes the questions of this process from those of earlier ones on the same box. */
+	readonly incarnation: string;
+	readonly peers: PeerTable;
+	readonly topology: ExchangeTopology;
+	readonly send: (data: Uint8Array, to: DatagramAddress) => void;
+	readonly softwareOf: (name: StreamName) => string | undefined;
+	readonly apply: (origins: readonly StreamOrigin[]) => void;
+	/** Sends again what may have been lost. */
+	readonly repeat: () => void;
+};
+
+/** A question that waits for answers. */
+type Question = {
+	readonly answer: (software: string | undefined) => void;
+	/** Boxes that have not answered yet, by address. */
+	readonly unanswered: Map<string, DatagramAddress>;
+};
+
+/** The exchange of one box. In a small fleet all boxes know all streams; in a large one the aggregators do. */
+export class OriginExchange {
+	/**
+	 * @param services - Its dependencies.
+	 * @returns The exchange.
+	 */
+	static create(services: OriginExchangeServices): OriginExchange {
+		return new OriginExchange(services);
+	}
+
+	private readonly questions = new Map<string, Question>();
+	private asked = 0;
+
+	private constructor(private readonly services: OriginExchangeServices) {}
+
+	/** @returns An effect that repeats what was told until it is interrupted. */
+	run(): Effect.Effect<never> {
+		return Effect.forever(Effect.sync(() => {
+			this.services.repeat();
+		}).pipe(Effect.andThen(Effect.sleep(repetitionInterval))));
+	}
+
+	/** @param origins - Streams that this box began, and their versions. */
+	tell(origins: readonly StreamOrigin[]): void {
+		const {send} = this.services;
+		const parts = Array.from({length: Math.ceil(origins.length / maxStreamsInDatagram)}, (_, index) => origins.slice(index * maxStreamsInDatagram, (index + 1) * maxStreamsInDatagram));
+		for (const data of parts.map(part => encodeOrigins({origins: part}))) {
+			const {keepers} = this;
+			for (const address of Array.from({length: copiesFor(keepers.length)}, () => keepers).flat()) {
+				send(data, address);
+			}
+		}
+	}
+
+	/**
+	 * @param name - Name of a stream.
+	 * @returns An effect that yields the version that began it; `undefined` if no box knows it, or none has answered in time.
+	 */
+	lookUp(name: StreamName): Effect.Effect<string | undefined> {
+		return Effect.callback<string | undefined>(resume => {
+			const {incarnation} = this.services;
+			this.asked++;
+			const id = `${incarnation}-${this.asked}`;
+			const answer = (software: string | undefined) => {
+				this.questions.delete(id);
+				resume(Effect.succeed(software));
+			};
+
+			const question: Question = {answer, unanswered: new Map(this.keepers.map(address => [keyOf(address), address]))};
+			this.questions.set(id, question);
+			this.ask(id, name, rounds);
+			return Effect.sync(() => {
+				this.questions.delete(id);
+			});
+		});
+	}
+
+	/**
+	 * @param data - A datagram that is no gossip message.
+	 * @param from - Its sender.
+	 * @returns Whether it was of this exchange.
+	 */
+	receive(data: Uint8Array, from: DatagramAddress): boolean {
+		const {apply, softwareOf, send} = this.services;
+		const datagram = decodeOrigins(data);
+		if (datagram?.origins) {
+			apply(datagram.origins);
+		} else if (datagram?.find) {
+			const {id, ...name} = datagram.find;
+			const software = softwareOf(name);
+			send(encodeOrigins({found: {id, ...(software === undefined ? {} : {software})}}), from);
+		} else if (datagram?.found) {
+			this.applyAnswer(datagram.found.id, datagram.found.software, from);
+		}
+
+		return datagram !== undefined;
+	}
+
+	/** The boxes that are told and asked. */
+	private get keepers(): readonly DatagramAddress[] {
+		const {peers, topology} = this.services;
+		return (topology.isLarge ? topology.aggregators : peers.heard).map(({address}) => address);
+	}
+
+	private ask(id: string, name: StreamName, roundsLeft: number): void {
+		const question = this.questions.get(id);
+		if (!question) {
+			return;
+		}
+
+		if (question.unanswered.size === 0 || roundsLeft === 0) {
+			question.answer(undefined);
+			return;
+		}
+
+		const data = encodeOrigins({find: {id, ...name}});
+		for (const address of question.unanswered.values()) {
+			this.services.send(data, address);
+		}
+
+		setTimeout(() => {
+			this.ask(id, name, roundsLeft - 1);
+		}, roundInterval);
+	}
+
+	private applyAnswer(id: string, software: string | undefined, from: DatagramAddress): void {
+		const question = this.questions.get(id);
+		question?.unanswered.delete(keyOf(from));
+		if (question && (software !== undefined || question.unanswered.size === 0)) {
+			question.answer(software);
+		}
+	}
+}
+
+const keyOf = ({host, port}: DatagramAddress): string => `${host}:${port}`;
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -33,6 +33,7 @@
 import type {RelayServices} from '../relay/relay-services.js';
 import {ReplicaReach} from '../relay/replica-reach.js';
 import {RetryBudgets} from '../relay/retry-budgets.js';
+import {StreamOrigins} from '../relay/stream-origins.js';
 import {BrittleReplicas} from '../replicas/brittle-replicas.js';
 import {DemandWeights} from '../replicas/demand-weights.js';
 import {LeastWaitChoice} from '../replicas/replica-choice.js';
@@ -41,6 +42,7 @@
 import {ReplicaLimits} from '../replicas/replica-limits.js';
 import {ReplicaStatements} from '../replicas/replica-statements.js';
 import {ServiceDemands} from '../replicas/service-demand.js';
+import {ServiceVersions} from '../replicas/service-versions.js';
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
 import {ConfigurationRole, configurationPath} from './configuration-role.js';
@@ -50,6 +52,7 @@
 import {SlotRanges} from './slot-ranges.js';
 import {LoanExchange} from './loan-exchange.js';
 import {MemberRole} from './member-role.js';
+import {OriginExchange} from './origin-exchange.js';
 import type {PlatformLink} from './platform-link.js';
 import {lapseTime, ReplicaRole, replicasPath} from './replica-role.js';
 
@@ -116,6 +119,7 @@
 	private readonly exchange: ExchangeState;
 	private readonly gossip: Gossip;
 	private readonly loanExchange: LoanExchange;
+	private readonly originExchange: OriginExchange;
 	private readonly frontEnd: FrontEnd;
 	private stoppingSince: number | undefined;
 	/** Milliseconds of both clocks at the last sample. */
@@ -176,6 +180,7 @@
 		});
 		this.gossip = this.createGossip();
 		this.loanExchange = this.createLoanExchange();
+		this.originExchange = this.createOriginExchange();
 		this.frontEnd = FrontEnd.create(this.services, {
 			isStopping: () => this.stoppingSince !== undefined,
 			isClosing: () => this.stoppingFor > closingDelay,
@@ -264,6 +269,7 @@
 			ready: service => replicas.ready(service),
 			duration: service => demands.of(service).duration,
 		});
+		const versions = ServiceVersions.create(replicas, clock);
 		const budgets = RetryBudgets.create({
 			clock,
 			bound: () => ({ratio: bounds().retryRatio, slack: bounds().retrySlack, window: bounds().retryWindow}),
@@ -305,6 +311,18 @@
 				exchangeInterval: () => topology.interval,
 			}, clock, settings().isFirstStart),
 			budgets,
+			versions,
+			origins: StreamOrigins.create({
+				clock,
+				versions,
+				tell: origins => {
+					this.originExchange.tell(origins);
+				},
+				lookUp: name => this.originExchange.lookUp(name),
+				onSize(size) {
+					metrics.streamOrigins.set(size);
+				},
+			}),
 			loans: RetryLoans.create({
 				clock,
 				incarnation: this.incarnation,
@@ -378,7 +396,9 @@
 				this.services.table.prove(version, at);
 			},
 			applyOther: (data, from) => {
-				this.loanExchange.receive(data, from);
+				if (!this.originExchange.receive(data, from)) {
+					this.loanExchange.receive(data, from);
+				}
 			},
 			seeds: () => settings().seeds,
 		});
@@ -399,6 +419,25 @@
 		});
 	}
 
+	private createOriginExchange(): OriginExchange {
+		const {peers, topology, incarnation, services: {origins}} = this;
+		return OriginExchange.create({
+			incarnation,
+			peers,
+			topology,
+			send: (data, to) => {
+				this.gossip.sendOther(data, to);
+			},
+			softwareOf: name => origins.softwareOf(name),
+			apply(told) {
+				origins.apply(told);
+			},
+			repeat() {
+				origins.repeat();
+			},
+		});
+	}
+
 	/** Whether this box and the others receive each other's messages: all of a small fleet, aggregators of a large one. */
 	private get isConnected(): boolean {
 		const {peers, topology, incarnation} = this;
@@ -416,6 +455,7 @@
 		});
 		return [
 			{name: 'gossip', run: gossip.run()},
+			{name: 'stream-origins', run: this.originExchange.run()},
 			{name: 'configuration', run: this.configuration.follow()},
 			{name: 'configuration-proof', run: this.configuration.prove()},
 			{name: 'replicas', run: this.replicaRole.follow()},
--- a/src/relay/admitted-request.ts
+++ b/src/relay/admitted-request.ts
@@ -21,6 +21,8 @@
 	readonly urgency: number;
 	/** Name of the box that received it from the client and forwarded it to this one; `undefined` if this one received it. */
 	readonly origin: string | undefined;
+	/** Software version at which that box requires the stream to go on; `undefined` if it does not, or if a client sent the request. */
+	readonly requiredSoftware: string | undefined;
 	/** Arrival time in monotonic milliseconds. */
 	readonly receivedAt: number;
 	/** Monotonic milliseconds. */
--- a/src/relay/client-answer.ts
+++ b/src/relay/client-answer.ts
@@ -10,19 +10,24 @@
 /** Milliseconds that a client has to read buffered data before its connection is destroyed. */
 const flushTimeout = 500;
 
-/** Returns alternating names and values. */
-export type RefusalHeaders = (refusal: Refusal) => readonly string[];
+/** Headers to add for the box that forwarded the request; each function returns alternating names and values. */
+export type ForwardedAnswerHeaders = {
+	readonly ofRefusal: (refusal: Refusal) => readonly string[];
+	readonly ofAnswer: () => readonly string[];
+};
+
+const noHeaders: ForwardedAnswerHeaders = {ofRefusal: () => [], ofAnswer: () => []};
 
 /** The answer to one request. */
 export class ClientAnswer {
 	/**
 	 * @param response - Node's response object.
 	 * @param isClosing - Called when the head is sent; returns whether the connection closes after this answer.
-	 * @param refusalHeaders - Returns the headers to add to a refusal.
+	 * @param added - Headers to add; none by default.
 	 * @returns An answer of which nothing has been sent.
 	 */
-	static create(response: ServerResponse, isClosing: () => boolean, refusalHeaders: RefusalHeaders = () => []): ClientAnswer {
-		return new ClientAnswer(response, isClosing, refusalHeaders);
+	static create(response: ServerResponse, isClosing: () => boolean, added = noHeaders): ClientAnswer {
+		return new ClientAnswer(response, isClosing, added);
 	}
 
 	/** HTTP status that was sent; zero until then. */
@@ -30,7 +35,7 @@
 	/** Bytes of the body sent so far. */
 	bytes = 0;
 
-	private constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean, private readonly refusalHeaders: RefusalHeaders) {}
+	private constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean, private readonly added: ForwardedAnswerHeaders) {}
 
 	/** Whether the head has been sent. */
 	get hasBegun(): boolean {
@@ -50,7 +55,7 @@
 	 */
 	begin(status: number, headers: readonly string[]): void {
 		this.status = status;
-		this.response.writeHead(status, this.isClosing() ? [...headers, 'Connection', 'close'] : [...headers]);
+		this.response.writeHead(status, [...headers, ...this.added.ofAnswer(), ...(this.isClosing() ? ['Connection', 'close'] : [])]);
 	}
 
 	/**
@@ -100,7 +105,7 @@
 		const {status} = refusalReasons[refusal.reason];
 		const body = Buffer.from(JSON.stringify(problemOf(refusal)));
 		const retry = refusal.retryAfter === undefined ? [] : ['Retry-After', String(refusal.retryAfter)];
-		this.send(status, ['Content-Type', 'application/problem+json', ...retry, ...this.refusalHeaders(refusal)], body, false);
+		this.send(status, ['Content-Type', 'application/problem+json', ...retry, ...this.added.ofRefusal(refusal)], body, false);
 	}
 
 	/**
--- a/src/relay/forward-head.ts
+++ b/src/relay/forward-head.ts
@@ -12,6 +12,7 @@
 	reason: 'waydrift-reason',
 	verdict: 'waydrift-verdict',
 	arrivals: 'waydrift-arrivals',
+	software: 'waydrift-software',
 } as const;
 const headerNames: ReadonlySet<string> = new Set(Object.values(header));
 const verdicts: ReadonlySet<string> = new Set<Verdict>(['not-run', 'may-have-run', 'ran']);
@@ -24,6 +25,8 @@
 	readonly version: number;
 	/** The service that was chosen for it. */
 	readonly service: string;
+	/** Software version at which the stream must go on; `undefined` if any may begin it. */
+	readonly software: string | undefined;
 };
 
 /**
@@ -36,18 +39,42 @@
  * @param head - What to tell the other box.
  * @returns Alternating names and values.
  */
-export const forwardHeaders = ({origin, version, service}: ForwardHead): readonly string[] =>
-	[header.origin, origin, header.version, String(version), header.service, service];
+export const forwardHeaders = ({origin, version, service, software}: ForwardHead): readonly string[] =>
+	[header.origin, origin, header.version, String(version), header.service, service, ...softwareHeader(software)];
+
+/**
+ * @param software - Software version of a replica; `undefined` if it is not known.
+ * @returns Alternating names and values, encoded since a version is any text.
+ */
+export const softwareHeader = (software: string | undefined): readonly string[] => software === undefined ? [] : [header.software, encodeURIComponent(software)];
+
+/**
+ * @param message - A request or an answer of another box.
+ * @returns The software version that it names; `undefined` if there is none.
+ */
+export function readSoftware({headers}: Pick<IncomingMessage, 'headers'>): string | undefined {
+	const text = textOf(headers, header.software);
+	try {
+		return text === undefined ? undefined : decodeURIComponent(text);
+	} catch {
+		return undefined;
+	}
+}
 
 /**
  * @param message - A request from another box.
  * @returns What that box tells; `undefined` if it did not forward the request.
  */
-export function readForwardHead({headers}: IncomingMessage): ForwardHead | undefined {
+export function readForwardHead(message: IncomingMessage): ForwardHead | undefined {
+	const {headers} = message;
 	const origin = textOf(headers, header.origin);
 	const service = textOf(headers, header.service);
 	const version = Number(textOf(headers, header.version));
-	return origin === undefined || service === undefined || !Number.isFinite(version) ? undefined : {origin, version, service};
+	return origin === undefined || service === undefined || !Number.isFinite(version)
+		? undefined
+		: {
+			origin, version, service, software: readSoftware(message),
+		};
 }
 
 /**
--- a/src/relay/forwarded-attempt.ts
+++ b/src/relay/forwarded-attempt.ts
@@ -11,7 +11,9 @@
 import type {AdmittedRequest} from './admitted-request.js';
 import {AnswerDelivery} from './answer-delivery.js';
 import {AttemptFailure} from './attempt-failure.js';
-import {forwardHeaders, mayHaveArrived, readRefusal} from './forward-head.js';
+import {
+	forwardHeaders, mayHaveArrived, readRefusal, readSoftware,
+} from './forward-head.js';
 import type {ForwardingBox} from './forwarding-boxes.js';
 import type {AnswerHead} from './relay-format.js';
 import type {AttemptParts} from './replica-attempt.js';
@@ -126,7 +128,9 @@
 			id: head.id,
 			method: incoming.method ?? 'GET',
 			path: incoming.url ?? '/',
-			headers: [...headers, ...forwardHeaders({origin, version, service})],
+			headers: [...headers, ...forwardHeaders({
+				origin, version, service, software: this.parts.version.software,
+			})],
 			body: body.length > 0 ? body : undefined,
 		};
 	}
@@ -170,6 +174,7 @@
 		return this.delivery.deliver(answer, {
 			onBytes: ignore,
 			onFirstEvent: () => {
+				this.parts.version.recordForwarded(readSoftware(answer.message));
 				this.recordAnswerStart();
 			},
 			onBody: () => {
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -13,7 +13,9 @@
 } from '../routes/route-table.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import {ClientAnswer} from './client-answer.js';
-import {readForwardHead, refusalHeaders, type ForwardHead} from './forward-head.js';
+import {
+	readForwardHead, refusalHeaders, softwareHeader, type ForwardHead,
+} from './forward-head.js';
 import type {RequestHead} from './relay-format.js';
 import {RelayRun} from './relay-run.js';
 import {RequestSummary, type RequestAccess} from './request-summary.js';
@@ -129,7 +131,10 @@
 		const {clock, format, log} = this.services;
 		const receivedAt = clock.monotonic();
 		const head = format.readRequest(incoming);
-		const client = ClientAnswer.create(response, this.state.isStopping, forward && (refusal => refusalHeaders(refusal, summary.run?.record.arrivals ?? 0)));
+		const client = ClientAnswer.create(response, this.state.isStopping, forward && {
+			ofRefusal: refusal => refusalHeaders(refusal, summary.run?.record.arrivals ?? 0),
+			ofAnswer: () => softwareHeader(summary.run?.software),
+		});
 		const summary: RequestSummary = RequestSummary.create({
 			services: this.services, head, client, origin: forward?.origin, receivedAt,
 		});
@@ -194,6 +199,7 @@
 			return {
 				incoming, head, body, route, clientAccount, units, receivedAt,
 				origin: forward?.origin,
+				requiredSoftware: forward?.software,
 				version: table.version,
 				service: forward && isTarget ? forward.service : pickTarget(route, Math.random()),
 				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, clientAccount))),
--- /dev/null
+++ b/src/relay/origin-codec.ts
@@ -0,0 +1,66 @@
+/**
+ * Encodes and decodes the datagrams by which boxes tell each other which software version began a stream.
+ */
+import {Buffer} from 'node:buffer';
+import * as Result from 'effect/Result';
+import * as Schema from 'effect/Schema';
+import {createDecoder} from '../base/faults.js';
+import type {StreamName, StreamOrigin} from './stream-origins.js';
+
+/** Client account, attempt, service, software. */
+const OriginRow = Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.String]);
+const Layout = Schema.Struct({
+	origins: Schema.optionalKey(Schema.Array(OriginRow)),
+	find: Schema.optionalKey(Schema.Struct({id: Schema.String, clientAccount: Schema.String, attempt: Schema.String})),
+	found: Schema.optionalKey(Schema.Struct({id: Schema.String, software: Schema.optionalKey(Schema.String)})),
+});
+const decodeLayout = createDecoder(Layout, 'ignore');
+
+/** Content of a datagram: one of the three. */
+export type OriginDatagram = {
+	/** Streams and the versions that began them. */
+	readonly origins?: readonly StreamOrigin[];
+	/** A question for the version that began a stream. */
+	readonly find?: StreamName & {readonly id: string};
+	/** The answer; without a version if the box does not know the stream. */
+	readonly found?: {readonly id: string; readonly software?: string};
+};
+
+/**
+ * @param datagram - The content.
+ * @returns The payload.
+ */
+export function encodeOrigins({origins, ...others}: OriginDatagram): Uint8Array {
+	const rows = origins?.map(({clientAccount, attempt, service, software}) => [clientAccount, attempt, service, software] as const);
+	return Buffer.from(JSON.stringify({...others, ...(rows ? {origins: rows} : {})}));
+}
+
+/**
+ * @param data - The payload of a datagram.
+ * @returns Its content; `undefined` if it is of another kind or malformed.
+ */
+export function decodeOrigins(data: Uint8Array): OriginDatagram | undefined {
+	try {
+		const decoded = decodeLayout(JSON.parse(Buffer.from(data).toString()));
+		if (!Result.isSuccess(decoded)) {
+			return undefined;
+		}
+
+		const {origins, find, found} = decoded.success;
+		return origins ?? find ?? found
+			? {
+				...(find ? {find} : {}),
+				...(found ? {found} : {}),
+				...(origins
+					? {
+						origins: origins.map(([clientAccount, attempt, service, software]) => ({
+							clientAccount, attempt, service, software,
+						})),
+					}
+					: {}),
+			}
+			: undefined;
+	} catch {
+		return undefined;
+	}
+}
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -66,6 +66,14 @@
 		name: 'waydrift_relay_retries_total', help: 'Requests sent again, by reason.', labelNames: ['reason'], registers: [this.registry],
 	});
 
+	readonly streamOrigins = new Gauge({
+		name: 'waydrift_relay_stream_origins', help: 'Streams of which this box remembers the software version that began them.', registers: [this.registry],
+	});
+
+	readonly streamsTakenUp = new Counter({
+		name: 'waydrift_relay_streams_taken_up_total', help: 'Streams that clients took up, by what their software version is known by.', labelNames: ['source'], registers: [this.registry],
+	});
+
 	readonly retriesBorrowed = new Counter({
 		name: 'waydrift_relay_retries_borrowed_total', help: 'Retries that other boxes lent to this one, by service.', labelNames: ['service'], registers: [this.registry],
 	});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -4,6 +4,7 @@
  */
 import * as Effect from 'effect/Effect';
 import type {EventFields} from '../base/event-log.js';
+import type {RefusalReason} from '../base/refusal-reason.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
 import {pickTarget} from '../routes/route-table.js';
@@ -20,6 +21,7 @@
 import type {RunRecord} from './run-record.js';
 import {CrashSuspicion} from './crash-suspicion.js';
 import {StreamForwarder} from './stream-forwarder.js';
+import {StreamVersion} from './stream-version.js';
 
 /**
  * Maximum number of attempts for one request, whatever their outcome. Refused connections do not count: they send nothing, and a replica
@@ -66,6 +68,7 @@
 	private readonly choice: RunChoice;
 	private readonly parts: AttemptParts;
 	private readonly retry: RetryReservation;
+	private readonly version: StreamVersion;
 	/** Sends the error answer of an earlier attempt; used if no later attempt succeeds. */
 	private failedAnswer: (() => void) | undefined;
 	/** Monotonic milliseconds at which it first waited for suspected requests to finish. */
@@ -90,10 +93,12 @@
 		this.streamForwarder = StreamForwarder.create({
 			client, format: services.format, metrics: services.metrics, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
 		});
+		this.version = StreamVersion.create({origins: services.origins, versions: services.versions, request: () => this.request});
 		const choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
 		this.choice = RunChoice.create({
 			services,
 			suspicion: this.suspicion,
+			version: this.version,
 			choiceRequest,
 			record: this.record,
 			request: () => this.request,
@@ -103,7 +108,15 @@
 			loans: services.loans, record: this.record, service: () => ({name: this.request.service, budget: services.budgets.of(this.request.service)}),
 		});
 		this.parts = {
-			services, client, streamForwarder: this.streamForwarder, suspicion: this.suspicion, demandRecorder: this.demandRecorder, choiceRequest, record: this.record, retry: this.retry,
+			services,
+			client,
+			choiceRequest,
+			streamForwarder: this.streamForwarder,
+			suspicion: this.suspicion,
+			demandRecorder: this.demandRecorder,
+			record: this.record,
+			retry: this.retry,
+			version: this.version,
 		};
 	}
 
@@ -112,6 +125,16 @@
 		return this.streamForwarder.fields;
 	}
 
+	/** Software version of the stream; `undefined` if it has not begun, or the request is no stream. */
+	get software(): string | undefined {
+		return this.version.software;
+	}
+
+	/** What the version of a stream that the client takes up is known by; `undefined` for other requests. */
+	get softwareSource(): string | undefined {
+		return this.version.source;
+	}
+
 	/** Whether a replica may have run the request. */
 	get verdict(): Verdict {
 		return this.record.executions > 0 ? 'may-have-run' : 'not-run';
@@ -164,6 +187,7 @@
 				this.services.demands.of(this.request.service).recordClientRequest();
 			}
 
+			yield * this.resolveVersion();
 			for (;;) {
 				yield * this.checkSuspension();
 				yield * this.reauthorise();
@@ -183,6 +207,16 @@
 		});
 	}
 
+	private resolveVersion(): Effect.Effect<void, Refusal> {
+		return this.version.resolve().pipe(Effect.flatMap(mayRun => {
+			if (this.version.source !== undefined) {
+				this.services.metrics.streamsTakenUp.inc({source: this.version.source});
+			}
+
+			return mayRun ? Effect.void : Effect.fail(Refusal.create('stream-origin-unknown', 'Replicas of several software versions serve, and no box knows which of them began the stream.'));
+		}));
+	}
+
 	/**
 	 * Refuses a request that arrived before the machine was suspended: its remaining time is unknown, and its client has probably
 	 * disconnected.
@@ -407,7 +441,7 @@
 		return this.refuse(reason === 'refused' ? 'upstream-refused' : 'no-upstream', `The request was not run: ${detail}.`);
 	}
 
-	private refuse(reason: 'quarantined' | 'capacity-short' | 'replica-limit' | 'no-upstream' | 'upstream-refused' | 'configuration-stale', detail: string, retryAfter = minRetryAfter): Refusal {
+	private refuse(reason: RefusalReason, detail: string, retryAfter = minRetryAfter): Refusal {
 		return this.verdict === 'not-run'
 			? Refusal.create(reason, detail, {retryAfter})
 			: Refusal.create('upstream-cut', detail, {verdict: 'may-have-run'});
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -13,6 +13,7 @@
 import type {ReplicaLimits} from '../replicas/replica-limits.js';
 import type {ReplicaStatements} from '../replicas/replica-statements.js';
 import type {ServiceDemands} from '../replicas/service-demand.js';
+import type {ServiceVersions} from '../replicas/service-versions.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
 import type {UsageCounts} from '../duties/usage-counts.js';
 import type {ConnectionRegistry} from './connection-registry.js';
@@ -24,6 +25,7 @@
 import type {RelayMetrics} from './relay-metrics.js';
 import type {ReplicaReach} from './replica-reach.js';
 import type {RetryBudgets} from './retry-budgets.js';
+import type {StreamOrigins} from './stream-origins.js';
 
 /** The services of one box that handle requests. */
 export type RelayServices = {
@@ -53,5 +55,7 @@
 	readonly quota: QuotaLedger;
 	readonly budgets: RetryBudgets;
 	readonly loans: RetryLoans;
+	readonly versions: ServiceVersions;
+	readonly origins: StreamOrigins;
 	readonly usage: UsageCounts;
 };
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -20,6 +20,7 @@
 import type {RunRecord} from './run-record.js';
 import type {CrashSuspicion} from './crash-suspicion.js';
 import type {StreamForwarder} from './stream-forwarder.js';
+import type {StreamVersion} from './stream-version.js';
 
 /** Milliseconds without the head of an answer after which it is checked whether the replica can be reached; longer for slow replicas. */
 const minSilence = 120;
@@ -36,6 +37,7 @@
 	readonly choiceRequest: ChoiceRequest;
 	readonly record: RunRecord;
 	readonly retry: RetryReservation;
+	readonly version: StreamVersion;
 };
 
 /** Parameters of one attempt. */
@@ -65,6 +67,8 @@
 	/** Those tokens that still count as unread in the replica's work. */
 	private unreadTokens: number;
 	private sentAt = 0;
+	/** Software version of the replica when the request was sent. */
+	private software = '';
 	private readonly delivery: AnswerDelivery;
 
 	private constructor(private readonly parts: AttemptParts, private readonly plan: AttemptPlan) {
@@ -136,7 +140,8 @@
 			this.sentAt = clock.monotonic();
 			record.executions++;
 			record.arrivals++;
-			record.software = record.software.at(-1) === replica.entry.software ? record.software : [...record.software, replica.entry.software];
+			this.software = replica.entry.software;
+			record.software = record.software.at(-1) === this.software ? record.software : [...record.software, this.software];
 			record.missingFor = replica.isMissing ? Math.round(replica.missingFor) : undefined;
 			if (limits.limitOf(replica) !== undefined) {
 				metrics.limitedAttempts.inc({service: replica.entry.service});
@@ -178,6 +183,10 @@
 			return 'the replica began to leave';
 		}
 
+		if (!this.parts.version.accepts(replica)) {
+			return 'the replica runs another software version by now';
+		}
+
 		if (statements.remainingPause(replica) > 0) {
 			return 'the replica has asked for a time without requests';
 		}
@@ -215,11 +224,13 @@
 	private forward(answer: OpenAnswer): Effect.Effect<void, AttemptFailure> {
 		const {services, suspicion, demandRecorder, choiceRequest} = this.parts;
 		const {replica} = this.plan;
+		const {software} = this;
 		return this.delivery.deliver(answer, {
 			onBytes() {
 				replica.recordData();
 			},
 			onFirstEvent: () => {
+				this.parts.version.recordFirstEvent(software);
 				this.recordAnswerStart(false);
 				demandRecorder.recordPromptRead(this.promptTokens, services.clock.monotonic() - this.sentAt);
 				services.choice.recordRead(replica, choiceRequest);
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -15,6 +15,7 @@
 import type {RelayServices} from './relay-services.js';
 import type {RunRecord} from './run-record.js';
 import type {CrashSuspicion} from './crash-suspicion.js';
+import type {StreamVersion} from './stream-version.js';
 
 /** The next step of a request. */
 export type RunDecision =
@@ -27,12 +28,13 @@
 	/** Decide again after `wait` milliseconds, when a replica may have capacity. */
 	| {readonly kind: 'wait'; readonly wait: number}
 	/** Refuse it; the client may retry after `retryDelay` milliseconds. */
-	| {readonly kind: 'refuse'; readonly reason: 'no-upstream' | 'capacity-short' | 'replica-limit'; readonly detail: string; readonly retryDelay: number};
+	| {readonly kind: 'refuse'; readonly reason: 'no-upstream' | 'capacity-short' | 'replica-limit' | 'stream-version-gone'; readonly detail: string; readonly retryDelay: number};
 
 /** Dependencies of the choice. */
 export type RunChoiceServices = {
 	readonly services: RelayServices;
 	readonly suspicion: CrashSuspicion;
+	readonly version: StreamVersion;
 	readonly choiceRequest: ChoiceRequest;
 	readonly record: RunRecord;
 	/** @returns The request, with the route of the configuration that is now in force. */
@@ -50,6 +52,8 @@
 const maxForwards = 4;
 /** Bounds, in milliseconds, of the interval between checks while a request waits for capacity: more urgent requests may arrive, and limits may end. */
 const capacityCheckInterval = {min: 5, max: 50} as const;
+/** Milliseconds after which a client may ask again for a version of which no replica is left: one that crashed may have started again. */
+const versionRetryDelay = 1000;
 /** Milliseconds between checks for a replica that is newly listed or accepts connections again. */
 const replicaCheckInterval = 20;
 
@@ -74,9 +78,13 @@
 
 	/** @returns The next step of the request. */
 	choose(): RunDecision {
-		const {services: {replicas, reach, brittle, boxes}, suspicion, request} = this.parts;
+		const {services: {replicas, reach, brittle, boxes}, suspicion, version, request} = this.parts;
 		const {service} = request();
-		const ready = replicas.ready(service);
+		const ready = replicas.ready(service, replica => version.accepts(replica));
+		if (ready.length === 0 && replicas.ready(service).length > 0) {
+			return this.withoutVersion();
+		}
+
 		if (ready.length === 0) {
 			return this.withoutReplica(`No replica of service ${service} can take the request.`);
 		}
@@ -274,6 +282,17 @@
 			};
 	}
 
+	/** The client is told at once, rather than kept waiting for a version that may never come back. */
+	private withoutVersion(): RunDecision {
+		const {version: {software}, request} = this.parts;
+		return {
+			kind: 'refuse',
+			reason: 'stream-version-gone',
+			detail: `The stream began at software version ${software ?? ''}, of which service ${request().service} has no replica.`,
+			retryDelay: spreadRetryDelay(versionRetryDelay, Math.random()),
+		};
+	}
+
 	/** Milliseconds until a replica that was ordered when the last one disappeared may have started. */
 	private get untilReplica(): number {
 		const {services: {replicas, table}, request} = this.parts;
--- /dev/null
+++ b/src/relay/stream-origins.ts
@@ -0,0 +1,189 @@
+/**
+ * Knows which software version began the streams that clients may take up again. What two versions write does not fit together, so a stream
+ * goes on only at the version that began it.
+ *
+ * @remarks Source: docs/DESIGN.md, "Streams and software versions".
+ */
+import * as Effect from 'effect/Effect';
+import type {Clock} from '../base/clock.js';
+import {evictOldest} from '../base/evict-oldest.js';
+import type {ServiceVersions} from '../replicas/service-versions.js';
+
+/** Name of a stream: the client account and the client's attempt that brought its first event. */
+export type StreamName = {
+	/** Empty if the route needs no key. */
+	readonly clientAccount: string;
+	readonly attempt: string;
+};
+
+/** A stream and the version that began it. */
+export type StreamOrigin = StreamName & {
+	readonly service: string;
+	readonly software: string;
+};
+
+/** Where a stream may go on. */
+export type StreamContinuation =
+	/** At replicas of this version; `source` is what it is known by. */
+	| {readonly kind: 'version'; readonly software: string; readonly source: 'box' | 'peer' | 'only-version'}
+	/** Nowhere: several versions have served, and it is not known which of them began the stream. */
+	| {readonly kind: 'unknown'};
+
+/** Dependencies of the origins. */
+export type StreamOriginsServices = {
+	readonly clock: Clock;
+	readonly versions: ServiceVersions;
+	/** Sends origins to the boxes that are asked for them. */
+	readonly tell: (origins: readonly StreamOrigin[]) => void;
+	/**
+	 * Asks other boxes.
+	 *
+	 * @returns The version; `undefined` if no box knows the stream, or none has answered in time.
+	 */
+	readonly lookUp: (name: StreamName) => Effect.Effect<string | undefined>;
+	/** Called with the number of streams that are remembered. */
+	readonly onSize: (size: number) => void;
+};
+
+/** Milliseconds for which the origin of a stream is remembered; longer than a stream and its continuations take. */
+const retention = 60_000;
+/** Maximum number of streams that are remembered. */
+const maxStreams = 20_000;
+/** Longest id of an attempt that is remembered, in characters. */
+const maxIdLength = 128;
+/** Number of times that an origin is sent to other boxes while several versions serve: a message may be lost. */
+const repetitions = 2;
+/** Milliseconds after its first event in which a stream that no other box knows is told when a second version appears. */
+const tellWithin = 20_000;
+
+/** Datagrams with which an origin is told at once: the box may be killed right after it, and one in three may be lost. */
+const minDatagrams = 6;
+
+/**
+ * @param boxes - Number of boxes that are told.
+ * @returns Number of datagrams that are sent to each.
+ */
+export const copiesFor = (boxes: number): number => boxes === 0 ? 0 : Math.ceil(minDatagrams / boxes);
+
+type KnownStream = StreamOrigin & {readonly at: number; repetitionsLeft: number};
+
+/** The origins that one box knows. */
+export class StreamOrigins {
+	/**
+	 * @param services - Their dependencies.
+	 * @returns No origins.
+	 */
+	static create(services: StreamOriginsServices): StreamOrigins {
+		return new StreamOrigins(services);
+	}
+
+	private readonly streams = new Map<string, KnownStream>();
+	/** Streams of this box that may have to be told to others. */
+	private untold: readonly KnownStream[] = [];
+
+	private constructor(private readonly services: StreamOriginsServices) {}
+
+	/**
+	 * Records a stream that a replica began for a request of this box. To be called before its first event is sent to the client, who may take
+	 * the stream up at another box as soon as it has that event.
+	 *
+	 * @param origin - The stream and the version.
+	 */
+	record(origin: StreamOrigin): void {
+		const stream = this.remember(origin, repetitions);
+		if (!stream) {
+			return;
+		}
+
+		this.untold = [...this.untold, stream];
+		if (this.services.versions.areSeveral(origin.service)) {
+			this.tell([stream]);
+		}
+	}
+
+	/**
+	 * Applies what another box told; what is known of a stream does not change.
+	 *
+	 * @param origins - Streams and versions.
+	 */
+	apply(origins: readonly StreamOrigin[]): void {
+		for (const origin of origins) {
+			this.remember(origin, 0);
+		}
+	}
+
+	/**
+	 * Sends origins that other boxes may not have. To be called several times a second.
+	 */
+	repeat(): void {
+		const since = this.services.clock.monotonic() - tellWithin;
+		this.untold = this.untold.filter(({at, repetitionsLeft}) => at >= since && repetitionsLeft > 0);
+		const due = this.untold.filter(({service}) => this.services.versions.areSeveral(service));
+		if (due.length > 0) {
+			this.tell(due);
+		}
+	}
+
+	/**
+	 * @param name - Name of a stream.
+	 * @returns The version that began it; `undefined` if this box does not know.
+	 */
+	softwareOf(name: StreamName): string | undefined {
+		const known = this.streams.get(keyOf(name));
+		return known && this.services.clock.monotonic() - known.at < retention ? known.software : undefined;
+	}
+
+	/**
+	 * @param name - Name of a stream that a client takes up; `undefined` if the client does not name it.
+	 * @param service - Name of the service.
+	 * @returns An effect that yields where the stream may go on.
+	 */
+	resolve(name: StreamName | undefined, service: string): Effect.Effect<StreamContinuation> {
+		return Effect.gen({self: this}, function * () {
+			const known = name && this.softwareOf(name);
+			if (known !== undefined) {
+				return {kind: 'version', software: known, source: 'box'};
+			}
+
+			const {versions, lookUp} = this.services;
+			const only = versions.only(service);
+			if (only !== undefined && versions.isCertain) {
+				return {kind: 'version', software: only, source: 'only-version'};
+			}
+
+			const found = name && (yield * lookUp(name));
+			if (found !== undefined) {
+				this.remember({...name!, service, software: found}, 0);
+				return {kind: 'version', software: found, source: 'peer'};
+			}
+
+			return only === undefined ? {kind: 'unknown'} : {kind: 'version', software: only, source: 'only-version'};
+		});
+	}
+
+	private tell(streams: readonly KnownStream[]): void {
+		this.services.tell(streams.map(({clientAccount, attempt, service, software}) => ({
+			clientAccount, attempt, service, software,
+		})));
+		for (const stream of streams) {
+			stream.repetitionsLeft--;
+		}
+	}
+
+	/** @returns The entry; `undefined` if the stream was known or has no valid name. */
+	private remember(origin: StreamOrigin, repetitionsLeft: number): KnownStream | undefined {
+		const key = keyOf(origin);
+		if (origin.attempt === '' || origin.attempt.length > maxIdLength || this.softwareOf(origin) !== undefined) {
+			return undefined;
+		}
+
+		const stream = {...origin, at: this.services.clock.monotonic(), repetitionsLeft};
+		this.streams.delete(key);
+		this.streams.set(key, stream);
+		evictOldest(this.streams, maxStreams);
+		this.services.onSize(this.streams.size);
+		return stream;
+	}
+}
+
+const keyOf = ({clientAccount, attempt}: StreamName): string => `${clientAccount}\n${attempt}`;
--- /dev/null
+++ b/src/relay/stream-version.ts
@@ -0,0 +1,116 @@
+/**
+ * The software version that a stream is bound to: the one that began it, whether at this box, at another, or for an earlier attempt of the client.
+ */
+import * as Effect from 'effect/Effect';
+import type {Replica} from '../replicas/replica.js';
+import type {ServiceVersions} from '../replicas/service-versions.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {StreamContinuation, StreamOrigins} from './stream-origins.js';
+
+/** Dependencies of the version. */
+export type StreamVersionServices = {
+	readonly origins: StreamOrigins;
+	readonly versions: ServiceVersions;
+	readonly request: () => AdmittedRequest;
+};
+
+/** The version of one request's stream. */
+export class StreamVersion {
+	/**
+	 * @param services - Its dependencies.
+	 * @returns A version that is not known yet.
+	 */
+	static create(services: StreamVersionServices): StreamVersion {
+		return new StreamVersion(services);
+	}
+
+	/** The version; `undefined` while any may begin the stream, and for requests that are no stream. */
+	software: string | undefined;
+	/** What the version of a stream that the client takes up is known by; `undefined` for other requests. */
+	source: Extract<StreamContinuation, {readonly kind: 'version'}>['source'] | 'origin' | 'unknown' | undefined;
+
+	private constructor(private readonly services: StreamVersionServices) {}
+
+	/** @returns An effect that yields whether the request may run: a new stream always, one that the client takes up if its version is known. */
+	resolve(): Effect.Effect<boolean> {
+		return Effect.gen({self: this}, function * () {
+			const {origins, request} = this.services;
+			const {head, service, requiredSoftware} = request();
+			if (!this.isTakenUp) {
+				return true;
+			}
+
+			if (requiredSoftware !== undefined) {
+				this.software = requiredSoftware;
+				this.source = 'origin';
+				return true;
+			}
+
+			const {resumedAttempt: attempt} = head;
+			const continuation = yield * origins.resolve(attempt === undefined ? undefined : {clientAccount: this.clientAccount, attempt}, service);
+			if (continuation.kind === 'unknown') {
+				this.source = 'unknown';
+				return false;
+			}
+
+			this.software = continuation.software;
+			this.source = continuation.source;
+			return true;
+		});
+	}
+
+	/**
+	 * @param replica - A replica.
+	 * @returns Whether the stream may begin or go on there. Replicas without a version may differ if others have one.
+	 */
+	accepts({entry}: Replica): boolean {
+		const {software, services: {versions}} = this;
+		return software === undefined || (entry.software === software && (software !== '' || !versions.areSeveral(entry.service)));
+	}
+
+	/**
+	 * Records that a replica of this box began the stream or goes on with it. To be called before the first event is sent to the client.
+	 *
+	 * @param software - Version of the replica.
+	 */
+	recordFirstEvent(software: string): void {
+		this.software ??= software;
+		this.recordOrigin(origin => {
+			this.services.origins.record(origin);
+		});
+	}
+
+	/**
+	 * Records what the box that the request was forwarded through tells of its replica.
+	 *
+	 * @param software - Version of the replica; `undefined` if the box does not tell.
+	 */
+	recordForwarded(software: string | undefined): void {
+		this.software ??= software;
+		if (software !== undefined) {
+			this.recordOrigin(origin => {
+				this.services.origins.apply([origin]);
+			});
+		}
+	}
+
+	private recordOrigin(record: (origin: Parameters<StreamOrigins['record']>[0]) => void): void {
+		const {head: {id: attempt}, route, service} = this.services.request();
+		const {software} = this;
+		if (route.isResumable && attempt !== undefined && software !== undefined && !this.isTakenUp) {
+			record({
+				clientAccount: this.clientAccount, attempt, service, software,
+			});
+		}
+	}
+
+	private get clientAccount(): string {
+		return this.services.request().clientAccount?.name ?? '';
+	}
+
+	/** Whether the client has events of the stream from an earlier attempt. */
+	private get isTakenUp(): boolean {
+		const {head: {lastEventId}, route} = this.services.request();
+		return route.isResumable && Number(lastEventId) > 0;
+	}
+}
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -108,18 +108,21 @@
 
 	/**
 	 * @param service - Name of a service.
-	 * @returns Its replicas that may get requests. If none is ready: those that began to leave, or whose entry was removed
+	 * @param accepts - Tells which of its replicas are suitable; all by default.
+	 * @returns Its suitable replicas that may get requests. If none is ready: those that began to leave, or whose entry was removed
 	 * or expired, a moment ago, since they still serve for a short time.
 	 */
-	ready(service: string): readonly Replica[] {
-		const listed = this.all.filter(replica => replica.entry.service === service && !replica.isLeaving);
-		if (listed.length > 0) {
+	ready(service: string, accepts: (replica: Replica) => boolean = acceptAll): readonly Replica[] {
+		const ofService = this.all.filter(replica => replica.entry.service === service && !replica.isLeaving);
+		if (ofService.length > 0) {
 			this.lastReadyAt.set(service, this.clock.monotonic());
 		}
 
+		const listed = ofService.filter(replica => accepts(replica));
+
 		return listed.length > 0
 			? listed
-			: [...this.all, ...this.recentlyRemoved].filter(replica => replica.entry.service === service && this.maySendTo(replica));
+			: [...this.all, ...this.recentlyRemoved].filter(replica => replica.entry.service === service && accepts(replica) && this.maySendTo(replica));
 	}
 
 	/**
@@ -331,6 +334,8 @@
 	}
 }
 
+const acceptAll = () => true;
+
 /** Whether a departure applies to the listed entry and incarnation of a replica, not to earlier ones. */
 function isOfDeparture({entry, start}: Replica, departure: Departure): boolean {
 	return entry.revision <= departure.revision && (departure.start ?? start) === start;
