Check the retry budget in the soak

Counts what the replicas received beyond the first arrival of each request, over all relays, in every window.

--- a/development/soak/soak-checker.ts
+++ b/development/soak/soak-checker.ts
@@ -3,6 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {maxWithin} from '../harness/max-within.js';
+import {greatestRetryExcess, type RetryBound} from '../harness/retry-excess.js';
 import {routeTimeout, testKey} from '../relay/relay-installation.js';
 import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
@@ -55,6 +56,8 @@
 const pauseGrace = 500;
 /** Number of requests tolerated in the rest of a pause. */
 const pauseTolerance = 2;
+/** The retry budget in the settings of the relays. */
+const retryBound: RetryBound = {ratio: 0.2, slack: 60, window: 10_000};
 /** HTTP statuses that tell the client that its request was not run. */
 const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -99,6 +102,7 @@
 		return [
 			...this.record.attempts.flatMap(attempt => this.violationsOf(attempt)),
 			...this.joinedStreams,
+			...this.retryViolations,
 			...this.lateArrivals,
 			...this.arrivalsAfterAnnouncement,
 			...this.arrivalsDuringPauses,
@@ -146,6 +150,16 @@
 			.map(seen => `${seen.id} reached ${replica.id} ${Math.round(seen.at - at)} ms after it announced that it is leaving`));
 	}
 
+	/** Retries of all relays together that exceed the budget, counted by what the replicas received. */
+	private get retryViolations(): readonly string[] {
+		const arrivals = this.record.replicas.flatMap(({seen}) => seen).sort((left, right) => left.at - right.at);
+		const known = new Set<string>();
+		const retriedAt = arrivals.filter(({id}) => known.size === known.add(id).size).map(({at}) => at);
+		const requestedAt = this.record.attempts.map(({sentAt}) => sentAt).sort((left, right) => left - right);
+		const most = greatestRetryExcess({requestedAt, retriedAt}, retryBound);
+		return most !== undefined && most.excess > 0 ? [`${most.retries} retries in ${retryBound.window} ms, ${Math.floor(most.allowed)} allowed`] : [];
+	}
+
 	/** Streams with events of several software versions, in one answer or over the attempts of their client. */
 	private get joinedStreams(): readonly string[] {
 		return this.record.attempts.filter(({kind}) => kind === 'stream').flatMap(({id, body, resumes}) => {
