--- a/development/harness/retry-excess.ts
+++ b/development/harness/retry-excess.ts
@@ -2,15 +2,7 @@
  * Checks the bound on retries of one service, over all boxes. Development only.
  */
 
-/** The bound on the retries of a service. */
-export type RetryBound = {
-	/** Retries for each request. */
-	readonly ratio: number;
-	/** Retries that are allowed independent of the number of requests. */
-	readonly slack: number;
-	/** Milliseconds of the sliding window for both. */
-	readonly window: number;
-};
+import type {RetryBound} from '../../src/quota/retry-window.js';
 
 /** What clients sent and what replicas received, in milliseconds; both in ascending order. */
 export type RetryHistory = {
--- a/development/harness/retry-fleet.ts
+++ b/development/harness/retry-fleet.ts
@@ -3,9 +3,10 @@
  */
 import {FleetShare} from '../../src/gossip/fleet-share.js';
 import type {RetryPermit} from '../../src/quota/retry-permit.js';
+import type {RetryBound} from '../../src/quota/retry-window.js';
 import {loanLifetime, ServiceRetryBudget} from '../../src/quota/service-retry-budget.js';
 import {ManualClock} from './manual-clock.js';
-import {greatestRetryExcess, type RetryBound, type RetryExcess} from './retry-excess.js';
+import {greatestRetryExcess, type RetryExcess} from './retry-excess.js';
 import {createRandom} from './seeded-random.js';
 
 /** Milliseconds of a step of the simulation. */
--- a/development/soak/soak-checker.ts
+++ b/development/soak/soak-checker.ts
@@ -3,9 +3,10 @@
  */
 import {Buffer} from 'node:buffer';
 import {maxWithin} from '../harness/max-within.js';
-import {greatestRetryExcess, type RetryBound} from '../harness/retry-excess.js';
+import {greatestRetryExcess} from '../harness/retry-excess.js';
 import {routeTimeout, testKey} from '../relay/relay-installation.js';
 import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
+import type {RetryBound} from '../../src/quota/retry-window.js';
 import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
 import {describeAnswerFault, makersOf} from './soak-answers.js';
 import {type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -443,7 +443,12 @@
 
 	/** Whether this box and the others receive each other's messages: all of a small fleet, aggregators of a large one. */
 	private get isConnected(): boolean {
-		const {peers, topology, incarnation} = this;
+		const {peers, topology, incarnation, self} = this;
+		const hasSeeds = this.parts.settings().seeds.some(({host, port}) => host !== self.host || port !== self.port);
+		if (peers.knownBoxes === 1 && hasSeeds) {
+			return false;
+		}
+
 		const answering = peers.heard.filter(({last}) => last?.echo?.incarnation === incarnation).length;
 		return topology.isLarge ? answering > 0 : answering + 1 >= peers.boxes;
 	}
--- a/src/node/test/retry-budget.test.ts
+++ b/src/node/test/retry-budget.test.ts
@@ -1,9 +1,10 @@
 /** Guards against retries that exceed the budget of their service within one window. */
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {greatestRetryExcess, type RetryBound} from '../../../development/harness/retry-excess.js';
+import {greatestRetryExcess} from '../../../development/harness/retry-excess.js';
 import {RelayInstallation, routeTo, until} from '../../../development/relay/relay-installation.js';
+import type {RetryBound} from '../../quota/retry-window.js';
 
 const bound: RetryBound = {ratio: 0.5, slack: 0, window: 2000};
 const streams = 20;
@@ -66,16 +67,22 @@
 	assertWithinBudget(installation, bound);
 });
 
-/** Guards against a share of the budget that each start of a process gets anew. */
-test('a fleet whose boxes restart again and again within one window sends no more retries than allowed', async context => {
-	const restartBound: RetryBound = {ratio: 0, slack: 20, window: 10_000};
+/** Starts relays and three replicas that reject all requests. */
+async function startRefusing(context: TestContext, relays: number, {ratio, window, slack}: RetryBound): Promise<RelayInstallation> {
 	const installation = await RelayInstallation.start({
-		relays: 0, replicas: ['i-1', 'i-2', 'i-3'], bounds: {retryRatio: restartBound.ratio, retryWindow: restartBound.window, retrySlack: restartBound.slack},
+		relays, replicas: ['i-1', 'i-2', 'i-3'], bounds: {retryRatio: ratio, retryWindow: window, retrySlack: slack},
 	});
 	context.after(async () => installation.close());
 	installation.prepareReplicas(replica => {
 		replica.behave({fault: 'refuse'});
 	});
+	return installation;
+}
+
+/** Guards against a share of the budget that each start of a process gets anew. */
+test('a fleet whose boxes restart again and again within one window sends no more retries than allowed', async context => {
+	const restartBound: RetryBound = {ratio: 0, slack: 20, window: 10_000};
+	const installation = await startRefusing(context, 0, restartBound);
 	for (let start = 0; start < restarts; start++) {
 		const relay = await installation.addRelay('relay-1');
 		await Promise.all(Array.from({length: streams}, async () => installation.call({path: '/calls/x'}, relay)));
@@ -88,13 +95,7 @@
 /** Guards against a budget of which a box can use its own share alone, although attempts fail at that box only. */
 test('a box at which attempts fail uses the shares of the other boxes too', async context => {
 	const lentBound: RetryBound = {ratio: 0, slack: 40, window: 10_000};
-	const installation = await RelayInstallation.start({
-		relays: 4, replicas: ['i-1', 'i-2', 'i-3'], bounds: {retryRatio: lentBound.ratio, retryWindow: lentBound.window, retrySlack: lentBound.slack},
-	});
-	context.after(async () => installation.close());
-	installation.prepareReplicas(replica => {
-		replica.behave({fault: 'refuse'});
-	});
+	const installation = await startRefusing(context, 4, lentBound);
 	await installation.untilAllHeard();
 	await pause(shareDelay);
 	for (let call = 0; call < streams; call++) {
