--- a/src/node/test/software-versions.test.ts
+++ b/src/node/test/software-versions.test.ts
@@ -16,6 +16,8 @@
 const gap = 20;
 /** Milliseconds within which a stream that cannot go on must be refused. */
 const refusalTime = 100;
+/** Milliseconds within which a begun stream that cannot go on must be cut; far below its deadline. */
+const cutTime = 1000;
 /** Milliseconds for which a removed replica may still get requests as a last resort. */
 const leavingGrace = 700;
 
@@ -135,3 +137,30 @@
 	assert.deepEqual(refusals, [{status: 503, isInTime: true}, {status: 503, isInTime: true}]);
 	assert.ok(!versionsByRequest(installation).has('second-begun') && !versionsByRequest(installation).has('second-unknown'));
 });
+
+/** Guards against a client that is kept waiting for a version which may never come back. */
+test('a stream that has begun is cut at once when no replica of its software version is left', async context => {
+	const installation = await startVersions(context, 1);
+	installation.prepareReplicas(replica => {
+		replica.behave({delay: 10, events: events * 10, gap});
+	});
+	const endedAt = new Map<string, number>();
+	const answers = Array.from({length: streams}, async (_, index) => {
+		const id = `first-${index}`;
+		const {status, isWhole} = await installation.call({
+			path, method: 'POST', body: `stream ${index}`, headers: {'Attempt-Id': id, 'Deadline-Ms': '7000'},
+		});
+		endedAt.set(id, performance.now());
+		return {id, status, isWhole};
+	});
+	await until(() => versionsByRequest(installation).size === streams);
+	installation.unlist('i-1');
+	installation.unlist('i-2');
+	await pause(leavingGrace);
+	const closedAt = performance.now();
+	await Promise.all(['i-1', 'i-2'].map(async id => installation.replicas.get(id)!.close()));
+	const began = versionsByRequest(installation);
+	const ofGone = (await Promise.all(answers)).filter(({id}) => began.get(id) === 'v1');
+	assert.ok(ofGone.length > 0);
+	assert.deepEqual(ofGone.filter(({id, isWhole}) => isWhole || endedAt.get(id)! - closedAt > cutTime), []);
+});
