--- a/src/gossip/fleet-share.ts
+++ b/src/gossip/fleet-share.ts
@@ -54,7 +54,11 @@
 		const size = this.services.size();
 		if (!this.isMajority(size)) {
 			this.joinedAt = undefined;
-		} else if (this.joinedAt === undefined && isConnected()) {
+			this.smaller = undefined;
+			return;
+		}
+
+		if (this.joinedAt === undefined && isConnected()) {
 			this.joinedAt = isNewFleet() ? Number.NEGATIVE_INFINITY : now;
 		}
 
@@ -64,11 +68,6 @@
 			return;
 		}
 
-		if (!this.isMajority(size)) {
-			this.smaller = undefined;
-			return;
-		}
-
 		if (!this.smaller || size > this.smaller.size) {
 			this.smaller = {since: now, size};
 		}
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -3,9 +3,9 @@
  * fleet sends and receives hundreds of datagrams per second over a slow link.
  */
 import {Buffer} from 'node:buffer';
-import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
 import {createDecoder} from '../base/faults.js';
+import {decodeDatagram} from '../base/json-datagram.js';
 import type {CrashLedgerUpdate} from '../quarantine/crash-ledger.js';
 import {Fingerprint} from '../quarantine/fingerprint.js';
 import {clampWeight} from '../replicas/demand-weights.js';
@@ -130,12 +130,8 @@
  * @returns The message; `undefined` where the payload is malformed.
  */
 export function decodeGossip(data: Uint8Array): GossipMessage | undefined {
-	try {
-		const decoded = decodeLayout(JSON.parse(Buffer.from(data).toString()));
-		return Result.isSuccess(decoded) ? messageOf(decoded.success) : undefined;
-	} catch {
-		return undefined;
-	}
+	const layout = decodeDatagram(data, decodeLayout);
+	return layout && messageOf(layout);
 }
 
 function messageOf(layout: Layout): GossipMessage {
--- a/src/node/loan-exchange.ts
+++ b/src/node/loan-exchange.ts
@@ -6,7 +6,7 @@
 import type {DatagramAddress} from '../gossip/gossip.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 import {decodeLoan, encodeLoan} from '../quota/loan-codec.js';
-import type {LoanGrant, LoanRequest} from '../quota/retry-loans.js';
+import type {LoanRequest, RetryLoans} from '../quota/retry-loans.js';
 
 /** Maximum number of boxes that are asked at a time; all others of a small fleet. */
 const maxLenders = 12;
@@ -16,10 +16,8 @@
 	readonly peers: PeerTable;
 	readonly topology: ExchangeTopology;
 	readonly send: (data: Uint8Array, to: DatagramAddress) => void;
-	/** @returns The answer to a request of another box. */
-	readonly grant: (request: LoanRequest) => LoanGrant;
-	/** Applies the answer of another box. */
-	readonly applyGrant: (grant: LoanGrant, box: string) => void;
+	/** Answers requests of other boxes, and applies their answers. */
+	readonly loans: RetryLoans;
 };
 
 /** The exchange of one box. */
@@ -55,12 +53,12 @@
 	 * @param from - Its sender.
 	 */
 	receive(data: Uint8Array, from: DatagramAddress): void {
-		const {send, grant, applyGrant} = this.services;
+		const {send, loans} = this.services;
 		const datagram = decodeLoan(data);
 		if (datagram?.ask) {
-			send(encodeLoan({grant: grant(datagram.ask)}), from);
+			send(encodeLoan({grant: loans.grant(datagram.ask)}), from);
 		} else if (datagram?.grant) {
-			applyGrant(datagram.grant, `${from.host}:${from.port}`);
+			loans.applyGrant(datagram.grant, `${from.host}:${from.port}`);
 		}
 	}
 }
--- a/src/node/origin-exchange.ts
+++ b/src/node/origin-exchange.ts
@@ -6,7 +6,9 @@
 import type {DatagramAddress} from '../gossip/gossip.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 import {decodeOrigins, encodeOrigins} from '../relay/origin-codec.js';
-import {copiesFor, type StreamName, type StreamOrigin} from '../relay/stream-origins.js';
+import {
+	copiesFor, type StreamName, type StreamOrigin, type StreamOrigins,
+} from '../relay/stream-origins.js';
 
 /** Milliseconds between two rounds of a question: a message may be lost. */
 const roundInterval = 20;
@@ -24,10 +26,7 @@
 	readonly peers: PeerTable;
 	readonly topology: ExchangeTopology;
 	readonly send: (data: Uint8Array, to: DatagramAddress) => void;
-	readonly softwareOf: (name: StreamName) => string | undefined;
-	readonly apply: (origins: readonly StreamOrigin[]) => void;
-	/** Sends again what may have been lost. */
-	readonly repeat: () => void;
+	readonly origins: StreamOrigins;
 };
 
 /** A question that waits for answers. */
@@ -55,7 +54,7 @@
 	/** @returns An effect that repeats what was told until it is interrupted. */
 	run(): Effect.Effect<never> {
 		return Effect.forever(Effect.sync(() => {
-			this.services.repeat();
+			this.services.origins.repeat();
 		}).pipe(Effect.andThen(Effect.sleep(repetitionInterval))));
 	}
 
@@ -100,13 +99,13 @@
 	 * @returns Whether it was of this exchange.
 	 */
 	receive(data: Uint8Array, from: DatagramAddress): boolean {
-		const {apply, softwareOf, send} = this.services;
+		const {origins, send} = this.services;
 		const datagram = decodeOrigins(data);
 		if (datagram?.origins) {
-			apply(datagram.origins);
+			origins.apply(datagram.origins);
 		} else if (datagram?.find) {
 			const {id, ...name} = datagram.find;
-			const software = softwareOf(name);
+			const software = origins.softwareOf(name);
 			send(encodeOrigins({found: {id, ...(software === undefined ? {} : {software})}}), from);
 		} else if (datagram?.found) {
 			this.applyAnswer(datagram.found.id, datagram.found.software, from);
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -16,7 +16,7 @@
 import {ExchangeTraffic} from '../gossip/exchange-traffic.js';
 import {FleetRates} from '../gossip/fleet-rates.js';
 import {FleetShare} from '../gossip/fleet-share.js';
-import {Gossip} from '../gossip/gossip.js';
+import {Gossip, type DatagramAddress} from '../gossip/gossip.js';
 import type {MemberAddress} from '../gossip/gossip-message.js';
 import {PeerTable} from '../gossip/peer-table.js';
 import {Quarantine} from '../quarantine/quarantine.js';
@@ -179,8 +179,17 @@
 			isStopping: () => this.stoppingSince !== undefined,
 		});
 		this.gossip = this.createGossip();
-		this.loanExchange = this.createLoanExchange();
-		this.originExchange = this.createOriginExchange();
+		const {peers, topology, services: {loans, origins}} = this;
+		const send = (data: Uint8Array, to: DatagramAddress) => {
+			this.gossip.sendOther(data, to);
+		};
+
+		this.loanExchange = LoanExchange.create({
+			peers, topology, send, loans,
+		});
+		this.originExchange = OriginExchange.create({
+			incarnation: this.incarnation, peers, topology, send, origins,
+		});
 		this.frontEnd = FrontEnd.create(this.services, {
 			isStopping: () => this.stoppingSince !== undefined,
 			isClosing: () => this.stoppingFor > closingDelay,
@@ -407,40 +416,6 @@
 		});
 	}
 
-	private createLoanExchange(): LoanExchange {
-		const {peers, topology, services: {loans}} = this;
-		return LoanExchange.create({
-			peers,
-			topology,
-			send: (data, to) => {
-				this.gossip.sendOther(data, to);
-			},
-			grant: request => loans.grant(request),
-			applyGrant(grant, box) {
-				loans.applyGrant(grant, box);
-			},
-		});
-	}
-
-	private createOriginExchange(): OriginExchange {
-		const {peers, topology, incarnation, services: {origins}} = this;
-		return OriginExchange.create({
-			incarnation,
-			peers,
-			topology,
-			send: (data, to) => {
-				this.gossip.sendOther(data, to);
-			},
-			softwareOf: name => origins.softwareOf(name),
-			apply(told) {
-				origins.apply(told);
-			},
-			repeat() {
-				origins.repeat();
-			},
-		});
-	}
-
 	/** Whether this box and the others receive each other's messages: all of a small fleet, aggregators of a large one. */
 	private get isConnected(): boolean {
 		const {peers, topology, incarnation, self} = this;
--- a/src/quota/loan-codec.ts
+++ b/src/quota/loan-codec.ts
@@ -2,17 +2,16 @@
  * Encodes and decodes the datagrams by which boxes lend each other parts of their retry budgets.
  */
 import {Buffer} from 'node:buffer';
-import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
 import {createDecoder} from '../base/faults.js';
+import {decodeDatagram} from '../base/json-datagram.js';
 import type {LoanGrant, LoanRequest} from './retry-loans.js';
 
-const Amount = Schema.Finite;
-const Datagram = Schema.Struct({
-	ask: Schema.optionalKey(Schema.Struct({id: Schema.String, service: Schema.String, amount: Amount})),
-	grant: Schema.optionalKey(Schema.Struct({id: Schema.String, amount: Amount})),
+const Layout = Schema.Struct({
+	ask: Schema.optionalKey(Schema.Struct({id: Schema.String, service: Schema.String, amount: Schema.Finite})),
+	grant: Schema.optionalKey(Schema.Struct({id: Schema.String, amount: Schema.Finite})),
 });
-const decodeDatagram = createDecoder(Datagram, 'ignore');
+const decodeLayout = createDecoder(Layout, 'ignore');
 
 /** Content of a datagram: one of the two. */
 export type LoanDatagram = {readonly ask?: LoanRequest; readonly grant?: LoanGrant};
@@ -28,10 +27,6 @@
  * @returns Its content; `undefined` if it is of another kind or malformed.
  */
 export function decodeLoan(data: Uint8Array): LoanDatagram | undefined {
-	try {
-		const decoded = decodeDatagram(JSON.parse(Buffer.from(data).toString()));
-		return Result.isSuccess(decoded) && (decoded.success.ask ?? decoded.success.grant) ? decoded.success : undefined;
-	} catch {
-		return undefined;
-	}
+	const datagram = decodeDatagram(data, decodeLayout);
+	return datagram?.ask ?? datagram?.grant ? datagram : undefined;
 }
--- a/src/quota/retry-loans.ts
+++ b/src/quota/retry-loans.ts
@@ -52,8 +52,8 @@
 /** A round of requests to other boxes. */
 type Round = {
 	readonly service: string;
+	/** One for each retry that is waited for. */
 	readonly listeners: Array<() => void>;
-	waiting: number;
 	id: string | undefined;
 	askedAt: number;
 	/** Boxes that have not answered yet. */
@@ -95,7 +95,6 @@
 			}
 
 			const round = getOrCreate(this.rounds, service, () => this.begin(service));
-			round.waiting++;
 			round.listeners.push(() => {
 				resume(Effect.succeed(true));
 			});
@@ -136,7 +135,7 @@
 
 	private begin(service: string): Round {
 		const round: Round = {
-			service, listeners: [], waiting: 0, id: undefined, askedAt: 0, unanswered: 0, answered: new Set(), asked: 0, borrowed: 0,
+			service, listeners: [], id: undefined, askedAt: 0, unanswered: 0, answered: new Set(), asked: 0, borrowed: 0,
 		};
 		setTimeout(() => {
 			this.ask(round);
@@ -151,7 +150,7 @@
 		const id = `${incarnation}-${this.requests}`;
 		round.id = id;
 		round.askedAt = clock.monotonic();
-		const amount = this.services.budgetOf(service).amountToBorrow(round.waiting);
+		const amount = this.services.budgetOf(service).amountToBorrow(round.listeners.length);
 		round.unanswered = amount === 0
 			? 0
 			: ask(boxes => {
--- a/src/relay/origin-codec.ts
+++ b/src/relay/origin-codec.ts
@@ -2,9 +2,9 @@
  * Encodes and decodes the datagrams by which boxes tell each other which software version began a stream.
  */
 import {Buffer} from 'node:buffer';
-import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
 import {createDecoder} from '../base/faults.js';
+import {decodeDatagram} from '../base/json-datagram.js';
 import type {StreamName, StreamOrigin} from './stream-origins.js';
 
 /** Client account, attempt, service, software. */
@@ -40,27 +40,18 @@
  * @returns Its content; `undefined` if it is of another kind or malformed.
  */
 export function decodeOrigins(data: Uint8Array): OriginDatagram | undefined {
-	try {
-		const decoded = decodeLayout(JSON.parse(Buffer.from(data).toString()));
-		if (!Result.isSuccess(decoded)) {
-			return undefined;
-		}
-
-		const {origins, find, found} = decoded.success;
-		return origins ?? find ?? found
-			? {
-				...(find ? {find} : {}),
-				...(found ? {found} : {}),
-				...(origins
-					? {
-						origins: origins.map(([clientAccount, attempt, service, software]) => ({
-							clientAccount, attempt, service, software,
-						})),
-					}
-					: {}),
-			}
-			: undefined;
-	} catch {
+	const layout = decodeDatagram(data, decodeLayout);
+	if (!(layout?.origins ?? layout?.find ?? layout?.found)) {
 		return undefined;
 	}
+
+	const {origins, ...others} = layout;
+	return origins
+		? {
+			...others,
+			origins: origins.map(([clientAccount, attempt, service, software]) => ({
+				clientAccount, attempt, service, software,
+			})),
+		}
+		: others;
 }
--- a/src/relay/stream-origins.ts
+++ b/src/relay/stream-origins.ts
@@ -51,7 +51,7 @@
 const maxStreams = 20_000;
 /** Longest id of an attempt that is remembered, in characters. */
 const maxIdLength = 128;
-/** Number of times that an origin is sent to other boxes while several versions serve: a message may be lost. */
+/** Number of times that an origin is sent to other boxes while several versions serve, the first included: a message may be lost. */
 const repetitions = 2;
 /** Milliseconds after its first event in which a stream that no other box knows is told when a second version appears. */
 const tellWithin = 20_000;
@@ -79,7 +79,7 @@
 
 	private readonly streams = new Map<string, KnownStream>();
 	/** Streams of this box that may have to be told to others. */
-	private untold: readonly KnownStream[] = [];
+	private untold: KnownStream[] = [];
 
 	private constructor(private readonly services: StreamOriginsServices) {}
 
@@ -95,7 +95,7 @@
 			return;
 		}
 
-		this.untold = [...this.untold, stream];
+		this.untold.push(stream);
 		if (this.services.versions.areSeveral(origin.service)) {
 			this.tell([stream]);
 		}
@@ -118,7 +118,9 @@
 	repeat(): void {
 		const since = this.services.clock.monotonic() - tellWithin;
 		this.untold = this.untold.filter(({at, repetitionsLeft}) => at >= since && repetitionsLeft > 0);
-		const due = this.untold.filter(({service}) => this.services.versions.areSeveral(service));
+		const services = new Set(this.untold.map(({service}) => service));
+		const ofSeveralVersions = new Set([...services].filter(service => this.services.versions.areSeveral(service)));
+		const due = this.untold.filter(({service}) => ofSeveralVersions.has(service));
 		if (due.length > 0) {
 			this.tell(due);
 		}
--- a/src/relay/stream-version.ts
+++ b/src/relay/stream-version.ts
@@ -5,7 +5,7 @@
 import type {Replica} from '../replicas/replica.js';
 import type {ServiceVersions} from '../replicas/service-versions.js';
 import type {AdmittedRequest} from './admitted-request.js';
-import type {StreamContinuation, StreamOrigins} from './stream-origins.js';
+import type {StreamContinuation, StreamOrigin, StreamOrigins} from './stream-origins.js';
 
 /** Dependencies of the version. */
 export type StreamVersionServices = {
@@ -75,9 +75,10 @@
 	 */
 	recordFirstEvent(software: string): void {
 		this.software ??= software;
-		this.recordOrigin(origin => {
+		const {origin} = this;
+		if (origin) {
 			this.services.origins.record(origin);
-		});
+		}
 	}
 
 	/**
@@ -87,21 +88,21 @@
 	 */
 	recordForwarded(software: string | undefined): void {
 		this.software ??= software;
-		if (software !== undefined) {
-			this.recordOrigin(origin => {
-				this.services.origins.apply([origin]);
-			});
+		const {origin} = this;
+		if (origin) {
+			this.services.origins.apply([origin]);
 		}
 	}
 
-	private recordOrigin(record: (origin: Parameters<StreamOrigins['record']>[0]) => void): void {
-		const {head: {id: attempt}, route, service} = this.services.request();
-		const {software} = this;
-		if (route.isResumable && attempt !== undefined && software !== undefined && !this.isTakenUp) {
-			record({
+	/** The stream under the name by which its client may take it up; `undefined` if it may not, or has a name from an earlier attempt. */
+	private get origin(): StreamOrigin | undefined {
+		const {software, services: {request}} = this;
+		const {head: {id: attempt}, route, service} = request();
+		return route.isResumable && attempt !== undefined && software !== undefined && !this.isTakenUp
+			? {
 				clientAccount: this.clientAccount, attempt, service, software,
-			});
-		}
+			}
+			: undefined;
 	}
 
 	private get clientAccount(): string {
--- a/src/replicas/replica-directory.ts
+++ b/src/replicas/replica-directory.ts
@@ -119,7 +119,6 @@
 		}
 
 		const listed = ofService.filter(replica => accepts(replica));
-
 		return listed.length > 0
 			? listed
 			: [...this.all, ...this.recentlyRemoved].filter(replica => replica.entry.service === service && accepts(replica) && this.maySendTo(replica));
