--- a/development/fuzz/decoder-suite.ts
+++ b/development/fuzz/decoder-suite.ts
@@ -12,6 +12,7 @@
 import {decodeGossip, encodeGossip} from '../../src/gossip/gossip-codec.js';
 import type {GossipMessage} from '../../src/gossip/gossip-message.js';
 import {decodeLoan, encodeLoan, type LoanDatagram} from '../../src/quota/loan-codec.js';
+import {decodeOrigins, encodeOrigins, type OriginDatagram} from '../../src/relay/origin-codec.js';
 import {ReplicaRole} from '../../src/node/replica-role.js';
 import type {PlatformLink} from '../../src/node/platform-link.js';
 import {CrashLedger, maxCrashesSent} from '../../src/quarantine/crash-ledger.js';
@@ -125,6 +126,8 @@
 		this.faults++;
 		const loan = decodeLoan(data);
 		assert.ok(loan === undefined || Number.isFinite((loan.ask ?? loan.grant)?.amount), 'a loan without an amount');
+		const origins = decodeOrigins(data);
+		assert.ok(origins?.origins?.every(({attempt, software}) => typeof attempt === 'string' && typeof software === 'string') ?? true, 'an origin without a name or a version');
 		const message = decodeGossip(data);
 		if (!message) {
 			return;
@@ -176,6 +179,12 @@
 const bytesOf = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value) ?? '');
 const validLoan: LoanDatagram = {ask: {id: 'one-1', service: 's', amount: 1.5}, grant: {id: 'one-2', amount: 0.5}};
 const loanDatagram = mutated(JSON.parse(Buffer.from(encodeLoan(validLoan)).toString())).map(value => bytesOf(value));
+const validOrigins: OriginDatagram = {
+	origins: [{
+		clientAccount: 't', attempt: 'a', service: 's', software: 'v1',
+	}], find: {id: 'one-1', clientAccount: 't', attempt: 'a'}, found: {id: 'one-2', software: 'v1'},
+};
+const originDatagram = mutated(JSON.parse(Buffer.from(encodeOrigins(validOrigins)).toString())).map(value => bytesOf(value));
 const validDatagram = JSON.parse(Buffer.from(encodeGossip(validMessage)).toString()) as unknown;
 const datagram = fc.oneof(
 	mutated(validDatagram).map(value => bytesOf(value)),
@@ -187,6 +196,7 @@
 	}),
 	fc.uint8Array({maxLength: 300}),
 	loanDatagram,
+	originDatagram,
 );
 const entry = fc.oneof({weight: 4, arbitrary: mutated(validReplica)}, {weight: 1, arbitrary: invalidValue});
 
