Log the shared prompt parts of the requests that a crash cut off

replicaEnded named whole requests only, so that the log could not tell whether the requests at several crashes had anything in common. It now names the fingerprints of the shared parts of their prompts too.

--- a/src/base/event-catalogue.ts
+++ b/src/base/event-catalogue.ts
@@ -46,7 +46,7 @@
 	replicaUnreadable: event(3206, 'warn', 'The entry of a replica is invalid and is ignored; the other entries stay in use.'),
 	replicaStartedAgain: event(3207, 'info', 'A replica restarted under the same id; its earlier state was discarded.'),
 	peerDocumentUnreadable: event(4206, 'warn', 'A document from a peer is invalid; the known state is kept.'),
-	replicaEnded: event(3205, 'warn', 'A replica crashed while it ran requests of this box; their fingerprints are sent to the other boxes.'),
+	replicaEnded: event(3205, 'warn', 'A replica crashed while it ran requests of this box; the fields name these and the shared parts of their prompts.'),
 	replicaLimited: event(3208, 'warn', 'A replica set or changed its limit of requests a second from all boxes.'),
 	replicaLimitEnded: event(3209, 'info', 'A replica no longer has a request limit.'),
 	replicaLimitUnreadable: event(3210, 'warn', 'A replica sent an invalid request limit; its previous limit stays in effect.'),
--- a/src/quarantine/crash-attribution.ts
+++ b/src/quarantine/crash-attribution.ts
@@ -14,6 +14,8 @@
 	readonly fingerprint: Fingerprint;
 	/** Milliseconds for which the request had been running there. */
 	readonly ranFor: number;
+	/** Parts of its prompt that other requests may share. */
+	readonly parts?: readonly Fingerprint[];
 };
 
 /** The part of a crash that attribution needs. */
--- a/src/quarantine/fingerprint.ts
+++ b/src/quarantine/fingerprint.ts
@@ -1,11 +1,11 @@
 /**
- * Identifies requests that are sent repeatedly: the same method, target, client account and body, whatever the attempt id and
- * the box.
+ * Identifies what may crash replicas: requests that are sent repeatedly (the same method, target, client account and body, whatever the
+ * attempt id and the box), and parts of prompts that many requests share.
  */
 import {createHash} from 'node:crypto';
 import * as Brand from 'effect/Brand';
 
-/** Identifies a request. Neither key nor body can be derived from it; the fingerprint of a complete request can be compared with it. */
+/** Identifies a request or a part of a prompt. Neither key nor body can be derived from it; the fingerprint of a complete request can be compared with it. */
 export type Fingerprint = string & Brand.Brand<'Fingerprint'>;
 export const Fingerprint = Brand.nominal<Fingerprint>();
 
@@ -31,3 +31,12 @@
 	const digest = createHash('sha256').update(head).update('\n').update(body).digest('base64url');
 	return Fingerprint(digest.slice(0, fingerprintLength));
 }
+
+/**
+ * @param service - Name of the service whose replicas read the part.
+ * @param part - The part of a prompt, as the request names it.
+ * @returns Its fingerprint, the same for all client accounts.
+ */
+export function partFingerprintOf(service: string, part: string): Fingerprint {
+	return Fingerprint(createHash('sha256').update(JSON.stringify([service, part])).digest('base64url').slice(0, fingerprintLength));
+}
--- a/src/quarantine/test/fingerprint.test.ts
+++ b/src/quarantine/test/fingerprint.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
-import {fingerprintOf, type RequestIdentity} from '../fingerprint.js';
+import {fingerprintOf, partFingerprintOf, type RequestIdentity} from '../fingerprint.js';
 
 const usual: RequestIdentity = {
 	method: 'POST', target: '/a/b?c=1', clientAccount: 'basin', body: Buffer.from('{"question":"one"}'),
@@ -22,3 +22,9 @@
 	assert.equal(fingerprintOf({...usual, body: Buffer.from(usual.body)}), fingerprints[0]);
 	assert.match(fingerprints[0]!, /^[\w\-]{12}$/v);
 });
+
+test('the fingerprint of a prompt part depends on the part and the service only', () => {
+	const fingerprints = [partFingerprintOf('model', '5c1e07a2'), partFingerprintOf('model', '91bd3f06'), partFingerprintOf('other', '5c1e07a2')];
+	assert.equal(new Set(fingerprints).size, fingerprints.length);
+	assert.equal(partFingerprintOf('model', '5c1e07a2'), fingerprints[0]);
+});
--- a/src/relay/crash-detector.ts
+++ b/src/relay/crash-detector.ts
@@ -173,10 +173,12 @@
 		}
 
 		cut.hasCrashed = true;
+		const suspects = [...cut.suspects.values()];
 		log.write('replicaEnded', {
 			replica: entry.id, start, service: entry.service, software: entry.software, suspects: [...cut.suspects.keys()].join(' '),
+			parts: suspects.map(({parts}) => parts?.join(',') ?? '').join(' '),
 		});
-		quarantine.recordCrash(replica, [...cut.suspects.values()], cut.at);
+		quarantine.recordCrash(replica, suspects, cut.at);
 		onCrash();
 	}
 }
--- a/src/relay/crash-suspicion.ts
+++ b/src/relay/crash-suspicion.ts
@@ -2,7 +2,9 @@
  * Tracks whether one request is suspected of crashing replicas: its status before each attempt, and the outcome of each.
  */
 import type {Clock} from '../base/clock.js';
-import {fingerprintOf, type Fingerprint, type RequestIdentity} from '../quarantine/fingerprint.js';
+import {
+	fingerprintOf, partFingerprintOf, type Fingerprint, type RequestIdentity,
+} from '../quarantine/fingerprint.js';
 import type {Quarantine, QuarantineStatus} from '../quarantine/quarantine.js';
 import type {Replica} from '../replicas/replica.js';
 import type {CrashDetector} from './crash-detector.js';
@@ -20,6 +22,8 @@
 	readonly crashDetector: CrashDetector;
 	/** @returns What identifies the request. */
 	readonly identity: () => RequestIdentity;
+	/** @returns Service of the request, and the parts of its prompt that other requests may share. */
+	readonly prompt: () => {readonly service: string; readonly sharedParts: readonly string[]};
 };
 
 /** The suspicion of one request. */
@@ -49,6 +53,12 @@
 		return this.cachedFingerprint;
 	}
 
+	/** Fingerprints of the shared parts of the prompt. */
+	get parts(): readonly Fingerprint[] {
+		const {service, sharedParts} = this.services.prompt();
+		return sharedParts.map(part => partFingerprintOf(service, part));
+	}
+
 	/** The fingerprint if the request was cut or is suspected; otherwise `undefined`. */
 	get reportedFingerprint(): Fingerprint | undefined {
 		return this.wasCut || this.status !== 'sound' ? this.fingerprint : undefined;
@@ -106,7 +116,7 @@
 		}
 
 		this.wasCut = true;
-		crashDetector.recordCut(replica, {fingerprint: this.fingerprint, ranFor: clock.monotonic() - this.attemptStartedAt});
+		crashDetector.recordCut(replica, {fingerprint: this.fingerprint, ranFor: clock.monotonic() - this.attemptStartedAt, parts: this.parts});
 	}
 
 	/**
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -81,6 +81,8 @@
 		private readonly client: ClientAnswer,
 	) {
 		const {head} = request;
+		// The last part belongs to the request or its session alone.
+		const sharedParts = head.parts.slice(0, -1);
 		this.demandRecorder = DemandRecorder.create({clock: services.clock, demand: () => services.demands.of(this.request.service), goal: () => this.request.route.goal});
 		this.suspicion = CrashSuspicion.create({
 			clock: services.clock,
@@ -89,12 +91,13 @@
 			identity: () => ({
 				method: request.incoming.method ?? 'GET', target: request.incoming.url ?? '/', clientAccount: request.clientAccount?.name, body: request.body,
 			}),
+			prompt: () => ({service: this.request.service, sharedParts: sharedParts.map(({id}) => id)}),
 		});
 		this.streamForwarder = StreamForwarder.create({
 			client, format: services.format, metrics: services.metrics, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
 		});
 		this.version = StreamVersion.create({origins: services.origins, versions: services.versions, request: () => this.request});
-		const choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts: head.parts.slice(0, -1)};
+		const choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts};
 		this.choice = RunChoice.create({
 			services,
 			suspicion: this.suspicion,
