--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -157,6 +157,7 @@
 	/** Start time of each replica, in milliseconds since the Unix epoch. */
 	private readonly startTimes = new Map<string, number>();
 	private crashMark: string | undefined;
+	private isAnswering = false;
 	private onCrash: ((id: string) => void) | undefined;
 	private restarts: ReadonlyArray<Promise<void>> = [];
 	private isClosing = false;
@@ -232,14 +233,16 @@
 	}
 
 	/**
-	 * Makes all existing and future replicas crash when they receive a request body with a mark. After a crash, the entry lapses as it
+	 * Makes all existing and future replicas crash when they receive a request with a mark. After a crash, the entry lapses as it
 	 * does after three missed heartbeats, and the replica restarts under the same id.
 	 *
-	 * @param mark - Text that such a body contains.
+	 * @param mark - Text that its body contains, or id of a part of its prompt.
 	 * @param onCrash - Called at each crash with the id of the replica.
+	 * @param isAnswering - Whether replicas begin their answers before they crash.
 	 */
-	crashOn(mark: string, onCrash: (id: string) => void): void {
+	crashOn(mark: string, onCrash: (id: string) => void, isAnswering = false): void {
 		this.crashMark = mark;
+		this.isAnswering = isAnswering;
 		this.onCrash = onCrash;
 		for (const [id, replica] of this.replicas) {
 			this.setCrashMark(id, replica);
@@ -351,10 +354,10 @@
 	}
 
 	private setCrashMark(id: string, replica: ReplicaStandin): void {
-		const {crashMark: mark} = this;
+		const {crashMark: mark, isAnswering} = this;
 		if (mark !== undefined) {
 			replica.crashMark = {
-				mark, delay: crashDelay, onCrash: () => {
+				mark, delay: crashDelay, isAnswering, onCrash: () => {
 					this.onCrash?.(id);
 					this.restarts = [...this.restarts, this.restart(id)];
 				},
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -44,10 +44,12 @@
 
 /** A crash of a replica that a request causes. */
 export type CrashMark = {
-	/** Text in a request body that makes the replica crash. */
+	/** Text in a request body, or id of a part of its prompt, that makes the replica crash. */
 	readonly mark: string;
 	/** Milliseconds from the request to the crash. */
 	readonly delay: number;
+	/** Whether the replica begins its answer before the crash. */
+	readonly isAnswering: boolean;
 	/** Called at the crash, before the connections are closed. */
 	readonly onCrash: () => void;
 };
@@ -78,6 +80,8 @@
 const cutEventBytes = 14;
 /** Faults that apply to streams; with any other fault, a request for a stream gets a plain response with that fault. */
 const streamFaults: ReadonlySet<ReplicaConduct['fault']> = new Set(['none', 'cut-stream', 'mute-stream']);
+/** Events of a stream during which the replica crashes: more than it writes before the crash. */
+const crashingEvents = 1000;
 const defaultConduct: ReplicaConduct = {
 	delay: 5, events: 0, gap: 5, stream: wholeStream, fault: 'none',
 };
@@ -234,15 +238,8 @@
 		}
 
 		await this.waitForSlot(request, seen);
-		const {crashMark} = this;
-		if (crashMark && request.body.includes(crashMark.mark)) {
-			await pause(crashMark.delay);
-			// Several such requests at once crash the replica only once.
-			if (this.server.listening) {
-				crashMark.onCrash();
-				await this.close();
-			}
-
+		if (this.crashMark && isMarked(request, this.crashMark)) {
+			await this.crash(request, this.crashMark, commonHeaders);
 			return;
 		}
 
@@ -259,6 +256,19 @@
 		this.answerPlain(request, conduct, commonHeaders);
 	}
 
+	private async crash(request: StandinRequest, {isAnswering, delay, onCrash}: CrashMark, commonHeaders: Readonly<Record<string, string>>): Promise<void> {
+		if (isAnswering) {
+			void this.stream(request, {...this.conduct, events: crashingEvents}, commonHeaders);
+		}
+
+		await pause(delay);
+		// Several such requests at once crash the replica only once.
+		if (this.server.listening) {
+			onCrash();
+			await this.close();
+		}
+	}
+
 	private async waitForSlot({response}: StandinRequest, seen: SeenRequest): Promise<void> {
 		this.inProgress++;
 		response.once('close', () => {
@@ -370,6 +380,10 @@
 	}
 }
 
+function isMarked({body, headers}: StandinRequest, {mark}: CrashMark): boolean {
+	return body.includes(mark) || String(headers[header.parts] ?? '').split(',').some(part => part.startsWith(`${mark}:`));
+}
+
 /** @returns How to write a stream, with a fault of the stream placed at its middle event. */
 function streamConductOf({stream, fault, events}: ReplicaConduct): StreamConduct {
 	const middle = Math.floor(events / 2) + 1;
