Quarantine prompt parts that crash replicas

Callers of a model service lost their answers while requests with one prompt part crashed replica after replica.

Cause: only whole requests were remembered. No two of the requests were alike, so each began without a crash, and was stopped after three crashes of its own at the earliest.

Change: a suspect carries the fingerprints of the shared parts of its prompt and of its client account. One attribution covers requests and parts: the part that explains more crashes than any request is the cause, with all parts that the requests at these crashes share, so that requests with only some of them still run. A crash before a completed answer on a part does not count for it; parts that replicas have completed before need two crashes more. Boxes tell each other completions of suspected parts only. One client account cannot get the parts of another quarantined. Requests that were sent before the quarantine and whose answer has not begun are cancelled. Messages carry parts in a field of their own, so that boxes of an earlier version ignore it.

--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -6,10 +6,9 @@
 import * as Schema from 'effect/Schema';
 import {createDecoder} from '../base/faults.js';
 import {decodeDatagram} from '../base/json-datagram.js';
-import type {CrashLedgerUpdate} from '../quarantine/crash-ledger.js';
-import {Fingerprint} from '../quarantine/fingerprint.js';
 import {clampWeight} from '../replicas/demand-weights.js';
 import type {StatementUpdate} from '../replicas/replica-statement.js';
+import {crashFields, crashLayoutOf, crashUpdateOf} from './crash-codec.js';
 import type {
 	GossipMessage, MemberAddress, NamedRates, ReplicaLoad,
 } from './gossip-message.js';
@@ -35,11 +34,6 @@
 /** Window; pairs of a client account and its requests. */
 const UsageRow = Schema.Tuple([Schema.Number, Schema.Array(Schema.Tuple([Schema.String, Schema.Number]))]);
 
-/** A crash: replica start, service, software, age; fingerprints of requests and the milliseconds that each had run. */
-const CrashRow = Schema.Tuple([Schema.String, Schema.String, Schema.String, Schema.Number, Schema.Array(Schema.Tuple([Schema.String, Schema.Number]))]);
-/** Fingerprint of a request, age. */
-const CompletionRow = Schema.Tuple([Schema.String, Schema.Number]);
-
 /** Replica start, value, age. */
 const StatementRow = Schema.Tuple([Schema.String, Schema.NullOr(Schema.Number), Schema.Number]);
 const StatementRows = Schema.Array(StatementRow);
@@ -81,7 +75,7 @@
 	replicas: Schema.optionalKey(Schema.Struct({at: Schema.Number, age: Schema.Number})),
 	asksDigest: Schema.optionalKey(Schema.Boolean),
 	digest: Schema.optionalKey(DigestLayout),
-	ends: Schema.optionalKey(Schema.Tuple([Schema.Array(CrashRow), Schema.Array(CompletionRow)])),
+	...crashFields,
 	/** One list for each of `rowKinds`. */
 	statements: Schema.optionalKey(Schema.Tuple([StatementRows, StatementRows, StatementRows])),
 	/** Statements of brittle replicas; a field of its own, so that boxes of an earlier version ignore it. */
@@ -117,7 +111,7 @@
 		...(weights ? {weights: weights.map(({service, weight}) => [service, weight] as const)} : {}),
 		...(reads ? {reads: reads.map(({service, count, rates}) => [service, count, rates] as const)} : {}),
 		...(digest ? {digest: digestLayoutOf(digest)} : {}),
-		...(ends ? {ends: crashLayoutOf(ends)} : {}),
+		...(ends ? crashLayoutOf(ends) : {}),
 		...(statements ? statementLayoutOf(statements) : {}),
 		usage: usage.map(({window, counts}) => [window, counts] as const),
 		members: members.map(member => memberRowOf(member)),
@@ -135,7 +129,8 @@
 }
 
 function messageOf(layout: Layout): GossipMessage {
-	const {sender, quota, work, demand, weights, reads, digest, usage, members, ends, statements, brittle, ...plain} = layout;
+	const {sender, quota, work, demand, weights, reads, digest, usage, members, ends, prompts, statements, brittle, ...plain} = layout;
+	const crashes = crashUpdateOf({...(ends ? {ends} : {}), ...(prompts ? {prompts} : {})});
 	return {
 		...plain,
 		sender: memberOf(sender),
@@ -147,7 +142,7 @@
 		...(weights ? {weights: weights.map(([service, weight]) => ({service, weight: clampWeight(weight)}))} : {}),
 		...(reads ? {reads: reads.map(([service, count, rates]) => ({service, count, rates: rates.filter(rate => rate > 0)}))} : {}),
 		...(digest ? {digest: digestOf(digest)} : {}),
-		...(ends ? {ends: crashUpdateOf(ends)} : {}),
+		...(crashes ? {ends: crashes} : {}),
 		...((statements ?? brittle) ? {statements: statementsOf(statements, brittle)} : {}),
 		usage: usage.map(([window, counts]) => ({window, counts})),
 		members: members.map(row => memberOf(row)),
@@ -190,22 +185,6 @@
 		: [];
 }
 
-function crashLayoutOf({crashes, completions}: CrashLedgerUpdate): NonNullable<Layout['ends']> {
-	return [
-		crashes.map(({start, service, software, age, suspects}) => [start, service, software, age, suspects.map(({fingerprint, ranFor}) => [fingerprint, ranFor] as const)] as const),
-		completions.map(({fingerprint, age}) => [fingerprint, age] as const),
-	];
-}
-
-function crashUpdateOf([crashes, completions]: NonNullable<Layout['ends']>): CrashLedgerUpdate {
-	return {
-		crashes: crashes.map(([start, service, software, age, suspects]) => ({
-			start, service, software, age: Math.max(0, age), suspects: suspects.map(([fingerprint, ranFor]) => ({fingerprint: Fingerprint(fingerprint), ranFor})),
-		})),
-		completions: completions.map(([fingerprint, age]) => ({fingerprint: Fingerprint(fingerprint), age: Math.max(0, age)})),
-	};
-}
-
 function digestLayoutOf({quota, work, stretches, rates, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
 	return {
 		...plain,
--- a/src/gossip/test/gossip-codec.test.ts
+++ b/src/gossip/test/gossip-codec.test.ts
@@ -35,7 +35,13 @@
 	],
 	ends: {
 		crashes: [{
-			start: 'i-3/1700000000000', service: 's', software: '2', age: 250, suspects: [{fingerprint: Fingerprint('AbC-_1234567'), ranFor: 75}],
+			start: 'i-3/1700000000000', service: 's', software: '2', age: 250, suspects: [
+				{
+					fingerprint: Fingerprint('AbC-_1234567'), ranFor: 75, parts: [Fingerprint('part-1'), Fingerprint('part-2')], clientAccount: Fingerprint('account'),
+				},
+				{fingerprint: Fingerprint('AbC-_2345678'), ranFor: 5, parts: [Fingerprint('part-2')]},
+				{fingerprint: Fingerprint('AbC-_3456789'), ranFor: 6},
+			],
 		}],
 		completions: [{fingerprint: Fingerprint('AbC-_7654321'), age: 10}],
 	},
--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -22,7 +22,7 @@
 /** A crash as it is sent to other boxes; its age is in milliseconds. */
 export type CrashUpdate = ReplicaCrash & {readonly age: number};
 
-/** A request that a replica ran without a crash, and the milliseconds since. */
+/** A request, or part of prompts, on which a replica completed an answer without a crash, and the milliseconds since. */
 export type CompletionUpdate = {readonly fingerprint: Fingerprint; readonly age: number};
 
 /** An update that boxes send to each other. */
@@ -49,6 +49,8 @@
  * sends to all boxes, and 1.2 KB in a large fleet, where an aggregator answers hundreds of messages a second.
  */
 export const maxCrashesSent = {small: 12, large: 4} as const;
+/** Max. parts of a prompt that are kept for a request, since clients may name any number of them. Further ones are ignored. */
+const maxParts = 16;
 /** Max. suspected requests sent for one crash: those suspected in the most crashes. */
 const maxSuspectsSent = 12;
 /** Max. completed requests in one message: the newest. */
@@ -59,8 +61,8 @@
 const minCrashesToShare = 2;
 
 /** A request at a crash. Until `sentUntil` (monotonic milliseconds) this box sends it as its own observation. */
-type Sighting = {readonly sentUntil: number; readonly ranFor: number};
-/** The last completion of a request; both times in monotonic milliseconds. */
+type Sighting = Omit<Suspect, 'fingerprint'> & {readonly sentUntil: number};
+/** The last completion of a request or part; both times in monotonic milliseconds. */
 type Completion = {readonly at: number; readonly sentUntil: number};
 type CrashEntry = Omit<ReplicaCrash, 'suspects'> & {readonly crashedAt: number; readonly suspects: Map<Fingerprint, Sighting>};
 
@@ -78,8 +80,10 @@
 	private readonly completions = new Map<Fingerprint, Completion>();
 	/** Starts of the replicas that crashed while they ran a request. */
 	private readonly startsOf = new Map<Fingerprint, Set<string>>();
+	/** Starts of the replicas that crashed while they ran requests with a part, at the given number of changes. */
+	private startsOfParts: {readonly changes: number; readonly starts: ReadonlyMap<Fingerprint, ReadonlySet<string>>} = {changes: 0, starts: new Map()};
 	private changeCount = 0;
-	private partsSent = 0;
+	private slicesSent = 0;
 
 	private constructor(private readonly clock: Clock) {}
 
@@ -109,6 +113,33 @@
 		return this.startsOf.has(fingerprint);
 	}
 
+	/**
+	 * @param part - Part of a prompt.
+	 * @returns Whether a replica crashed while it ran a request with the part.
+	 */
+	isSuspectedPart(part: Fingerprint): boolean {
+		return this.startsByPart.has(part);
+	}
+
+	/**
+	 * @param fingerprint - A request or part.
+	 * @returns Monotonic milliseconds of its last known completion; `undefined` if none is known.
+	 */
+	completedAt(fingerprint: Fingerprint): number | undefined {
+		return this.completions.get(fingerprint)?.at;
+	}
+
+	/**
+	 * @param part - Part of a prompt.
+	 * @param at - Monotonic milliseconds of a completion.
+	 * @returns Whether that changes which crashes the part may have caused, or that a replica has completed it at all.
+	 */
+	isNews(part: Fingerprint, at: number): boolean {
+		const known = this.completedAt(part);
+		const crashTimes = [...this.startsByPart.get(part) ?? []].map(start => this.crashesByStart.get(start)!.crashedAt);
+		return known === undefined || crashTimes.some(crashedAt => known < crashedAt && crashedAt <= at);
+	}
+
 	/**
 	 * Records a crash that this box observed.
 	 *
@@ -120,13 +151,13 @@
 	}
 
 	/**
-	 * Records that a replica ran a request of this box without a crash.
+	 * Records that a replica completed an answer to a request of this box, or on a part of its prompt.
 	 *
-	 * @param fingerprint - The request.
+	 * @param fingerprint - The request or part.
+	 * @param at - Time of the completion, or for a part the time at which that answer began, in monotonic milliseconds.
 	 */
-	recordCompletion(fingerprint: Fingerprint): void {
-		const now = this.clock.monotonic();
-		this.addCompletion(fingerprint, now, now + resendDuration);
+	recordCompletion(fingerprint: Fingerprint, at = this.clock.monotonic()): void {
+		this.addCompletion(fingerprint, at, this.clock.monotonic() + resendDuration);
 	}
 
 	/** @param update - The update that another box sent. */
@@ -155,28 +186,36 @@
 		const now = this.clock.monotonic();
 		const crashes = this.crashesToSend(now, isWhole, maxPerSort);
 		const completions = [...this.completions]
-			.filter(([, {sentUntil}]) => sentUntil > now)
+			.filter(([fingerprint, {sentUntil}]) => sentUntil > now || (isWhole && this.isSuspectedPart(fingerprint)))
 			.slice(-maxCompletionsSent)
 			.map(([fingerprint, {at}]) => ({fingerprint, age: Math.round(now - at)}));
 		return crashes.length + completions.length > 0 ? {crashes, completions} : undefined;
 	}
 
-	/** Each message carries the next part of the own observations and of the crashes that all boxes must know, to keep it small. */
+	/** Each message carries the next slice of the own observations and of the crashes that all boxes must know, to keep it small. */
 	private crashesToSend(now: number, isWhole: boolean, maxPerSort: number): readonly CrashUpdate[] {
 		const newest = [...this.crashesByStart.values()].reverse();
 		const own = newest.flatMap(crash => this.updateOf(crash, now, (_, {sentUntil}) => sentUntil > now));
 		const needed = newest
 			.filter(({crashedAt}) => isWhole || now - crashedAt < resendDuration)
-			.flatMap(crash => this.updateOf(crash, now, (fingerprint, {sentUntil}) => sentUntil <= now && this.isNeeded(crash.start, fingerprint)));
-		const part = this.partsSent;
-		this.partsSent++;
-		return [...partAt(own, part, maxPerSort), ...partAt(needed, part, maxPerSort)];
+			.flatMap(crash => this.updateOf(crash, now, (fingerprint, {sentUntil, parts}) => sentUntil <= now && this.isNeeded(crash.start, fingerprint, parts)));
+		const slice = this.slicesSent;
+		this.slicesSent++;
+		return [...sliceAt(own, slice, maxPerSort), ...sliceAt(needed, slice, maxPerSort)];
+	}
+
+	/** Whether other boxes must know of this crash, to know that the request, or a part of its prompt, is quarantined. */
+	private isNeeded(start: string, fingerprint: Fingerprint, parts: readonly Fingerprint[] = []): boolean {
+		return [this.startsOf.get(fingerprint), ...parts.map(part => this.startsByPart.get(part))].some((starts = new Set()) =>
+			starts.size >= minCrashesToShare && [...starts].slice(-maxCrashesPerRequest).includes(start));
 	}
 
-	/** Whether other boxes must know of this crash, to know that the request is quarantined. */
-	private isNeeded(start: string, fingerprint: Fingerprint): boolean {
-		const starts = [...this.startsOf.get(fingerprint) ?? []];
-		return starts.length >= minCrashesToShare && starts.slice(-maxCrashesPerRequest).includes(start);
+	private get startsByPart(): ReadonlyMap<Fingerprint, ReadonlySet<string>> {
+		if (this.startsOfParts.changes !== this.changeCount) {
+			this.startsOfParts = {changes: this.changeCount, starts: startsByPartOf(this.crashesByStart.values())};
+		}
+
+		return this.startsOfParts.starts;
 	}
 
 	private updateOf({suspects, crashedAt, ...crash}: CrashEntry, now: number, isIncluded: (fingerprint: Fingerprint, sighting: Sighting) => boolean): readonly CrashUpdate[] {
@@ -194,7 +233,10 @@
 
 		const known = getOrCreate(this.crashesByStart, crash.start, () => ({...crash, crashedAt, suspects: new Map<Fingerprint, Sighting>()}));
 		for (const suspect of suspects) {
-			this.addSuspect(known, suspect.fingerprint, {sentUntil, ranFor: Math.round(suspect.ranFor)});
+			const {fingerprint, ranFor, parts = [], clientAccount} = suspect;
+			this.addSuspect(known, fingerprint, {
+				sentUntil, ranFor: Math.round(ranFor), ...(parts.length > 0 ? {parts: parts.slice(0, maxParts)} : {}), ...(clientAccount === undefined ? {} : {clientAccount}),
+			});
 		}
 
 		this.dropExcess();
@@ -209,11 +251,13 @@
 		}
 
 		const known = suspects.get(suspect);
-		if (known ? known.ranFor <= sighting.ranFor : suspects.size >= maxSuspects) {
+		// A box of an earlier version sends no parts.
+		const addsParts = known?.parts === undefined && sighting.parts !== undefined;
+		if (known ? known.ranFor <= sighting.ranFor && !addsParts : suspects.size >= maxSuspects) {
 			return;
 		}
 
-		suspects.set(suspect, known ? {...known, ranFor: sighting.ranFor} : sighting);
+		suspects.set(suspect, known ? {...sighting, ...known, ranFor: Math.min(known.ranFor, sighting.ranFor)} : sighting);
 		getOrCreate(this.startsOf, suspect, () => new Set<string>()).add(start);
 		this.changeCount++;
 	}
@@ -228,6 +272,9 @@
 		this.completions.delete(fingerprint);
 		this.completions.set(fingerprint, {at, sentUntil: Math.max(sentUntil, known?.sentUntil ?? 0)});
 		evictOldest(this.completions, maxCompletions);
+		if (this.isSuspectedPart(fingerprint)) {
+			this.changeCount++;
+		}
 
 		for (const start of this.startsOf.get(fingerprint) ?? []) {
 			if (this.crashesByStart.get(start)!.crashedAt <= at) {
@@ -273,11 +320,22 @@
 }
 
 function suspectsOf(sightings: Iterable<readonly [Fingerprint, Sighting]>): readonly Suspect[] {
-	return [...sightings].map(([fingerprint, {ranFor}]) => ({fingerprint, ranFor}));
+	return [...sightings].map(([fingerprint, {sentUntil, ...sighting}]) => ({fingerprint, ...sighting}));
+}
+
+function startsByPartOf(crashes: Iterable<CrashEntry>): ReadonlyMap<Fingerprint, ReadonlySet<string>> {
+	const startsByPart = new Map<Fingerprint, Set<string>>();
+	for (const {start, suspects} of crashes) {
+		for (const part of [...suspects.values()].flatMap(({parts = []}) => parts)) {
+			getOrCreate(startsByPart, part, () => new Set<string>()).add(start);
+		}
+	}
+
+	return startsByPart;
 }
 
-/** The given part of a list, of at most `maxPerSort` entries; the number wraps round at the end of the list. */
-function partAt(crashes: readonly CrashUpdate[], part: number, maxPerSort: number): readonly CrashUpdate[] {
-	const first = (part * maxPerSort) % Math.max(1, Math.ceil(crashes.length / maxPerSort) * maxPerSort);
+/** The given slice of a list, of at most `maxPerSort` entries; the number wraps round at the end of the list. */
+function sliceAt(crashes: readonly CrashUpdate[], slice: number, maxPerSort: number): readonly CrashUpdate[] {
+	const first = (slice * maxPerSort) % Math.max(1, Math.ceil(crashes.length / maxPerSort) * maxPerSort);
 	return crashes.slice(first, first + maxPerSort);
 }
--- a/src/quarantine/fingerprint.ts
+++ b/src/quarantine/fingerprint.ts
@@ -38,5 +38,17 @@
  * @returns Its fingerprint, the same for all client accounts.
  */
 export function partFingerprintOf(service: string, part: string): Fingerprint {
-	return Fingerprint(createHash('sha256').update(JSON.stringify([service, part])).digest('base64url').slice(0, fingerprintLength));
+	return fingerprintOfNames(service, part);
+}
+
+/**
+ * @param name - Name of a client account.
+ * @returns Its fingerprint.
+ */
+export function clientAccountFingerprintOf(name: string): Fingerprint {
+	return fingerprintOfNames(name);
+}
+
+function fingerprintOfNames(...names: readonly string[]): Fingerprint {
+	return Fingerprint(createHash('sha256').update(JSON.stringify(names)).digest('base64url').slice(0, fingerprintLength));
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -5,14 +5,18 @@
  */
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
+import {evictOldest} from '../base/evict-oldest.js';
+import {getOrCreate} from '../base/get-or-create.js';
 import {rankOwners, hashFraction} from '../base/rendezvous.js';
 import type {Replica} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
-import {attributeCrashes, type Attribution, type Suspect} from './crash-attribution.js';
+import {
+	attributeCrashes, provenPartAllowance, type Attribution, type Suspect,
+} from './crash-attribution.js';
 import {
 	CrashLedger, type CrashLedgerUpdate, type KnownCrash, crashLifetime,
 } from './crash-ledger.js';
-import type {Fingerprint} from './fingerprint.js';
+import {partFingerprintOf, type Fingerprint} from './fingerprint.js';
 
 /**
  * Status of a request.
@@ -24,6 +28,34 @@
  */
 export type QuarantineStatus = 'sound' | 'suspect' | 'trial' | 'quarantined';
 
+/** The status of a request, and what it is based on. */
+export type Standing = {
+	readonly status: QuarantineStatus;
+	/** What the crashes are attributed to: the request itself, or a part of its prompt. */
+	readonly cause: Fingerprint;
+	/** Parts of its prompt that crash replicas; empty where the request itself does, or none is suspected. */
+	readonly parts: readonly Fingerprint[];
+};
+
+/** What is quarantined: a request, or all requests with certain parts in their prompts. */
+export type QuarantinedCause = {
+	readonly cause: Fingerprint;
+	/** The parts; empty for a single request. */
+	readonly parts: readonly Fingerprint[];
+	/** Starts of the replicas that crashed. */
+	readonly starts: readonly string[];
+	/** Milliseconds since the last of these crashes. */
+	readonly lastCrashAge: number;
+	/** Milliseconds until the next trial. */
+	readonly untilTrial: number;
+};
+
+/** Statuses in ascending order of severity. */
+const statuses: readonly QuarantineStatus[] = ['sound', 'suspect', 'trial', 'quarantined'];
+/** Max. parts whose completions are remembered, since clients may send any number of distinct parts. Past it the least recent is dropped. */
+const maxCompletedParts = 4096;
+/** Min. client accounts at whose requests replicas crashed for a quarantine to apply to all client accounts. */
+const minClientAccounts = 2;
 /** Min. crashes attributed to a request for a trial. */
 const minTrialCrashes = 2;
 /** Min. crashes for the quarantine, where replicas crash for no other cause. */
@@ -84,9 +116,17 @@
 	private readonly ledger: CrashLedger;
 	/** Starts of the replicas at which this box runs requests that are not sound, by request. */
 	private readonly running = new Map<Fingerprint, string[]>();
-	/** Requests whose quarantine has been logged. */
+	/** Requests and parts whose quarantine has been logged. */
 	private logged: ReadonlySet<Fingerprint> = new Set();
 	private assessment: Assessment | undefined;
+	/** Parts on which replicas have completed answers of this box, with the monotonic milliseconds at which the last of these began. */
+	private readonly completedParts = new Map<Fingerprint, number>();
+	/** Called after the ledger has changed. */
+	private readonly listeners = new Set<() => void>();
+	/** Changes of the ledger that the listeners were called for. */
+	private notifiedChanges = 0;
+	/** Fingerprints of parts, since most requests name the same ones. */
+	private readonly partFingerprints = new Map<string, Fingerprint>();
 
 	private constructor(private readonly services: QuarantineServices) {
 		this.ledger = CrashLedger.create(services.clock);
@@ -105,22 +145,62 @@
 		return this.ledger.isSuspected(fingerprint);
 	}
 
-	/** Fingerprints of the requests that are quarantined now. */
+	/** Fingerprints of the requests and parts that are quarantined now. */
 	get quarantined(): readonly Fingerprint[] {
-		return this.hasSuspects ? [...this.assess().attributions.keys()].filter(fingerprint => this.statusOf(fingerprint) === 'quarantined') : [];
+		return this.hasSuspects ? [...this.assess().attributions.keys()].filter(cause => this.statusOf(cause) === 'quarantined') : [];
+	}
+
+	/** Details of what is quarantined now, for operators. */
+	get causes(): readonly QuarantinedCause[] {
+		const now = this.services.clock.monotonic();
+		return this.quarantined.map(cause => {
+			const {attributions, crashes} = this.assess();
+			const {starts, parts} = attributions.get(cause)!;
+			return {
+				cause, parts, starts, lastCrashAge: now - Math.max(...starts.map(start => crashes.get(start)!.crashedAt)), untilTrial: this.timeUntilTrial(cause),
+			};
+		});
 	}
 
 	/**
-	 * @param fingerprint - A request.
+	 * @param service - Name of a service.
+	 * @param part - Part of a prompt.
+	 * @returns Its fingerprint.
+	 */
+	partFingerprint(service: string, part: string): Fingerprint {
+		const fingerprint = getOrCreate(this.partFingerprints, `${service} ${part}`, () => partFingerprintOf(service, part));
+		evictOldest(this.partFingerprints, maxCompletedParts);
+		return fingerprint;
+	}
+
+	/**
+	 * @param request - A request.
+	 * @returns The most severe status that itself or the parts of its prompt give it.
+	 */
+	standingOf({fingerprint, parts = [], clientAccount}: Omit<Suspect, 'ranFor'>): Standing {
+		const own: Standing = {status: this.statusOf(fingerprint), cause: fingerprint, parts: []};
+		if (parts.length === 0 || !this.hasSuspects) {
+			return own;
+		}
+
+		const ofParts = [...this.assess().attributions]
+			.filter(([, attribution]) => attribution.parts.length > 0 && attribution.parts.every(part => parts.includes(part)))
+			.map(([cause, attribution]) => ({status: this.statusFor(cause, attribution, clientAccount), cause, parts: attribution.parts}));
+		const [worst] = [own, ...ofParts].sort((left, right) => statuses.indexOf(right.status) - statuses.indexOf(left.status));
+		return worst!;
+	}
+
+	/**
+	 * @param cause - A request, or a part of prompts.
 	 * @returns Its status.
 	 */
-	statusOf(fingerprint: Fingerprint): QuarantineStatus {
-		if (!this.ledger.isSuspected(fingerprint) || this.services.released().includes(fingerprint)) {
+	statusOf(cause: Fingerprint): QuarantineStatus {
+		if ((!this.ledger.isSuspected(cause) && !this.ledger.isSuspectedPart(cause)) || this.services.released().includes(cause)) {
 			return 'sound';
 		}
 
 		const {attributions, crashes, quarantined} = this.assess();
-		const attribution = attributions.get(fingerprint);
+		const attribution = attributions.get(cause);
 		if (!attribution) {
 			return 'sound';
 		}
@@ -130,11 +210,11 @@
 		}
 
 		const isOutdated = attribution.starts.every(start => this.isSoftwareReplaced(crashes.get(start)!));
-		if (isOutdated || !quarantined.has(fingerprint) || this.isTrialDue(fingerprint)) {
+		if (isOutdated || !quarantined.has(cause) || this.isTrialDue(cause)) {
 			return 'trial';
 		}
 
-		this.logOnce(fingerprint, attribution);
+		this.logOnce(cause, attribution);
 		return 'quarantined';
 	}
 
@@ -213,6 +293,8 @@
 		this.ledger.recordCrash({
 			start, service, software, suspects,
 		}, crashedAt);
+		this.reportCompletedParts(suspects);
+		this.notify();
 	}
 
 	/**
@@ -224,9 +306,41 @@
 		this.ledger.recordCompletion(fingerprint);
 	}
 
+	/**
+	 * Records that a replica completed an answer.
+	 *
+	 * @param parts - Parts of the prompt that other requests may share.
+	 * @param beganAt - Monotonic milliseconds at which the answer began; the replica did not crash on the parts then.
+	 */
+	recordPartCompletion(parts: readonly Fingerprint[], beganAt: number): void {
+		for (const part of parts) {
+			// Inserted again, so that the most recent are last.
+			this.completedParts.delete(part);
+			this.completedParts.set(part, beganAt);
+		}
+
+		evictOldest(this.completedParts, maxCompletedParts);
+		if (this.hasSuspects) {
+			this.shareCompletedParts(parts);
+		}
+	}
+
 	/** @param update - The update that another box sent. */
 	merge(update: CrashLedgerUpdate): void {
 		this.ledger.merge(update);
+		this.reportCompletedParts(update.crashes.flatMap(({suspects}) => suspects));
+		this.notify();
+	}
+
+	/**
+	 * @param listener - Called after crashes were recorded.
+	 * @returns A function that removes the listener.
+	 */
+	onDidRecordCrash(listener: () => void): () => void {
+		this.listeners.add(listener);
+		return () => {
+			this.listeners.delete(listener);
+		};
 	}
 
 	/**
@@ -238,6 +352,39 @@
 		return this.ledger.collectUpdate(isWhole, maxPerSort);
 	}
 
+	/** A client account cannot get a part of another one quarantined: its requests have to crash replicas too. */
+	private statusFor(cause: Fingerprint, {clientAccounts}: Attribution, clientAccount: Fingerprint | undefined): QuarantineStatus {
+		const status = this.statusOf(cause);
+		const isConcerned = clientAccounts.size >= minClientAccounts || clientAccount === undefined || clientAccounts.has(clientAccount);
+		return status === 'quarantined' && !isConcerned ? 'trial' : status;
+	}
+
+	private notify(): void {
+		if (this.ledger.changes === this.notifiedChanges) {
+			return;
+		}
+
+		this.notifiedChanges = this.ledger.changes;
+		for (const listener of this.listeners) {
+			listener();
+		}
+	}
+
+	/** Other boxes must know that replicas have completed answers on the parts of the requests at a crash. */
+	private reportCompletedParts(suspects: readonly Suspect[]): void {
+		this.shareCompletedParts(suspects.flatMap(({parts = []}) => parts));
+	}
+
+	/** Sends completions of suspected parts only, and only if they are new evidence: other parts have thousands a second. */
+	private shareCompletedParts(parts: readonly Fingerprint[]): void {
+		for (const part of new Set(parts)) {
+			const beganAt = this.completedParts.get(part);
+			if (beganAt !== undefined && this.ledger.isSuspectedPart(part) && this.ledger.isNews(part, beganAt)) {
+				this.ledger.recordCompletion(part, beganAt);
+			}
+		}
+	}
+
 	/** Only one box runs the trial, so that it crashes at most one replica. */
 	private isTrialDue(fingerprint: Fingerprint): boolean {
 		return this.timeUntilTrial(fingerprint) === 0 && this.services.isOwner(fingerprint);
@@ -254,7 +401,7 @@
 		const {changes} = this.ledger;
 		if (this.assessment?.changes !== changes || now - this.assessment.at > assessmentLifetime) {
 			const crashes = this.confirmedCrashes();
-			const attributions = attributeCrashes(crashes);
+			const attributions = attributeCrashes(crashes, part => this.ledger.completedAt(part));
 			this.assessment = {
 				attributions, crashes: new Map(crashes.map(crash => [crash.start, crash])), quarantined: this.quarantinedOf(attributions, crashes), changes, at: now,
 			};
@@ -268,9 +415,9 @@
 		const quarantined = new Set<Fingerprint>();
 		let unexplained = crashes;
 		for (const [fingerprint, attribution] of attributions) {
-			const {starts, isShared} = attribution;
+			const {starts, isShared, isProven} = attribution;
 			const threshold = isShared ? maxQuarantineThreshold : this.crashThreshold(starts, unexplained) + (this.mayHaveRival(attribution, crashes) ? 1 : 0);
-			if (starts.length >= Math.min(maxQuarantineThreshold, threshold)) {
+			if (starts.length >= Math.min(maxQuarantineThreshold, threshold) + (isProven ? provenPartAllowance : 0)) {
 				quarantined.add(fingerprint);
 				unexplained = unexplained.filter(({start}) => !starts.includes(start));
 			}
@@ -310,10 +457,10 @@
 		return ready.length > 0 && ready.every(({entry}) => entry.software !== software);
 	}
 
-	private logOnce(fingerprint: Fingerprint, {starts}: Attribution): void {
-		if (!this.logged.has(fingerprint)) {
-			this.logged = new Set([...this.logged, fingerprint].filter(known => this.ledger.isSuspected(known)));
-			this.services.log.write('requestQuarantined', {fingerprint, starts: starts.join(' ')});
+	private logOnce(cause: Fingerprint, {starts, parts}: Attribution): void {
+		if (!this.logged.has(cause)) {
+			this.logged = new Set([...this.logged, cause].filter(known => this.ledger.isSuspected(known) || this.ledger.isSuspectedPart(known)));
+			this.services.log.write('requestQuarantined', {fingerprint: cause, parts: parts.join(' '), starts: starts.join(' ')});
 		}
 	}
 }
--- a/src/relay/crash-detector.ts
+++ b/src/relay/crash-detector.ts
@@ -105,11 +105,12 @@
 	}
 
 	/**
-	 * @param fingerprint - A request whose connection was cut.
+	 * @param cause - A request whose connection was cut, or a part of its prompt.
 	 * @returns Whether a probe is still to decide if the replica crashed.
 	 */
-	isProbePending(fingerprint: Fingerprint): boolean {
-		return [...this.cuts.values()].some(({isProbing, hasCrashed, suspects}) => isProbing && !hasCrashed && suspects.has(fingerprint));
+	isProbePending(cause: Fingerprint): boolean {
+		return [...this.cuts.values()].some(({isProbing, hasCrashed, suspects}) => isProbing && !hasCrashed
+			&& [...suspects.values()].some(({fingerprint, parts}) => fingerprint === cause || parts?.includes(cause)));
 	}
 
 	/** Probes the replica until it is known whether it crashed, or until its entry would have been removed. */
--- a/src/relay/crash-suspicion.ts
+++ b/src/relay/crash-suspicion.ts
@@ -2,10 +2,11 @@
  * Tracks whether one request is suspected of crashing replicas: its status before each attempt, and the outcome of each.
  */
 import type {Clock} from '../base/clock.js';
+import type {Suspect} from '../quarantine/crash-attribution.js';
 import {
-	fingerprintOf, partFingerprintOf, type Fingerprint, type RequestIdentity,
+	clientAccountFingerprintOf, fingerprintOf, type Fingerprint, type RequestIdentity,
 } from '../quarantine/fingerprint.js';
-import type {Quarantine, QuarantineStatus} from '../quarantine/quarantine.js';
+import type {Quarantine, QuarantineStatus, Standing} from '../quarantine/quarantine.js';
 import type {Replica} from '../replicas/replica.js';
 import type {CrashDetector} from './crash-detector.js';
 
@@ -36,8 +37,10 @@
 		return new CrashSuspicion(services);
 	}
 
-	/** Status of the request when it was last looked up. */
-	status: QuarantineStatus = 'sound';
+	/** Whether this box ended the current attempt because the request was quarantined meanwhile. */
+	wasCancelled = false;
+	/** Status of the request when it was last looked up, with its cause; `undefined` if nothing was suspected then. */
+	private standing: Standing | undefined;
 	private wasCut = false;
 	/** Start of the current attempt in monotonic milliseconds. */
 	private attemptStartedAt = 0;
@@ -55,8 +58,20 @@
 
 	/** Fingerprints of the shared parts of the prompt. */
 	get parts(): readonly Fingerprint[] {
-		const {service, sharedParts} = this.services.prompt();
-		return sharedParts.map(part => partFingerprintOf(service, part));
+		const {quarantine, prompt} = this.services;
+		const {service, sharedParts} = prompt();
+		return sharedParts.map(part => quarantine.partFingerprint(service, part));
+	}
+
+	/** Status of the request when it was last looked up. */
+	get status(): QuarantineStatus {
+		return this.standing?.status ?? 'sound';
+	}
+
+	/** Positions, from 1, of the parts of the prompt that crash replicas; empty if the request itself does. */
+	get suspectedPositions(): readonly number[] {
+		const {parts} = this;
+		return this.standing?.parts.map(part => parts.indexOf(part) + 1) ?? [];
 	}
 
 	/** The fingerprint if the request was cut or is suspected; otherwise `undefined`. */
@@ -66,19 +81,24 @@
 
 	/** Milliseconds until a quarantined request may run again. */
 	get quarantinedFor(): number {
-		return this.services.quarantine.timeUntilTrial(this.fingerprint);
+		return this.services.quarantine.timeUntilTrial(this.cause);
 	}
 
-	/** Whether a request on trial must wait: it is already running on this box, or a probe after its last cut is still pending. */
+	/** Whether a request on trial must wait: one with the same cause is running on this box, or a probe after the last cut is still pending. */
 	get mustWait(): boolean {
 		const {quarantine, crashDetector} = this.services;
-		return this.status === 'trial' && (quarantine.isRunning(this.fingerprint) || crashDetector.isProbePending(this.fingerprint));
+		return this.status === 'trial' && (quarantine.isRunning(this.cause) || crashDetector.isProbePending(this.cause));
+	}
+
+	/** What the crashes are attributed to: the request, or a part of its prompt. */
+	private get cause(): Fingerprint {
+		return this.standing?.cause ?? this.fingerprint;
 	}
 
 	/** @returns The current status of the request. */
 	refreshStatus(): QuarantineStatus {
 		const {quarantine} = this.services;
-		this.status = quarantine.hasSuspects ? quarantine.statusOf(this.fingerprint) : 'sound';
+		this.standing = quarantine.hasSuspects ? quarantine.standingOf({fingerprint: this.fingerprint, parts: this.parts, ...this.sender}) : undefined;
 		return this.status;
 	}
 
@@ -87,7 +107,7 @@
 	 * @returns Those that are eligible for a request of this status.
 	 */
 	eligible(candidates: readonly Replica[]): readonly Replica[] {
-		return this.status === 'sound' ? candidates : this.services.quarantine.eligibleReplicas(this.fingerprint, this.status, candidates);
+		return this.status === 'sound' ? candidates : this.services.quarantine.eligibleReplicas(this.cause, this.status, candidates);
 	}
 
 	/**
@@ -98,8 +118,25 @@
 	 */
 	beginAttempt({start}: Replica): () => void {
 		this.answeringSince = undefined;
+		this.wasCancelled = false;
 		this.attemptStartedAt = this.services.clock.monotonic();
-		return this.status === 'sound' ? ignore : this.services.quarantine.begin(this.fingerprint, start);
+		return this.status === 'sound' ? ignore : this.services.quarantine.begin(this.cause, start);
+	}
+
+	/**
+	 * Cancels the attempt once the request is quarantined, unless its answer has begun: otherwise each request that was sent before the
+	 * quarantine would still crash a replica.
+	 *
+	 * @param cancel - Closes the connection to the replica.
+	 * @returns A function to call when the attempt has ended.
+	 */
+	cancelWhenQuarantined(cancel: () => void): () => void {
+		return this.services.quarantine.onDidRecordCrash(() => {
+			if (this.answeringSince === undefined && !this.wasCancelled && this.refreshStatus() === 'quarantined') {
+				this.wasCancelled = true;
+				cancel();
+			}
+		});
 	}
 
 	/** Records that the replica begins to answer. */
@@ -110,13 +147,32 @@
 	/** @param replica - The replica whose connection was cut during the attempt. */
 	recordCut(replica: Replica): void {
 		const {clock, crashDetector} = this.services;
+		if (this.wasCancelled) {
+			return;
+		}
+
 		if (this.answeringSince !== undefined && clock.monotonic() - this.answeringSince > crashAttributionTime) {
 			this.recordCompletion();
+			this.recordPartCompletion();
 			return;
 		}
 
 		this.wasCut = true;
-		crashDetector.recordCut(replica, {fingerprint: this.fingerprint, ranFor: clock.monotonic() - this.attemptStartedAt, parts: this.parts});
+		crashDetector.recordCut(replica, {
+			fingerprint: this.fingerprint, ranFor: clock.monotonic() - this.attemptStartedAt, parts: this.parts, ...this.sender,
+		});
+	}
+
+	/** Records that a replica answered on the parts of the prompt without crashing. */
+	recordPartCompletion(): void {
+		if (this.answeringSince !== undefined) {
+			this.services.quarantine.recordPartCompletion(this.parts, this.answeringSince);
+		}
+	}
+
+	private get sender(): Pick<Suspect, 'clientAccount'> {
+		const {clientAccount} = this.services.identity();
+		return clientAccount === undefined ? {} : {clientAccount: clientAccountFingerprintOf(clientAccount)};
 	}
 
 	/**
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -263,14 +263,21 @@
 		return Effect.suspend(() => {
 			const {suspicion} = this;
 			if (suspicion.refreshStatus() === 'quarantined') {
-				const detail = 'Several replicas ended while they ran this request; it is not sent to others until their software changes or the time to come back has passed.';
-				return Effect.fail(this.refuse('quarantined', detail, Math.max(minRetryAfter, Math.ceil(suspicion.quarantinedFor / millisecondsPerSecond))));
+				return Effect.fail(this.refuse('quarantined', `${this.crashDescription} It is not sent to other replicas until their software changes or the retry time has passed.`, Math.max(minRetryAfter, Math.ceil(suspicion.quarantinedFor / millisecondsPerSecond))));
 			}
 
 			return Effect.void;
 		});
 	}
 
+	/** What the client can act on, without the requests of other client accounts. */
+	private get crashDescription(): string {
+		const positions = this.suspicion.suspectedPositions;
+		return positions.length === 0
+			? 'Replicas crashed repeatedly while they ran this request.'
+			: `Replicas crashed repeatedly while they ran requests with part ${positions.join(' and ')} of its prompt.`;
+	}
+
 	/** Waiting is usually shorter than a retry by the client: the suspected request finishes soon, and then others may run. */
 	private awaitTurn(): Effect.Effect<undefined, Refusal> {
 		return Effect.suspend(() => {
@@ -278,7 +285,7 @@
 			this.waitingSince ??= now;
 			return now - this.waitingSince < maxTurnWait
 				? Effect.sleep(turnCheckInterval).pipe(Effect.as(undefined))
-				: Effect.fail(this.refuse('quarantined', 'Replicas ended while they ran this request; it runs once at a time, apart from others of its sort, until one has served it.', minRetryAfter));
+				: Effect.fail(this.refuse('quarantined', `${this.crashDescription} Such requests run one at a time until a replica has completed one.`, minRetryAfter));
 		});
 	}
 
@@ -360,7 +367,7 @@
 
 		if (failure.reason === 'elsewhere') {
 			replicas.markLeaving(replica.entry, 'replica');
-		} else if (failure.reason === 'refused' || failure.reason === 'cut') {
+		} else if ((failure.reason === 'refused' || failure.reason === 'cut') && !this.suspicion.wasCancelled) {
 			replica.recordFailure();
 		}
 
@@ -437,6 +444,10 @@
 	}
 
 	private refusalOf({reason, detail}: AttemptFailure): Refusal {
+		if (this.suspicion.wasCancelled) {
+			return Refusal.create('upstream-cut', `${this.crashDescription} Its attempt was cancelled.`, {verdict: 'may-have-run'});
+		}
+
 		if (this.verdict === 'may-have-run') {
 			return Refusal.create('upstream-cut', `The replica brought no whole answer: ${detail}.`, {verdict: 'may-have-run'});
 		}
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -24,6 +24,8 @@
 
 /** Milliseconds without the head of an answer after which it is checked whether the replica can be reached; longer for slow replicas. */
 const minSilence = 120;
+/** The first HTTP status of a client error. */
+const firstErrorStatus = 400;
 /** Multiple of the mean latency that a replica may take. */
 const silenceLatencyFactor = 3;
 
@@ -152,6 +154,9 @@
 			};
 
 			const silence = this.watchSilence();
+			const stopWatching = this.parts.suspicion.cancelWhenQuarantined(() => {
+				abandon(socket);
+			});
 			return openAnswer({
 				connections: ofReplica, socket, format, onHead,
 			}, this.outgoing).pipe(
@@ -163,6 +168,7 @@
 				Effect.onInterrupt(() => Effect.sync(() => {
 					abandon(socket);
 				})),
+				Effect.ensuring(Effect.sync(stopWatching)),
 			);
 		});
 	}
@@ -199,6 +205,10 @@
 			return 'all places of this box at the brittle replica are taken';
 		}
 
+		if (this.parts.suspicion.refreshStatus() === 'quarantined') {
+			return 'the request was quarantined';
+		}
+
 		return limits.maySend(replica, slot) ? undefined : 'the replica has named a limit, and this box\'s part of it is used';
 	}
 
@@ -238,9 +248,14 @@
 			onBody: isError => {
 				this.recordAnswerStart(isError);
 				suspicion.recordCompletion();
+				// A request that was rejected was not run.
+				if (answer.status < firstErrorStatus) {
+					suspicion.recordPartCompletion();
+				}
 			},
 			onStreamEnd() {
 				suspicion.recordCompletion();
+				suspicion.recordPartCompletion();
 			},
 		});
 	}
