Send announcements of leaving replicas on that another box received

Cause, from the log: one relay got the announcement in an answer and told the three others. It was stopped and started again 1.8 s later, listed the replica as ready and used it for 2.3 s, although relay 4 knew of the announcement all the time and had exchanged messages with it: a box of a small fleet sent only what it had received from the replica itself, so that the announcement was lost with the process that had received it.

Change: announcements are sent whatever box received them, with their age. Unlike limits they never end, so that sending them on renews nothing. Those of a digest are still sent to no box.

--- a/src/replicas/replica-statements.ts
+++ b/src/replicas/replica-statements.ts
@@ -70,7 +70,8 @@
 		const {clock, limits, brittle, replicas} = this.services;
 		const now = clock.monotonic();
 		const since = now - (isWhole ? Number.POSITIVE_INFINITY : recentWindow);
-		const announcements = replicas.announcements.filter(({at, source}) => at >= since && sources.includes(source));
+		// Unlike other statements an announcement never ends, so that it may be sent on: the box that received it may restart.
+		const announcements = replicas.announcements.filter(({at, source}) => at >= since && source !== 'digest');
 		const leaving = announcements.map(({start, at}): StatementUpdate => ({
 			start, kind: 'leaving', value: undefined, age: Math.round(now - at),
 		}));
