Close new connections unread while a box has more work than it can do

Callers: a box with a quarter of a processor that was offered three times what it can do in new connections served none of 942 requests in time; it answered all of them, up to five seconds late.

Cause: Node takes one connection from the kernel's queue in each turn of the event loop, so that the event loop is never late; up to 1,024 connections wait in the kernel instead, in order, and each is served when its client has given up.

Reporting not ready: the platform would send the new connections to the next box, and use all boxes again once none is ready; open connections would stay.

Change: a turn of the event loop without a connection tells that the queue is empty. If it has not emptied for 400 ms the box is overloaded; from then on it closes all waiting connections unread whenever the queue has not emptied for 50 ms, until it has kept to that for a second. A pause of 300 ms or a long task does not count, since the time begins with the first connection after it.

--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -25,6 +25,7 @@
 import {RetryLoans} from '../quota/retry-loans.js';
 import {loanLifetime} from '../quota/service-retry-budget.js';
 import {ConnectionRegistry} from '../relay/connection-registry.js';
+import {ConnectionShedding} from '../relay/connection-shedding.js';
 import {CrashDetector} from '../relay/crash-detector.js';
 import {ForwardingBoxes, type BoxAddress} from '../relay/forwarding-boxes.js';
 import {FreshnessGuard} from '../relay/freshness-guard.js';
@@ -200,6 +201,9 @@
 			isStopping: () => this.stoppingSince !== undefined,
 			isClosing: () => this.stoppingFor > closingDelay,
 		});
+		ConnectionShedding.create({
+			clock: this.clock, log, metrics: parts.metrics, server: this.frontEnd.server,
+		});
 		replicas.onDidRemove(replica => {
 			this.services.crashDetector.recordGone(replica);
 			this.services.connections.forget(replica);
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -66,6 +66,10 @@
 		name: 'waydrift_relay_retries_total', help: 'Requests sent again, by reason.', labelNames: ['reason'], registers: [this.registry],
 	});
 
+	readonly connectionsShed = new Counter({
+		name: 'waydrift_relay_connections_shed_total', help: 'New connections that were closed unread because this process had more work than it could do.', registers: [this.registry],
+	});
+
 	readonly streamOrigins = new Gauge({
 		name: 'waydrift_relay_stream_origins', help: 'Streams of which this box remembers the software version that began them.', registers: [this.registry],
 	});
