Do not take the end of a crashed replica for the end of an answer

An answer with neither a length nor chunks ends with its connection. Where a replica crashed between two events of such a stream, the end looked complete: the request and the parts of its prompt counted as completed, which would have lifted a quarantine. Found by reading, with a test.

While anything is suspected, the replica is now probed after such an end: it counts as a crash if the replica refuses connections, and as a completion once it is known to listen. Without a suspect it proves nothing and costs no connection. The client gets its answer as before.

--- a/src/relay/crash-detector.ts
+++ b/src/relay/crash-detector.ts
@@ -49,6 +49,8 @@
 	isProbing: boolean;
 	/** Whether probes are repeated until the replica is known to have crashed or to listen. */
 	isWatched: boolean;
+	/** Called if the replica turns out to listen. */
+	readonly onAlive: Array<() => void>;
 };
 
 /** Detects crashes of replicas that this box sends requests to. */
@@ -72,17 +74,19 @@
 	 *
 	 * @param replica - The replica.
 	 * @param suspect - The request.
+	 * @param onAlive - Called if the replica turns out to listen.
 	 */
-	recordCut(replica: Replica, suspect: Suspect): void {
+	recordCut(replica: Replica, suspect: Suspect, onAlive: () => void = ignore): void {
 		const known = this.cuts.get(replica.start);
 		if (replica.isLeaving && !known) {
 			return;
 		}
 
 		const cut = getOrCreate(this.cuts, replica.start, () => ({
-			at: this.services.clock.monotonic(), suspects: new Map<Fingerprint, Suspect>(), hasCrashed: false, isProbing: false, isWatched: false,
+			at: this.services.clock.monotonic(), suspects: new Map<Fingerprint, Suspect>(), hasCrashed: false, isProbing: false, isWatched: false, onAlive: [],
 		}));
 		cut.suspects.set(suspect.fingerprint, suspect);
+		cut.onAlive.push(onAlive);
 		if (cut.hasCrashed) {
 			this.reportCrash(replica, cut);
 			return;
@@ -132,6 +136,9 @@
 					this.reportCrash(replica, cut);
 				} else {
 					this.cuts.delete(replica.start);
+					for (const listener of cut.onAlive) {
+						listener();
+					}
 				}
 
 				return Effect.void;
@@ -183,3 +190,5 @@
 		onCrash();
 	}
 }
+
+const ignore = (): void => undefined;
--- a/src/relay/crash-suspicion.ts
+++ b/src/relay/crash-suspicion.ts
@@ -163,9 +163,24 @@
 		}
 
 		this.wasCut = true;
-		crashDetector.recordCut(replica, {
-			fingerprint: this.fingerprint, ranFor: clock.monotonic() - this.attemptStartedAt, parts: this.parts, ...this.sender,
-		});
+		crashDetector.recordCut(replica, this.suspect);
+	}
+
+	/**
+	 * Records that an answer ended that only the end of its connection delimits: the end of a crashed replica looks the same, so that it counts
+	 * as a completion once the replica is known to listen.
+	 *
+	 * @param replica - The replica that answered.
+	 */
+	recordUndelimitedEnd(replica: Replica): void {
+		const {quarantine, crashDetector} = this.services;
+		if (quarantine.hasSuspects) {
+			const {answeringSince} = this;
+			crashDetector.recordCut(replica, this.suspect, () => {
+				quarantine.recordCompletion(this.fingerprint);
+				quarantine.recordPartCompletion(this.parts, answeringSince ?? this.attemptStartedAt);
+			});
+		}
 	}
 
 	/** Records that the replica goes on answering. */
@@ -184,6 +199,12 @@
 		}
 	}
 
+	private get suspect(): Suspect {
+		return {
+			fingerprint: this.fingerprint, ranFor: this.services.clock.monotonic() - this.attemptStartedAt, parts: this.parts, ...this.sender,
+		};
+	}
+
 	private get sender(): Pick<Suspect, 'clientAccount'> {
 		const {clientAccount} = this.services.identity();
 		return clientAccount === undefined ? {} : {clientAccount: clientAccountFingerprintOf(clientAccount)};
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -235,6 +235,15 @@
 		const {services, suspicion, demandRecorder, choiceRequest} = this.parts;
 		const {replica} = this.plan;
 		const {software} = this;
+		const recordEnd = () => {
+			if (isDelimited(answer)) {
+				suspicion.recordCompletion();
+				suspicion.recordPartCompletion();
+			} else {
+				suspicion.recordUndelimitedEnd(replica);
+			}
+		};
+
 		return this.delivery.deliver(answer, {
 			onBytes() {
 				replica.recordData();
@@ -248,16 +257,14 @@
 			},
 			onBody: isError => {
 				this.recordAnswerStart(isError);
-				suspicion.recordCompletion();
-				// A request that was rejected was not run.
 				if (answer.status < firstErrorStatus) {
-					suspicion.recordPartCompletion();
+					recordEnd();
+				} else {
+					// A request that was rejected was not run, which proves nothing for the parts of its prompt.
+					suspicion.recordCompletion();
 				}
 			},
-			onStreamEnd() {
-				suspicion.recordCompletion();
-				suspicion.recordPartCompletion();
-			},
+			onStreamEnd: recordEnd,
 		});
 	}
 
@@ -282,3 +289,8 @@
 		this.unreadTokens = 0;
 	}
 }
+
+/** Whether the answer tells where it ends. */
+function isDelimited({message: {headers}}: OpenAnswer): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
--- a/src/relay/test/crash-detector.test.ts
+++ b/src/relay/test/crash-detector.test.ts
@@ -13,12 +13,14 @@
 import {ConnectionRegistry} from '../connection-registry.js';
 import {RelayMetrics} from '../relay-metrics.js';
 import {CrashDetector} from '../crash-detector.js';
+import {CrashSuspicion} from '../crash-suspicion.js';
 
 const systemClock = SystemClock.create();
 const first = {fingerprint: Fingerprint('first-first-'), ranFor: 60};
 const second = {fingerprint: Fingerprint('second-secon'), ranFor: 60};
 
 type DetectorSetup = {
+	readonly quarantine: Quarantine;
 	readonly standin: ReplicaStandin;
 	readonly replica: Replica;
 	readonly detector: CrashDetector;
@@ -52,7 +54,7 @@
 	};
 
 	return {
-		standin, replica, detector, log, reported, close,
+		standin, replica, detector, quarantine, log, reported, close,
 	};
 }
 
@@ -145,3 +147,36 @@
 	assert.deepEqual(crashesIn(log), [second.fingerprint]);
 	assert.equal(detector.isProbePending(second.fingerprint), false);
 });
+
+/** A request whose answer has begun, while another request with its part was at a crash. */
+function beginSuspected({quarantine, detector, replica}: DetectorSetup): CrashSuspicion {
+	const other = Replica.create({...replica.entry, id: 'i-2'}, systemClock);
+	quarantine.recordCrash(other, [{...first, parts: [quarantine.partFingerprint('s', 'shared')]}], systemClock.monotonic());
+	const suspicion = CrashSuspicion.create({
+		clock: systemClock, quarantine, crashDetector: detector, identity: () => ({
+			method: 'POST', target: '/x', clientAccount: undefined, body: new Uint8Array(),
+		}), prompt: () => ({service: 's', sharedParts: ['shared']}),
+	});
+	suspicion.beginAttempt(replica);
+	suspicion.recordAnswerStart();
+	return suspicion;
+}
+
+test('an answer that only the end of its connection delimits is no completion if the replica has crashed', async () => {
+	const setup = await setUpDetector();
+	const suspicion = beginSuspected(setup);
+	await setup.standin.close();
+	suspicion.recordUndelimitedEnd(setup.replica);
+	await until(() => crashesIn(setup.log).length === 1);
+	assert.deepEqual(crashesIn(setup.log), [suspicion.fingerprint]);
+	assert.deepEqual(setup.quarantine.collectUpdate(true, 10)?.completions, []);
+});
+
+test('an answer that only the end of its connection delimits is a completion if the replica listens', async () => {
+	const setup = await setUpDetector();
+	const suspicion = beginSuspected(setup);
+	suspicion.recordUndelimitedEnd(setup.replica);
+	await until(() => (setup.quarantine.collectUpdate(true, 10)?.completions.length ?? 0) > 0);
+	assert.deepEqual(crashesIn(setup.log), []);
+	await setup.close();
+});
