Measure how long connections wait before closing them unread

In a saturated process with four relays, 557 of 1,111 sound requests of poison-parts.test.ts lost their connection: each turn of the event loop had a new connection, so that the queue never emptied, although each connection waited for a turn only.

A queue that has held connections for 400 ms is now measured by a connection of the process to itself; new connections are closed only if that waits for more than 100 ms (50 ms during an overload), until it is accepted.

Operators read what is quarantined at /quarantine of the control address.

--- a/src/base/event-catalogue.ts
+++ b/src/base/event-catalogue.ts
@@ -22,7 +22,7 @@
 	relayStopped: event(1203, 'info', 'The relay exits.'),
 	settingsApplied: event(1204, 'info', 'New settings are in force.'),
 	settingsInvalid: event(1205, 'error', 'The settings are invalid; the previous ones stay in force.'),
-	connectionSheddingStarted: event(1208, 'warn', 'This process has more work than it can do; it closes new connections unread while what it has accepted waits too long.'),
+	connectionSheddingStarted: event(1208, 'warn', 'This process has more work than it can do; it closes new connections unread while they wait too long to be accepted.'),
 	connectionSheddingEnded: event(1209, 'info', 'This process accepts all new connections again.'),
 	boxStoodStill: event(1207, 'warn', 'The event loop was blocked, the machine was suspended, or the wall clock was set; earlier state is revalidated.'),
 	logLinesLeftOut: event(1206, 'warn', 'Log lines were omitted because of a rate limit or a slow reader of the log.'),
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -60,6 +60,8 @@
 
 /** Milliseconds in which the load balancer notices that this box is no longer ready. */
 const balancerDelay = 3000;
+/** Path at which operators read what is quarantined. */
+const quarantinePath = '/quarantine';
 /** Milliseconds from the stop signal after which new requests are refused: they might not finish in time. */
 const closingDelay = 2800;
 /** Milliseconds before the end of the grace period at which the stop completes even with requests in progress, so that the process exits by itself. */
@@ -471,6 +473,7 @@
 		const documents: Readonly<Record<string, () => unknown>> = {
 			[configurationPath]: () => this.configuration.spec,
 			[replicasPath]: () => this.replicaRole.listing,
+			[quarantinePath]: () => this.services.quarantine.details,
 		};
 		return documents[path]?.();
 	}
--- a/src/node/test/poison-parts.test.ts
+++ b/src/node/test/poison-parts.test.ts
@@ -1,7 +1,9 @@
 /* A part of prompts that crashes every replica which begins to answer on it, in requests of which no two are alike. */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
+import {gunzipSync} from 'node:zlib';
 import {
 	RelayInstallation, until, type ClientView, type RelayMember,
 } from '../../../development/relay/relay-installation.js';
@@ -144,4 +146,8 @@
 	const {status, body} = await callPoison(restarted);
 	assert.equal(status, 503, body);
 	assert.equal(crashes, neededCrashes);
+	const listed = await fetch(`http://127.0.0.1:${restarted.controlPort}/quarantine`);
+	const causes = JSON.parse(gunzipSync(Buffer.from(await listed.arrayBuffer())).toString()) as ReadonlyArray<{readonly parts: readonly string[]; readonly starts: readonly string[]; readonly untilTrial: number}>;
+	assert.deepEqual(causes.map(({parts, starts}) => [parts.length, starts.length]), [[2, neededCrashes]]);
+	assert.ok(causes[0]!.untilTrial > 10_000, 'the list tells when the part is tried again');
 });
--- a/src/relay/accept-queue.ts
+++ b/src/relay/accept-queue.ts
@@ -1,15 +1,23 @@
 /**
- * Decides from the queue of connections that the kernel has accepted whether this process has more work than it can do. Node takes one
- * connection from it in each turn of the event loop, so that a turn without one tells that the queue is empty.
+ * Decides whether the connections that wait in the kernel to be accepted wait too long. Node accepts one in each turn of the event loop, so
+ * that a turn without one tells that none waits; how long they wait otherwise is told by a connection of this process to itself.
  *
  * @remarks A queue that does not empty for some time is a standing one, a burst empties: K. Nichols and V. Jacobson, "Controlling queue delay", ACM Queue, 2012.
  */
 
-/** Milliseconds for which the queue has to hold connections for an overload. The backlog of a pause of the process empties earlier. */
-const overloadTime = 400;
-/** Milliseconds for which the queue may hold connections during an overload. */
-const maxDelay = 50;
-/** Milliseconds without a longer delay after which an overload has ended. */
+/** Limits of a queue, in milliseconds. */
+type QueueLimits = {
+	/** Time for which connections have to wait without a break before their wait is measured. */
+	readonly busyTime: number;
+	/** Max. wait of a connection. */
+	readonly wait: number;
+};
+
+/** Limits before an overload. The backlog of a pause of the process empties earlier. */
+const calmLimits: QueueLimits = {busyTime: 400, wait: 100};
+/** Limits during an overload. */
+const overloadLimits: QueueLimits = {busyTime: 20, wait: 50};
+/** Milliseconds without a longer wait after which an overload has ended. */
 const recoveryTime = 1000;
 
 /** The queue of one listening socket. */
@@ -19,35 +27,55 @@
 		return new AcceptQueue();
 	}
 
-	/** Monotonic milliseconds since when it holds connections; `undefined` while it is empty. */
+	/** Monotonic milliseconds since when it has held connections; `undefined` while it is empty. */
 	private busySince: number | undefined;
 	private lastExcessAt = Number.NEGATIVE_INFINITY;
 	private overloaded = false;
 	private emptying = false;
 
-	/** Whether the process has had more work than it can do for some time. */
+	/** Whether connections have waited too long recently. */
 	get isOverloaded(): boolean {
 		return this.overloaded;
 	}
 
-	/** Whether connections have to be closed until the queue is empty, since those behind them have waited too long. */
+	/** Whether connections have to be closed, since they have waited too long. */
 	get isEmptying(): boolean {
 		return this.emptying;
 	}
 
 	/**
-	 * Records that a connection was taken from the queue.
+	 * @param now - Monotonic milliseconds.
+	 * @returns Whether the wait has to be measured.
+	 */
+	needsMeasurement(now: number): boolean {
+		return this.busySince !== undefined && now - this.busySince > this.limits.busyTime;
+	}
+
+	/**
+	 * Records that a connection was accepted.
 	 *
 	 * @param now - Monotonic milliseconds.
 	 */
 	recordConnection(now: number): void {
 		this.busySince ??= now;
-		this.overloaded &&= now - this.lastExcessAt < recoveryTime;
-		if (now - this.busySince > (this.overloaded ? maxDelay : overloadTime)) {
+		this.checkRecovery(now);
+	}
+
+	/**
+	 * Records how long connections wait, by one that has been waiting.
+	 *
+	 * @param now - Monotonic milliseconds.
+	 * @param wait - Milliseconds for which it has been waiting.
+	 * @param isAccepted - Whether it was accepted now, so that those behind it have waited for a shorter time.
+	 */
+	recordWait(now: number, wait: number, isAccepted: boolean): void {
+		if (wait > this.limits.wait) {
 			this.overloaded = true;
-			this.emptying = true;
 			this.lastExcessAt = now;
+			this.emptying = true;
 		}
+
+		this.emptying &&= !isAccepted;
 	}
 
 	/**
@@ -58,6 +86,14 @@
 	recordEmpty(now: number): void {
 		this.busySince = undefined;
 		this.emptying = false;
-		this.overloaded &&= now - this.lastExcessAt < recoveryTime;
+		this.checkRecovery(now);
+	}
+
+	private get limits(): QueueLimits {
+		return this.overloaded ? overloadLimits : calmLimits;
+	}
+
+	private checkRecovery(now: number): void {
+		this.overloaded &&= this.emptying || now - this.lastExcessAt < recoveryTime;
 	}
 }
--- a/src/relay/connection-shedding.ts
+++ b/src/relay/connection-shedding.ts
@@ -1,8 +1,9 @@
 /**
- * Closes new client connections unread while this box has more work than it can process: their clients reach another box at once, while a
- * request that was read here would wait for its turn.
+ * Closes new client connections unread while they have waited too long to be accepted: their clients reach another box at once, while a
+ * request that was read here would be answered too late.
  */
 import type {Server} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import {AcceptQueue} from './accept-queue.js';
@@ -20,6 +21,9 @@
 	readonly server: Server;
 };
 
+/** A connection of this process to itself. */
+type Probe = {readonly socket: Socket; readonly sentAt: number};
+
 /** The shedding of one box. */
 export class ConnectionShedding {
 	/**
@@ -30,16 +34,17 @@
 	 */
 	static create(services: ConnectionSheddingServices): ConnectionShedding {
 		const shedding = new ConnectionShedding(services);
-		services.server.on('connection', () => {
-			shedding.recordConnection();
+		services.server.on('connection', (socket: Socket) => {
+			shedding.recordConnection(socket.remotePort);
 		});
-		services.server.on('drop', () => {
-			shedding.recordDrop();
+		services.server.on('drop', (dropped?: {readonly remotePort?: number}) => {
+			shedding.recordDrop(dropped?.remotePort);
 		});
 		return shedding;
 	}
 
 	private readonly queue = AcceptQueue.create();
+	private probe: Probe | undefined;
 	private hadConnection = false;
 	private isWatching = false;
 	private isShedding = false;
@@ -47,19 +52,54 @@
 
 	private constructor(private readonly services: ConnectionSheddingServices) {}
 
-	private recordDrop(): void {
-		this.shedCount++;
-		this.services.metrics.connectionsShed.inc();
-		this.recordConnection();
+	private recordDrop(port: number | undefined): void {
+		if (!this.isProbe(port)) {
+			this.shedCount++;
+			this.services.metrics.connectionsShed.inc();
+		}
+
+		this.recordConnection(port);
 	}
 
-	private recordConnection(): void {
-		this.queue.recordConnection(this.services.clock.monotonic());
+	private recordConnection(port: number | undefined): void {
+		const now = this.services.clock.monotonic();
+		this.queue.recordConnection(now);
 		this.hadConnection = true;
+		this.measure(now, port);
 		this.update();
 		this.watch();
 	}
 
+	private measure(now: number, port: number | undefined): void {
+		if (this.probe) {
+			const isAccepted = this.isProbe(port);
+			this.queue.recordWait(now, now - this.probe.sentAt, isAccepted);
+			if (isAccepted) {
+				this.endProbe();
+			}
+		} else if (this.queue.needsMeasurement(now)) {
+			this.startProbe(now);
+		}
+	}
+
+	private isProbe(port: number | undefined): boolean {
+		return port !== undefined && port === this.probe?.socket.localPort;
+	}
+
+	private startProbe(sentAt: number): void {
+		const {address, port} = this.services.server.address() as AddressInfo;
+		const socket = connect(port, address);
+		socket.on('error', () => {
+			this.endProbe();
+		});
+		this.probe = {socket, sentAt};
+	}
+
+	private endProbe(): void {
+		this.probe?.socket.destroy();
+		this.probe = undefined;
+	}
+
 	/** Checks after the next turn of the event loop whether that had a connection too. */
 	private watch(): void {
 		if (this.isWatching) {
@@ -75,6 +115,7 @@
 				return;
 			}
 
+			this.endProbe();
 			this.queue.recordEmpty(this.services.clock.monotonic());
 			this.update();
 		});
