--- a/development/soak/soak-checker.ts
+++ b/development/soak/soak-checker.ts
@@ -7,12 +7,13 @@
 import {routeTimeout, testKey} from '../relay/relay-installation.js';
 import type {ReplicaStandin, SeenRequest} from '../relay/replica-standin.js';
 import type {RetryBound} from '../../src/quota/retry-window.js';
-import {fingerprintOf} from '../../src/quarantine/fingerprint.js';
+import {fingerprintOf, partFingerprintOf} from '../../src/quarantine/fingerprint.js';
 import {describeAnswerFault, makersOf} from './soak-answers.js';
 import {type SoakAttempt, type SoakRequestKind} from './soak-clients.js';
 import {
-	drainTime, poisonMark, revokeTime, type CutOff, type Drain, type LimitPeriod,
+	drainTime, revokeTime, type CutOff, type Drain, type LimitPeriod,
 } from './soak-faults.js';
+import {poisonBodies, poisonPart} from './soak-poison.js';
 import type {SoakRelay} from './soak-relay.js';
 import {softwareOf} from './soak-streams.js';
 
@@ -272,8 +273,9 @@
  * @returns Those that report the quarantine of a request that does not crash replicas.
  */
 export function wrongQuarantines(lines: SoakObservations['lines']): SoakObservations['lines'] {
-	const poisoned = fingerprintOfRequest('calls', poisonMark);
-	return lines.filter(({eventName, fingerprint}) => eventName === 'requestQuarantined' && fingerprint !== poisoned);
+	const poisoned = new Set([true, false].flatMap(hasParts => poisonBodies(hasParts)).map(body => fingerprintOfRequest('calls', body) as unknown));
+	const poisonedPart = partFingerprintOf('plain', poisonPart);
+	return lines.filter(({eventName, fingerprint, parts}) => eventName === 'requestQuarantined' && !poisoned.has(fingerprint) && !String(parts).split(' ').includes(poisonedPart));
 }
 
 /**
--- a/development/soak/soak-clients.ts
+++ b/development/soak/soak-clients.ts
@@ -6,6 +6,7 @@
 import {
 	testKey, type ClientView, type RelayInstallation,
 } from '../relay/relay-installation.js';
+import {poisonMark, poisonPart} from './soak-poison.js';
 import type {SoakRelay} from './soak-relay.js';
 
 /** Kinds of requests that a client sends. */
@@ -56,10 +57,11 @@
 	 * @param installation - Store and replicas.
 	 * @param relays - Relays that requests are sent to.
 	 * @param random - Draws the relay of each request.
+	 * @param hasParts - Whether requests name parts of their prompts.
 	 * @returns Clients that do not send requests yet.
 	 */
-	static create(installation: RelayInstallation, relays: readonly SoakRelay[], random: () => number): SoakClients {
-		return new SoakClients(installation, relays, random);
+	static create(installation: RelayInstallation, relays: readonly SoakRelay[], random: () => number, hasParts = false): SoakClients {
+		return new SoakClients(installation, relays, random, hasParts);
 	}
 
 	readonly attempts: SoakAttempt[] = [];
@@ -71,6 +73,7 @@
 		private readonly installation: RelayInstallation,
 		private readonly relays: readonly SoakRelay[],
 		private readonly random: () => number,
+		private readonly hasParts: boolean,
 	) {}
 
 	/**
@@ -102,6 +105,7 @@
 		const id = `soak-${this.sentCount}`;
 		const sentAt = performance.now();
 		const headers = {
+			...(this.hasParts ? {'Prompt-Prefix': `first:800,${body.includes(poisonMark) ? poisonPart : 'sound'}:400,${id}:100`} : {}),
 			'Attempt-Id': id, Authorization: `Bearer ${key}`, ...(after > 0 ? {'Last-Event-Id': String(after)} : {}), ...(resumes === undefined ? {} : {Resumes: resumes}),
 		};
 		const view = await this.installation.call({
--- a/development/soak/soak-faults.ts
+++ b/development/soak/soak-faults.ts
@@ -10,17 +10,14 @@
 import {isolationKey, revocableKey, type SoakClients} from './soak-clients.js';
 import type {DatagramFault} from './datagram-proxy.js';
 import type {SoakFault, SoakFaultKind} from './soak-plan.js';
+import {poisonBodies, poisonMark} from './soak-poison.js';
 import type {SoakRelay} from './soak-relay.js';
 import type {SoakStreams, StreamFault} from './soak-streams.js';
 
 /** Milliseconds for which a replica goes on serving after it has announced that it is leaving. */
 export const drainTime = 2000;
-/** Text in the body of the request that crashes replicas. */
-export const poisonMark = 'poison of the soak';
 /** Milliseconds between two attempts with this request. */
 const poisonPause = 250;
-/** Number of attempts with this request. */
-const poisonAttempts = 20;
 
 /** Milliseconds after its revocation within which a key may still be used. */
 export const revokeTime = 5000;
@@ -79,10 +76,11 @@
 	 * @param relays - The relays.
 	 * @param clients - Clients that send the request that crashes replicas, and requests under a revoked key.
 	 * @param streams - Stream behaviour of the replicas.
+	 * @param hasParts - Whether the requests that crash replicas differ and share a part of their prompts.
 	 * @returns The injector, without a fault in force.
 	 */
-	static create(installation: RelayInstallation, relays: readonly SoakRelay[], clients: SoakClients, streams: SoakStreams): SoakFaults {
-		return new SoakFaults(installation, relays, clients, streams);
+	static create(installation: RelayInstallation, relays: readonly SoakRelay[], clients: SoakClients, streams: SoakStreams, hasParts = false): SoakFaults {
+		return new SoakFaults(installation, relays, clients, streams, hasParts);
 	}
 
 	readonly drains: Drain[] = [];
@@ -101,6 +99,7 @@
 		private readonly relays: readonly SoakRelay[],
 		private readonly clients: SoakClients,
 		private readonly streams: SoakStreams,
+		private readonly hasParts: boolean,
 	) {
 		installation.crashOn(poisonMark, () => {
 			this.poisonCrashes.push(performance.now());
@@ -485,9 +484,9 @@
 		}
 
 		this.isPoisoned = true;
-		const sending = Array.from({length: poisonAttempts}, async (_, index) => {
+		const sending = poisonBodies(this.hasParts).map(async (body, index) => {
 			await pause(index * poisonPause);
-			await this.clients.send('calls', poisonMark, {relay: this.relays[index % this.relays.length]!});
+			await this.clients.send('calls', body, {relay: this.relays[index % this.relays.length]!});
 		});
 		await Promise.all(sending);
 	}
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -26,6 +26,8 @@
 	readonly length: number;
 	/** Number of relay processes. */
 	readonly relays: number;
+	/** Whether prompts have parts, and the requests that crash replicas differ and share one of them. */
+	readonly hasParts?: boolean;
 };
 
 /** Result of a soak test. */
@@ -65,7 +67,7 @@
  * @param options - Seed, length and number of relays.
  * @returns The result, with all violated invariants.
  */
-export async function soak({seed, length, relays: count}: SoakOptions): Promise<SoakReport> {
+export async function soak({seed, length, relays: count, hasParts = false}: SoakOptions): Promise<SoakReport> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'waydrift-soak-'));
 	const installation = await RelayInstallation.start({
 		relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, revocableKey, isolationKey]}, versionOf: softwareOf,
@@ -88,8 +90,8 @@
 	try {
 		await untilReady(relays);
 		const plan = planSoak(seed, length, count);
-		const clients = SoakClients.create(installation, relays, createRandom(seed + 1));
-		const faults = SoakFaults.create(installation, relays, clients, streams);
+		const clients = SoakClients.create(installation, relays, createRandom(seed + 1), hasParts);
+		const faults = SoakFaults.create(installation, relays, clients, streams, hasParts);
 		await clients.run(Math.max(clientCount, count * clientsPerRelay), async () => faults.run(plan));
 		const unserved = await findUnserved(clients, relays);
 		const lines = relays.flatMap(relay => relay.lines);
--- a/development/soak/test/soak.test.ts
+++ b/development/soak/test/soak.test.ts
@@ -27,6 +27,14 @@
 	});
 }
 
+test('a soak test in which different requests share a prompt part that crashes replicas violates no invariant', async () => {
+	const {violations, lines} = await soak({
+		seed: 801, length: 6000, relays: 4, hasParts: true,
+	});
+	assert.deepEqual(violations, []);
+	assert.ok(lines.some(({eventName, parts}) => eventName === 'replicaEnded' && parts !== ''), 'replicas crashed under requests with parts');
+});
+
 test('a plan is determined by its seed, and every kind of fault occurs', () => {
 	assert.deepEqual(planSoak(5, length), planSoak(5, length));
 	const kinds = new Set(Array.from({length: 20}, (_, seed) => planSoak(seed, length)).flat().map(({kind}) => kind));
