--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -258,7 +258,8 @@
 		const crashTimes = (attributions.get(fingerprint)?.starts ?? []).map(start => crashes.get(start)!.crashedAt).sort((left, right) => right - left);
 		const [last = 0, before = last] = crashTimes;
 		const gap = last - before;
-		const trials = crashTimes.filter((crashedAt, index) => crashedAt - (crashTimes[index + 1] ?? crashedAt) >= firstTrialDelay).length;
+		// The first crashes were none of trials, however long they were apart.
+		const trials = crashTimes.slice(0, -minQuarantineCrashes).filter((crashedAt, index) => crashedAt - crashTimes[index + 1]! >= firstTrialDelay).length;
 		if (trials >= maxTrials) {
 			return Number.POSITIVE_INFINITY;
 		}
--- a/src/quarantine/test/quarantine.test.ts
+++ b/src/quarantine/test/quarantine.test.ts
@@ -362,6 +362,17 @@
 	assert.equal(standing(fixture, [first, bad]), 'trial');
 });
 
+test('crashes that were far apart before the quarantine are no trials', () => {
+	const fixture = new Fixture();
+	for (const _ of [1, 2, 3]) {
+		fixture.clock.now += 30_000;
+		fixture.crash(x);
+	}
+
+	assert.equal(fixture.quarantine.statusOf(x), 'quarantined');
+	assert.ok(Number.isFinite(fixture.quarantine.timeUntilTrial(x)));
+});
+
 test('another quarantine that receives the saved causes makes the same decision', () => {
 	const fixture = new Fixture();
 	for (const _ of [1, 2, 3]) {
