--- a/src/base/refusal-reason.ts
+++ b/src/base/refusal-reason.ts
@@ -40,7 +40,7 @@
 	'upstream-refused': refusal(503, 'The upstream refused', 'not-run', 1),
 	'stream-origin-unknown': refusal(503, 'The stream cannot go on, since the version that began it is not known', 'not-run'),
 	'stream-version-gone': refusal(503, 'The stream cannot go on, since no replica of its version is left', 'not-run', 1),
-	quarantined: refusal(503, 'The request ends the replicas that run it', 'not-run', 60),
+	quarantined: refusal(503, 'The request, or a part of its prompt that the detail names by its position, crashes the replicas that run it', 'not-run', 60),
 	'upstream-unreachable': refusal(502, 'The upstream could not be reached', 'not-run', 1),
 	'upstream-cut': refusal(502, 'The upstream connection was cut', 'may-have-run'),
 	'deadline-passed': refusal(504, 'Deadline passed', 'may-have-run'),
