Simplify the quarantine's record and the fleet models

- Only the box that writes the saved quarantine computes it; every box did so five times a second.
- The models share the entry of a replica, and one function tells what a quarantine knows of a request.
- One question whether a cause is suspected; the listener is named for what it is told, which includes completions.

--- a/development/harness/poison-fleet.ts
+++ b/development/harness/poison-fleet.ts
@@ -10,6 +10,7 @@
 import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
 import type {Replica} from '../../src/replicas/replica.js';
 import {ManualClock} from './manual-clock.js';
+import {modelReplicaEntry} from './model-replica.js';
 import {createRandom} from './seeded-random.js';
 
 /** A kind of requests. */
@@ -192,9 +193,8 @@
 	}
 
 	private send(request: Request): void {
-		const {box: {quarantine, replicas}, kind, fingerprint} = request;
-		const {parts, clientAccount} = this.plan.kinds[kind]!;
-		const {status, cause} = quarantine.standingOf({fingerprint, parts: parts.map(part => Fingerprint(part)), clientAccount: Fingerprint(clientAccount)});
+		const {box: {quarantine, replicas}} = request;
+		const {status, cause} = quarantine.standingOf(this.suspectOf(request));
 		const ready = replicas.all;
 		if (status === 'quarantined' || ready.length === 0) {
 			this.end(request, status === 'quarantined' ? 'refused' : 'cut');
@@ -231,7 +231,7 @@
 	private progress(): void {
 		for (const run of this.runs.filter(({answersAt, hasSurvived}) => !hasSurvived && this.now - answersAt >= survivalTime)) {
 			run.hasSurvived = true;
-			run.box.quarantine.recordPartSurvival(this.plan.kinds[run.kind]!.parts.map(part => Fingerprint(part)), run.answersAt);
+			run.box.quarantine.recordPartSurvival(this.suspectOf(run).parts, run.answersAt);
 		}
 
 		for (const run of this.runs.filter(({endsAt}) => endsAt <= this.now)) {
@@ -249,10 +249,10 @@
 	}
 
 	private complete(run: Run): void {
-		const {box: {quarantine}, kind, fingerprint, answersAt} = run;
+		const {box: {quarantine}, fingerprint, answersAt} = run;
 		this.remove([run]);
 		quarantine.recordCompletion(fingerprint);
-		quarantine.recordPartCompletion(this.plan.kinds[kind]!.parts.map(part => Fingerprint(part)), answersAt);
+		quarantine.recordPartCompletion(this.suspectOf(run).parts, answersAt);
 		this.end(run, 'served');
 	}
 
@@ -317,12 +317,7 @@
 		const due = this.pendingReports.filter(({at}) => at <= this.now);
 		this.pendingReports = this.pendingReports.filter(({at}) => at > this.now);
 		for (const {box, replica, runs, cutAt} of due) {
-			box.quarantine.recordCrash(replica, runs.map(({kind, fingerprint, beganAt}) => {
-				const {parts, clientAccount} = this.plan.kinds[kind]!;
-				return {
-					fingerprint, ranFor: cutAt - beganAt, parts: parts.map(part => Fingerprint(part)), clientAccount: Fingerprint(clientAccount),
-				};
-			}), cutAt);
+			box.quarantine.recordCrash(replica, runs.map(run => ({...this.suspectOf(run), ranFor: cutAt - run.beganAt})), cutAt);
 			this.sendUpdate(box);
 			this.cancel(box);
 		}
@@ -378,18 +373,21 @@
 		}
 	}
 
-	private isQuarantined({quarantine}: Box, {kind, fingerprint}: Request): boolean {
+	private isQuarantined({quarantine}: Box, request: Pick<Request, 'kind' | 'fingerprint'>): boolean {
+		return quarantine.standingOf(this.suspectOf(request)).status === 'quarantined';
+	}
+
+	/** What a quarantine knows of a request. */
+	private suspectOf({kind, fingerprint}: Pick<Request, 'kind' | 'fingerprint'>) {
 		const {parts, clientAccount} = this.plan.kinds[kind]!;
-		return quarantine.standingOf({fingerprint, parts: parts.map(part => Fingerprint(part)), clientAccount: Fingerprint(clientAccount)}).status === 'quarantined';
+		return {fingerprint, parts: parts.map(part => Fingerprint(part)), clientAccount: Fingerprint(clientAccount)};
 	}
 
 	/** Sound kinds of requests that would be refused. */
 	private observe(): void {
 		for (const [kind, {poison = [], parts}] of this.plan.kinds.entries()) {
 			for (const box of poison.length === 0 ? this.boxes.filter(({quarantine}) => quarantine.hasSuspects) : []) {
-				if (this.isQuarantined(box, {
-					kind, fingerprint: Fingerprint('observer'), at: this.now, box,
-				})) {
+				if (this.isQuarantined(box, {kind, fingerprint: Fingerprint('observer')})) {
 					this.mistaken.set(parts.join(','), (this.mistaken.get(parts.join(',')) ?? 0) + (step / this.boxes.length));
 				}
 			}
@@ -411,10 +409,7 @@
 	private startReplica(index: number): void {
 		this.restartsAt[index] = 0;
 		for (const {replicas} of this.boxes) {
-			replicas.put({
-				id: `i-${index}`, bornAt: this.now, software: '1', revision: this.now, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 128,
-				isDraining: false, isReclaimable: false, leavesIn: undefined,
-			});
+			replicas.put(modelReplicaEntry(index, this.now));
 		}
 	}
 
--- a/src/quarantine/quarantine-record.ts
+++ b/src/quarantine/quarantine-record.ts
@@ -112,9 +112,13 @@
 	private save(): Effect.Effect<void, StoreUnavailable | RevisionConflict> {
 		return Effect.suspend(() => {
 			const {store, quarantine, isOwner} = this.services;
+			if (!isOwner()) {
+				return Effect.void;
+			}
+
 			const {crashes, completions} = quarantine.causes;
 			const key = keyOf(crashes);
-			if (key === this.stored || !isOwner()) {
+			if (key === this.stored) {
 				return Effect.void;
 			}
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -46,7 +46,7 @@
 	readonly starts: readonly string[];
 	/** Milliseconds since the last of these crashes. */
 	readonly lastCrashAge: number;
-	/** Milliseconds until the next trial. */
+	/** Milliseconds until the next trial; infinite if there is none before the software is replaced. */
 	readonly untilTrial: number;
 };
 
@@ -226,7 +226,7 @@
 	 * @returns Its status.
 	 */
 	statusOf(cause: Fingerprint): QuarantineStatus {
-		if ((!this.ledger.isSuspected(cause) && !this.ledger.isSuspectedPart(cause)) || this.services.released().includes(cause)) {
+		if (!this.isSuspectedCause(cause) || this.services.released().includes(cause)) {
 			return 'sound';
 		}
 
@@ -384,10 +384,10 @@
 	}
 
 	/**
-	 * @param listener - Called after crashes were recorded.
+	 * @param listener - Called after crashes or completions have changed what is known.
 	 * @returns A function that removes the listener.
 	 */
-	onDidRecordCrash(listener: () => void): () => void {
+	onDidUpdate(listener: () => void): () => void {
 		this.listeners.add(listener);
 		return () => {
 			this.listeners.delete(listener);
@@ -410,6 +410,10 @@
 		return status === 'quarantined' && !isConcerned ? 'trial' : status;
 	}
 
+	private isSuspectedCause(cause: Fingerprint): boolean {
+		return this.ledger.isSuspected(cause) || this.ledger.isSuspectedPart(cause);
+	}
+
 	private notify(): void {
 		if (this.ledger.changes === this.notifiedChanges) {
 			return;
@@ -554,7 +558,7 @@
 
 	private logOnce(cause: Fingerprint, {starts, parts}: Attribution): void {
 		if (!this.logged.has(cause)) {
-			this.logged = new Set([...this.logged, cause].filter(known => this.ledger.isSuspected(known) || this.ledger.isSuspectedPart(known)));
+			this.logged = new Set([...this.logged, cause].filter(known => this.isSuspectedCause(known)));
 			this.services.log.write('requestQuarantined', {fingerprint: cause, parts: parts.join(' '), starts: starts.join(' ')});
 		}
 	}
--- a/src/quarantine/test/quarantine-model.test.ts
+++ b/src/quarantine/test/quarantine-model.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {createRandom} from '../../../development/harness/seeded-random.js';
 import {ManualClock} from '../../../development/harness/manual-clock.js';
+import {modelReplicaEntry} from '../../../development/harness/model-replica.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import {hashText} from '../../base/rendezvous.js';
 import {ReplicaDirectory} from '../../replicas/replica-directory.js';
@@ -187,10 +188,7 @@
 	private start(index: number): void {
 		this.startedAt[index] = 0;
 		for (const {replicas} of this.boxes) {
-			replicas.put({
-				id: `i-${index}`, bornAt: this.now, software: '1', revision: this.now, service: 's', host: '127.0.0.1', port: 1, dataCentre: 'a', slots: 128,
-				isDraining: false, isReclaimable: false, leavesIn: undefined,
-			});
+			replicas.put(modelReplicaEntry(index, this.now));
 		}
 	}
 
--- a/src/relay/crash-suspicion.ts
+++ b/src/relay/crash-suspicion.ts
@@ -136,7 +136,7 @@
 	 * @returns A function to call when the attempt has ended.
 	 */
 	cancelWhenQuarantined(cancel: () => void): () => void {
-		return this.services.quarantine.onDidRecordCrash(() => {
+		return this.services.quarantine.onDidUpdate(() => {
 			if (this.answeringSince === undefined && !this.wasCancelled && this.refreshStatus() === 'quarantined') {
 				this.wasCancelled = true;
 				cancel();
