--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -16,10 +16,11 @@
 
 /**
  * @param {string} outfile - Where the bundle goes.
+ * @param {string} entryPoint - The main module.
  * @returns {Promise<unknown>} Ends when it is written.
  */
-export const bundle = async outfile => build({
-	entryPoints: ['src/command/main.ts'],
+export const bundle = async (outfile, entryPoint = 'src/command/main.ts') => build({
+	entryPoints: [entryPoint],
 	outfile,
 	bundle: true,
 	minify: true,
--- a/scripts/layers.js
+++ b/scripts/layers.js
@@ -23,6 +23,7 @@
 	'routes',
 	'replicas',
 	'quarantine',
+	'rollout',
 	'gossip',
 	'quota',
 	'duties',
