--- a/development/harness/departure-fleet.ts
+++ b/development/harness/departure-fleet.ts
@@ -149,7 +149,7 @@
 		});
 		// Contains only the parts that replica list updates use.
 		const parts = {
-			clock, log, peers, topology, availability, configuration, replicaRole: role, isStopping: () => false,
+			clock, log, peers, topology, availability, configuration, replicaRole: role, rolloutRole: {update: undefined}, fleetEvidence: {record: () => undefined}, isStopping: () => false,
 			slotRanges: {applyReceived: () => undefined}, weights: {sample: () => undefined, updates: () => []}, services: {replicas, table, ...stubServices},
 		} as unknown as ExchangeParts;
 		const fibers = [role.follow(), role.sweep(), configuration.follow(), configuration.prove()].map(effect => Effect.runFork(effect));
@@ -219,11 +219,11 @@
 
 		if (message.digest) {
 			peers.recordFleetSize(message.digest.boxes);
-			state.applyDigest(message, message.digest);
+			state.applyDigest(message, message.digest, undefined);
 			return;
 		}
 
-		state.applyMessage(message, contact);
+		state.applyMessage(message, contact, undefined);
 		if (topology.isLarge) {
 			const isWhole = message.asksDigest === true;
 			const answer = this.messageOf(box, {
@@ -265,6 +265,8 @@
 };
 
 const stubServices = {
+	evidence: {reports: []},
+	rollouts: {permitsFor: () => []},
 	quarantine: {collectUpdate: () => undefined},
 	reach: {unreachable: []},
 	brittle: {services: new Set<string>()},
--- a/development/harness/exchange-fleet.ts
+++ b/development/harness/exchange-fleet.ts
@@ -4,6 +4,7 @@
 import {type EventLog, SilentEventLog} from '../../src/base/event-log.js';
 import type {Clock} from '../../src/base/clock.js';
 import {sumOf} from '../../src/base/sum.js';
+import {FleetEvidence} from '../../src/rollout/fleet-evidence.js';
 import {UsageCounts} from '../../src/duties/usage-counts.js';
 import {aggregatorCount, ExchangeTopology} from '../../src/gossip/exchange-topology.js';
 import {FleetRates} from '../../src/gossip/fleet-rates.js';
@@ -88,7 +89,7 @@
 		this.processingTime += performance.now() - beganAt;
 		for (const [index, data] of responses.entries()) {
 			const message = decodeGossip(data)!;
-			senders[index]!.state.applyDigest(message, message.digest!);
+			senders[index]!.state.applyDigest(message, message.digest!, undefined);
 		}
 
 		const bytesOf = (datagrams: readonly Uint8Array[]) => sumOf(datagrams.map(({length}) => length));
@@ -140,7 +141,7 @@
 		peers.addMembers(message.members);
 		const meeting = peers.recordMessage(message);
 		if (meeting !== undefined) {
-			state.applyMessage(message, meeting);
+			state.applyMessage(message, meeting, undefined);
 		}
 
 		return encodeGossip({
@@ -216,8 +217,8 @@
 			clock, log, peers, topology, services: {
 				replicas, quota, demands, usage, table, quarantine, limits, brittle, statements, reach: {unreachable: []}, fleetRates: FleetRates.create({
 					clock, peers, topology, demands,
-				}),
-			}, availability, configuration, replicaRole, slotRanges, weights, isStopping: () => false,
+				}), evidence: {reports: []}, rollouts: {permitsFor: () => []},
+			}, availability, configuration, replicaRole, rolloutRole: {update: undefined}, fleetEvidence: FleetEvidence.create(), slotRanges, weights, isStopping: () => false,
 		};
 		// Contains only the members that the exchange uses.
 		return {
--- a/development/harness/model-metadata-store.ts
+++ b/development/harness/model-metadata-store.ts
@@ -230,6 +230,10 @@
 		return Effect.die('the simulated boxes do not write to the store');
 	}
 
+	override replaceStatus(): Effect.Effect<StoredObject, StoreUnavailable | RevisionConflict> {
+		return Effect.die('the simulated boxes do not write to the store');
+	}
+
 	override remove(): Effect.Effect<void, StoreUnavailable | RevisionConflict> {
 		return Effect.die('the simulated boxes do not write to the store');
 	}
--- a/development/harness/one-object-store.ts
+++ b/development/harness/one-object-store.ts
@@ -36,6 +36,10 @@
 		return this.write(name, spec);
 	}
 
+	override replaceStatus(_kind: string, name: string): Effect.Effect<StoredObject> {
+		return this.write(name, this.object?.spec);
+	}
+
 	override remove(): Effect.Effect<void> {
 		return Effect.void;
 	}
--- a/development/relay/relay-installation.ts
+++ b/development/relay/relay-installation.ts
@@ -13,7 +13,7 @@
 import {createPlatformLink} from '../../src/command/create-platform-link.js';
 import {RelayNode} from '../../src/node/relay-node.js';
 import {RelayMetrics} from '../../src/relay/relay-metrics.js';
-import type {RelayBounds, RelaySettings} from '../../src/settings/relay-settings.js';
+import type {RelayBounds, RelaySettings, RolloutBounds} from '../../src/settings/relay-settings.js';
 import {ReplicaNetwork} from '../harness/replica-network.js';
 import {ReplicaStandin} from './replica-standin.js';
 import {StoreStandin} from './store-standin.js';
@@ -106,6 +106,8 @@
 	readonly withDuties?: boolean;
 	/** @returns Software version of a replica; by default all have the same. */
 	readonly versionOf?: (id: string) => string;
+	/** Bounds of rollouts; without them the relays follow none. */
+	readonly rollout?: RolloutBounds;
 	/** Fingerprints of requests that are exempt from quarantine, even if they crashed replicas. */
 	readonly released?: readonly string[];
 };
@@ -287,6 +289,7 @@
 			dutyKinds: [],
 			limits: {},
 			released: this.plan.released ?? [],
+			rollout: this.plan.rollout,
 			bounds: {...bounds, ...this.plan.bounds},
 		};
 		this.started.add(name);
--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -137,6 +137,8 @@
 	readonly falls: number[] = [];
 	/** Which request body crashes the replica; `undefined` if none does. */
 	crashMark: CrashMark | undefined;
+	/** Changes, by request and number of requests in progress, how the replica responds; `undefined` if the conduct alone decides. */
+	conductOf: ((request: StandinRequest, inProgress: number) => Partial<ReplicaConduct>) | undefined;
 	/** Changes, by request body, how a stream is written; `undefined` if the conduct alone decides. */
 	scriptOf: ((body: string) => Partial<StreamConduct>) | undefined;
 	/** Number of events of a response to a path under `/stream/`; if 0, the conduct decides. */
@@ -207,7 +209,7 @@
 	}
 
 	private async answer(request: StandinRequest): Promise<void> {
-		const {conduct} = this;
+		const conduct = {...this.conduct, ...this.conductOf?.(request, this.inProgress)};
 		const {response, headers, incoming} = request;
 		const id = String(headers[header.attempt]);
 		const isElsewhere = conduct.fault === 'elsewhere' || (headers[header.expectInstance] !== undefined && headers[header.expectInstance] !== this.id);
--- a/development/relay/store-standin.ts
+++ b/development/relay/store-standin.ts
@@ -12,10 +12,13 @@
 type StoredObject = {
 	readonly meta: {readonly name: string; readonly rev: number};
 	readonly spec: unknown;
+	readonly status: unknown;
 };
 
 type RecordedChange = {readonly kind: string; readonly object: StoredObject; readonly gone: boolean; readonly rev: number};
 
+type WriteTarget = {readonly kind: string; readonly nameInPath: string | undefined; readonly isStatus: boolean};
+
 type Watcher = {
 	readonly kind: string;
 	readonly after: number;
@@ -120,13 +123,7 @@
 	 * @param spec - Its content.
 	 */
 	put(kind: string, name: string, spec: unknown): StoredObject {
-		this.revision++;
-		const held: StoredObject = {meta: {name, rev: this.revision}, spec};
-		const objects = this.objects.get(kind) ?? new Map<string, StoredObject>();
-		this.objects.set(kind, objects);
-		objects.set(name, held);
-		this.recordChange(kind, held, false);
-		return held;
+		return this.replace(kind, name, {spec, status: this.status(kind, name)});
 	}
 
 	/**
@@ -153,6 +150,15 @@
 		return this.objects.get(kind)?.get(name)?.spec;
 	}
 
+	/**
+	 * @param kind - Kind of an object.
+	 * @param name - Its name.
+	 * @returns Its status; null if it has none.
+	 */
+	status(kind: string, name: string): unknown {
+		return this.objects.get(kind)?.get(name)?.status ?? null;
+	}
+
 	/** Discards the change history and closes the connections of all waiting watches. */
 	forgetHistory(): void {
 		this.discardedUpTo = this.revision;
@@ -239,13 +245,13 @@
 			return;
 		}
 
-		const [kind = '', name] = url.pathname.slice(path.objects.length).split('/').map(part => decodeURIComponent(part));
+		const [kind = '', name, part] = url.pathname.slice(path.objects.length).split('/').map(text => decodeURIComponent(text));
 		if (method === 'GET') {
 			this.read(request, kind, name);
 			return;
 		}
 
-		this.write(request, kind, name);
+		this.write(request, {kind, nameInPath: name, isStatus: part === 'status'});
 	}
 
 	private recordDutyCall({url, headers, body, response}: StandinRequest): void {
@@ -298,7 +304,17 @@
 		sendJson(response, 200, {events, at: this.revision});
 	}
 
-	private write(request: StandinRequest, kind: string, nameInPath: string | undefined): void {
+	private replace(kind: string, name: string, {spec, status}: Pick<StoredObject, 'spec' | 'status'>): StoredObject {
+		this.revision++;
+		const held: StoredObject = {meta: {name, rev: this.revision}, spec, status};
+		const objects = this.objects.get(kind) ?? new Map<string, StoredObject>();
+		this.objects.set(kind, objects);
+		objects.set(name, held);
+		this.recordChange(kind, held, false);
+		return held;
+	}
+
+	private write(request: StandinRequest, {kind, nameInPath, isStatus}: WriteTarget): void {
 		const {method, url, body, response} = request;
 		if (method === 'DELETE') {
 			const isCurrent = this.objects.get(kind)?.get(nameInPath ?? '')?.meta.rev === Number(url.searchParams.get('rev'));
@@ -310,7 +326,7 @@
 			return;
 		}
 
-		const {meta, spec} = JSON.parse(body) as {readonly meta: {readonly name?: string; readonly rev?: number}; readonly spec: unknown};
+		const {meta, spec, status} = JSON.parse(body) as {readonly meta: {readonly name?: string; readonly rev?: number}; readonly spec: unknown; readonly status: unknown};
 		const name = nameInPath ?? meta.name ?? '';
 		const held = this.objects.get(kind)?.get(name);
 		const isConflict = method === 'POST' ? held !== undefined : held?.meta.rev !== meta.rev;
@@ -319,7 +335,7 @@
 			return;
 		}
 
-		const written = this.put(kind, name, spec);
+		const written = isStatus ? this.replace(kind, name, {spec: held?.spec, status}) : this.put(kind, name, spec);
 		if (this.faults.losesAnswers) {
 			response.socket?.destroy();
 			return;
--- a/src/command/command-line.ts
+++ b/src/command/command-line.ts
@@ -13,6 +13,7 @@
 import {connectOperator, type Operator} from './operator.js';
 import type {OutputFormat} from './output.js';
 import {relay} from './relay-command.js';
+import {printRollouts} from './rollout-command.js';
 import {serve} from './serve-command.js';
 import {printBoxes, printStatus} from './status-command.js';
 import {
@@ -157,6 +158,11 @@
 			runner.runWithOperator(options, (operator, format) => printStatus(operator, options.watch, format)))
 		.command('boxes', 'List the boxes', builder => withCommonOptions(builder), async options =>
 			runner.runWithOperator(options, (operator, format) => printBoxes(operator, format)))
+		.command('rollout [service]', 'Show the rollouts on the users\' platform and their evidence', builder => withCommonOptions(builder)
+			.positional('service', {type: 'string', describe: 'Only this service'})
+			.option('store', {type: 'string', demandOption: true, describe: 'IP:PORT of the platform\'s metadata store'})
+			.example('$0 rollout --store 10.200.1.7:8225', 'State, share, evidence by route, and why'), async options =>
+			runner.run(printRollouts({store: options.store, service: options.service, format: options.output as OutputFormat})))
 		.command('check <files..>', 'Check settings and tables, offline', builder => builder
 			.positional('files', {type: 'string', array: true, demandOption: true})
 			.example('$0 check box.yaml table.yaml', 'All faults at once; nothing is changed'), async ({files}) =>
--- a/src/command/create-platform-link.ts
+++ b/src/command/create-platform-link.ts
@@ -3,7 +3,7 @@
  */
 import {HttpDutyCalls} from '../../platform/duties.js';
 import {
-	configurationKind, configurationName, decodeConfiguration, decodeReplica, replicaKind,
+	configurationKind, configurationName, decodeConfiguration, decodeReplica, decodeRollout, encodeRolloutStatus, replicaKind, rolloutKind,
 } from '../../platform/formats.js';
 import {HttpMetadataStore} from '../../platform/metadata-store.js';
 import {PlatformRelayFormat} from '../../platform/relay-format.js';
@@ -17,7 +17,7 @@
 export function createPlatformLink({store, duties}: Pick<RelaySettings, 'store' | 'duties'>): PlatformLink {
 	return {
 		names: {
-			configurationKind, configurationName, replicaKind, decodeConfiguration, decodeReplica,
+			configurationKind, configurationName, replicaKind, rolloutKind, decodeConfiguration, decodeReplica, decodeRollout, encodeRolloutStatus,
 		},
 		format: PlatformRelayFormat.create(),
 		store: HttpMetadataStore.create(store.host, store.port),
--- a/src/duties/fleet-duty.ts
+++ b/src/duties/fleet-duty.ts
@@ -37,6 +37,8 @@
 	readonly limitOf: (replica: Replica) => number | undefined;
 	/** @returns Fraction of the boxes that a replica has asked to send it no requests for a while, 0 to 1. */
 	readonly pausedPart: (replica: Replica) => number;
+	/** @returns Whether a replica may take traffic; one of a version on trial counts as no capacity. */
+	readonly mayServe?: (replica: Replica) => boolean;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
@@ -117,7 +119,7 @@
 			fleet: first,
 			isScarce: this.orders.isScarce(name),
 			isMostlyReady: this.isMostlyReady(name, record.orders),
-			serving: this.services.replicas.ready(name).length - lost,
+			serving: this.readyOf(name).length - lost,
 			bootTime: scaling!.bootTime,
 		});
 		return {
@@ -125,10 +127,15 @@
 		};
 	}
 
+	private readyOf(service: string): readonly Replica[] {
+		const {replicas, mayServe} = this.services;
+		return replicas.ready(service, mayServe);
+	}
+
 	private lostOf(name: string): number {
-		const {replicas, limitOf, pausedPart, demand} = this.services;
+		const {limitOf, pausedPart, demand} = this.services;
 		const {rate} = demand(name);
-		const ready = replicas.ready(name);
+		const ready = this.readyOf(name);
 		const fullRate = rate / Math.max(1, ready.length);
 		const rateOf = (replica: Replica): number => {
 			const paused = pausedPart(replica);
@@ -144,17 +151,17 @@
 	 * sees which replicas are missing.
 	 */
 	private isMostlyReady(name: string, orders: readonly StandingOrder[]): boolean {
-		const ready = this.services.replicas.ready(name);
+		const ready = this.readyOf(name);
 		return orders
 			.filter(({service}) => service === name)
 			.every(({dataCentre, reclaimable, kept}) => countOf(ready, dataCentre, true) + countOf(ready, dataCentre, false) >= (reclaimable + kept) * minReadyPart);
 	}
 
 	private logSize({service, first, size: {needed, leastNow}, lost}: Fleet): void {
-		const {log, replicas, demand} = this.services;
+		const {log, demand} = this.services;
 		const {reading, readRate, goal, boxes} = demand(service);
 		log.write('fleetSized', {
-			service, needed, leastNow, lost, baseline: first.replicas, ...this.sizes.lastLoad(service), isScarce: this.orders.isScarce(service), serving: replicas.ready(service).length,
+			service, needed, leastNow, lost, baseline: first.replicas, ...this.sizes.lastLoad(service), isScarce: this.orders.isScarce(service), serving: this.readyOf(service).length,
 			tokensToRead: reading, readRate: Math.round(readRate), goal: Math.round(goal), boxes,
 		});
 	}
@@ -181,8 +188,8 @@
 	}
 
 	private planOf({service: name, scaling, first, size: {needed, leastNow}, lost}: Fleet, standing: readonly StandingOrder[]): readonly StandingOrder[] {
-		const {replicas, policy} = this.services;
-		const ready = replicas.ready(name);
+		const {policy} = this.services;
+		const ready = this.readyOf(name);
 		const dataCentres = [...scaling.dataCentrePrices.keys()];
 		return policy.plan({
 			service: name,
@@ -220,7 +227,7 @@
 	}
 
 	private presentOf({service, dataCentre, isReclaimable}: ReplicaOrder): number {
-		return countOf(this.services.replicas.ready(service), dataCentre, isReclaimable);
+		return countOf(this.readyOf(service), dataCentre, isReclaimable);
 	}
 
 	/** Non-reclaimable replicas are not removed in the step in which reclaimable replicas turn out to be unavailable. */
--- a/src/follow/kind-follower.ts
+++ b/src/follow/kind-follower.ts
@@ -91,7 +91,7 @@
 
 	private follow() {
 		return Effect.gen({self: this}, function * () {
-			const {store, clock, watchWait: {least, spread}} = this.services;
+			const {store, clock} = this.services;
 			const sentAt = clock.monotonic();
 			const listing = yield * store.list(this.kind);
 			this.recordAnswer();
@@ -99,6 +99,7 @@
 			let {at} = listing;
 			while (this.services.isNeeded()) {
 				const watchedFrom = clock.monotonic();
+				const {least, spread} = this.services.watchWait;
 				const changes = yield * store.watch(this.kind, at, least + (Math.random() * spread));
 				this.recordAnswer();
 				at = Math.max(at, changes.at);
--- a/src/follow/metadata-store.ts
+++ b/src/follow/metadata-store.ts
@@ -10,6 +10,8 @@
 	/** Position of its last change in the history of the store, which is common to all objects. */
 	readonly revision: number;
 	readonly spec: unknown;
+	/** What the system recorded of the object; absent where it recorded nothing. */
+	readonly status?: unknown;
 };
 
 /** Consistent snapshot of all objects of a kind. */
@@ -98,6 +100,17 @@
 	 */
 	abstract replace(kind: string, name: string, spec: unknown, expected: number): Effect.Effect<StoredObject, StoreUnavailable | RevisionConflict>;
 
+	/**
+	 * Replaces the status of an object, and leaves its content as it is.
+	 *
+	 * @param kind - Kind of the object.
+	 * @param name - Its name.
+	 * @param status - Its new status.
+	 * @param expected - Expected position of its last change; a position of an earlier era never matches.
+	 * @returns The object.
+	 */
+	abstract replaceStatus(kind: string, name: string, status: unknown, expected: number): Effect.Effect<StoredObject, StoreUnavailable | RevisionConflict>;
+
 	/**
 	 * Removes an object.
 	 *
--- a/src/gossip/gossip-codec.ts
+++ b/src/gossip/gossip-codec.ts
@@ -9,6 +9,9 @@
 import {clampWeight} from '../replicas/demand-weights.js';
 import type {StatementUpdate} from '../replicas/replica-statement.js';
 import {crashFields, crashLayoutOf, crashUpdateOf} from './crash-codec.js';
+import {
+	permitFields, permitRowsOf, permitsOfRows, rolloutContentOf, rolloutFields, rolloutLayoutOf,
+} from './rollout-codec.js';
 import type {
 	GossipMessage, MemberAddress, NamedRates, ReplicaLoad,
 } from './gossip-message.js';
@@ -51,6 +54,7 @@
 	work: Schema.optionalKey(Schema.Array(WorkRow)),
 	stretches: Schema.optionalKey(Schema.Array(RangeRow)),
 	rates: Schema.optionalKey(Schema.Array(RatesRow)),
+	...permitFields,
 	changes: Schema.optionalKey(Schema.Struct({at: Schema.Number, from: Schema.optionalKey(Schema.Number), changes: Schema.Array(ReplicaChange)})),
 });
 
@@ -76,6 +80,7 @@
 	asksDigest: Schema.optionalKey(Schema.Boolean),
 	digest: Schema.optionalKey(DigestLayout),
 	...crashFields,
+	...rolloutFields,
 	/** One list for each of `rowKinds`. */
 	statements: Schema.optionalKey(Schema.Tuple([StatementRows, StatementRows, StatementRows])),
 	/** Statements of brittle replicas; a field of its own, so that boxes of an earlier version ignore it. */
@@ -101,7 +106,7 @@
  * @returns The payload of its datagram.
  */
 export function encodeGossip(message: GossipMessage): Uint8Array {
-	const {sender, quota, work, demand, weights, reads, digest, usage, members, ends, statements, ...plain} = message;
+	const {sender, quota, work, demand, weights, reads, digest, usage, members, ends, statements, rollouts, evidence, ...plain} = message;
 	const layout: Layout = {
 		...plain,
 		sender: memberRowOf(sender),
@@ -113,6 +118,7 @@
 		...(digest ? {digest: digestLayoutOf(digest)} : {}),
 		...(ends ? crashLayoutOf(ends) : {}),
 		...(statements ? statementLayoutOf(statements) : {}),
+		...rolloutLayoutOf({rollouts, evidence}),
 		usage: usage.map(({window, counts}) => [window, counts] as const),
 		members: members.map(member => memberRowOf(member)),
 	};
@@ -129,7 +135,7 @@
 }
 
 function messageOf(layout: Layout): GossipMessage {
-	const {sender, quota, work, demand, weights, reads, digest, usage, members, ends, prompts, statements, brittle, ...plain} = layout;
+	const {sender, quota, work, demand, weights, reads, digest, usage, members, ends, prompts, statements, brittle, rollouts, evidence, ...plain} = layout;
 	const crashes = crashUpdateOf({...(ends ? {ends} : {}), ...(prompts ? {prompts} : {})});
 	return {
 		...plain,
@@ -143,6 +149,7 @@
 		...(reads ? {reads: reads.map(([service, count, rates]) => ({service, count, rates: rates.filter(rate => rate > 0)}))} : {}),
 		...(digest ? {digest: digestOf(digest)} : {}),
 		...(crashes ? {ends: crashes} : {}),
+		...rolloutContentOf({rollouts, evidence}),
 		...((statements ?? brittle) ? {statements: statementsOf(statements, brittle)} : {}),
 		usage: usage.map(([window, counts]) => ({window, counts})),
 		members: members.map(row => memberOf(row)),
@@ -185,7 +192,7 @@
 		: [];
 }
 
-function digestLayoutOf({quota, work, stretches, rates, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
+function digestLayoutOf({quota, work, stretches, rates, permits, ...plain}: NonNullable<GossipMessage['digest']>): typeof DigestLayout.Type {
 	return {
 		...plain,
 		...(quota
@@ -196,6 +203,7 @@
 		...(work ? {work: work.map(load => workRowOf(load))} : {}),
 		...(stretches ? {stretches: stretches.map(({service, from, length}) => [service, roundedPosition(from), roundedPosition(length)] as const)} : {}),
 		...(rates ? {rates: rates.map(row => ratesRowOf(row))} : {}),
+		...(permits ? {permits: permitRowsOf(permits)} : {}),
 	};
 }
 
@@ -216,7 +224,7 @@
 const positionPrecision = 1e5;
 const roundedPosition = (position: number): number => Math.round(position * positionPrecision) / positionPrecision;
 
-function digestOf({quota, work, stretches, rates, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
+function digestOf({quota, work, stretches, rates, permits, ...plain}: typeof DigestLayout.Type): NonNullable<GossipMessage['digest']> {
 	return {
 		...plain,
 		...(quota
@@ -228,6 +236,7 @@
 			: {}),
 		...(work ? {work: work.map(row => workOf(row))} : {}),
 		...(stretches ? {stretches: stretches.map(([service, from, length]) => ({service, from, length: Math.min(1, Math.max(0, length))}))} : {}),
+		...(permits ? {permits: permitsOfRows(permits)} : {}),
 		...(rates ? {rates: rates.filter(([, ...values]) => values.every(value => value >= 0)).map(row => ratesOf(row))} : {}),
 	};
 }
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -10,6 +10,9 @@
 import type {ServiceRates} from '../replicas/fleet-demand.js';
 import type {DemandWeight} from '../replicas/demand-weights.js';
 import type {Demand, ReadSamples} from '../replicas/service-demand.js';
+import type {RolloutUpdate} from '../rollout/rollout-view.js';
+import type {StepPermits} from '../rollout/rollout-directive.js';
+import type {EvidenceReport} from '../rollout/version-evidence.js';
 import type {Changes} from '../follow/metadata-store.js';
 
 /** Name and address of a box that takes part in the exchange. */
@@ -84,6 +87,8 @@
 	readonly rates?: readonly NamedRates[];
 	/** Changes of the replica list that the receiver does not have yet; absent where the sender does not have them. */
 	readonly changes?: Changes;
+	/** The receiver's permits for versions on trial; absent where there are none. */
+	readonly permits?: readonly StepPermits[];
 };
 
 /** State of one box, as sent to other boxes. */
@@ -135,6 +140,10 @@
 	 */
 	readonly statements?: readonly StatementUpdate[];
 	readonly usage: readonly WindowUsage[];
+	/** The rollouts that the sender knows; absent where it knows none yet, or the deployment has none. */
+	readonly rollouts?: RolloutUpdate;
+	/** What the sender knows of the versions of services that are rolled out; absent where there are none. */
+	readonly evidence?: readonly EvidenceReport[];
 	/** A sample of the boxes that the sender knows. */
 	readonly members: readonly MemberAddress[];
 };
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -33,10 +33,10 @@
 export type DatagramAddress = Omit<MemberAddress, 'name' | 'capacity'>;
 
 /** Fields that this box supplies for every message; the exchange adds the others. */
-export type CommonUpdate = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'unreachable' | 'storeAge' | 'departed' | 'replicas' | 'ends' | 'statements'>;
+export type CommonUpdate = Pick<GossipMessage, 'version' | 'proofAge' | 'isStopping' | 'unreachable' | 'storeAge' | 'departed' | 'replicas' | 'ends' | 'statements' | 'rollouts'>;
 
 /** State of this box, including its own counters and work. */
-export type LocalState = CommonUpdate & Pick<GossipMessage, 'quota' | 'isWhole' | 'work' | 'demand' | 'weights' | 'reads' | 'usage'>;
+export type LocalState = CommonUpdate & Pick<GossipMessage, 'quota' | 'isWhole' | 'work' | 'demand' | 'weights' | 'reads' | 'usage' | 'evidence'>;
 
 /** Dependencies of the exchange. */
 export type GossipServices = {
@@ -53,10 +53,10 @@
 	readonly localState: (isWhole: boolean) => LocalState;
 	/** @returns The digest of all other boxes for one box: complete, or only what is new. */
 	readonly digestFor: (peer: Peer, isWhole: boolean) => FleetDigest;
-	/** Applies the state that a box sent of itself. */
-	readonly applyMessage: (message: GossipMessage, meeting: SenderRelation) => void;
+	/** Applies the state that a box sent of itself, made no earlier than at `madeAt` (monotonic milliseconds of this box; `undefined` if unknown). */
+	readonly applyMessage: (message: GossipMessage, meeting: SenderRelation, madeAt: number | undefined) => void;
 	/** Applies the digest of all boxes that an aggregator sent. */
-	readonly applyDigest: (message: GossipMessage, digest: FleetDigest) => void;
+	readonly applyDigest: (message: GossipMessage, digest: FleetDigest, madeAt: number | undefined) => void;
 	/** Records a moment, on this box's monotonic clock, at which a configuration version is known to have been the newest. */
 	readonly recordProof: (version: number, at: number) => void;
 	/** Applies a datagram that is no gossip message. */
@@ -112,6 +112,23 @@
 		}, requestedRoundDelay);
 	}
 
+	/** Sends the new updates to all boxes that an aggregator of a large fleet hears, without waiting for their messages. */
+	push(): void {
+		const {peers, topology} = this.services;
+		if (!this.socket) {
+			return;
+		}
+
+		if (!topology.isLarge) {
+			this.sendNow();
+			return;
+		}
+
+		for (const {address: {name}} of peers.heard) {
+			this.answer(this.socket, name, false);
+		}
+	}
+
 	/**
 	 * Sends a datagram that is no gossip message.
 	 *
@@ -248,12 +265,16 @@
 			return;
 		}
 
-		this.recordProof(message, incarnation);
+		const madeAt = this.timeMade(message, incarnation);
+		if (madeAt !== undefined && message.proofAge !== undefined) {
+			this.services.recordProof(message.version, madeAt - message.proofAge);
+		}
+
 		if (message.digest) {
 			peers.recordFleetSize(message.digest.boxes);
-			applyDigest(message, message.digest);
+			applyDigest(message, message.digest, madeAt);
 		} else {
-			applyMessage(message, meeting);
+			applyMessage(message, meeting, madeAt);
 		}
 
 		if (message.asksDigest === true || (topology.isLarge && !message.digest)) {
@@ -284,18 +305,14 @@
 	}
 
 	/**
-	 * Dates a proof on this box's own clock, however long the datagram was delayed: the echo says how long before sending the
+	 * Dates a message on this box's own clock, however long the datagram was delayed: the echo says how long before sending the
 	 * sender received a message of this box, and this box knows when it sent that message.
+	 *
+	 * @returns Monotonic milliseconds before which the message cannot have been made; `undefined` if unknown.
 	 */
-	private recordProof({echo, proofAge, version}: GossipMessage, incarnation: string): void {
-		if (!echo || proofAge === undefined || echo.incarnation !== incarnation) {
-			return;
-		}
-
-		const leftAt = this.sentAt.get(echo.sequence);
-		if (leftAt !== undefined) {
-			this.services.recordProof(version, leftAt + echo.age - proofAge);
-		}
+	private timeMade({echo}: GossipMessage, incarnation: string): number | undefined {
+		const leftAt = echo?.incarnation === incarnation ? this.sentAt.get(echo.sequence) : undefined;
+		return leftAt === undefined ? undefined : leftAt + echo!.age;
 	}
 }
 
--- a/src/gossip/test/gossip-codec.test.ts
+++ b/src/gossip/test/gossip-codec.test.ts
@@ -46,6 +46,16 @@
 		completions: [{fingerprint: Fingerprint('AbC-_7654321'), age: 10}],
 	},
 	usage: [{window: 355_302_201, counts: [['basin', 12]]}],
+	rollouts: {
+		at: 812, age: 90, directives: [{
+			service: 's', target: 'v2', duration: 12_000, phase: 'trial', step: 3, share: 0, spread: 2, routes: ['r'], replaced: ['v1'],
+		}],
+	},
+	evidence: [{
+		service: 's', target: 'v2', duration: 12_000, step: 3, used: 1, isClosed: false, pending: 1, remaining: 2, arrivals: 40, canCompare: true, routes: [{
+			route: 'r', good: 1, bad: 2, oldGood: 3, oldBad: 4,
+		}],
+	}],
 	members: [{
 		name: 'box-2', host: '10.0.0.2', port: 7600, capacity: 0,
 	}],
@@ -56,6 +66,7 @@
 		clientAccount: 'basin', level: 5, refillRate: 6, passRate: 7, askRate: 8, counted: 9,
 	}],
 	work: [{replica: 'i-1', requests: 30, unreadTokens: 1}],
+	permits: [{service: 's', step: 3, count: 2}],
 	changes: {
 		at: 812, from: 805, changes: [
 			{object: {name: 'i-3', revision: 811, spec: {state: 'ready'}}, isGone: false},
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -103,6 +103,10 @@
 			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: MeasuredLoadPolicy.create(),
 			demand: service => services.fleetRates.demandFor(service),
 			limitOf: replica => services.limits.limitOf(replica),
+			mayServe({entry}) {
+				const rollout = services.rollouts.of(entry.service);
+				return rollout?.target !== entry.software || rollout.phase === 'shift' || rollout.phase === 'complete';
+			},
 			pausedPart: replica => Math.min(1, services.statements.pausedBoxCount(replica) / peers.boxes),
 		});
 	}
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -14,9 +14,11 @@
 import type {DemandWeights} from '../replicas/demand-weights.js';
 import {maxStatementsPerMessage, recentWindow, type StatementSource} from '../replicas/replica-statement.js';
 import type {RelayServices} from '../relay/relay-services.js';
+import type {FleetEvidence} from '../rollout/fleet-evidence.js';
 import type {ConfigurationRole} from './configuration-role.js';
 import type {SlotRanges} from './slot-ranges.js';
 import type {ReplicaRole} from './replica-role.js';
+import type {RolloutRole} from './rollout-role.js';
 
 /** Milliseconds for which the sum of the work of all boxes is cached. */
 const workCacheTime = 100;
@@ -45,6 +47,8 @@
 	readonly availability: StoreAvailability;
 	readonly configuration: ConfigurationRole;
 	readonly replicaRole: ReplicaRole;
+	readonly rolloutRole: RolloutRole;
+	readonly fleetEvidence: FleetEvidence;
 	readonly slotRanges: SlotRanges;
 	readonly weights: DemandWeights;
 	readonly isStopping: () => boolean;
@@ -75,8 +79,9 @@
 	 */
 	commonUpdate(isWhole: boolean, sources: readonly StatementSource[] = ['answer', 'box']): CommonUpdate {
 		const {
-			services: {table, replicas, quarantine, reach, statements: replicaStatements}, availability, replicaRole, isStopping, topology,
+			services: {table, replicas, quarantine, reach, statements: replicaStatements}, availability, replicaRole, rolloutRole, isStopping, topology,
 		} = this.parts;
+		const rollouts = rolloutRole.update;
 		const ends = quarantine.collectUpdate(isWhole, topology.isLarge ? maxCrashesSent.large : maxCrashesSent.small);
 		const statements = replicaStatements.updates(isWhole, sources, topology.isLarge ? maxStatementsPerMessage.large : maxStatementsPerMessage.small);
 		return {
@@ -89,6 +94,7 @@
 			...(replicaRole.listState ? {replicas: replicaRole.listState} : {}),
 			...(ends ? {ends} : {}),
 			...(statements ? {statements} : {}),
+			...(rollouts ? {rollouts} : {}),
 		};
 	}
 
@@ -98,13 +104,14 @@
 	 */
 	localState(isWhole: boolean): LocalState {
 		const {
-			replicas, quota, usage, demands, limits, brittle,
+			replicas, quota, usage, demands, limits, brittle, evidence,
 		} = this.parts.services;
 		this.parts.weights.sample(demands.services);
 		const weights = this.parts.weights.updates(brittle.services);
 		limits.openDueSlots();
 		const busy = replicas.all.filter(({ownWork}) => ownWork.requests > 0);
 		this.logRoleChange();
+		const {reports} = evidence;
 		return {
 			...this.commonUpdate(isWhole, ['answer']),
 			quota: isWhole ? quota.counts : quota.recentCounts,
@@ -114,6 +121,7 @@
 			...(weights.length > 0 ? {weights} : {}),
 			reads: demands.readSamples,
 			usage: isWhole ? usage.ownUsage : usage.recentOwnUsage,
+			...(reports.length > 0 ? {evidence: reports} : {}),
 		};
 	}
 
@@ -123,10 +131,12 @@
 	 * @returns The state of the fleet as this box knows it, without the peer's own work.
 	 */
 	digestFor({last, address}: Peer, isWhole: boolean): FleetDigest {
-		const {services: {quota, limits, brittle, fleetRates}, peers, topology, replicaRole, slotRanges} = this.parts;
+		const {services: {quota, limits, brittle, fleetRates, rollouts}, peers, topology, replicaRole, slotRanges} = this.parts;
 		const changes = replicaRole.changesSince(last?.replicas?.at ?? Number.NEGATIVE_INFINITY);
 		const limited = topology.isLarge && topology.isAggregator ? [...new Set([...limits.services, ...brittle.services])] : [];
+		const permits = last ? rollouts.permitsFor(processNameOf(last)) : [];
 		const update = {
+			...(permits.length > 0 ? {permits} : {}),
 			...(limited.length > 0 ? {stretches: slotRanges.rangesFor(address.name, limited)} : {}),
 			boxes: topology.isAggregator ? peers.knownBoxes : peers.boxes,
 			...(changes ? {changes} : {}),
@@ -149,12 +159,14 @@
 	 *
 	 * @param message - The message.
 	 * @param meeting - How the sender was known before; see `QuotaLedger.applyCounts`.
+	 * @param madeAt - Monotonic milliseconds before which it cannot have been made; `undefined` if unknown.
 	 */
-	applyMessage(message: GossipMessage, meeting: SenderRelation): void {
+	applyMessage(message: GossipMessage, meeting: SenderRelation, madeAt: number | undefined): void {
 		const {services: {replicas, quota, usage, demands}, topology, peers} = this.parts;
 		const {sender, work, reads = []} = message;
 		const start = processNameOf(message);
-		this.applyCommonUpdate(message, 'box');
+		this.applyCommonUpdate(message, 'box', madeAt);
+		this.parts.fleetEvidence.record(start, message.evidence ?? []);
 		// A sender that is known from its digests alone counts as new to the quota, so that requests that it admitted earlier are not charged now.
 		quota.applyCounts(start, message.quota, quota.knows(start) ? meeting : peers.classifyAsNew(message), message.isWhole);
 		usage.merge(start, message.usage);
@@ -182,10 +194,11 @@
 	 *
 	 * @param message - The message.
 	 * @param digest - Its part about all boxes.
+	 * @param madeAt - Monotonic milliseconds before which it cannot have been made; `undefined` if unknown.
 	 */
-	applyDigest(message: GossipMessage, digest: FleetDigest): void {
+	applyDigest(message: GossipMessage, digest: FleetDigest, madeAt: number | undefined): void {
 		const {services: {replicas, quota, fleetRates}, topology, peers} = this.parts;
-		this.applyCommonUpdate(message, 'digest');
+		this.applyCommonUpdate(message, 'digest', madeAt);
 		if (!topology.isLarge) {
 			return;
 		}
@@ -212,8 +225,8 @@
 	}
 
 	/** Applies the fields that every message has, such as the version of the configuration, the state of the replica list and departures of replicas. */
-	private applyCommonUpdate(message: GossipMessage, source: StatementSource): void {
-		const {services: {table, replicas, quarantine, statements}, availability, configuration, replicaRole} = this.parts;
+	private applyCommonUpdate(message: GossipMessage, source: StatementSource, madeAt: number | undefined): void {
+		const {services: {table, replicas, quarantine, statements, rollouts}, availability, configuration, replicaRole} = this.parts;
 		availability.recordPeerAnswer(message.storeAge);
 		if (message.version > table.version) {
 			configuration.fetchFrom(message.sender);
@@ -231,6 +244,10 @@
 			statements.merge(message.sender.name, message.statements, source);
 		}
 
+		if (message.rollouts) {
+			rollouts.applyUpdate(message.rollouts, message.digest?.permits ?? [], madeAt);
+		}
+
 		if (message.replicas) {
 			replicaRole.applyPeerUpdate(message.sender, message.replicas, message.digest?.changes);
 		}
--- a/src/node/platform-link.ts
+++ b/src/node/platform-link.ts
@@ -7,6 +7,7 @@
 import type {MetadataStore, StoredObject} from '../follow/metadata-store.js';
 import type {RelayFormat} from '../relay/relay-format.js';
 import type {ReplicaEntry} from '../replicas/replica.js';
+import type {RolloutStatus, StoredRollout} from '../rollout/rollout-order.js';
 import type {RouteTableContent} from '../routes/route-table.js';
 
 /** Names and formats of the objects in the platform's store. */
@@ -18,6 +19,11 @@
 	readonly decodeConfiguration: (spec: unknown) => Result.Result<RouteTableContent, readonly Fault[]>;
 	/** @returns The entry, or the faults that were found in it. */
 	readonly decodeReplica: (object: StoredObject) => Result.Result<ReplicaEntry, readonly Fault[]>;
+	readonly rolloutKind: string;
+	/** @returns The rollout, or the faults that were found in its order. */
+	readonly decodeRollout: (object: StoredObject) => Result.Result<StoredRollout, readonly Fault[]>;
+	/** @returns The status as the store has it. */
+	readonly encodeRolloutStatus: (status: RolloutStatus) => unknown;
 };
 
 /** The platform, as a relay accesses it. */
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -8,6 +8,7 @@
 import {SystemClock, type Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import {hashFraction} from '../base/rendezvous.js';
+import {sumOf} from '../base/sum.js';
 import {superviseRoles, type Role} from '../daemon/role.js';
 import {UsageCounts} from '../duties/usage-counts.js';
 import {StoreAvailability} from '../follow/store-availability.js';
@@ -45,6 +46,10 @@
 import {ReplicaStatements} from '../replicas/replica-statements.js';
 import {ServiceDemands} from '../replicas/service-demand.js';
 import {ServiceVersions} from '../replicas/service-versions.js';
+import {FleetEvidence} from '../rollout/fleet-evidence.js';
+import {confirmationLifetime, RolloutDuty} from '../rollout/rollout-duty.js';
+import {RolloutView} from '../rollout/rollout-view.js';
+import {VersionEvidence} from '../rollout/version-evidence.js';
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
 import {ConfigurationRole, configurationPath} from './configuration-role.js';
@@ -57,6 +62,7 @@
 import {OriginExchange} from './origin-exchange.js';
 import type {PlatformLink} from './platform-link.js';
 import {lapseTime, ReplicaRole, replicasPath} from './replica-role.js';
+import {RolloutRole} from './rollout-role.js';
 
 /** Milliseconds in which the load balancer notices that this box is no longer ready. */
 const balancerDelay = 3000;
@@ -79,6 +85,12 @@
 const configurationFallbackDelay = {least: 2500, spread: 1300} as const;
 /** The same for the list of replicas. */
 const replicaFallbackDelay = {least: 4500, spread: 4000} as const;
+/** The same for the rollouts. */
+const rolloutFallbackDelay = {least: 3000, spread: 1500} as const;
+/** Milliseconds between two additional rounds of the exchange that tell of evidence on a version. */
+const newsInterval = 100;
+/** Name of the task of taking the steps of rollouts. */
+const rolloutTask = 'rollouts';
 /** Part of the burst that a large fleet may spend: all boxes know of a rush only after some gossip rounds. */
 const largeFleetBurst = 0.9;
 const millisecondsPerSecond = 1000;
@@ -120,6 +132,8 @@
 	private readonly slotRanges: SlotRanges;
 	private readonly configuration: ConfigurationRole;
 	private readonly replicaRole: ReplicaRole;
+	private readonly rolloutRole: RolloutRole;
+	private readonly fleetEvidence = FleetEvidence.create();
 	private readonly quarantineRecord: QuarantineRecord;
 	private readonly exchange: ExchangeState;
 	private readonly gossip: Gossip;
@@ -127,6 +141,8 @@
 	private readonly originExchange: OriginExchange;
 	private readonly frontEnd: FrontEnd;
 	private stoppingSince: number | undefined;
+	/** Monotonic milliseconds of the last additional round of the exchange for a rollout. */
+	private toldNewsAt = Number.NEGATIVE_INFINITY;
 	/** Milliseconds of both clocks at the last sample. */
 	private sampledAt: {readonly monotonic: number; readonly wall: number};
 
@@ -170,6 +186,7 @@
 				parts.metrics.entriesUnreadable.inc({kind});
 			},
 		});
+		this.rolloutRole = RolloutRole.create({...followerServices, view: this.services.rollouts, fallbackDelay: fallbackDelayOf(node, rolloutFallbackDelay)});
 		this.exchange = ExchangeState.create({
 			clock: this.clock,
 			log,
@@ -179,6 +196,8 @@
 			availability,
 			configuration: this.configuration,
 			replicaRole: this.replicaRole,
+			rolloutRole: this.rolloutRole,
+			fleetEvidence: this.fleetEvidence,
 			slotRanges: this.slotRanges,
 			weights,
 			isStopping: () => this.stoppingSince !== undefined,
@@ -199,7 +218,7 @@
 			incarnation: this.incarnation, peers, topology, send, origins,
 		});
 		this.frontEnd = FrontEnd.create(this.services, {
-			isStarting: () => !this.quarantineRecord.isRestored,
+			isStarting: () => !this.quarantineRecord.isRestored || !this.services.rollouts.isKnown,
 			isStopping: () => this.stoppingSince !== undefined,
 			isClosing: () => this.stoppingFor > closingDelay,
 		});
@@ -215,8 +234,9 @@
 
 	/** Whether the load balancer should send clients to this box. */
 	get isReady(): boolean {
-		const {table, replicas, guard} = this.services;
-		return this.stoppingSince === undefined && table.inForce !== undefined && replicas.isKnown && this.quarantineRecord.isRestored && guard.allowsKeys;
+		const {table, replicas, guard, rollouts} = this.services;
+		const isRestored = this.quarantineRecord.isRestored && rollouts.isKnown;
+		return this.stoppingSince === undefined && table.inForce !== undefined && replicas.isKnown && isRestored && guard.allowsKeys;
 	}
 
 	/** Whether this box suspects requests of having crashed replicas. */
@@ -296,6 +316,19 @@
 			bound: () => ({ratio: bounds().retryRatio, slack: bounds().retrySlack, window: bounds().retryWindow}),
 			share: () => this.fleetShare.fraction,
 		});
+		const rollouts = RolloutView.create({
+			clock, log, process: this.processName, rollback: () => settings().rollout?.rollback, onlyVersion: service => versions.only(service), onStep: () => {
+				this.tellNews();
+			},
+		});
+		const evidence = VersionEvidence.create({
+			clock,
+			view: rollouts,
+			inProgress: (service, isSelected) => sumOf(replicas.all.filter(({entry}) => entry.service === service && isSelected(entry.software)).map(({ownWork}) => ownWork.requests)),
+			onNews: () => {
+				this.tellNews();
+			},
+		});
 		const fleetRates = FleetRates.create({
 			clock, peers, topology, demands,
 		});
@@ -357,6 +390,8 @@
 				},
 			}),
 			usage: UsageCounts.create(() => peers.commonTime, () => bounds().reportWindow),
+			rollouts,
+			evidence,
 		};
 	}
 
@@ -410,11 +445,11 @@
 			commonUpdate: isWhole => exchange.commonUpdate(isWhole),
 			localState: isWhole => exchange.localState(isWhole),
 			digestFor: (peer, isWhole) => exchange.digestFor(peer, isWhole),
-			applyMessage(message, meeting) {
-				exchange.applyMessage(message, meeting);
+			applyMessage(message, meeting, madeAt) {
+				exchange.applyMessage(message, meeting, madeAt);
 			},
-			applyDigest(message, digest) {
-				exchange.applyDigest(message, digest);
+			applyDigest(message, digest, madeAt) {
+				exchange.applyDigest(message, digest, madeAt);
 			},
 			recordProof: (version, at) => {
 				this.services.table.prove(version, at);
@@ -457,6 +492,7 @@
 			{name: 'lapsed-replicas', run: this.replicaRole.sweep()},
 			{name: 'members', run: members.run()},
 			{name: 'quarantine-record', run: this.quarantineRecord.run()},
+			...this.rolloutRoles(),
 			{name: 'replica-reach', run: this.services.reach.watch()},
 			{name: 'metrics', run: this.sampleMetrics()},
 			...createDutyRoles({
@@ -468,6 +504,64 @@
 		];
 	}
 
+	/** Name of this process, which another process of this box does not have. */
+	private get processName(): string {
+		return `${this.self.name}/${this.incarnation}`;
+	}
+
+	/** Tells the owner of a rollout at once of a confirmed step or of new evidence. */
+	private tellNews(): void {
+		const now = this.clock.monotonic();
+		if (now - this.toldNewsAt >= newsInterval) {
+			this.toldNewsAt = now;
+			this.gossip.sendNow();
+		}
+	}
+
+	private rolloutRoles(): readonly Role[] {
+		const {settings, link, log} = this.parts;
+		const {clock, peers, topology, services: {rollouts, evidence, replicas, versions, demands}} = this;
+		if (!rollouts.isEnabled) {
+			return [];
+		}
+
+		const duty = RolloutDuty.create({
+			clock,
+			log,
+			store: link.store,
+			kind: link.names.rolloutKind,
+			encodeStatus: link.names.encodeRolloutStatus,
+			view: rollouts,
+			evidence: this.fleetEvidence,
+			replicas,
+			versions,
+			duration: service => demands.of(service).duration,
+			processes: () => this.confirmingProcesses(),
+			commonTime: () => peers.commonTime,
+			bound: () => settings().rollout!,
+			isOwner: () => topology.owns(rolloutTask),
+			recordOwnReports: () => {
+				this.fleetEvidence.record(this.processName, evidence.reports);
+			},
+			onStep: () => {
+				this.gossip.push();
+			},
+			refresh: () => this.rolloutRole.refresh(),
+		});
+		return [
+			{name: 'rollouts', run: this.rolloutRole.follow()},
+			{name: 'rollout-orders', run: this.rolloutRole.refreshWhenNeeded()},
+			{name: 'rollout-steps', run: duty.run()},
+		];
+	}
+
+	/** Processes that must confirm a step: those of which a message arrived a short time ago, and this one. */
+	private confirmingProcesses(): readonly string[] {
+		const since = this.clock.monotonic() - confirmationLifetime;
+		const others = this.peers.all.flatMap(({last, heardAt}) => last && heardAt >= since ? [`${last.sender.name}/${last.incarnation}`] : []);
+		return [this.processName, ...others];
+	}
+
 	/** @returns The document that peers fetch at a path. */
 	private documentAt(path: string): unknown {
 		const documents: Readonly<Record<string, () => unknown>> = {
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -22,6 +22,7 @@
 import {CrashSuspicion} from './crash-suspicion.js';
 import {StreamForwarder} from './stream-forwarder.js';
 import {StreamVersion} from './stream-version.js';
+import {VersionAssignment} from './version-assignment.js';
 
 /**
  * Maximum number of attempts for one request, whatever their outcome. Refused connections do not count: they send nothing, and a replica
@@ -71,6 +72,7 @@
 	private readonly parts: AttemptParts;
 	private readonly retry: RetryReservation;
 	private readonly version: StreamVersion;
+	private readonly assignment: VersionAssignment;
 	/** Sends the error answer of an earlier attempt; used if no later attempt succeeds. */
 	private failedAnswer: (() => void) | undefined;
 	/** Monotonic milliseconds at which it first waited for suspected requests to finish. */
@@ -99,11 +101,15 @@
 			client, format: services.format, metrics: services.metrics, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
 		});
 		this.version = StreamVersion.create({origins: services.origins, versions: services.versions, request: () => this.request});
+		this.assignment = VersionAssignment.create({
+			rollouts: services.rollouts, evidence: services.evidence, replicas: services.replicas, request: () => this.request,
+		});
 		const choiceRequest = {promptTokens: head.promptTokens ?? 0, sharedParts};
 		this.choice = RunChoice.create({
 			services,
 			suspicion: this.suspicion,
 			version: this.version,
+			assignment: this.assignment,
 			choiceRequest,
 			record: this.record,
 			request: () => this.request,
@@ -122,6 +128,7 @@
 			record: this.record,
 			retry: this.retry,
 			version: this.version,
+			assignment: this.assignment,
 		};
 	}
 
@@ -365,6 +372,7 @@
 	private recordFailure(replica: Replica, failure: AttemptFailure): void {
 		const {replicas} = this.services;
 		this.noteFailure(replica.entry.id, failure);
+		this.assignment.recordTry(replica);
 		if (failure.verdict === 'not-run' && failure.mayHaveArrived) {
 			this.record.executions--;
 		}
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -14,6 +14,8 @@
 import type {ReplicaStatements} from '../replicas/replica-statements.js';
 import type {ServiceDemands} from '../replicas/service-demand.js';
 import type {ServiceVersions} from '../replicas/service-versions.js';
+import type {RolloutView} from '../rollout/rollout-view.js';
+import type {VersionEvidence} from '../rollout/version-evidence.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
 import type {UsageCounts} from '../duties/usage-counts.js';
 import type {ConnectionRegistry} from './connection-registry.js';
@@ -58,4 +60,6 @@
 	readonly versions: ServiceVersions;
 	readonly origins: StreamOrigins;
 	readonly usage: UsageCounts;
+	readonly rollouts: RolloutView;
+	readonly evidence: VersionEvidence;
 };
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -2,6 +2,7 @@
  * One attempt to run a request at one replica: connects, sends the request, and forwards the answer.
  */
 import * as Effect from 'effect/Effect';
+import type {AnswerObservation} from '../rollout/version-evidence.js';
 import type {Slot} from '../replicas/limit-slots.js';
 import type {Replica} from '../replicas/replica.js';
 import type {ChoiceRequest} from '../replicas/replica-choice.js';
@@ -21,11 +22,14 @@
 import type {CrashSuspicion} from './crash-suspicion.js';
 import type {StreamForwarder} from './stream-forwarder.js';
 import type {StreamVersion} from './stream-version.js';
+import type {VersionAssignment} from './version-assignment.js';
 
 /** Milliseconds without the head of an answer after which it is checked whether the replica can be reached; longer for slow replicas. */
 const minSilence = 120;
 /** The first HTTP status of a client error. */
 const firstErrorStatus = 400;
+/** Milliseconds after a cut in which the loss of the replica is noticed. */
+const lossDetectionTime = 400;
 /** Multiple of the mean latency that a replica may take. */
 const silenceLatencyFactor = 3;
 
@@ -40,6 +44,7 @@
 	readonly record: RunRecord;
 	readonly retry: RetryReservation;
 	readonly version: StreamVersion;
+	readonly assignment: VersionAssignment;
 };
 
 /** Parameters of one attempt. */
@@ -72,6 +77,8 @@
 	/** Software version of the replica when the request was sent. */
 	private software = '';
 	private readonly delivery: AnswerDelivery;
+	/** Evidence on the version of the replica; `undefined` before the request is sent. */
+	private observation: AnswerObservation | undefined;
 
 	private constructor(private readonly parts: AttemptParts, private readonly plan: AttemptPlan) {
 		const {services: {format}, client, streamForwarder} = parts;
@@ -101,6 +108,7 @@
 			return this.connect().pipe(Effect.flatMap(connection => this.send(connection)));
 		}).pipe(Effect.ensuring(Effect.sync(() => {
 			this.markRead();
+			this.observation?.close();
 			endSuspicion();
 			replica.end();
 			demandRecorder.recordAttemptEnd(beganAt, record.firstByteAt);
@@ -140,6 +148,10 @@
 			}
 
 			this.sentAt = clock.monotonic();
+			this.parts.assignment.recordTry(replica);
+			this.observation = this.parts.services.evidence.observe({
+				service: replica.entry.service, route: this.plan.request.route.name, software: replica.entry.software, tokens: this.promptTokens,
+			});
 			record.executions++;
 			record.arrivals++;
 			this.software = replica.entry.software;
@@ -165,6 +177,9 @@
 					this.parts.retry.recordSent();
 				})),
 				Effect.flatMap(answer => this.forward(answer)),
+				Effect.tapError(failure => Effect.sync(() => {
+					this.recordEvidence(failure);
+				})),
 				Effect.onInterrupt(() => Effect.sync(() => {
 					abandon(socket);
 				})),
@@ -193,6 +208,10 @@
 			return 'the replica runs another software version by now';
 		}
 
+		if (!this.parts.assignment.mayUse(replica)) {
+			return 'the rollout of its service no longer allows the version of the replica';
+		}
+
 		if (statements.remainingPause(replica) > 0) {
 			return 'the replica has asked for a time without requests';
 		}
@@ -245,9 +264,10 @@
 		};
 
 		return this.delivery.deliver(answer, {
-			onBytes() {
+			onBytes: () => {
 				replica.recordData();
 				suspicion.recordProgress();
+				this.observation?.recordProgress();
 			},
 			onFirstEvent: () => {
 				this.parts.version.recordFirstEvent(software);
@@ -257,6 +277,10 @@
 			},
 			onBody: isError => {
 				this.recordAnswerStart(isError);
+				if (!isError) {
+					this.observation?.recordCompletion();
+				}
+
 				if (answer.status < firstErrorStatus) {
 					recordEnd();
 				} else {
@@ -264,7 +288,10 @@
 					suspicion.recordCompletion();
 				}
 			},
-			onStreamEnd: recordEnd,
+			onStreamEnd: () => {
+				this.observation?.recordCompletion();
+				recordEnd();
+			},
 		});
 	}
 
@@ -278,12 +305,33 @@
 		demandRecorder.recordAnswerStart();
 		this.markRead();
 		replica.recordResponse(now - this.sentAt, isError);
+		if (isError) {
+			this.observation?.recordFailure();
+		} else {
+			this.observation?.recordStart();
+		}
+
 		// Usage counts a request once, however many replicas begin to answer it, and at the box that received it from the client.
 		if (isFirst && clientAccount && this.plan.request.origin === undefined) {
 			usage.recordRequest(clientAccount.name);
 		}
 	}
 
+	/** A cut connection is a fault of the version only if its replica goes on; the loss of a replica is none. */
+	private recordEvidence({reason}: AttemptFailure): void {
+		const {replica} = this.plan;
+		const {observation} = this;
+		if (reason === 'garbled') {
+			observation?.recordFailure();
+		} else if (reason === 'cut' && observation) {
+			setTimeout(() => {
+				if (!replica.isLeaving && !replica.isReplaced && !replica.refusesConnections && replica.lastAnsweredAt > this.sentAt) {
+					observation.recordFailure();
+				}
+			}, lossDetectionTime);
+		}
+	}
+
 	private markRead(): void {
 		this.plan.replica.recordRead(this.unreadTokens);
 		this.unreadTokens = 0;
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -16,6 +16,7 @@
 import type {RunRecord} from './run-record.js';
 import type {CrashSuspicion} from './crash-suspicion.js';
 import type {StreamVersion} from './stream-version.js';
+import type {VersionAssignment} from './version-assignment.js';
 
 /** The next step of a request. */
 export type RunDecision =
@@ -35,6 +36,7 @@
 	readonly services: RelayServices;
 	readonly suspicion: CrashSuspicion;
 	readonly version: StreamVersion;
+	readonly assignment: VersionAssignment;
 	readonly choiceRequest: ChoiceRequest;
 	readonly record: RunRecord;
 	/** @returns The request, with the route of the configuration that is now in force. */
@@ -80,8 +82,8 @@
 	choose(): RunDecision {
 		const {services: {replicas, reach, brittle, boxes}, suspicion, version, request} = this.parts;
 		const {service} = request();
-		const ready = replicas.ready(service, replica => version.accepts(replica));
-		if (ready.length === 0 && replicas.ready(service).length > 0) {
+		const ready = this.readyReplicas(service);
+		if (ready.length === 0 && version.software !== undefined && replicas.ready(service).length > 0) {
 			return this.withoutVersion();
 		}
 
@@ -119,6 +121,14 @@
 		}
 	}
 
+	/** Replicas of a version that the request may be sent to; during a rollout, those of the version that it should be sent to if there are any. */
+	private readyReplicas(service: string): readonly Replica[] {
+		const {services: {replicas}, version, assignment} = this.parts;
+		assignment.prepare();
+		const preferred = replicas.ready(service, replica => version.accepts(replica) && assignment.prefers(replica));
+		return preferred.length > 0 ? preferred : replicas.ready(service, replica => version.accepts(replica) && assignment.mayUse(replica));
+	}
+
 	/** A request that another box forwarded is not forwarded again: two boxes that cannot reach a replica would pass it back and forth. */
 	private forward(): RunDecision | undefined {
 		const {services: {forwarding}, request, record} = this.parts;
--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -43,6 +43,7 @@
 		drain: Schema.optionalKey(NullableAmount),
 		heartbeat: Schema.optionalKey(NullableAmount),
 	}),
+	rollout: Schema.optionalKey(Schema.Struct({share: NullableAmount, slack: NullableAmount, rollback: NullableAmount})),
 	quarantine: Schema.optionalKey(Schema.Struct({released: Schema.NullOr(Schema.Array(Schema.String))})),
 });
 
@@ -79,6 +80,16 @@
 	readonly heartbeat: number;
 };
 
+/** Limits of the requests that a bad software version may get while it is rolled out. */
+export type RolloutBounds = {
+	/** Part of all requests to the service. */
+	readonly share: number;
+	/** Requests in addition to the share. */
+	readonly slack: number;
+	/** Milliseconds within which a version that is found to be bad gets no more requests. */
+	readonly rollback: number;
+};
+
 /** Resources that the platform grants the box; unknown ones are absent. */
 export type BoxLimits = {
 	/** Processor cores of standard speed. */
@@ -102,6 +113,8 @@
 	readonly dutyKinds: readonly string[];
 	readonly limits: BoxLimits;
 	readonly bounds: RelayBounds;
+	/** `undefined` if the deployment has no rollouts. */
+	readonly rollout?: RolloutBounds;
 	/** Fingerprints of requests that are never quarantined, even if they crashed replicas. */
 	readonly released: readonly string[];
 };
@@ -149,6 +162,7 @@
 		dutyKinds: file.duties.kinds ?? [],
 		limits: limitsOf(file),
 		released: file.quarantine?.released ?? [],
+		rollout: rolloutOf(file),
 		bounds: {
 			grace: (bounds.grace ?? defaults.grace) * millisecondsPerSecond,
 			revoke: bounds.revoke ?? defaults.revoke,
@@ -166,6 +180,12 @@
 	};
 }
 
+/** A deployment without all of the bounds has no rollouts. */
+function rolloutOf({rollout}: typeof RelaySettingsFile.Type): RolloutBounds | undefined {
+	const {share, slack, rollback} = rollout ?? {share: null, slack: null, rollback: null};
+	return share === null || slack === null || rollback === null ? undefined : {share, slack, rollback};
+}
+
 /** Converts the share of a core to cores of standard speed by multiplying it by the speed of the core. */
 function limitsOf({limits}: typeof RelaySettingsFile.Type): BoxLimits {
 	const {processorShare, processorSpeed, link} = limits ?? {processorShare: null, processorSpeed: null, link: null};
--- a/src/settings/test/relay-settings.test.ts
+++ b/src/settings/test/relay-settings.test.ts
@@ -39,6 +39,18 @@
 	assert.match(JSON.stringify(releasedOf('quarantine: {released: [7]}')), /quarantine\.released\.0/v);
 });
 
+test('a deployment has rollouts only if all of their bounds are set', () => {
+	const rolloutOf = (part: string) => {
+		const decoded = decodeRelaySettings(text(part));
+		return Result.isSuccess(decoded) ? decoded.success.rollout : decoded.failure;
+	};
+
+	assert.deepEqual(rolloutOf('rollout: {share: 0.1, slack: 50, rollback: 5000}'), {share: 0.1, slack: 50, rollback: 5000});
+	assert.equal(rolloutOf('rollout: {share: null, slack: null, rollback: null}'), undefined);
+	assert.equal(rolloutOf(''), undefined);
+	assert.match(JSON.stringify(rolloutOf('rollout: {share: -1, slack: 50, rollback: 5000}')), /rollout\.share/v);
+});
+
 test('an address without a valid port is a fault in every setting', () => {
 	const faultsOf = (before: string, after: string) => {
 		const decoded = decodeRelaySettings(text('').replace(before, after));
