Test roll-outs under kills, the loss of all relays and a silent store, and grant permits despite a weak suspicion

A mutation that lets the suspicion fall below zero survived all tests. Change: only a suspicion of about two bad answers makes the steps small; tests for the mutation and for running relays under faults.

--- a/src/node/test/rollouts.test.ts
+++ b/src/node/test/rollouts.test.ts
@@ -157,6 +157,49 @@
 	});
 });
 
+/** Kills a relay and starts it again under its name. */
+async function restart(installation: RelayInstallation, index: number): Promise<void> {
+	const {name, kill} = installation.relays[index]!;
+	await kill();
+	const started = await installation.startRelay(name);
+	installation.relays[index] = started;
+}
+
+test('a bad version is reverted within its bound although relays are killed, all relays are lost and the store is silent', async context => {
+	const isBad = isEvery(3);
+	const load = await startLoad(context, () => isBad() ? error : {});
+	const {installation} = load;
+	load.order();
+	await until(() => load.newRuns().length > 0);
+	await restart(installation, 0);
+	installation.store.faults = {...installation.store.faults, isSilent: true};
+	await pause(700);
+	installation.store.clearFaults();
+	await Promise.all(installation.relays.map(async (_, index) => restart(installation, index)));
+	await until(() => load.state() === 'reverted' || load.state() === 'complete', duration.milliseconds * 2);
+	assert.equal(load.state(), 'reverted');
+	const runs = load.newRuns().length;
+	context.diagnostic(`reverted after ${Math.round(performance.now() - load.orderedAt())} ms and ${runs} requests`);
+	assert.ok(runs <= bound.slack + (bound.share * load.answers.length), `${runs} requests`);
+	await pause(reactionTime);
+	const before = load.newRuns().length;
+	await Promise.all(installation.relays.map(async (_, index) => restart(installation, index)));
+	await pause(reactionTime * 2);
+	assert.equal(load.newRuns().length, before, 'relays that start later send nothing to a version that was reverted');
+});
+
+test('a good version is complete although relays are killed and all relays are lost', async context => {
+	const load = await startLoad(context, () => ({}));
+	const {installation} = load;
+	load.order();
+	await until(() => load.newRuns().length > 0);
+	await restart(installation, 1);
+	await pause(500);
+	await Promise.all(installation.relays.map(async (_, index) => restart(installation, index)));
+	await until(() => load.state() === 'complete' || load.state() === 'reverted', duration.milliseconds * 2);
+	assert.equal(load.state(), 'complete', JSON.stringify(installation.store.status(rolloutKind, service)));
+});
+
 test('a good version is complete in time, and no request is lost when the old replicas stop at once', async context => {
 	const load = await startLoad(context, () => ({}));
 	load.order();
--- a/src/rollout/rollout-plan.ts
+++ b/src/rollout/rollout-plan.ts
@@ -33,6 +33,8 @@
 const watchSize = 20;
 /** Increase of a suspicion, about one bad answer, that is recorded without a step: the evidence must outlast the loss of all boxes. */
 const recordedIncrease = 2;
+/** Suspicion from which on a version gets fewer requests: about two bad answers where few are usual. */
+const cautionSuspicion = 4;
 /** Part of the slots of the target version that the requests in progress may take before more traffic shifts there. */
 const usableSlots = 0.8;
 /** Part of the order's time after which fewer good answers suffice on a route with few requests, and how many. */
@@ -194,7 +196,7 @@
 	const {reports, processes, bound, verdicts} = facts;
 	const arrivals = sumOf([...reports.values()].map(report => report.arrivals));
 	const allowed = Math.floor(usedPart * (bound.slack + (bound.share * arrivals))) - spentPermits(progress, reports);
-	const isSuspicious = verdicts.some(({suspicion}) => suspicion > 0);
+	const isSuspicious = verdicts.some(({suspicion}) => suspicion >= cautionSuspicion);
 	const regularSize = isShown ? watchSize : stepSizes[Math.min(progress.step, stepSizes.length - 1)]!;
 	const size = isSuspicious ? stepSizes[0] : regularSize;
 	const holders = processes
--- a/src/rollout/test/sequential-test.test.ts
+++ b/src/rollout/test/sequential-test.test.ts
@@ -55,6 +55,23 @@
 	});
 }
 
+test('a version that becomes bad after many good answers is found as soon as one that was bad from the start', () => {
+	const expected = expectedBadPart({good: 500, bad: 0});
+	const badAnswers = (before: number) => {
+		let suspicion = updatedSuspicion(0, {good: before, bad: 0}, expected);
+		let count = 0;
+		while (suspicion < badSuspicion) {
+			suspicion = updatedSuspicion(suspicion, {good: 0, bad: 1}, expected);
+			count++;
+		}
+
+		return count;
+	};
+
+	assert.equal(badAnswers(300), badAnswers(0));
+	assert.ok(badAnswers(300) <= 10);
+});
+
 test('no good version is taken for bad in 100,000 drawn histories', context => {
 	const results = runAll(histories, 1, random => {
 		const usual = random() * 0.15;
