Roll a bad version out in the soak

Cause: the proof of the bounds on roll-outs with real processes, kills, restarts, cuts, a store that fails and is restored was missing.

--- a/development/relay/relay-settings-text.ts
+++ b/development/relay/relay-settings-text.ts
@@ -1,6 +1,7 @@
 /**
  * Creates the settings file of a relay that runs as a separate process on loopback. Development only.
  */
+import type {RolloutBounds} from '../../src/settings/relay-settings.js';
 import {freePort} from './relay-installation.js';
 
 /** TCP ports that a relay listens on. */
@@ -16,6 +17,8 @@
 	/** Gossip addresses of other relays. */
 	readonly seeds?: readonly string[];
 	readonly isFirstStart?: boolean;
+	/** Bounds of rollouts; without them the relay follows none. */
+	readonly rollout?: RolloutBounds;
 };
 
 /** @returns Free TCP ports on loopback. */
@@ -30,8 +33,9 @@
  * @param plan - The settings.
  * @returns Content of the settings file, in YAML.
  */
-export function relaySettingsText({name, ports, storePort, grace, seeds = [], isFirstStart = true}: RelaySettingsPlan): string {
+export function relaySettingsText({name, ports, storePort, grace, seeds = [], isFirstStart = true, rollout}: RelaySettingsPlan): string {
 	const at = (port: number) => `"127.0.0.1:${port}"`;
+	const rolloutText = rollout ? `rollout: ${JSON.stringify(rollout)}\n` : '';
 	return `
 node: ${name}
 dataCentre: zone-1
@@ -42,5 +46,5 @@
 store: {address: ${at(storePort)}}
 duties: {address: null, kinds: null}
 bounds: {grace: ${grace}, revoke: 5000, isRevocationStrict: true, retryRatio: 0.2, retryWindow: 10, retrySlack: 60, lease: 3000, reportWindow: 5, reportDelay: 10}
-`;
+${rolloutText}`;
 }
--- a/development/soak/main.ts
+++ b/development/soak/main.ts
@@ -27,6 +27,7 @@
 		alias: 'relays', type: 'number', default: 4, describe: 'Number of relay processes',
 	})
 	.option('parts', {type: 'boolean', default: false, describe: 'Whether the requests that crash replicas differ and share a part of their prompts'})
+	.option('rollout', {type: 'boolean', default: false, describe: 'Whether a bad version is rolled out meanwhile'})
 	.option('logs', {type: 'string', default: 'target/soak', describe: 'Folder for the logs of runs that violate an invariant'})
 	.check(({processes}) => {
 		const most = Math.min(maxRelays, Math.floor(totalmem() * memoryShare / bytesPerRelay));
@@ -50,14 +51,14 @@
 
 for (const seed of Array.from({length: options.seeds}, (_, index) => options.seed + index)) {
 	const report = await soak({
-		seed, length: options.seconds * millisecondsPerSecond, relays: options.processes, hasParts: options.parts,
+		seed, length: options.seconds * millisecondsPerSecond, relays: options.processes, hasParts: options.parts, hasRollout: options.rollout,
 	});
 	const {plan, attempts, served, violations} = report;
 	process.stdout.write(`seed ${seed}: ${plan.length} faults, ${attempts} attempts, ${served} served, ${violations.length} violations\n`);
 	if (violations.length > 0) {
 		process.exitCode = 1;
 		process.stdout.write(violations.slice(0, violationsShown).map(line => `  ${line}\n`).join(''));
-		process.stdout.write(`  log: ${writeLog(seed, report)}; to repeat: npm run soak -- --seed ${seed} --seconds ${options.seconds} --processes ${options.processes}${options.parts ? ' --parts' : ''}\n`);
+		process.stdout.write(`  log: ${writeLog(seed, report)}; to repeat: npm run soak -- --seed ${seed} --seconds ${options.seconds} --processes ${options.processes}${options.parts ? ' --parts' : ''}${options.rollout ? ' --rollout' : ''}\n`);
 	}
 }
 
--- a/development/soak/soak-relay.ts
+++ b/development/soak/soak-relay.ts
@@ -6,6 +6,7 @@
 import path from 'node:path';
 import {Child} from '../harness/child.js';
 import {FaultProxy} from '../harness/fault-proxy.js';
+import type {RolloutBounds} from '../../src/settings/relay-settings.js';
 import type {StoreListener} from '../relay/store-standin.js';
 import {freeRelayPorts, relaySettingsText, type RelayPorts} from '../relay/relay-settings-text.js';
 import {DatagramProxy, freeDatagramPort} from './datagram-proxy.js';
@@ -22,6 +23,8 @@
 	readonly random: () => number;
 	/** Addresses at which other relays receive gossip. */
 	readonly seeds: readonly string[];
+	/** Bounds of rollouts; without them the relay follows none. */
+	readonly rollout?: RolloutBounds;
 };
 
 /** Grace period of a stop in seconds. A relay exits 0.9 s before its end; this must lie in the last sixth of the period. */
@@ -236,9 +239,9 @@
 	}
 
 	private get settings(): string {
-		const {name, seeds} = this.plan;
+		const {name, seeds, rollout} = this.plan;
 		return relaySettingsText({
-			name, ports: this.ports, storePort: this.store.port, grace, seeds, isFirstStart: this.starts === 1,
+			name, ports: this.ports, storePort: this.store.port, grace, seeds, isFirstStart: this.starts === 1, rollout,
 		});
 	}
 }
--- a/development/soak/soak-streams.ts
+++ b/development/soak/soak-streams.ts
@@ -4,6 +4,7 @@
 import type {ReplicaStandin} from '../relay/replica-standin.js';
 import {eventOf, type StreamConduct} from '../relay/stream-writer.js';
 import {seededBy} from './seeded-by.js';
+import {isOnTrial, trialSoftware} from './soak-rollout.js';
 
 /** Kinds of faults in the streams of a replica. */
 export type StreamFault = 'stream-breaks' | 'stream-misfits' | 'stream-stalls';
@@ -20,7 +21,9 @@
  * @param replica - Id of a replica.
  * @returns Its software version; replicas of two versions serve side by side.
  */
-export const softwareOf = (replica: string): string => Number(replica.slice(replica.indexOf('-') + 1)) % 2 === 0 ? 'v2' : 'v1';
+export const softwareOf = (replica: string): string => isOnTrial(replica) ? trialSoftware : versionOfPair(replica);
+
+const versionOfPair = (replica: string): string => Number(replica.slice(replica.indexOf('-') + 1)) % 2 === 0 ? 'v2' : 'v1';
 
 type Draw = {
 	/** @returns One of the choices, drawn uniformly. */
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -17,6 +17,7 @@
 import {SoakChecker, fingerprintOfRequest, wrongQuarantines} from './soak-checker.js';
 import {planSoak, type SoakFault} from './soak-plan.js';
 import {SoakRelay} from './soak-relay.js';
+import {rolloutBounds, SoakRollout} from './soak-rollout.js';
 import {SoakStreams, softwareOf} from './soak-streams.js';
 
 /** Options of a soak test. */
@@ -28,6 +29,8 @@
 	readonly relays: number;
 	/** Whether prompts have parts, and the requests that crash replicas differ and share one of them. */
 	readonly hasParts?: boolean;
+	/** Whether a bad version is rolled out meanwhile. */
+	readonly hasRollout?: boolean;
 };
 
 /** Result of a soak test. */
@@ -67,7 +70,7 @@
  * @param options - Seed, length and number of relays.
  * @returns The result, with all violated invariants.
  */
-export async function soak({seed, length, relays: count, hasParts = false}: SoakOptions): Promise<SoakReport> {
+export async function soak({seed, length, relays: count, hasParts = false, hasRollout = false}: SoakOptions): Promise<SoakReport> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'waydrift-soak-'));
 	const installation = await RelayInstallation.start({
 		relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, revocableKey, isolationKey]}, versionOf: softwareOf,
@@ -83,7 +86,7 @@
 		}
 
 		relays.push(await SoakRelay.start({
-			name: `relay-${index + 1}`, folder, storeDoor: await installation.store.openListener(), random: seededBy(seed, `datagrams of ${index}`), seeds: relays.map(({exchange}) => exchange),
+			name: `relay-${index + 1}`, folder, storeDoor: await installation.store.openListener(), random: seededBy(seed, `datagrams of ${index}`), seeds: relays.map(({exchange}) => exchange), ...(hasRollout ? {rollout: rolloutBounds} : {}),
 		}));
 	}
 
@@ -92,7 +95,11 @@
 		const plan = planSoak(seed, length, count);
 		const clients = SoakClients.create(installation, relays, createRandom(seed + 1), hasParts);
 		const faults = SoakFaults.create(installation, relays, clients, streams, hasParts);
+		const rollout = SoakRollout.create(installation);
+		const rolling = hasRollout ? rollout.run() : undefined;
 		await clients.run(Math.max(clientCount, count * clientsPerRelay), async () => faults.run(plan));
+		rollout.end();
+		await rolling;
 		const unserved = await findUnserved(clients, relays);
 		const lines = relays.flatMap(relay => relay.lines);
 		const {
@@ -102,7 +109,7 @@
 			attempts: clients.attempts, replicas: installation.allReplicas, relays, drains, cutOffs, limitPeriods, poisonCrashes, revokedAt, streamEvents, lines,
 		});
 		return {
-			plan, attempts: clients.attempts.length, served: clients.attempts.filter(({status}) => status === 200).length, violations: [...judge.violations, ...unserved], lines,
+			plan, attempts: clients.attempts.length, served: clients.attempts.filter(({status}) => status === 200).length, violations: [...judge.violations, ...rollout.violations, ...unserved], lines,
 		};
 	} finally {
 		await Promise.all(relays.map(async relay => relay.close()));
--- a/development/soak/test/soak.test.ts
+++ b/development/soak/test/soak.test.ts
@@ -35,6 +35,14 @@
 	assert.ok(lines.some(({eventName, parts}) => eventName === 'replicaEnded' && parts !== ''), 'replicas crashed under requests with parts');
 });
 
+test('a soak test in which a bad version is rolled out violates no invariant', async () => {
+	const {violations, lines} = await soak({
+		seed: 901, length: 8000, relays: 4, hasRollout: true,
+	});
+	assert.deepEqual(violations, []);
+	assert.ok(lines.some(({eventName, target}) => eventName === 'rolloutStepped' && target !== ''), 'the version was tried');
+});
+
 test('a plan is determined by its seed, and every kind of fault occurs', () => {
 	assert.deepEqual(planSoak(5, length), planSoak(5, length));
 	const kinds = new Set(Array.from({length: 20}, (_, seed) => planSoak(seed, length)).flat().map(({kind}) => kind));
