Request rounds of the exchange for a rollout only on trial or for bad answers, and name them plainly

Cause: while the traffic shifts, each good answer requested a round, ten a second from each box, which aggregators of a large fleet would have to decode. Change: good answers request a round only during a trial. Names and comments without figures of speech.

--- a/development/harness/rollout-fleet.ts
+++ b/development/harness/rollout-fleet.ts
@@ -35,7 +35,7 @@
 /** Milliseconds between two checks for a due step. */
 const dutyInterval = 100;
 /** Milliseconds between two additional messages of a box. */
-const newsInterval = 100;
+const minRequestInterval = 100;
 /** Milliseconds after which a box that does not send counts as lost. */
 const lossDetectionTime = 1000;
 /** Milliseconds from a kill to the next start. */
@@ -95,7 +95,7 @@
 	readonly heard: Map<number, {readonly process: string; readonly at: number}>;
 	readonly inProgress: Map<string, number>;
 	provenAt: number;
-	toldAt: number;
+	sentAt: number;
 	wantsRound: boolean;
 	wantsPush: boolean;
 };
@@ -386,7 +386,7 @@
 			clock, log, process, rollback: () => rollback, onlyVersion: name => versions.only(name), onStep: wantRound,
 		});
 		const evidence = VersionEvidence.create({
-			clock, view, inProgress: (_, isSelected) => [...inProgress].filter(([software]) => isSelected(software)).reduce((sum, [, count]) => sum + count, 0), onNews: wantRound,
+			clock, view, inProgress: (_, isSelected) => [...inProgress].filter(([software]) => isSelected(software)).reduce((sum, [, count]) => sum + count, 0), onEvidence: wantRound,
 		});
 		const fleet = FleetEvidence.create();
 		const duty = RolloutDuty.create({
@@ -417,7 +417,7 @@
 			}),
 		});
 		const box: Box = {
-			index, process, view, evidence, fleet, duty, heard, inProgress, provenAt: Number.NEGATIVE_INFINITY, toldAt: Number.NEGATIVE_INFINITY, wantsRound: false, wantsPush: false,
+			index, process, view, evidence, fleet, duty, heard, inProgress, provenAt: Number.NEGATIVE_INFINITY, sentAt: Number.NEGATIVE_INFINITY, wantsRound: false, wantsPush: false,
 		};
 		return box;
 	}
@@ -596,11 +596,11 @@
 		const interval = this.isLarge ? rounds.large : rounds.small;
 		for (const box of this.running) {
 			const isRegular = (this.now + (box.index * 7 * stepTime)) % interval < stepTime;
-			const isAdditional = box.wantsRound && this.now - box.toldAt >= newsInterval;
+			const isAdditional = box.wantsRound && this.now - box.sentAt >= minRequestInterval;
 			if (isRegular || isAdditional) {
 				box.wantsRound = false;
-				box.toldAt = this.now;
-				this.tell(box);
+				box.sentAt = this.now;
+				this.sendState(box);
 			}
 
 			if (box.wantsPush) {
@@ -612,7 +612,7 @@
 		}
 	}
 
-	private tell(box: Box): void {
+	private sendState(box: Box): void {
 		const receivers = this.running.filter(other => other !== box && this.isAggregator(other));
 		for (const receiver of receivers.filter(other => this.arrives(box, other))) {
 			receiver.heard.set(box.index, {process: box.process, at: this.now});
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -87,9 +87,9 @@
 const replicaFallbackDelay = {least: 4500, spread: 4000} as const;
 /** The same for the rollouts. */
 const rolloutFallbackDelay = {least: 3000, spread: 1500} as const;
-/** Milliseconds between two additional rounds of the exchange that tell of evidence on a version. */
-const newsInterval = 100;
-/** Name of the task of taking the steps of rollouts. */
+/** Minimum milliseconds between two additional rounds of the exchange that are requested for a rollout. */
+const minRequestInterval = 100;
+/** Name of the task of advancing rollouts, which one box performs. */
 const rolloutTask = 'rollouts';
 /** Part of the burst that a large fleet may spend: all boxes know of a rush only after some gossip rounds. */
 const largeFleetBurst = 0.9;
@@ -142,7 +142,7 @@
 	private readonly frontEnd: FrontEnd;
 	private stoppingSince: number | undefined;
 	/** Monotonic milliseconds of the last additional round of the exchange for a rollout. */
-	private toldNewsAt = Number.NEGATIVE_INFINITY;
+	private exchangeRequestedAt = Number.NEGATIVE_INFINITY;
 	/** Milliseconds of both clocks at the last sample. */
 	private sampledAt: {readonly monotonic: number; readonly wall: number};
 
@@ -318,15 +318,15 @@
 		});
 		const rollouts = RolloutView.create({
 			clock, log, process: this.processName, rollback: () => settings().rollout?.rollback, onlyVersion: service => versions.only(service), onStep: () => {
-				this.tellNews();
+				this.requestExchange();
 			},
 		});
 		const evidence = VersionEvidence.create({
 			clock,
 			view: rollouts,
 			inProgress: (service, isSelected) => sumOf(replicas.all.filter(({entry}) => entry.service === service && isSelected(entry.software)).map(({ownWork}) => ownWork.requests)),
-			onNews: () => {
-				this.tellNews();
+			onEvidence: () => {
+				this.requestExchange();
 			},
 		});
 		const fleetRates = FleetRates.create({
@@ -509,11 +509,11 @@
 		return `${this.self.name}/${this.incarnation}`;
 	}
 
-	/** Tells the owner of a rollout at once of a confirmed step or of new evidence. */
-	private tellNews(): void {
+	/** Sends a confirmed step or new evidence to the owner of a rollout without waiting for the next round. */
+	private requestExchange(): void {
 		const now = this.clock.monotonic();
-		if (now - this.toldNewsAt >= newsInterval) {
-			this.toldNewsAt = now;
+		if (now - this.exchangeRequestedAt >= minRequestInterval) {
+			this.exchangeRequestedAt = now;
 			this.gossip.sendNow();
 		}
 	}
--- a/src/rollout/version-evidence.ts
+++ b/src/rollout/version-evidence.ts
@@ -59,8 +59,8 @@
 	readonly view: RolloutView;
 	/** @returns Requests of this box in progress at replicas of a service that the condition selects. */
 	readonly inProgress: (service: string, isSelected: (software: string) => boolean) => number;
-	/** Called when the owner of the rollout should learn of new evidence at once. */
-	readonly onNews: () => void;
+	/** Called when there is new evidence for the owner of the rollout. */
+	readonly onEvidence: () => void;
 };
 
 type MutableEvidence = {-readonly [Key in keyof Omit<RouteEvidence, 'route'>]: number};
@@ -151,11 +151,19 @@
 				if (evidence) {
 					this.count(evidence, attempt.route, {isTarget, quality, change});
 				}
+
+				if (isTarget && quality === 'bad') {
+					this.services.onEvidence();
+				}
 			},
 			recordEnd: () => {
 				if (evidence && isTarget) {
 					evidence.pending--;
-					this.services.onNews();
+				}
+
+				// While the traffic shifts there is much good evidence, which the regular rounds report.
+				if (isTarget && directive!.phase === 'trial') {
+					this.services.onEvidence();
 				}
 			},
 		});
