Keep boxes that receive the rollouts from others from calling the store

A watch proves what held when it was sent, and only when it ends, so the proof of a box that follows the store is up to two idle watches old, 12 s; other boxes followed the store themselves from 3 to 4.5 s on. Ruled out: the additional rounds of the exchange, which make no calls. Change: idle watches of 2.5 to 3.5 s, and 9 to 11 s until a box follows the rollouts itself. Permits and shares lapse after 2 s as before.

--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -62,7 +62,7 @@
 import {OriginExchange} from './origin-exchange.js';
 import type {PlatformLink} from './platform-link.js';
 import {lapseTime, ReplicaRole, replicasPath} from './replica-role.js';
-import {RolloutRole} from './rollout-role.js';
+import {rolloutFallbackDelay, RolloutRole} from './rollout-role.js';
 
 /** Milliseconds in which the load balancer notices that this box is no longer ready. */
 const balancerDelay = 3000;
@@ -85,8 +85,6 @@
 const configurationFallbackDelay = {least: 2500, spread: 1300} as const;
 /** The same for the list of replicas. */
 const replicaFallbackDelay = {least: 4500, spread: 4000} as const;
-/** The same for the rollouts. */
-const rolloutFallbackDelay = {least: 3000, spread: 1500} as const;
 /** Minimum milliseconds between two additional rounds of the exchange that are requested for a rollout. */
 const minRequestInterval = 100;
 /** Name of the task of advancing rollouts, which one box performs. */
--- a/src/node/rollout-role.ts
+++ b/src/node/rollout-role.ts
@@ -14,9 +14,14 @@
 import type {PlatformLink} from './platform-link.js';
 
 /** Long-poll time of a watch, in milliseconds, while no rollout is active: an order that a dead watch misses is found when its version is listed. */
-const idleWait = {least: 4000, spread: 2000} as const;
+const idleWait = {least: 2500, spread: 1000} as const;
 /** The same while one is: each answer proves that the known steps are the newest. */
 const activeWait = {least: 350, spread: 150} as const;
+/**
+ * Milliseconds without a proof from other boxes after which a box follows the rollouts itself; longer than two idle watches, since a watch proves what
+ * held when it was sent and does so only when it ends. The delay depends on the name of the box, so that not all boxes do so at once.
+ */
+export const rolloutFallbackDelay = {least: 9000, spread: 2000} as const;
 /** Milliseconds between two checks whether a version is listed whose order may be missing. */
 const refreshInterval = 100;
 
