Keep orders that the store reports after a step or a later position

Cause: a view had one position for what it read from the store and for what other boxes passed on. An owner that wrote a step took itself to know all orders up to the revision of its write, and an aggregator that heard of a later position ignored its own watch's answer; either order was never stored again until the next list, and a version of another service could be trusted too early. Change: the rollouts read from the store have a position of their own; a write is recorded without advancing any.

--- a/src/rollout/rollout-duty.ts
+++ b/src/rollout/rollout-duty.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
 import {sumOf} from '../base/sum.js';
-import type {MetadataStore, RevisionConflict, StoreUnavailable} from '../follow/metadata-store.js';
+import type {MetadataStore, StoreUnavailable} from '../follow/metadata-store.js';
 import type {Replica} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import type {ServiceVersions} from '../replicas/service-versions.js';
@@ -158,19 +158,18 @@
 	}
 
 	private write({name, order, revision, status}: StoredRollout, progress: RolloutProgress, verdicts: readonly RouteVerdict[]): Effect.Effect<void, StoreUnavailable> {
-		const {store, kind, encodeStatus, view, clock, onStep, refresh} = this.services;
+		const {store, kind, encodeStatus, view, onStep, refresh} = this.services;
 		const written: RolloutStatus = {state: stateOf(progress), target: order.target, progress};
-		const sentAt = clock.monotonic();
 		return store.replaceStatus(kind, name, encodeStatus(written), revision).pipe(
 			Effect.map(object => {
 				this.logStep(order, progress, {verdicts, before: status?.state});
-				view.applyChanges([{
+				view.recordWrite({
 					name, order, revision: object.revision, status: written,
-				}], [], Math.max(object.revision, view.knownUpTo), sentAt);
+				});
 				onStep();
 			}),
 			// Another box has taken a step, or an operator has ordered anew.
-			Effect.catchTag('RevisionConflict', (_: RevisionConflict) => refresh()),
+			Effect.catchTag('RevisionConflict', () => refresh()),
 			// A write without an answer may be carried out later.
 			Effect.tapError(() => Effect.ignore(refresh())),
 		);
--- a/src/rollout/rollout-view.ts
+++ b/src/rollout/rollout-view.ts
@@ -55,7 +55,10 @@
 		return new RolloutView(services);
 	}
 
+	/** Position up to which the directives are known, from the store or another box. */
 	private position = -1;
+	/** Position up to which this box has read the rollouts from the store itself. */
+	private storedUpTo = -1;
 	/** Monotonic milliseconds at which no step later than the known ones existed. */
 	private provenAt = Number.NEGATIVE_INFINITY;
 	private readonly directives = new Map<string, RolloutDirective>();
@@ -121,14 +124,15 @@
 	 * Applies all rollouts of the store.
 	 *
 	 * @param rollouts - The rollouts.
-	 * @param at - Position of the list; an older one than is known changes nothing.
+	 * @param at - Position of the list; an older one than this box has read changes nothing.
 	 * @param sentAt - Monotonic milliseconds at which the list was requested.
 	 */
 	applyListing(rollouts: readonly StoredRollout[], at: number, sentAt: number): void {
-		if (at < this.position) {
+		if (at < this.storedUpTo) {
 			return;
 		}
 
+		this.storedUpTo = at;
 		this.stored.clear();
 		for (const rollout of rollouts) {
 			this.stored.set(rollout.order.service, rollout);
@@ -139,6 +143,26 @@
 		this.applyStoredPermits(rollouts);
 	}
 
+	/**
+	 * Applies a step that this box wrote. It says nothing about changes that others made before it.
+	 *
+	 * @param rollout - The rollout after the write.
+	 */
+	recordWrite(rollout: StoredRollout): void {
+		const {service} = rollout.order;
+		if ((this.stored.get(service)?.revision ?? 0) > rollout.revision) {
+			return;
+		}
+
+		this.stored.set(service, rollout);
+		const directive = directiveOf(rollout);
+		if (this.isLater(directive, rollout.revision, this.isKnownOrder(directive))) {
+			this.apply(directive, rollout.revision);
+		}
+
+		this.applyStoredPermits([rollout]);
+	}
+
 	/**
 	 * Applies changes of the store.
 	 *
@@ -166,10 +190,7 @@
 		}
 
 		this.applyDirectives(directives, at);
-		if (at >= this.position) {
-			this.advance(at, madeAt === undefined ? Number.NEGATIVE_INFINITY : madeAt - age);
-		}
-
+		this.advance(at, madeAt === undefined ? Number.NEGATIVE_INFINITY : madeAt - age);
 		for (const {service, ...step} of permits) {
 			this.permitsOf(service).apply(step);
 		}
@@ -254,8 +275,15 @@
 	}
 
 	private advance(at: number, provenAt: number): void {
-		this.provenAt = Math.max(this.provenAt, provenAt);
-		this.position = at;
+		if (at >= this.position) {
+			this.provenAt = Math.max(this.provenAt, provenAt);
+			this.position = at;
+		}
+	}
+
+	private isKnownOrder(directive: RolloutDirective): boolean {
+		const known = this.directives.get(directive.service);
+		return known !== undefined && isSameOrder(known, directive);
 	}
 
 	private applyStoredPermits(rollouts: readonly StoredRollout[]): void {
@@ -280,7 +308,7 @@
 	/** Steps of an order only increase, except where the store was restored from a backup; so a later step counts whatever position its sender knows. */
 	private isLater(directive: RolloutDirective, at: number, isNewest: boolean): boolean {
 		const known = this.directives.get(directive.service);
-		if (!known || !isSameOrder(known, directive) || eraOf(at) > (this.eras.get(directive.service) ?? 0)) {
+		if (!known || !this.isKnownOrder(directive) || eraOf(at) > (this.eras.get(directive.service) ?? 0)) {
 			return isNewest;
 		}
 
--- a/src/rollout/test/rollout-view.test.ts
+++ b/src/rollout/test/rollout-view.test.ts
@@ -106,3 +106,29 @@
 	assert.equal(view.trusts({service: 's', software: 'v1', revision: 14}), true);
 	assert.equal(view.trusts({service: 's', software: 'v2', revision: 14}), false);
 });
+
+/** Guards against a position that covers more than this box has read. */
+test('an order that was made before a step that this box wrote still counts when the store reports it', () => {
+	const {view, clock} = createView();
+	view.applyListing([trial], 10, clock.now);
+	view.recordWrite(stored({step: 2, phase: 'reverted'}, 14));
+	assert.equal(view.of('s')?.phase, 'reverted');
+	assert.equal(view.trusts({service: 't', software: 'v2', revision: 12}), false);
+	const other: StoredRollout = {
+		name: 't', revision: 12, order: {...order, service: 't'}, status: undefined,
+	};
+	view.applyChanges([other], [], 13, clock.now);
+	assert.equal(view.of('t')?.phase, 'ordered');
+});
+
+/** Guards against an owner that never sees an order. */
+test('an order that the store reports late is stored although another box passed on a later position', () => {
+	const {view, clock} = createView();
+	view.applyListing([], 10, clock.now);
+	const {view: other} = createView();
+	other.applyListing([trial], 20, clock.now);
+	view.applyUpdate({at: 20, age: 0, directives: other.all}, [], clock.now);
+	view.applyChanges([trial], [], 12, clock.now);
+	assert.deepEqual(view.rollouts.map(({order: {service}}) => service), ['s']);
+	assert.equal(view.knownUpTo, 20);
+});
