Report permits of a step as closed only once they have arrived

Cause: a report joined the number of the newest step to the use of whichever permits the process held. A process that learned of a step from an aggregator without its permits reported the old, used ones as closed for the new step, and then used the new ones; if the owner took the next step on that report, it counted them as unspent. Change: the use is that of the step that is reported; permits that have not arrived are open.

--- a/src/rollout/rollout-view.ts
+++ b/src/rollout/rollout-view.ts
@@ -264,10 +264,10 @@
 
 	/**
 	 * @param service - Name of a service.
-	 * @returns Use of the permits of this process.
+	 * @returns Use of the permits of this process in the step that it knows.
 	 */
 	permitUse(service: string): PermitUse {
-		return this.permitsOf(service).use;
+		return this.permitsOf(service).useOf(this.of(service)?.step ?? 0);
 	}
 
 	private permitsOf(service: string): TrialPermits {
--- a/src/rollout/test/rollout-view.test.ts
+++ b/src/rollout/test/rollout-view.test.ts
@@ -132,3 +132,17 @@
 	assert.deepEqual(view.rollouts.map(({order: {service}}) => service), ['s']);
 	assert.equal(view.knownUpTo, 20);
 });
+
+/** Guards against a report by which the owner of the rollout grants permits a second time. */
+test('a process that knows a step without its permits does not report them as closed', () => {
+	const {view, clock} = createView();
+	view.applyListing([trial], 10, clock.now);
+	assert.equal(view.takePermit('s', 'r'), 1);
+	assert.equal(view.takePermit('s', 'r'), 1);
+	assert.deepEqual(view.permitUse('s'), {step: 1, used: 2, isClosed: true});
+	view.applyUpdate({at: 10, age: 0, directives: [{...view.of('s')!, step: 2}]}, [], clock.now);
+	assert.deepEqual(view.permitUse('s'), {step: 2, used: 0, isClosed: false});
+	view.applyUpdate({at: 10, age: 0, directives: view.all}, [{service: 's', step: 2, count: 1}], clock.now);
+	assert.equal(view.takePermit('s', 'r'), 2);
+	assert.deepEqual(view.permitUse('s'), {step: 2, used: 1, isClosed: true});
+});
--- a/src/rollout/trial-permits.ts
+++ b/src/rollout/trial-permits.ts
@@ -33,9 +33,12 @@
 
 	private constructor(private readonly clock: Clock) {}
 
-	/** Use of the permits of the current step. */
-	get use(): PermitUse {
-		return {step: this.step, used: this.used, isClosed: this.isClosed};
+	/**
+	 * @param step - A step.
+	 * @returns Use of its permits. Those of a step that this process knows without its permits may still arrive, and are open.
+	 */
+	useOf(step: number): PermitUse {
+		return step === this.step ? {step, used: this.used, isClosed: this.isClosed} : {step, used: 0, isClosed: false};
 	}
 
 	/** @param permits - The permits of a step; those of the current or an earlier one change nothing. */
--- a/src/rollout/version-evidence.ts
+++ b/src/rollout/version-evidence.ts
@@ -103,7 +103,6 @@
 				target,
 				duration,
 				...view.permitUse(service),
-				step: directive.step,
 				pending: evidence.pending,
 				remaining: inProgress(service, isReplaced),
 				arrivals: evidence.arrivals,
