Count the time of a rollout's owner anew after a suspension

Cause: the age of something known before a suspension is infinite, so that an owner that resumed counted at once as having heard all processes for 6 s, on reports from before the suspension. Change: the time as the owner starts again at a suspension.

--- a/src/rollout/rollout-duty.ts
+++ b/src/rollout/rollout-duty.ts
@@ -68,7 +68,7 @@
 
 	/** The step of each service that this box last saw, and the monotonic milliseconds at which it did. */
 	private readonly seenSteps = new Map<string, {readonly step: number; readonly at: number}>();
-	/** Monotonic milliseconds since which this box takes the steps; `undefined` while another box does. */
+	/** Monotonic milliseconds since which this box takes the steps without a suspension; `undefined` while another box does. */
 	private ownerSince: number | undefined;
 	/** Orders whose time has passed, each logged once. */
 	private readonly overdue = new Set<string>();
@@ -97,8 +97,8 @@
 				return Effect.void;
 			}
 
-			this.ownerSince ??= clock.monotonic();
-
+			// What other boxes did during a suspension is unknown.
+			this.ownerSince = this.ownerSince !== undefined && this.ownerSince > clock.lastResumedAt() ? this.ownerSince : clock.monotonic();
 			recordOwnReports();
 			return Effect.all(view.rollouts.map(rollout => this.takeStep(rollout)), {discard: true});
 		});
@@ -135,7 +135,7 @@
 			sinceStep: this.timeSince(service, progress?.step ?? -1),
 			reports: evidence.reportsOn(order),
 			processes: processes(),
-			knowsAllProcesses: clock.ageOf(this.ownerSince ?? Number.POSITIVE_INFINITY) >= confirmationLifetime,
+			knowsAllProcesses: this.ownerSince !== undefined && clock.monotonic() - this.ownerSince >= confirmationLifetime,
 			verdicts,
 			target: capacityOf(ready.filter(({entry}) => entry.software === target)),
 			current: capacityOf(current),
