Remove repeated work from the paths of roll-outs

Cause, found by reading the change: an aggregator decoded the whole progress of each rollout for every message that it answered, also of ended ones; the owner judged ended rollouts twice a second for ever; each attempt was observed in deployments without rollouts; the replicas on trial were ranked once for each candidate. Change: permits by process are kept when a rollout is read; an ended rollout ends the step early; nothing is observed without rollouts; one ranking a choice. No behaviour changes.

--- a/development/harness/rollout-fleet.ts
+++ b/development/harness/rollout-fleet.ts
@@ -504,7 +504,7 @@
 		const length = 200 + (800 * this.random());
 		const observation = box.evidence.observe({
 			service, route, software, tokens: 0,
-		});
+		})!;
 		replica.begin(0);
 		box.inProgress.set(software, (box.inProgress.get(software) ?? 0) + 1);
 		if (this.now >= this.orderedAt) {
--- a/src/command/rollout-command.ts
+++ b/src/command/rollout-command.ts
@@ -4,6 +4,7 @@
 import * as Effect from 'effect/Effect';
 import * as Result from 'effect/Result';
 import type {PlatformLink} from '../node/platform-link.js';
+import {allRoutes} from '../rollout/fleet-evidence.js';
 import type {StoredRollout} from '../rollout/rollout-order.js';
 import {progressOf, type RolloutProgress} from '../rollout/rollout-progress.js';
 import {readAddress} from '../settings/relay-settings.js';
@@ -69,7 +70,7 @@
 		requestsOnTrial: progress?.spent ?? 0,
 		reason: progress?.reason ?? 'no box has taken a step yet',
 		evidence: (progress?.tallies ?? []).map(([route, good, bad, suspicion]) => ({
-			route: route === '' ? 'all routes' : route, good, bad, suspicion,
+			route: route === allRoutes ? 'all routes' : route, good, bad, suspicion,
 		})),
 	};
 }
--- a/src/relay/version-assignment.ts
+++ b/src/relay/version-assignment.ts
@@ -34,6 +34,8 @@
 	private readonly draw: number;
 	/** Step of the permit that the request holds; `undefined` if it holds none. */
 	private permit: {readonly service: string; readonly step: number} | undefined;
+	/** Replicas that requests with a permit are sent to, while the request holds one. */
+	private trialReplicas: ReadonlySet<Replica> = new Set();
 	/** Whether the target version was tried; a retry goes to another version. */
 	private hasTried = false;
 
@@ -46,14 +48,17 @@
 		const {rollouts, evidence, replicas, request} = this.services;
 		const {service, route} = request();
 		const directive = rollouts.of(service);
-		const isSettled = this.hasTried || this.permit !== undefined;
-		if (directive?.phase !== 'trial' || isSettled || !evidence.canCompare(service)) {
+		if (directive?.phase !== 'trial' || this.hasTried || !evidence.canCompare(service)) {
 			return;
 		}
 
 		const isTarget = ({entry, isLeaving}: Replica) => entry.service === service && entry.software === directive.target && !isLeaving;
-		const step = replicas.all.some(replica => isTarget(replica)) ? rollouts.takePermit(service, route.name) : undefined;
-		this.permit = step === undefined ? undefined : {service, step};
+		const targets = replicas.all.filter(replica => isTarget(replica));
+		const step = this.permit === undefined && targets.length > 0 ? rollouts.takePermit(service, route.name) : undefined;
+		this.permit = step === undefined ? this.permit : {service, step};
+		if (this.permit) {
+			this.trialReplicas = spreadReplicas(targets, directive);
+		}
 	}
 
 	/**
@@ -74,7 +79,7 @@
 			}
 
 			case 'trial': {
-				return this.mayUse(replica) && isTarget === this.holdsPermit && (!isTarget || this.isInSpread(replica, directive));
+				return this.mayUse(replica) && isTarget === this.holdsPermit && (!isTarget || this.trialReplicas.has(replica));
 			}
 
 			case 'shift': {
@@ -142,13 +147,13 @@
 	private isShifted({share}: RolloutDirective): boolean {
 		return this.services.rollouts.isProven && !this.hasTried && this.draw < share;
 	}
+}
 
-	/** All boxes choose the same replicas, so that these get as much work as they would have after the rollout. */
-	private isInSpread(replica: Replica, {service, target, spread}: RolloutDirective): boolean {
-		const ranked = this.services.replicas.all
-			.filter(({entry, isLeaving}) => entry.service === service && entry.software === target && !isLeaving)
-			.map(({entry: {id}}) => ({id, rank: hashText(`${target}\n${id}`)}))
-			.sort((left, right) => left.rank - right.rank);
-		return ranked.slice(0, Math.max(1, spread)).some(({id}) => id === replica.entry.id);
-	}
+/** All boxes choose the same replicas, so that these get as much work as they would have after the rollout. */
+function spreadReplicas(targets: readonly Replica[], {target, spread}: RolloutDirective): ReadonlySet<Replica> {
+	const ranked = targets
+		.map(replica => ({replica, rank: hashText(`${target}\n${replica.entry.id}`)}))
+		.sort((left, right) => left.rank - right.rank)
+		.map(({replica}) => replica);
+	return new Set(ranked.slice(0, Math.max(1, spread)));
 }
--- a/src/rollout/rollout-directive.ts
+++ b/src/rollout/rollout-directive.ts
@@ -43,13 +43,12 @@
 
 /**
  * @param rollout - A rollout as stored.
- * @param process - Name of a process.
- * @returns Its permits; none outside a trial.
+ * @returns The permits of its step, by process; none outside a trial.
  */
-export function permitsOf(rollout: StoredRollout, process: string): StepPermits {
+export function grantsOf(rollout: StoredRollout): ReadonlyMap<string, StepPermits> {
 	const progress = progressOf(rollout);
-	const [, count = 0] = progress?.phase === 'trial' ? progress.permits.find(([name]) => name === process) ?? [] : [];
-	return {service: rollout.order.service, step: progress?.step ?? 0, count};
+	const {service} = rollout.order;
+	return new Map(progress?.phase === 'trial' ? progress.permits.map(([process, count]) => [process, {service, step: progress.step, count}]) : []);
 }
 
 /**
--- a/src/rollout/rollout-duty.ts
+++ b/src/rollout/rollout-duty.ts
@@ -10,7 +10,7 @@
 import type {Replica} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
 import type {ServiceVersions} from '../replicas/service-versions.js';
-import type {FleetEvidence, RouteVerdict} from './fleet-evidence.js';
+import {allRoutes, type FleetEvidence, type RouteVerdict} from './fleet-evidence.js';
 import type {RolloutOrder, RolloutStatus, StoredRollout} from './rollout-order.js';
 import {
 	nextProgress, spentPermits, type ExposureBound, type RolloutFacts, type VersionCapacity,
@@ -108,8 +108,12 @@
 		const {evidence, view} = this.services;
 		const {order} = rollout;
 		const progress = progressOf(rollout);
+		if (progress && stateOf(progress) !== 'active') {
+			return rollout.status?.state === stateOf(progress) ? Effect.void : this.write(rollout, progress, []);
+		}
+
 		// What this box knows to be bad stays so, even if the store has lost it.
-		if (progress && stateOf(progress) === 'active' && view.of(order.service)?.phase === 'reverted') {
+		if (progress && view.of(order.service)?.phase === 'reverted') {
 			return this.write(rollout, {
 				...progress, step: progress.step + 1, phase: 'reverted', permits: [], share: 0,
 			}, []);
@@ -118,11 +122,7 @@
 		const verdicts = evidence.judge(order, progress);
 		const next = nextProgress(order, progress, this.factsOf(order, progress, verdicts));
 		this.logOverdue(order, progress, verdicts);
-		if (next) {
-			return this.write(rollout, next, verdicts);
-		}
-
-		return progress && rollout.status?.state !== stateOf(progress) ? this.write(rollout, progress, verdicts) : Effect.void;
+		return next ? this.write(rollout, next, verdicts) : Effect.void;
 	}
 
 	private factsOf(order: RolloutOrder, progress: RolloutProgress | undefined, verdicts: readonly RouteVerdict[]): RolloutFacts {
@@ -198,7 +198,7 @@
 
 	private logOverdue(order: RolloutOrder, progress: RolloutProgress | undefined, verdicts: readonly RouteVerdict[]): void {
 		const key = `${order.service}\n${order.target}\n${order.duration}\n${progress?.startedAt ?? 0}`;
-		if (!progress || stateOf(progress) !== 'active' || this.overdue.has(key) || this.services.commonTime() - progress.startedAt <= order.duration) {
+		if (!progress || this.overdue.has(key) || this.services.commonTime() - progress.startedAt <= order.duration) {
 			return;
 		}
 
@@ -211,7 +211,7 @@
 
 function describe(verdicts: readonly RouteVerdict[]): string {
 	return verdicts
-		.map(({route, good, bad, expected, suspicion}) => `${route === '' ? 'all' : route}: ${good} good, ${bad} bad, ${expected.toFixed(2)} expected, suspicion ${suspicion.toFixed(1)}`)
+		.map(({route, good, bad, expected, suspicion}) => `${route === allRoutes ? 'all' : route}: ${good} good, ${bad} bad, ${expected.toFixed(2)} expected, suspicion ${suspicion.toFixed(1)}`)
 		.join('; ');
 }
 
--- a/src/rollout/rollout-plan.ts
+++ b/src/rollout/rollout-plan.ts
@@ -8,7 +8,7 @@
 import {sumOf} from '../base/sum.js';
 import {allRoutes, badVerdict, type RouteVerdict} from './fleet-evidence.js';
 import type {RolloutOrder} from './rollout-order.js';
-import {firstProgress, type RolloutProgress} from './rollout-progress.js';
+import {firstProgress, stateOf, type RolloutProgress} from './rollout-progress.js';
 import {evidenceOf} from './sequential-test.js';
 import {permitWindow} from './trial-permits.js';
 import type {EvidenceReport} from './version-evidence.js';
@@ -92,25 +92,17 @@
 		return firstProgress(order, facts.now);
 	}
 
+	if (stateOf(progress) !== 'active') {
+		return undefined;
+	}
+
 	const bad = badVerdict(facts.verdicts);
-	if (bad && (progress.phase === 'trial' || progress.phase === 'shift')) {
+	if (bad) {
 		return step(progress, facts, {phase: 'reverted', share: 0, reason: describeBad(bad)});
 	}
 
-	switch (progress.phase) {
-		case 'trial': {
-			return nextOfTrial(order, progress, facts) ?? withEvidence(progress, facts);
-		}
-
-		case 'shift': {
-			return nextOfShift(progress, facts) ?? withEvidence(progress, facts);
-		}
-
-		case 'complete':
-		case 'reverted': {
-			return undefined;
-		}
-	}
+	const next = progress.phase === 'trial' ? nextOfTrial(order, progress, facts) : nextOfShift(progress, facts);
+	return next ?? withEvidence(progress, facts);
 }
 
 /**
--- a/src/rollout/rollout-view.ts
+++ b/src/rollout/rollout-view.ts
@@ -11,7 +11,7 @@
 import {eraOf} from '../follow/store-position.js';
 import type {ReplicaEntry} from '../replicas/replica.js';
 import {
-	directiveOf, isActive, permitsOf, type RolloutDirective, type StepPermits,
+	directiveOf, grantsOf, isActive, type RolloutDirective, type StepPermits,
 } from './rollout-directive.js';
 import {isSameOrder, type StoredRollout} from './rollout-order.js';
 import {TrialPermits, type PermitUse} from './trial-permits.js';
@@ -65,6 +65,8 @@
 	/** Era of the store in which each directive was written. */
 	private readonly eras = new Map<string, number>();
 	private readonly stored = new Map<string, StoredRollout>();
+	/** Permits by process of each stored rollout: other boxes ask for theirs many times a second. */
+	private readonly grants = new Map<string, ReadonlyMap<string, StepPermits>>();
 	private readonly permits = new Map<string, TrialPermits>();
 	/** Versions of each service that were listed when all rollouts up to their entries were known. */
 	private readonly trusted = new Map<string, Set<string>>();
@@ -134,13 +136,12 @@
 
 		this.storedUpTo = at;
 		this.stored.clear();
-		for (const rollout of rollouts) {
-			this.stored.set(rollout.order.service, rollout);
-		}
-
+		this.grants.clear();
 		this.applyDirectives(rollouts.map(rollout => directiveOf(rollout)), at);
 		this.advance(at, sentAt);
-		this.applyStoredPermits(rollouts);
+		for (const rollout of rollouts) {
+			this.store(rollout);
+		}
 	}
 
 	/**
@@ -154,13 +155,12 @@
 			return;
 		}
 
-		this.stored.set(service, rollout);
 		const directive = directiveOf(rollout);
 		if (this.isLater(directive, rollout.revision, this.isKnownOrder(directive))) {
 			this.apply(directive, rollout.revision);
 		}
 
-		this.applyStoredPermits([rollout]);
+		this.store(rollout);
 	}
 
 	/**
@@ -201,7 +201,7 @@
 	 * @returns Its permits.
 	 */
 	permitsFor(process: string): readonly StepPermits[] {
-		return this.rollouts.map(rollout => permitsOf(rollout, process)).filter(({count}) => count > 0);
+		return [...this.grants.values()].flatMap(grants => grants.get(process) ?? []);
 	}
 
 	/**
@@ -286,11 +286,14 @@
 		return known !== undefined && isSameOrder(known, directive);
 	}
 
-	private applyStoredPermits(rollouts: readonly StoredRollout[]): void {
-		for (const rollout of rollouts) {
-			const {service, ...step} = permitsOf(rollout, this.services.process);
-			this.permitsOf(service).apply(step);
-		}
+	/** Keeps a rollout that was read or written, and takes the permits of this process from it. */
+	private store(rollout: StoredRollout): void {
+		const {service} = rollout.order;
+		const grants = grantsOf(rollout);
+		this.stored.set(service, rollout);
+		this.grants.set(service, grants);
+		const {step = directiveOf(rollout).step, count = 0} = grants.get(this.services.process) ?? {};
+		this.permitsOf(service).apply({step, count});
 	}
 
 	private applyDirectives(directives: readonly RolloutDirective[], at: number): void {
--- a/src/rollout/version-evidence.ts
+++ b/src/rollout/version-evidence.ts
@@ -122,9 +122,13 @@
 
 	/**
 	 * @param attempt - A request that is sent now.
-	 * @returns Records its answer.
+	 * @returns Records its answer; `undefined` if the deployment has no rollouts.
 	 */
-	observe(attempt: ObservedAttempt): AnswerObservation {
+	observe(attempt: ObservedAttempt): AnswerObservation | undefined {
+		if (!this.services.view.isEnabled) {
+			return undefined;
+		}
+
 		const directive = this.services.view.of(attempt.service);
 		const evidence = directive && isActive(directive) ? this.evidenceFor(directive) : undefined;
 		const isTarget = evidence !== undefined && attempt.software === directive!.target;
@@ -156,12 +160,13 @@
 				}
 			},
 			recordEnd: () => {
-				if (evidence && isTarget) {
-					evidence.pending--;
+				if (!isTarget) {
+					return;
 				}
 
+				evidence.pending--;
 				// While the traffic shifts there is much good evidence, which the regular rounds report.
-				if (isTarget && directive!.phase === 'trial') {
+				if (directive!.phase === 'trial') {
 					this.services.onEvidence();
 				}
 			},
