Weigh good and bad answers of a version alike after boxes restart

A box that does not know how long answers take counted the failures of the target version, but not its good answers; and a new owner took the larger of recorded and reported answers for good and bad ones apart, so that after the loss of all boxes failures counted before the good ones did. Change: such a box counts neither; an owner starts from one source, the record or the reports, and counts what is reported from then on.

--- a/src/rollout/fleet-evidence.ts
+++ b/src/rollout/fleet-evidence.ts
@@ -27,9 +27,21 @@
 	readonly order: RolloutOrder;
 	/** The last report of each process, also of processes that have ended: what they saw still counts. */
 	readonly reports: Map<string, EvidenceReport>;
-	readonly suspicion: Map<string, {readonly tally: Tally; readonly value: number}>;
+	/** What was counted of each route. */
+	readonly counted: Map<string, RouteCount>;
 };
 
+/** What an owner has counted of a route. */
+type RouteCount = {
+	/** Reported answers that the suspicion accounts for. */
+	readonly reported: Tally;
+	/** Recorded answers that are in no report. */
+	readonly unreported: Tally;
+	readonly suspicion: number;
+};
+
+const none: Tally = {good: 0, bad: 0};
+
 /** Evidence from all boxes. */
 export class FleetEvidence {
 	/** @returns Evidence without reports. */
@@ -43,6 +55,13 @@
 		// Use create().
 	}
 
+	/** Forgets what earlier calls of {@link judge} counted: another owner may have counted and recorded since. */
+	restart(): void {
+		for (const {counted} of this.byService.values()) {
+			counted.clear();
+		}
+	}
+
 	/**
 	 * @param process - Name of the process that reports.
 	 * @param reports - Its reports on all rollouts that have not ended.
@@ -69,24 +88,20 @@
 	 * @returns The verdict on each route with requests, and on all routes together.
 	 */
 	judge(order: RolloutOrder, progress: RolloutProgress | undefined): readonly RouteVerdict[] {
-		const {reports, suspicion} = this.of(order);
+		const {reports, counted} = this.of(order);
 		const evidence = [...reports.values()].flatMap(({routes}) => routes);
 		const routes = [...new Set([...evidence.map(({route}) => route), ...(progress?.tallies ?? []).map(([route]) => route)])].filter(route => route !== allRoutes);
 		return [allRoutes, ...routes].map(route => {
 			const ofRoute = evidence.filter(one => route === allRoutes || one.route === route);
-			const recorded = progress?.tallies.find(([name]) => name === route);
-			// Reports of processes that ended before this box became the owner may be missing.
-			const tally = {
-				good: Math.max(recorded?.[1] ?? 0, sumOf(ofRoute.map(({good}) => good))),
-				bad: Math.max(recorded?.[2] ?? 0, sumOf(ofRoute.map(({bad}) => bad))),
-			};
+			const reported = {good: sumOf(ofRoute.map(({good}) => good)), bad: sumOf(ofRoute.map(({bad}) => bad))};
 			const expected = expectedBadPart({good: sumOf(ofRoute.map(({oldGood}) => oldGood)), bad: sumOf(ofRoute.map(({oldBad}) => oldBad))});
-			const before = suspicion.get(route) ?? {tally: {good: recorded?.[1] ?? 0, bad: recorded?.[2] ?? 0}, value: recorded?.[3] ?? 0};
-			const added = {good: Math.max(0, tally.good - before.tally.good), bad: Math.max(0, tally.bad - before.tally.bad)};
-			const value = updatedSuspicion(before.value, added, expected);
-			suspicion.set(route, {tally, value});
+			const before = counted.get(route) ?? firstCount(reported, progress?.tallies.find(([name]) => name === route));
+			const added = {good: Math.max(0, reported.good - before.reported.good), bad: Math.max(0, reported.bad - before.reported.bad)};
+			const suspicion = updatedSuspicion(before.suspicion, added, expected);
+			counted.set(route, {...before, reported, suspicion});
+			const tally = {good: Math.max(0, before.unreported.good + reported.good), bad: Math.max(0, before.unreported.bad + reported.bad)};
 			return {
-				route, ...tally, expected, suspicion: value, isGood: isShownGood(tally, expected),
+				route, ...tally, expected, suspicion, isGood: isShownGood(tally, expected),
 			};
 		});
 	}
@@ -98,12 +113,23 @@
 		}
 
 		const {service, target, duration} = order;
-		const evidence: OrderEvidence = {order: {service, target, duration}, reports: new Map(), suspicion: new Map()};
+		const evidence: OrderEvidence = {order: {service, target, duration}, reports: new Map(), counted: new Map()};
 		this.byService.set(service, evidence);
 		return evidence;
 	}
 }
 
+/**
+ * What a new owner starts from. Reports of processes that ended before may be missing; good and bad answers are taken from the same source, since a
+ * sum of both would weigh them differently.
+ */
+function firstCount(reported: Tally, record: RolloutProgress['tallies'][number] | undefined): RouteCount {
+	const [, good, bad, suspicion] = record ?? ['', 0, 0, 0];
+	return reported.good + reported.bad >= good + bad
+		? {reported: {good, bad}, unreported: none, suspicion}
+		: {reported, unreported: {good: good - reported.good, bad: bad - reported.bad}, suspicion};
+}
+
 /**
  * @param verdicts - Verdicts on all routes.
  * @returns The verdict by which the version counts as bad; `undefined` if it does not.
--- a/src/rollout/rollout-duty.ts
+++ b/src/rollout/rollout-duty.ts
@@ -91,14 +91,18 @@
 	/** @returns Takes the steps that are due now. */
 	takeSteps(): Effect.Effect<void, StoreUnavailable> {
 		return Effect.suspend(() => {
-			const {view, clock, isOwner, recordOwnReports} = this.services;
+			const {view, clock, evidence, isOwner, recordOwnReports} = this.services;
 			if (!view.isEnabled || !view.isKnown || !isOwner()) {
 				this.ownerSince = undefined;
 				return Effect.void;
 			}
 
 			// What other boxes did during a suspension is unknown.
-			this.ownerSince = this.ownerSince !== undefined && this.ownerSince > clock.lastResumedAt() ? this.ownerSince : clock.monotonic();
+			if (this.ownerSince === undefined || this.ownerSince <= clock.lastResumedAt()) {
+				this.ownerSince = clock.monotonic();
+				evidence.restart();
+			}
+
 			recordOwnReports();
 			return Effect.all(view.rollouts.map(rollout => this.takeStep(rollout)), {discard: true});
 		});
--- a/src/rollout/version-evidence.ts
+++ b/src/rollout/version-evidence.ts
@@ -270,9 +270,9 @@
 			this.quality = 'bad';
 			if (this.canBeCompared) {
 				this.services.record('good', -1);
+				this.services.record('bad', 1);
 			}
 
-			this.services.record('bad', 1);
 			return;
 		}
 
@@ -290,7 +290,7 @@
 		this.end();
 	}
 
-	/** Without a latency to compare with, an answer of the target version may be slow. */
+	/** Without a latency to compare with, an answer of the target version may be slow; to count only those that fail would make a good version look bad. */
 	private get canBeCompared(): boolean {
 		return !this.services.isTarget || this.services.isAlone || this.maxLatency !== undefined;
 	}
@@ -306,7 +306,7 @@
 		}
 
 		this.quality = quality;
-		if (quality === 'bad' || this.canBeCompared) {
+		if (this.canBeCompared) {
 			this.services.record(quality, 1);
 		}
 
