Name processes, phases and unreadable objects in one place, and wire roll-outs beside the duties

Change: processName, RolloutPhase and Amount, UnreadableObjects, createRolloutRoles, RolloutView.mayServe; the model uses the product's topology and modelReplicaEntry. No behaviour of the product changes.

--- a/development/harness/rollout-fleet.ts
+++ b/development/harness/rollout-fleet.ts
@@ -6,6 +6,7 @@
 import {
 	MetadataStore, RevisionConflict, StoreUnavailable, type Changes, type Listing, type StoredObject,
 } from '../../src/follow/metadata-store.js';
+import {aggregatorCount, exchangeInterval, isLargeFleet} from '../../src/gossip/exchange-topology.js';
 import type {AdmittedRequest} from '../../src/relay/admitted-request.js';
 import {VersionAssignment} from '../../src/relay/version-assignment.js';
 import {ReplicaDirectory} from '../../src/replicas/replica-directory.js';
@@ -17,6 +18,7 @@
 import {RolloutView, type RolloutUpdate} from '../../src/rollout/rollout-view.js';
 import {VersionEvidence, type AnswerObservation} from '../../src/rollout/version-evidence.js';
 import {ManualClock} from './manual-clock.js';
+import {modelReplicaEntry} from './model-replica.js';
 import {createRandom} from './seeded-random.js';
 
 const service = 's';
@@ -25,11 +27,6 @@
 const newVersion = 'v2';
 /** Milliseconds of a step of the simulation. */
 const stepTime = 10;
-/** Boxes up to which each sends to all others; more of them send to the first ones that run. */
-const smallFleet = 12;
-const aggregatorCount = 3;
-/** Milliseconds between two rounds of the exchange. */
-const rounds = {small: 200, large: 400} as const;
 /** Milliseconds between two proofs from the store. */
 const proofInterval = 400;
 /** Milliseconds between two checks for a due step. */
@@ -334,13 +331,13 @@
 		for (let index = 0; index < this.history.replicas; index++) {
 			this.storeRevision++;
 			this.replicas.put({
-				id: `${software}-${index}`, bornAt: 1, software, revision: this.storeRevision, service, host: '127.0.0.1', port: 1, dataCentre: 'a', slots, isDraining: false, isReclaimable: false, leavesIn: undefined,
+				...modelReplicaEntry(index, 1), id: `${software}-${index}`, software, revision: this.storeRevision, service, slots,
 			});
 		}
 	}
 
 	private get isLarge(): boolean {
-		return this.history.boxes > smallFleet;
+		return isLargeFleet(this.history.boxes);
 	}
 
 	/** Determines which boxes run and which of them receive the messages of all. */
@@ -593,7 +590,7 @@
 	}
 
 	private exchange(): void {
-		const interval = this.isLarge ? rounds.large : rounds.small;
+		const interval = exchangeInterval(this.history.boxes);
 		for (const box of this.running) {
 			const isRegular = (this.now + (box.index * 7 * stepTime)) % interval < stepTime;
 			const isAdditional = box.wantsRound && this.now - box.sentAt >= minRequestInterval;
--- a/src/gossip/gossip-message.ts
+++ b/src/gossip/gossip-message.ts
@@ -32,6 +32,13 @@
 	return host !== '' && Number.isInteger(port) && port > 0 && port <= maxPort;
 }
 
+/**
+ * @param box - Name of a box.
+ * @param incarnation - Identifies one start of its process.
+ * @returns The name of that process: a box that restarts gets a new one.
+ */
+export const processName = (box: string, incarnation: string): string => `${box}/${incarnation}`;
+
 /** Work that boxes have in progress at one replica. */
 export type ReplicaLoad = ReplicaWork & {readonly replica: string};
 
--- a/src/gossip/rollout-codec.ts
+++ b/src/gossip/rollout-codec.ts
@@ -3,14 +3,13 @@
  */
 import * as Schema from 'effect/Schema';
 import type {RolloutDirective, StepPermits} from '../rollout/rollout-directive.js';
+import {Amount, RolloutPhase} from '../rollout/rollout-progress.js';
 import type {RolloutUpdate} from '../rollout/rollout-view.js';
 import type {EvidenceReport} from '../rollout/version-evidence.js';
 
-const Amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0));
-
 /** Service, target, duration, phase, step, share, spread, routes, replaced versions. */
 const DirectiveRow = Schema.Tuple([
-	Schema.String, Schema.String, Amount, Schema.Literals(['ordered', 'trial', 'shift', 'complete', 'reverted']), Amount, Amount, Amount, Schema.Array(Schema.String), Schema.Array(Schema.String),
+	Schema.String, Schema.String, Amount, Schema.Union([Schema.Literal('ordered'), RolloutPhase]), Amount, Amount, Amount, Schema.Array(Schema.String), Schema.Array(Schema.String),
 ]);
 /** Service, step, count. */
 const PermitRow = Schema.Tuple([Schema.String, Amount, Amount]);
--- a/src/node/duty-roles.ts
+++ b/src/node/duty-roles.ts
@@ -17,6 +17,7 @@
 import {UsageDuty} from '../duties/usage-duty.js';
 import type {StoreAvailability} from '../follow/store-availability.js';
 import type {ExchangeTopology} from '../gossip/exchange-topology.js';
+import {processName} from '../gossip/gossip-message.js';
 import type {PeerTable} from '../gossip/peer-table.js';
 import type {RelayMetrics} from '../relay/relay-metrics.js';
 import type {RelayServices} from '../relay/relay-services.js';
@@ -95,7 +96,7 @@
 		});
 		this.life = HolderLiveness.create(store, clock);
 		this.draft = UsageDraft.create({
-			start: `${self}/${incarnation}`, store, counts: services.usage, clock, onAnswer() {
+			start: processName(self, incarnation), store, counts: services.usage, clock, onAnswer() {
 				parts.availability.recordOwnAnswer();
 			},
 		});
@@ -103,10 +104,7 @@
 			lease: this.lease, calls, clock, log, table: services.table, replicas: services.replicas, policy: MeasuredLoadPolicy.create(),
 			demand: service => services.fleetRates.demandFor(service),
 			limitOf: replica => services.limits.limitOf(replica),
-			mayServe({entry}) {
-				const rollout = services.rollouts.of(entry.service);
-				return rollout?.target !== entry.software || rollout.phase === 'shift' || rollout.phase === 'complete';
-			},
+			mayServe: ({entry}) => services.rollouts.mayServe(entry),
 			pausedPart: replica => Math.min(1, services.statements.pausedBoxCount(replica) / peers.boxes),
 		});
 	}
--- a/src/node/exchange-state.ts
+++ b/src/node/exchange-state.ts
@@ -7,7 +7,7 @@
 import type {ExchangeTopology} from '../gossip/exchange-topology.js';
 import type {CommonUpdate, LocalState} from '../gossip/gossip.js';
 import {
-	type FleetDigest, type GossipMessage, type ReplicaLoad,
+	processName, type FleetDigest, type GossipMessage, type ReplicaLoad,
 } from '../gossip/gossip-message.js';
 import type {SenderRelation, Peer, PeerTable} from '../gossip/peer-table.js';
 import {maxCrashesSent} from '../quarantine/crash-ledger.js';
@@ -54,8 +54,8 @@
 	readonly isStopping: () => boolean;
 };
 
-/** @returns The name of the sending process: a box that restarts gets a new one. */
-const processNameOf = ({sender, incarnation}: GossipMessage): string => `${sender.name}/${incarnation}`;
+/** @returns The name of the sending process. */
+const processNameOf = ({sender, incarnation}: GossipMessage): string => processName(sender.name, incarnation);
 
 /** The state of a box that is exchanged by gossip. */
 export class ExchangeState {
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -18,7 +18,7 @@
 import {FleetRates} from '../gossip/fleet-rates.js';
 import {FleetShare} from '../gossip/fleet-share.js';
 import {Gossip, type DatagramAddress} from '../gossip/gossip.js';
-import type {MemberAddress} from '../gossip/gossip-message.js';
+import {processName, type MemberAddress} from '../gossip/gossip-message.js';
 import {PeerTable} from '../gossip/peer-table.js';
 import {Quarantine} from '../quarantine/quarantine.js';
 import {QuarantineRecord, recordName} from '../quarantine/quarantine-record.js';
@@ -47,7 +47,6 @@
 import {ServiceDemands} from '../replicas/service-demand.js';
 import {ServiceVersions} from '../replicas/service-versions.js';
 import {FleetEvidence} from '../rollout/fleet-evidence.js';
-import {confirmationLifetime, RolloutDuty} from '../rollout/rollout-duty.js';
 import {RolloutView} from '../rollout/rollout-view.js';
 import {VersionEvidence} from '../rollout/version-evidence.js';
 import {RouteTableView} from '../routes/route-table-view.js';
@@ -63,6 +62,7 @@
 import type {PlatformLink} from './platform-link.js';
 import {lapseTime, ReplicaRole, replicasPath} from './replica-role.js';
 import {rolloutFallbackDelay, RolloutRole} from './rollout-role.js';
+import {createRolloutRoles} from './rollout-roles.js';
 
 /** Milliseconds in which the load balancer notices that this box is no longer ready. */
 const balancerDelay = 3000;
@@ -87,8 +87,6 @@
 const replicaFallbackDelay = {least: 4500, spread: 4000} as const;
 /** Minimum milliseconds between two additional rounds of the exchange that are requested for a rollout. */
 const minRequestInterval = 100;
-/** Name of the task of advancing rollouts, which one box performs. */
-const rolloutTask = 'rollouts';
 /** Part of the burst that a large fleet may spend: all boxes know of a rush only after some gossip rounds. */
 const largeFleetBurst = 0.9;
 const millisecondsPerSecond = 1000;
@@ -490,7 +488,21 @@
 			{name: 'lapsed-replicas', run: this.replicaRole.sweep()},
 			{name: 'members', run: members.run()},
 			{name: 'quarantine-record', run: this.quarantineRecord.run()},
-			...this.rolloutRoles(),
+			...createRolloutRoles({
+				link,
+				log,
+				settings,
+				clock: this.clock,
+				peers,
+				topology,
+				services: this.services,
+				role: this.rolloutRole,
+				evidence: this.fleetEvidence,
+				process: this.processName,
+				onStep() {
+					gossip.push();
+				},
+			}),
 			{name: 'replica-reach', run: this.services.reach.watch()},
 			{name: 'metrics', run: this.sampleMetrics()},
 			...createDutyRoles({
@@ -504,7 +516,7 @@
 
 	/** Name of this process, which another process of this box does not have. */
 	private get processName(): string {
-		return `${this.self.name}/${this.incarnation}`;
+		return processName(this.self.name, this.incarnation);
 	}
 
 	/** Sends a confirmed step or new evidence to the owner of a rollout without waiting for the next round. */
@@ -516,50 +528,6 @@
 		}
 	}
 
-	private rolloutRoles(): readonly Role[] {
-		const {settings, link, log} = this.parts;
-		const {clock, peers, topology, services: {rollouts, evidence, replicas, versions, demands}} = this;
-		if (!rollouts.isEnabled) {
-			return [];
-		}
-
-		const duty = RolloutDuty.create({
-			clock,
-			log,
-			store: link.store,
-			kind: link.names.rolloutKind,
-			encodeStatus: link.names.encodeRolloutStatus,
-			view: rollouts,
-			evidence: this.fleetEvidence,
-			replicas,
-			versions,
-			duration: service => demands.of(service).duration,
-			processes: () => this.confirmingProcesses(),
-			commonTime: () => peers.commonTime,
-			bound: () => settings().rollout!,
-			isOwner: () => topology.owns(rolloutTask),
-			recordOwnReports: () => {
-				this.fleetEvidence.record(this.processName, evidence.reports);
-			},
-			onStep: () => {
-				this.gossip.push();
-			},
-			refresh: () => this.rolloutRole.refresh(),
-		});
-		return [
-			{name: 'rollouts', run: this.rolloutRole.follow()},
-			{name: 'rollout-orders', run: this.rolloutRole.refreshWhenNeeded()},
-			{name: 'rollout-steps', run: duty.run()},
-		];
-	}
-
-	/** Processes that must confirm a step: those of which a message arrived a short time ago, and this one. */
-	private confirmingProcesses(): readonly string[] {
-		const since = this.clock.monotonic() - confirmationLifetime;
-		const others = this.peers.all.flatMap(({last, heardAt}) => last && heardAt >= since ? [`${last.sender.name}/${last.incarnation}`] : []);
-		return [this.processName, ...others];
-	}
-
 	/** @returns The document that peers fetch at a path. */
 	private documentAt(path: string): unknown {
 		const documents: Readonly<Record<string, () => unknown>> = {
--- a/src/node/replica-role.ts
+++ b/src/node/replica-role.ts
@@ -13,6 +13,7 @@
 } from '../follow/metadata-store.js';
 import type {StoreAvailability} from '../follow/store-availability.js';
 import {eraOf, revisionOf} from '../follow/store-position.js';
+import {UnreadableObjects} from '../follow/unreadable-objects.js';
 import type {GossipMessage, MemberAddress} from '../gossip/gossip-message.js';
 import type {ReplicaEntry} from '../replicas/replica.js';
 import type {ReplicaDirectory} from '../replicas/replica-directory.js';
@@ -115,8 +116,7 @@
 	private historyFrom = Number.POSITIVE_INFINITY;
 	/** Entries that are missing and may only have expired, by name. */
 	private readonly held = new Map<string, HeldEntry>();
-	/** Revisions of entries that cannot be decoded, by name, so that each is logged once. */
-	private readonly unreadable = new Map<string, number>();
+	private readonly unreadable = UnreadableObjects.create();
 	private readonly fetch: DocumentFetch;
 
 	private constructor(private readonly services: ReplicaServices) {
@@ -343,12 +343,11 @@
 		const {link: {names}, log, countUnreadable} = this.services;
 		const decoded = names.decodeReplica(object);
 		if (Result.isSuccess(decoded)) {
-			this.unreadable.delete(object.name);
+			this.unreadable.forget(object.name);
 			return decoded.success;
 		}
 
-		if (this.unreadable.get(object.name) !== object.revision) {
-			this.unreadable.set(object.name, object.revision);
+		if (this.unreadable.record(object)) {
 			countUnreadable?.(names.replicaKind);
 			log.write('replicaUnreadable', {
 				replica: object.name, revision: object.revision, fault: describeFaults(names.replicaKind, decoded.failure),
@@ -398,7 +397,7 @@
 
 	private drop(name: string, revision: number): void {
 		this.objects.delete(name);
-		this.unreadable.delete(name);
+		this.unreadable.forget(name);
 		this.held.delete(name);
 		this.services.replicas.remove(name, revision);
 	}
--- a/src/node/rollout-role.ts
+++ b/src/node/rollout-role.ts
@@ -9,6 +9,7 @@
 import {KindFollower} from '../follow/kind-follower.js';
 import type {StoredObject, StoreUnavailable} from '../follow/metadata-store.js';
 import type {StoreAvailability} from '../follow/store-availability.js';
+import {UnreadableObjects} from '../follow/unreadable-objects.js';
 import type {StoredRollout} from '../rollout/rollout-order.js';
 import type {RolloutUpdate, RolloutView} from '../rollout/rollout-view.js';
 import type {PlatformLink} from './platform-link.js';
@@ -49,8 +50,7 @@
 	}
 
 	private readonly startedAt: number;
-	/** Revisions of orders that cannot be decoded, by name, so that each is logged once. */
-	private readonly unreadable = new Map<string, number>();
+	private readonly unreadable = UnreadableObjects.create();
 
 	private constructor(private readonly services: RolloutRoleServices) {
 		this.startedAt = services.clock.monotonic();
@@ -127,8 +127,7 @@
 				return [decoded.success];
 			}
 
-			if (this.unreadable.get(object.name) !== object.revision) {
-				this.unreadable.set(object.name, object.revision);
+			if (this.unreadable.record(object)) {
 				log.write('rolloutUnreadable', {name: object.name, revision: object.revision, fault: describeFaults(names.rolloutKind, decoded.failure)});
 			}
 
--- a/src/rollout/rollout-progress.ts
+++ b/src/rollout/rollout-progress.ts
@@ -7,15 +7,16 @@
 import {createDecoder} from '../base/faults.js';
 import {isSameOrder, type RolloutState, type StoredRollout} from './rollout-order.js';
 
-const Amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0));
+/** A number of at least zero. */
+export const Amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0));
 
-/** Phase of a rollout. */
-const Phase = Schema.Literals(['trial', 'shift', 'complete', 'reverted']);
+/** Phase of a rollout: `trial` with single requests, `shift` of the traffic by parts, then one of the final phases. */
+export const RolloutPhase = Schema.Literals(['trial', 'shift', 'complete', 'reverted']);
 
 const RolloutProgressLayout = Schema.Struct({
 	target: Schema.String,
 	duration: Amount,
-	phase: Phase,
+	phase: RolloutPhase,
 	/** Number of the last change of permits or share; increases. */
 	step: Amount,
 	/** Common time at which the order was first seen, in milliseconds since the epoch. */
@@ -38,8 +39,7 @@
 	reason: Schema.String,
 });
 
-/** Phase of a rollout: `trial` with single requests, `shift` of the traffic by parts, then one of the final phases. */
-export type RolloutPhase = typeof Phase.Type;
+export type RolloutPhase = typeof RolloutPhase.Type;
 /** Progress of a rollout. */
 export type RolloutProgress = typeof RolloutProgressLayout.Type;
 
--- a/src/rollout/rollout-view.ts
+++ b/src/rollout/rollout-view.ts
@@ -235,6 +235,15 @@
 		return false;
 	}
 
+	/**
+	 * @param entry - Entry of a replica.
+	 * @returns Whether the replica counts as capacity of its service; one of a version on trial or reverted does not.
+	 */
+	mayServe({service, software}: Pick<ReplicaEntry, 'service' | 'software'>): boolean {
+		const directive = this.of(service);
+		return directive?.target !== software || directive.phase === 'shift' || directive.phase === 'complete';
+	}
+
 	/** Whether directives that expose requests hold: this box knew a short time ago that they are the newest. */
 	get isProven(): boolean {
 		return this.age < Math.min(maxLease, (this.services.rollback() ?? 0) * leasePart);
