--- a/review/lib/replicas.mjs
+++ b/review/lib/replicas.mjs
@@ -9,12 +9,13 @@
 export class Replica {
 	/**
 	 * @param plan - `id`, `service`, `slots`, `work` (milliseconds of a call, or before the first event), `events` (of a stream; 0 gives a plain
-	 * answer), `gap` (milliseconds between events), and `garbles`, called with the number of each answer: whether to spoil its bytes.
+	 * answer), `gap` (milliseconds between events), and `garbles`, called with the number of each answer: whether to spoil its bytes;
+	 * `fails`, called in the same way: whether to fail the request after its work.
 	 */
 	static async start({store, record, host = '127.0.0.1', ...plan}) {
 		const replica = new Replica();
 		Object.assign(replica, {
-			work: 20, events: 0, gap: 50, slots: 32, garbles: () => false, bodyOf: id => `answer to ${id}`, ...plan, store, record,
+			work: 20, events: 0, gap: 50, slots: 32, garbles: () => false, fails: () => false, bodyOf: id => `answer to ${id}`, ...plan, store, record,
 		});
 		replica.server = createServer((incoming, response) => {
 			replica.receive(incoming, response);
@@ -70,6 +71,12 @@
 			return;
 		}
 
+		if (this.fails(this.answers)) {
+			this.record.write(`${this.id} fails ${id} after its work, with 503 and without Not-Executed`);
+			response.writeHead(503, {...common, 'Content-Length': '6'}).end('failed');
+			return;
+		}
+
 		if (this.garbles(this.answers)) {
 			this.garble(id, response);
 			return;
