--- a/review/lib/replicas.mjs
+++ b/review/lib/replicas.mjs
@@ -21,6 +21,10 @@
 			replica.receive(incoming, response);
 		});
 		replica.server.keepAliveTimeout = 30_000;
+		replica.server.on('connection', socket => {
+			replica.sockets.add(socket);
+			socket.once('close', () => replica.sockets.delete(socket));
+		});
 		await new Promise(resolve => {
 			replica.server.listen(0, host, resolve);
 		});
@@ -33,6 +37,9 @@
 	}
 
 	seq = 0;
+	sockets = new Set();
+	hasCrashed = false;
+	lapse = undefined;
 	answers = 0;
 	/** Runs: id of the request, and when it began. */
 	runs = [];
@@ -106,7 +113,23 @@
 		].join('\r\n'));
 	}
 
+	/** Ends as a crashed process does: its connections are reset, its port refuses connections, and its entry lapses after three heartbeats. */
+	crash() {
+		this.record.write(`${this.id} crashes`);
+		clearInterval(this.timer);
+		this.server.close();
+		for (const socket of this.sockets) {
+			socket.resetAndDestroy();
+		}
+
+		this.hasCrashed = true;
+		this.lapse = setTimeout(() => {
+			this.store.remove('servers', this.id);
+		}, 3600);
+	}
+
 	close() {
+		clearTimeout(this.lapse);
 		clearInterval(this.timer);
 		this.server.closeAllConnections();
 		this.server.close();
