--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -23,6 +23,12 @@
 	setTimeout(resolve, milliseconds);
 });
 
+// A fault of the script itself is no broken rule.
+process.on('uncaughtException', error => {
+	console.error(error);
+	process.exit(2);
+});
+
 /** Milliseconds since the start of the script. */
 export const now = () => performance.now() - begin;
 
@@ -258,6 +264,10 @@
 	}
 
 	constructor({plan, seeds, store, record, fields = {}}) {
+		// However the script ends, it leaves no process behind.
+		process.on('exit', () => {
+			this.child?.kill('SIGKILL');
+		});
 		this.plan = plan;
 		this.record = record;
 		this.fields = {
