Read the memory and the descriptors of the process from the settings

Cause: a process does not know what its machine grants it, so that no limit can be derived from it. Change: the settings of a relay have limits.memory and limits.descriptors, filled by the platform; those of an entry box have the same with defaults. Nothing uses them yet.

--- a/src/settings/relay-settings.ts
+++ b/src/settings/relay-settings.ts
@@ -38,7 +38,13 @@
 	isFirstStart: NullableFlag,
 	store: Schema.Struct({address: NullableAddress}),
 	duties: Schema.Struct({address: NullableAddress, kinds: Schema.NullOr(Schema.Array(Schema.String))}),
-	limits: Schema.optionalKey(Schema.Struct({processorShare: NullableAmount, processorSpeed: NullableAmount, link: NullableAmount})),
+	limits: Schema.optionalKey(Schema.Struct({
+		processorShare: NullableAmount,
+		processorSpeed: NullableAmount,
+		link: NullableAmount,
+		memory: Schema.optionalKey(NullableAmount),
+		descriptors: Schema.optionalKey(NullableAmount),
+	})),
 	bounds: Schema.Struct({
 		grace: NullableAmount,
 		revoke: NullableAmount,
@@ -117,6 +123,10 @@
 	readonly processor?: number;
 	/** Bandwidth of the network link in megabits a second. */
 	readonly link?: number;
+	/** Memory of this process in megabytes. */
+	readonly memory?: number;
+	/** File descriptors of this process. */
+	readonly descriptors?: number;
 };
 
 /** Settings of a relay. */
@@ -223,9 +233,11 @@
 
 /** Converts the share of a core to cores of standard speed by multiplying it by the speed of the core. */
 function limitsOf({limits}: typeof RelaySettingsFile.Type): BoxLimits {
-	const {processorShare, processorSpeed, link} = limits ?? {processorShare: null, processorSpeed: null, link: null};
+	const {processorShare = null, processorSpeed = null, link = null, memory = null, descriptors = null} = limits ?? {};
 	return {
 		...(processorShare === null ? {} : {processor: processorShare * (processorSpeed ?? 1)}),
 		...(link === null ? {} : {link}),
+		...(memory === null ? {} : {memory}),
+		...(descriptors === null ? {} : {descriptors}),
 	};
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -46,6 +46,10 @@
 		host: host('IP address of the platform\'s service.'),
 		port: port('TCP port of the platform\'s service.'),
 	}),
+	limits: Schema.Struct({
+		memory: positiveInteger('Memory of the process, in megabytes.', 350),
+		descriptors: positiveInteger('File descriptors of the process.', 4096),
+	}).pipe(Schema.withDecodingDefaultKey(Effect.succeed({}))),
 	stopping: Schema.Struct({
 		balancerDelay: positiveInteger('Milliseconds to continue accepting requests after a stop is requested, until the load balancer has noticed.', 2000),
 	}).pipe(Schema.withDecodingDefaultKey(Effect.succeed({}))),
--- a/src/settings/test/relay-settings.test.ts
+++ b/src/settings/test/relay-settings.test.ts
@@ -23,6 +23,8 @@
 test('the resources of a box are decoded from the share of a core, the speed of the core and the link; unknown ones are absent', () => {
 	assert.deepEqual(limitsOf('limits: {processorShare: 0.5, processorSpeed: 2, link: 200}'), {processor: 1, link: 200});
 	assert.deepEqual(limitsOf('limits: {processorShare: 0.5, processorSpeed: null, link: null}'), {processor: 0.5});
+	assert.deepEqual(limitsOf('limits: {processorShare: null, processorSpeed: null, link: null, memory: 350, descriptors: 4100}'), {memory: 350, descriptors: 4100});
+	assert.deepEqual(limitsOf('limits: {processorShare: null, processorSpeed: null, link: null, memory: null, descriptors: null}'), {});
 	assert.deepEqual(limitsOf(''), {});
 	assert.ok(Array.isArray(limitsOf('limits: {processorShare: many, processorSpeed: 1, link: 1}')), 'a fault is reported');
 });
