--- a/development/harness/installation.ts
+++ b/development/harness/installation.ts
@@ -6,6 +6,7 @@
 import path from 'node:path';
 import type {Box} from '../../src/external/box-list.js';
 import type {BoxId, DataCentre, PoolName} from '../../src/base/identifiers.js';
+import type {Settings} from '../../src/settings/settings.js';
 import type {Table} from '../../src/table/table.js';
 import {encodeVersionedTable} from '../../src/table/versioned-table.js';
 import type {EngineTraits} from '../standins/model-engine.js';
@@ -31,6 +32,8 @@
 	readonly balancerDelay?: number;
 	/** Options for Node.js itself, for example to profile a box. */
 	readonly nodeOptions?: readonly string[];
+	/** The section `limits` of its settings. */
+	readonly limits?: Settings['limits'];
 	/** Maps its TCP port for peers to the port that other boxes use, for example that of a proxy. */
 	readonly proxyPeers?: (port: number) => Promise<number>;
 };
@@ -91,6 +94,7 @@
 			operators: listener,
 			platform: {host: '127.0.0.1', port: options.platformPort ?? this.platformPort},
 			stopping: {balancerDelay: options.balancerDelay ?? 500},
+			...(options.limits ? {limits: options.limits} : {}),
 		}));
 		const child = Child.start(daemonProgram, ['serve', '--settings', file], options.nodeOptions);
 		const started = await child.line(line => line.eventName === 'boxStarted');
