Bound the memory of request bodies and the connections of a process

What callers saw: a process ended with heap out of memory, with all requests in progress, when one client sent a body inside the limits in chunks of one byte, when ten sent 1 MiB so without an end, or when some dozens sent large bodies; with many idle connections or requests in advance it ran out of descriptors. Cause: each request had bounds, the process had none. A chunk was kept as an object of some 130 bytes; bodies, connections and requests in advance of all clients had no sum with a limit. Change: src/resources divides the memory and the descriptors of the settings into parts. Bodies are collected into one buffer; larger ones than 64 KiB are read when there is memory for all of them, the slowest is given up with 408 while others wait, and one that has waited for 5 s is refused with 503 box-full, both not run. Each listener of both front doors limits its connections, closes the least useful one for a new one, and bounds incomplete heads. Node's parser gets small parts of what a connection sends, so that a request that is sent before the answer to an earlier one stays unparsed. Why it works: what a client makes the process hold is counted before it is held, and the sum of the limits is below the machine's memory and descriptors. The first form, with a bound on the waiting requests of a connection, still ended relays in three tests: one read of 64 KiB holds over a thousand requests. Changed tests: bytes that are no HTTP and arrive during a response are now parsed after it and get a 400 of their own; the test that demanded that no 400 follows demands now that the response is complete before it and that the 400 is complete. Servers in tests get resources.

--- a/development/fuzz/stream-suite.ts
+++ b/development/fuzz/stream-suite.ts
@@ -24,6 +24,7 @@
 import {Ceilings} from '../../src/limits/ceilings.js';
 import type {PeerState} from '../../src/peers/peer-messages.js';
 import type {Box} from '../../src/external/box-list.js';
+import {AnswerBodies} from '../../src/resources/answer-bodies.js';
 import {RecordRegistry} from '../../src/records/record-registry.js';
 import {RequestRecord} from '../../src/records/request-record.js';
 import {describePrompt} from '../../src/routing/prefix-cache-estimate.js';
@@ -236,6 +237,7 @@
 			clock,
 			log,
 			metrics,
+			answers: AnswerBodies.create(clock),
 			directory,
 			links,
 			gates: PoolGates.create(links, clock, metrics),
--- a/development/fuzz/suites.ts
+++ b/development/fuzz/suites.ts
@@ -1,6 +1,7 @@
 /**
  * The list of all fuzz suites.
  */
+import {bodySuite} from './body-suite.js';
 import {ceilingSuite} from './ceiling-suite.js';
 import {claimSuite} from './claim-suite.js';
 import {decoderSuite} from './decoder-suite.js';
@@ -14,4 +15,4 @@
 export type AnySuite = Suite<never>;
 
 /** All suites, in the order in which they run. */
-export const suites: readonly AnySuite[] = [claimSuite, ceilingSuite, leaseSuite, tableSuite, streamSuite, eventSuite, decoderSuite] as unknown as readonly AnySuite[];
+export const suites: readonly AnySuite[] = [claimSuite, ceilingSuite, leaseSuite, tableSuite, streamSuite, eventSuite, decoderSuite, bodySuite] as unknown as readonly AnySuite[];
--- a/scripts/layers.js
+++ b/scripts/layers.js
@@ -4,6 +4,7 @@
  */
 export const layers = [
 	'base',
+	'resources',
 	'external',
 	'upstream',
 	'settings',
--- a/src/base/refusal-reason.ts
+++ b/src/base/refusal-reason.ts
@@ -34,6 +34,7 @@
 	'sender-too-slow': refusal(408, 'Request not received in time', 'not-run', 1),
 	'too-many-connections': refusal(429, 'Too many open requests for this client account', 'not-run', 1),
 	'ceiling-reached': refusal(429, 'Ceiling reached', 'not-run', 1),
+	'box-full': refusal(503, 'This box has no memory for the request now', 'not-run', 1),
 	'capacity-short': refusal(503, 'Capacity is short', 'not-run', 2),
 	'replica-limit': refusal(503, 'The replicas take no more requests now', 'not-run', 1),
 	'no-upstream': refusal(503, 'No upstream can take the request', 'not-run', 2),
--- a/src/daemon/entry-box.ts
+++ b/src/daemon/entry-box.ts
@@ -29,6 +29,7 @@
 import type {BoxList} from '../external/box-list.js';
 import type {ObjectStore} from '../external/object-store.js';
 import {RecordRegistry} from '../records/record-registry.js';
+import {ProcessResources} from '../resources/process-resources.js';
 import {ExpectedCostPolicy} from '../routing/routing-policy.js';
 import type {Settings} from '../settings/settings.js';
 import {SummaryDuty} from '../status/summary-duty.js';
@@ -58,6 +59,7 @@
 type Components = {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
+	readonly resources: ProcessResources;
 	readonly table: TableView;
 	readonly directory: BoxDirectory;
 	readonly dispatch: DispatchServices;
@@ -182,6 +184,7 @@
 		const {log} = this;
 		const clock = SystemClock.create();
 		const metrics = Metrics.create();
+		const resources = ProcessResources.create(clock, this.settings.limits, metrics.registry);
 		const table = TableView.create(log);
 		table.onDidApply(({version}) => {
 			metrics.tableVersion.set(version);
@@ -197,6 +200,7 @@
 			clock,
 			log,
 			metrics,
+			answers: resources.answers,
 			directory,
 			links,
 			ceilings,
@@ -226,25 +230,26 @@
 			dataCentre, directory, log, records: dispatch.records, runs: dispatch.runs, peers: () => peers.reachable,
 		});
 		return {
-			clock, metrics, table, directory, dispatch, peers, owner, handOver,
+			clock, metrics, resources, table, directory, dispatch, peers, owner, handOver,
 		};
 	}
 
 	private open(): Effect.Effect<void, never, Scope.Scope> {
 		return Effect.gen({self: this}, function * () {
 			const {settings, log} = this;
-			const {table, dispatch, metrics} = this.components;
+			const {table, dispatch, metrics, resources} = this.components;
 			const finder = PeerRecordFinder.create(() => this.components.peers.reachable);
-			this.ports.peers = yield * listenForPeers(this.localPeer(), settings.peers.host, settings.peers.port);
+			this.ports.peers = yield * listenForPeers(this.localPeer(), resources, settings.peers.host, settings.peers.port);
 			yield * superviseRoles(this.roles(), log);
 			this.ports.operators = yield * openOperatorsListener({
-				metrics, readiness: () => this.readiness, status: () => this.state(),
+				metrics, resources, readiness: () => this.readiness, status: () => this.state(),
 			}, settings.operators.host, settings.operators.port);
 			this.door = yield * CallerListener.open({
 				settings: settings.callers,
 				table,
 				log,
 				metrics,
+				resources,
 				chat: ChatHandler.create(dispatch, table, finder),
 				plainServices: ServiceHandler.create(dispatch, table),
 				requests: RequestStatusHandler.create(dispatch, finder),
--- a/src/daemon/test/record-hand-over.test.ts
+++ b/src/daemon/test/record-hand-over.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import * as Effect from 'effect/Effect';
+import {ampleResources} from '../../../development/harness/ample-resources.js';
 import {SilentEventLog} from '../../base/event-log.js';
 import type {
 	BoxId, ClientAccountName, DataCentre, RequestKey,
@@ -64,7 +65,7 @@
 	const log = SilentEventLog.create();
 	const receiver = new AdoptingPeer();
 	const handingOver = Effect.gen(function * () {
-		const port = yield * listenForPeers(receiver, '127.0.0.1', 0);
+		const port = yield * listenForPeers(receiver, ampleResources(), '127.0.0.1', 0);
 		const peer = RemotePeer.create('127.0.0.1', port);
 		const records = RecordRegistry.create({retention: 1000, maximumBytes: 1000}, clock);
 		for (const [index, prompt] of prompts.entries()) {
--- a/src/door/caller-listener.ts
+++ b/src/door/caller-listener.ts
@@ -15,10 +15,11 @@
 import {endLingering} from '../base/lingering-close.js';
 import {OpenResponses} from '../base/open-responses.js';
 import {Refusal} from '../base/verdict.js';
+import type {ProcessResources} from '../resources/process-resources.js';
+import type {RequestBody} from '../resources/request-body.js';
 import type {Settings} from '../settings/settings.js';
 import type {TableView} from '../table/table-view.js';
 import {authenticate} from './authentication.js';
-import {readBody} from './body-reader.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ChatHandler} from './chat-handler.js';
 import {problemOf, sendProblem, writeProblem} from './problem.js';
@@ -43,6 +44,7 @@
 	readonly table: TableView;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
+	readonly resources: ProcessResources;
 	readonly chat: ChatHandler;
 	readonly plainServices: ServiceHandler;
 	readonly requests: RequestStatusHandler;
@@ -87,7 +89,7 @@
 	private isStopping = false;
 
 	private constructor(private readonly services: CallerListenerServices) {
-		const {settings, chat, plainServices, requests, log} = services;
+		const {settings, chat, plainServices, requests, log, resources} = services;
 		this.refusalLog = RefusalLog.create(log);
 		this.server = createServer({
 			maxHeaderSize: settings.maximumHeaders,
@@ -97,8 +99,17 @@
 			keepAliveTimeout: idleTimeout,
 			noDelay: true,
 		}, (incoming, response) => {
-			this.serve(incoming, response);
+			const body = resources.requestBodies.receive(incoming);
+			connections.enqueue({
+				incoming,
+				response,
+				body,
+				start: () => {
+					this.serve(incoming, response, body);
+				},
+			});
 		});
+		const connections = resources.limitServer('clients', this.server, settings.maximumHeaders);
 		this.responses = OpenResponses.watch(this.server);
 		this.server.maxHeadersCount = maxHeaderFields;
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -135,14 +146,14 @@
 		});
 	}
 
-	private serve(incoming: IncomingMessage, response: ServerResponse): void {
+	private serve(incoming: IncomingMessage, response: ServerResponse, body: RequestBody): void {
 		const {socket} = incoming;
 		this.requestsBySocket.set(socket, (this.requestsBySocket.get(socket) ?? 0) + 1);
 		if (this.isStopping) {
 			response.shouldKeepAlive = false;
 		}
 
-		const fiber = Effect.runFork(this.answer(incoming, response, performance.now()));
+		const fiber = Effect.runFork(this.answer(incoming, response, body));
 		response.once('close', () => {
 			this.requestsBySocket.set(socket, (this.requestsBySocket.get(socket) ?? 1) - 1);
 			if (!response.writableFinished) {
@@ -151,20 +162,23 @@
 		});
 	}
 
-	private answer(incoming: IncomingMessage, response: ServerResponse, receivedAt: number): Effect.Effect<void> {
-		return this.route(incoming, response).pipe(
-			Effect.catch(error => Effect.sync(() => {
+	private answer(incoming: IncomingMessage, response: ServerResponse, body: RequestBody): Effect.Effect<void> {
+		const receivedAt = performance.now();
+		return this.route(incoming, response, body).pipe(
+			Effect.catch(error => body.untilReadOnce().pipe(Effect.andThen(Effect.sync(() => {
 				this.refusalLog.write(error, incoming, performance.now() - receivedAt);
+				body.release();
 				this.refuse(response, error, incoming);
-			})),
+			})))),
 			Effect.catchDefect(defect => Effect.sync(() => {
 				this.services.log.write('requestFailed', {detail: String(defect)});
+				body.release();
 				this.refuse(response, Refusal.create('internal', 'The program failed; its log says how.'), incoming);
 			})),
 		);
 	}
 
-	private route(incoming: IncomingMessage, response: ServerResponse): Effect.Effect<void, Refusal> {
+	private route(incoming: IncomingMessage, response: ServerResponse, requestBody: RequestBody): Effect.Effect<void, Refusal> {
 		return Effect.gen({self: this}, function * () {
 			const path = (incoming.url ?? '/').slice(0, maxPathLength).split('?', 1)[0]!;
 			const route = this.routes.find(({matches}) => matches(path));
@@ -177,7 +191,7 @@
 				return yield * Effect.fail(Refusal.create('method-not-allowed', `Use ${route.method} here.`));
 			}
 
-			const body = yield * readBody(incoming, this.services.settings.maximumBody);
+			const body = yield * requestBody.read(this.services.settings.maximumBody);
 			yield * this.limitConcurrency(account.name, route.answer({
 				incoming, response, account, path, body,
 			}));
--- a/src/door/operators-listener.ts
+++ b/src/door/operators-listener.ts
@@ -8,6 +8,11 @@
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import type {Metrics} from '../base/metrics.js';
+import type {ProcessResources} from '../resources/process-resources.js';
+import {serveDocument} from '../resources/serve-document.js';
+
+/** Maximum bytes of the head of a request. */
+const maxHeadBytes = 16_384;
 
 /** Whether the load balancer should send callers to this box, and the reason if not. */
 export type Readiness = {
@@ -18,6 +23,7 @@
 /** The sources of the responses. */
 export type OperatorsListenerServices = {
 	readonly metrics: Metrics;
+	readonly resources: ProcessResources;
 	readonly readiness: () => Readiness;
 	/** @returns The content of `/status`, serialised as JSON. */
 	readonly status: () => unknown;
@@ -68,9 +74,13 @@
  */
 export function openOperatorsListener(services: OperatorsListenerServices, host: string, port: number): Effect.Effect<number, never, Scope.Scope> {
 	const open = Effect.promise(async (): Promise<Server> => {
-		const server = createServer((incoming, response) => {
-			answer(incoming.url ?? '/', response, services);
+		const {resources} = services;
+		const server = createServer({maxHeaderSize: maxHeadBytes}, (incoming, response) => {
+			serveDocument({resources, connections}, incoming, response, () => {
+				answer(incoming.url ?? '/', response, services);
+			});
 		});
+		const connections = resources.limitServer('operators', server, maxHeadBytes);
 		server.listen(port, host);
 		await once(server, 'listening');
 		return server;
--- a/src/door/test/caller-listener.test.ts
+++ b/src/door/test/caller-listener.test.ts
@@ -112,8 +112,8 @@
 			send('NOT HTTP\r\n\r\n');
 		}, 60);
 	});
-	assert.match(received, /^HTTP\/1.1 200 .*data: \[DONE\]/sv);
-	assert.doesNotMatch(received, /malformed/v);
+	// The response in progress is complete up to its last chunk; only then the invalid bytes get a response of their own.
+	assert.match(received, /^HTTP\/1.1 200 (?:(?!malformed|HTTP\/1).)*data: \[DONE\]\s+0\r\n\r\nHTTP\/1.1 400 (?:(?!HTTP\/1).)*malformed(?:(?!HTTP\/1).)*$/sv);
 });
 
 test('a client account cannot find the request of another account', async () => {
--- a/src/door/test/operators-listener.test.ts
+++ b/src/door/test/operators-listener.test.ts
@@ -8,6 +8,7 @@
 import * as Effect from 'effect/Effect';
 import * as Exit from 'effect/Exit';
 import * as Scope from 'effect/Scope';
+import {ampleResources} from '../../../development/harness/ample-resources.js';
 import {Metrics} from '../../base/metrics.js';
 import {openOperatorsListener} from '../operators-listener.js';
 
@@ -16,7 +17,9 @@
 let port: number;
 
 before(async () => {
-	const services = {metrics: Metrics.create(), readiness: () => ({isReady: true, detail: 'prêt'}), status: () => ({box: 'é'})};
+	const services = {
+		metrics: Metrics.create(), resources: ampleResources(), readiness: () => ({isReady: true, detail: 'prêt'}), status: () => ({box: 'é'}),
+	};
 	port = await Effect.runPromise(openOperatorsListener(services, '127.0.0.1', 0).pipe(Effect.provideService(Scope.Scope, scope)));
 });
 
--- a/src/node/control-listeners.ts
+++ b/src/node/control-listeners.ts
@@ -10,6 +10,10 @@
 import type {EventLog} from '../base/event-log.js';
 import {OpenResponses} from '../base/open-responses.js';
 import {maxHeadBytes} from '../relay/front-end.js';
+import type {ProcessResources} from '../resources/process-resources.js';
+import {serveDocument} from '../resources/serve-document.js';
+import type {ListenerName} from '../resources/resource-limits.js';
+import type {ServerConnections} from '../resources/server-connections.js';
 import type {Address} from '../settings/relay-settings.js';
 
 /** Response of a control listener. */
@@ -23,11 +27,24 @@
 export type ControlHandler = (path: string) => ControlResponse | undefined | Promise<ControlResponse>;
 
 /** Handles a request that is not for a document; returns whether it did. */
-export type ForwardHandler = (incoming: IncomingMessage, response: ServerResponse) => boolean;
+export type ForwardHandler = (incoming: IncomingMessage, response: ServerResponse, connections: ServerConnections) => boolean;
 
 /** Dependencies of a control listener. */
 export type ControlListenerServices = {
 	readonly log: EventLog;
+	readonly resources: ProcessResources;
+};
+
+/** A control listener. */
+export type ControlListenerPlan = {
+	/** Listener whose limit of connections applies. */
+	readonly name: ListenerName;
+	/** Address to bind. */
+	readonly address: Address;
+	/** Returns the responses; an exception or rejection gives status 500. */
+	readonly handler: ControlHandler;
+	/** Called first with each request. */
+	readonly forwardHandler?: ForwardHandler;
 };
 
 /** Bytes by which the head of a forwarded request may exceed that of the client's request. */
@@ -71,37 +88,35 @@
  * Opens a control listener until the scope closes.
  *
  * @param services - Dependencies of the listener.
- * @param address - Address to bind.
- * @param handler - Returns the responses; an exception or rejection gives status 500.
- * @param forwardHandler - Called first with each request.
+ * @param plan - The listener.
  * @returns An effect that completes once the listener is open.
  */
 export function openControlListener(
-	{log}: ControlListenerServices,
-	address: Address,
-	handler: ControlHandler,
-	forwardHandler: ForwardHandler = () => false,
+	{log, resources}: ControlListenerServices,
+	{name, address, handler, forwardHandler = () => false}: ControlListenerPlan,
 ): Effect.Effect<void, never, Scope.Scope> {
-	const server = createServer({maxHeaderSize: maxHeadBytes + maxForwardHeadBytes, noDelay: true}, (incoming, response) => {
-		if (forwardHandler(incoming, response)) {
-			return;
+	const find = async (path: string): Promise<ControlResponse> => {
+		try {
+			return await handler(path) ?? {status: 404, contentType: 'text/plain', body: 'not found\n'};
+		} catch (error) {
+			log.write('controlRequestFailed', {path, detail: String(error)});
+			return {status: 500, contentType: 'text/plain', body: 'internal fault\n'};
 		}
+	};
 
-		const find = async (): Promise<ControlResponse> => {
-			try {
-				return await handler(incoming.url ?? '/') ?? {status: 404, contentType: 'text/plain', body: 'not found\n'};
-			} catch (error) {
-				log.write('controlRequestFailed', {path: incoming.url, detail: String(error)});
-				return {status: 500, contentType: 'text/plain', body: 'internal fault\n'};
-			}
-		};
+	const answer = async (path: string, response: ServerResponse) => {
+		const found = await find(path);
+		response.writeHead(found.status, {'Content-Type': found.contentType, 'Content-Length': Buffer.byteLength(found.body)}).end(found.body);
+	};
 
-		const answer = async () => {
-			const found = await find();
-			response.writeHead(found.status, {'Content-Type': found.contentType, 'Content-Length': Buffer.byteLength(found.body)}).end(found.body);
-		};
-
-		void answer();
+	const maxHead = maxHeadBytes + maxForwardHeadBytes;
+	const server = createServer({maxHeaderSize: maxHead, noDelay: true}, (incoming, response) => {
+		if (!forwardHandler(incoming, response, connections)) {
+			serveDocument({resources, connections}, incoming, response, () => {
+				void answer(incoming.url ?? '/', response);
+			});
+		}
 	});
+	const connections = resources.limitServer(name, server, maxHead);
 	return listen(server, address);
 }
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -47,7 +47,7 @@
 import {BrittleReplicas} from '../replicas/brittle-replicas.js';
 import {DemandWeights} from '../replicas/demand-weights.js';
 import {LeastWaitChoice} from '../replicas/replica-choice.js';
-import type {SocketConnector} from '../replicas/replica-connections.js';
+import {connectSocket, type SocketConnector} from '../replicas/replica-connections.js';
 import {ReplicaDirectory} from '../replicas/replica-directory.js';
 import {ReplicaLimits} from '../replicas/replica-limits.js';
 import {ReplicaStatements} from '../replicas/replica-statements.js';
@@ -57,6 +57,7 @@
 import {FleetEvidence} from '../rollout/fleet-evidence.js';
 import {RolloutView} from '../rollout/rollout-view.js';
 import {VersionEvidence} from '../rollout/version-evidence.js';
+import {ProcessResources} from '../resources/process-resources.js';
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
 import {BacklogExchange} from './backlog-exchange.js';
@@ -342,9 +343,13 @@
 		const {link, log, metrics, settings} = this.parts;
 		const {clock, peers, topology} = this;
 		const table = RouteTableView.create(clock, log);
+		const resources = ProcessResources.create(clock, settings().limits, metrics.registry);
 		const connections = ConnectionRegistry.create(clock, {
 			maximumConnections: service => table.inForce?.service(service)?.maximumConnections ?? Number.POSITIVE_INFINITY, boxes: () => peers.boxes,
-		}, this.parts.connector);
+		}, resources.outgoing.counting(this.parts.connector ?? connectSocket));
+		resources.outgoing.onShortage(() => {
+			connections.closeIdle();
+		});
 		const replicas = ReplicaDirectory.create(clock, log);
 		const reach = ReplicaReach.create({
 			clock, log, metrics, replicas, connections,
@@ -434,6 +439,7 @@
 			metrics,
 			table,
 			format: link.format,
+			resources,
 			guard: FreshnessGuard.create(table, () => ({isStrict: bounds().isRevocationStrict, revoke: bounds().revoke})),
 			replicas,
 			choice: ChoiceByService.create({
@@ -522,14 +528,25 @@
 		return Effect.gen({self: this}, function * () {
 			const {settings, link, metrics, log} = this.parts;
 			const {front, ready, control, metrics: metricsAddress} = settings();
-			const services = {log};
-			yield * openControlListener(services, ready, path => path === link.format.readyPath
-				? {status: this.isReady ? 200 : 503, contentType: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
-				: undefined);
-			yield * openControlListener(services, control, path => compressed(this.documentAt(path)), (incoming, response) => this.frontEnd.handleForwarded(incoming, response));
-			yield * openControlListener(services, metricsAddress, async () => ({
-				status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics(),
-			}));
+			const services = {log, resources: this.services.resources};
+			yield * openControlListener(services, {
+				name: 'ready',
+				address: ready,
+				handler: path => path === link.format.readyPath
+					? {status: this.isReady ? 200 : 503, contentType: 'text/plain', body: this.isReady ? 'ready\n' : 'not ready\n'}
+					: undefined,
+			});
+			yield * openControlListener(services, {
+				name: 'peers',
+				address: control,
+				handler: path => compressed(this.documentAt(path)),
+				forwardHandler: (incoming, response, open) => this.frontEnd.handleForwarded(incoming, response, open),
+			});
+			yield * openControlListener(services, {
+				name: 'operators',
+				address: metricsAddress,
+				handler: async () => ({status: 200, contentType: metrics.registry.contentType, body: await metrics.registry.metrics()}),
+			});
 			yield * listen(this.frontEnd.server, front, this.frontEnd.responses);
 			yield * superviseRoles(this.roles(), log, role => {
 				metrics.roleFailures.inc({role});
--- a/src/peers/test/cut-answers.test.ts
+++ b/src/peers/test/cut-answers.test.ts
@@ -7,6 +7,7 @@
 import * as Effect from 'effect/Effect';
 import * as Exit from 'effect/Exit';
 import * as Scope from 'effect/Scope';
+import {ampleResources} from '../../../development/harness/ample-resources.js';
 import {FaultProxy} from '../../../development/harness/fault-proxy.js';
 import type {
 	BoxId, ClientAccountName, DataCentre, RequestKey,
@@ -89,7 +90,7 @@
 for (const [name, [call, whole]] of Object.entries(ways)) {
 	test(`${name} whose answer is cut at any byte is a failure`, {timeout}, async () => {
 		const scope = Effect.runSync(Scope.make());
-		const port = await Effect.runPromise(listenForPeers(new FixedPeer(), '127.0.0.1', 0).pipe(Effect.provideService(Scope.Scope, scope)));
+		const port = await Effect.runPromise(listenForPeers(new FixedPeer(), ampleResources(), '127.0.0.1', 0).pipe(Effect.provideService(Scope.Scope, scope)));
 		const places = Array.from({length: Math.ceil((maxBytes - firstByte) / byteStep)}, (_, index) => firstByte + (index * byteStep));
 		const remaining = places.flatMap(bytes => [false, true].map(isReset => ({bytes, isReset})));
 		let failures = 0;
--- a/src/peers/test/hostile-peer.test.ts
+++ b/src/peers/test/hostile-peer.test.ts
@@ -12,6 +12,7 @@
 import * as Exit from 'effect/Exit';
 import * as Scope from 'effect/Scope';
 import {WebSocket, WebSocketServer} from 'ws';
+import {ampleResources} from '../../../development/harness/ample-resources.js';
 import {createRandom} from '../../../development/harness/seeded-random.js';
 import {watchExceptions} from '../../../development/harness/uncaught-exceptions.js';
 import type {BoxId, DataCentre} from '../../base/identifiers.js';
@@ -144,7 +145,7 @@
 /** Opens the server of a peer, and a client that uses it correctly. */
 async function startServer(context: TestContext): Promise<{readonly port: number; readonly peer: RemotePeer}> {
 	const scope = await Effect.runPromise(Scope.make());
-	const port = await Effect.runPromise(listenForPeers(new SoundPeer(), '127.0.0.1', 0).pipe(Effect.provideService(Scope.Scope, scope)));
+	const port = await Effect.runPromise(listenForPeers(new SoundPeer(), ampleResources(), '127.0.0.1', 0).pipe(Effect.provideService(Scope.Scope, scope)));
 	const peer = RemotePeer.create('127.0.0.1', port);
 	context.after(async () => {
 		peer.close();
--- a/src/relay/connection-registry.ts
+++ b/src/relay/connection-registry.ts
@@ -88,7 +88,14 @@
 		this.byReplica.delete(start);
 	}
 
-	/** Closes all idle connections. */
+	/** Closes all idle connections; those in use are kept for further requests. */
+	closeIdle(): void {
+		for (const connections of this.byReplica.values()) {
+			connections.closeIdle();
+		}
+	}
+
+	/** Closes all connections when they become idle. */
 	close(): void {
 		for (const connections of this.byReplica.values()) {
 			connections.close();
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -9,7 +9,8 @@
 import {headerFaultOf} from '../base/header-fault.js';
 import {OpenResponses} from '../base/open-responses.js';
 import {Refusal} from '../base/verdict.js';
-import {readBody} from '../door/body-reader.js';
+import type {RequestBody} from '../resources/request-body.js';
+import type {ServerConnections} from '../resources/server-connections.js';
 import {
 	type Route, type RouteTable, type ClientAccount, pickTarget,
 } from '../routes/route-table.js';
@@ -72,8 +73,9 @@
 
 	private constructor(private readonly services: RelayServices, private readonly state: FrontState) {
 		this.server = createServer({maxHeaderSize: maxHeadBytes, requestTimeout: receiveTimeout, noDelay: true}, (incoming, response) => {
-			this.handle(incoming, response);
+			this.handle(incoming, response, connections);
 		});
+		const connections = services.resources.limitServer('clients', this.server, maxHeadBytes);
 		this.responses = OpenResponses.watch(this.server);
 		this.server.keepAliveTimeout = 0;
 		services.table.onDidApply(({content: {limits}}) => {
@@ -106,22 +108,36 @@
 	 *
 	 * @param incoming - A request from another box.
 	 * @param response - Its response.
+	 * @param connections - Connections of the listener.
 	 * @returns Whether it is a forwarded request; otherwise nothing is done.
 	 */
-	handleForwarded(incoming: IncomingMessage, response: ServerResponse): boolean {
+	handleForwarded(incoming: IncomingMessage, response: ServerResponse, connections: ServerConnections): boolean {
 		const forward = readForwardHead(incoming);
 		if (forward) {
-			this.handle(incoming, response, forward);
+			this.handle(incoming, response, connections, forward);
 		}
 
 		return forward !== undefined;
 	}
 
+	/** Collects the body from now on, and handles the request when the earlier ones of its connection have been answered. */
+	private handle(incoming: IncomingMessage, response: ServerResponse, connections: ServerConnections, forward?: ForwardHead): void {
+		const body = this.services.resources.requestBodies.receive(incoming);
+		connections.enqueue({
+			incoming,
+			response,
+			body,
+			start: () => {
+				this.serve(incoming, response, body, forward);
+			},
+		});
+	}
+
 	/** Runs one fiber for each request, which is interrupted when the client disconnects. */
-	private handle(incoming: IncomingMessage, response: ServerResponse, forward?: ForwardHead): void {
+	private serve(incoming: IncomingMessage, response: ServerResponse, body: RequestBody, forward?: ForwardHead): void {
 		this.active++;
 		this.services.metrics.inProgress.set(this.active);
-		const fiber = Effect.runFork(Effect.suspend(() => this.answer(incoming, response, forward)));
+		const fiber = Effect.runFork(Effect.suspend(() => this.answer(incoming, response, body, forward)));
 		response.once('close', () => {
 			Effect.runFork(Fiber.interrupt(fiber));
 			this.active--;
@@ -134,7 +150,7 @@
 		});
 	}
 
-	private answer(incoming: IncomingMessage, response: ServerResponse, forward: ForwardHead | undefined): Effect.Effect<void> {
+	private answer(incoming: IncomingMessage, response: ServerResponse, body: RequestBody, forward: ForwardHead | undefined): Effect.Effect<void> {
 		const {clock, format, log} = this.services;
 		const receivedAt = clock.monotonic();
 		const head = format.readRequest(incoming);
@@ -154,7 +170,7 @@
 			const table = yield * this.tableInForce(forward?.version);
 			const access = yield * this.authorise(incoming, head, table);
 			summary.access = access;
-			const admitted = yield * this.admit(incoming, head, {
+			const admitted = yield * this.admit(incoming, head, body, {
 				table, forward, receivedAt, ...access,
 			});
 			summary.admitted = admitted;
@@ -164,11 +180,12 @@
 			summary.reportAnswered();
 		});
 		return serving.pipe(
-			Effect.catchTag('Refusal', refusal => Effect.sync(() => {
+			Effect.catchTag('Refusal', refusal => body.untilReadOnce().pipe(Effect.andThen(Effect.sync(() => {
 				this.refundQuota(summary.admitted, refusal);
+				body.release();
 				client.refuse(refusal);
 				summary.reportRefused(refusal);
-			})),
+			})))),
 			Effect.onInterrupt(() => Effect.sync(() => {
 				summary.reportLeft();
 			})),
@@ -197,9 +214,14 @@
 		});
 	}
 
-	private admit(incoming: IncomingMessage, head: RequestHead, {table, forward, receivedAt, route, clientAccount}: Admission): Effect.Effect<AdmittedRequest, Refusal> {
+	private admit(
+		incoming: IncomingMessage,
+		head: RequestHead,
+		requestBody: RequestBody,
+		{table, forward, receivedAt, route, clientAccount}: Admission,
+	): Effect.Effect<AdmittedRequest, Refusal> {
 		return Effect.gen({self: this}, function * () {
-			const body = yield * readBody(incoming, table.content.limits.body);
+			const body = yield * requestBody.read(table.content.limits.body);
 			const units = unitsOf(clientAccount, head);
 			// The box that received the request from the client has charged it.
 			if (clientAccount && !forward) {
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -18,6 +18,7 @@
 import type {VersionHistory} from '../stream-versions/version-history.js';
 import type {RolloutView} from '../rollout/rollout-view.js';
 import type {VersionEvidence} from '../rollout/version-evidence.js';
+import type {ProcessResources} from '../resources/process-resources.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
 import type {UsageCounts} from '../duties/usage-counts.js';
 import type {ConnectionRegistry} from './connection-registry.js';
@@ -43,6 +44,8 @@
 	readonly log: EventLog;
 	readonly metrics: RelayMetrics;
 	readonly format: RelayFormat;
+	/** Memory and connections that this process uses for others. */
+	readonly resources: ProcessResources;
 	readonly table: RouteTableView;
 	readonly guard: FreshnessGuard;
 	readonly replicas: ReplicaDirectory;
--- /dev/null
+++ b/src/resources/send-body.ts
@@ -0,0 +1,28 @@
+/**
+ * Sends a body in parts, so that the progress of a client that reads slowly can be told.
+ */
+import type {ServerResponse} from 'node:http';
+
+/** Bytes of a part. */
+const partBytes = 65_536;
+
+/**
+ * Sends a whole body and ends the response.
+ *
+ * @param response - A response whose head states the length.
+ * @param body - The body.
+ * @param onProgress - Called when the system has taken a part.
+ */
+export function sendBody(response: ServerResponse, body: Uint8Array, onProgress: () => void): void {
+	if (body.length <= partBytes) {
+		response.end(body);
+		return;
+	}
+
+	response.write(body.subarray(0, partBytes), error => {
+		if (!error) {
+			onProgress();
+			sendBody(response, body.subarray(partBytes), onProgress);
+		}
+	});
+}
--- /dev/null
+++ b/src/resources/server-connections.ts
@@ -0,0 +1,251 @@
+/**
+ * Limits the connections of one HTTP server, the incomplete heads that it holds, and the requests in progress on each connection to one. At a limit the
+ * connection goes that has made no progress for longest and whose request is not complete; a complete request is not cut while there is another connection.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '../base/clock.js';
+import {sumOf} from '../base/sum.js';
+import type {RequestBody} from './request-body.js';
+import {RequestFeed} from './request-feed.js';
+
+/** Milliseconds between two checks of incomplete heads. */
+const checkInterval = 100;
+/** Milliseconds for which a connection with a request keeps its place, whatever its progress. */
+const minGrantedTime = 500;
+
+/** Why a connection was closed. */
+export type ClosingReason = 'connections' | 'heads';
+
+/** Limits of a server. */
+export type ConnectionLimits = {
+	/** Open connections. */
+	readonly connections: number;
+	/** Bytes of all incomplete heads. */
+	readonly heads: number;
+	/** Bytes of one head, as the server is configured. */
+	readonly maxHead: number;
+};
+
+/** Dependencies of the connections of a server. */
+export type ServerConnectionsParts = {
+	readonly server: Server;
+	readonly clock: Clock;
+	readonly limits: ConnectionLimits;
+	/** Called for each connection that is closed because of a limit. */
+	readonly onClosed?: (reason: ClosingReason) => void;
+};
+
+/** A request that is handled when the earlier ones of its connection have been answered. */
+export type QueuedRequest = {
+	readonly incoming: IncomingMessage;
+	readonly response: ServerResponse;
+	/** Its body, which is released when the response has been sent or the connection closes. */
+	readonly body: Pick<RequestBody, 'missingBytes' | 'release'>;
+	/** Starts to handle it; not called if its connection closes before. */
+	readonly start: () => void;
+};
+
+/** What is known of a connection. */
+type Connection = {
+	/** The request in progress; `undefined` while there is none. */
+	request: Pick<IncomingMessage, 'complete'> | undefined;
+	/** Its body. */
+	body: QueuedRequest['body'] | undefined;
+	/** Monotonic milliseconds since when it has had a request or been without one. */
+	since: number;
+	/** Bytes that had been received by then. */
+	bytes: number;
+	/** Requests that wait for the end of the one in progress: as many as one part of its {@link RequestFeed} holds. */
+	readonly waiting: QueuedRequest[];
+	/** Passes its bytes to the parser. */
+	feed: RequestFeed | undefined;
+};
+
+/** The connections of one server. */
+export class ServerConnections {
+	/**
+	 * @param parts - Dependencies; the server must not have accepted a connection yet.
+	 * @returns Its connections, none so far.
+	 */
+	static limit(parts: ServerConnectionsParts): ServerConnections {
+		return new ServerConnections(parts);
+	}
+
+	/** In the order in which they last became idle or busy. */
+	private readonly connections = new Map<Socket, Connection>();
+	private checkedAt = Number.NEGATIVE_INFINITY;
+	private readonly timer: NodeJS.Timeout;
+
+	private constructor(private readonly parts: ServerConnectionsParts) {
+		const {server} = parts;
+		server.on('connection', socket => {
+			this.add(socket);
+		});
+		this.timer = setInterval(() => {
+			this.checkHeads();
+		}, checkInterval);
+		this.timer.unref();
+		server.once('close', () => {
+			clearInterval(this.timer);
+		});
+	}
+
+	/** Number of open connections. */
+	get count(): number {
+		return this.connections.size;
+	}
+
+	/** Bytes of all incomplete heads. */
+	get headBytes(): number {
+		return sumOf(this.incompleteHeads.map(({bytes}) => bytes));
+	}
+
+	/**
+	 * Starts to handle a request when the earlier requests of its connection have been answered.
+	 *
+	 * @param request - The request.
+	 */
+	enqueue(request: QueuedRequest): void {
+		const {socket} = request.incoming;
+		const connection = this.connections.get(socket);
+		if (!connection) {
+			request.body.release();
+			return;
+		}
+
+		if (connection.request === undefined) {
+			this.begin(socket, connection, request);
+			return;
+		}
+
+		connection.waiting.push(request);
+	}
+
+	/** @param socket - A connection that is used for another protocol from now on: it keeps its place until it closes. */
+	keepUpgraded(socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (connection) {
+			this.setRequest(socket, connection, {complete: true});
+			connection.feed?.detach();
+		}
+	}
+
+	private add(socket: Socket): void {
+		const {limits, clock} = this.parts;
+		const connection: Connection = {
+			request: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined,
+		};
+		if (this.connections.size >= limits.connections) {
+			const victim = this.leastUseful;
+			this.close(victim ?? socket, 'connections');
+			if (!victim) {
+				return;
+			}
+		}
+
+		this.connections.set(socket, connection);
+		connection.feed = RequestFeed.attach(socket, {
+			isComplete: () => connection.request?.complete === true,
+			missingBytes: () => connection.body ? connection.body.missingBytes : 0,
+		});
+		socket.once('close', () => {
+			this.connections.delete(socket);
+			for (const {body} of connection.waiting.splice(0)) {
+				body.release();
+			}
+		});
+		if (clock.monotonic() - this.checkedAt > checkInterval) {
+			this.checkHeads();
+		}
+	}
+
+	private begin(socket: Socket, connection: Connection, {incoming, response, body, start}: QueuedRequest): void {
+		this.setRequest(socket, connection, incoming);
+		connection.body = body;
+		response.once('close', () => {
+			body.release();
+			this.setRequest(socket, connection, undefined);
+			connection.body = undefined;
+			const next = connection.waiting.shift();
+			if (next) {
+				this.begin(socket, connection, next);
+			} else {
+				connection.feed?.release('earlier-request');
+			}
+		});
+		start();
+	}
+
+	/** Also moves the connection to the end of the order. */
+	private setRequest(socket: Socket, connection: Connection, request: Connection['request']): void {
+		if (this.connections.delete(socket)) {
+			connection.request = request;
+			connection.since = this.parts.clock.monotonic();
+			connection.bytes = socket.bytesRead;
+			this.connections.set(socket, connection);
+		}
+	}
+
+	/**
+	 * The connection that has been without a request for longest; otherwise the one whose request arrives slowest; otherwise the one whose answer has been
+	 * ready for longest without being read. `undefined` if all have complete requests in progress.
+	 */
+	private get leastUseful(): Socket | undefined {
+		const now = this.parts.clock.monotonic();
+		let slowest: {readonly socket: Socket; readonly rate: number} | undefined;
+		let unread: Socket | undefined;
+		for (const [socket, {request, since, bytes}] of this.connections) {
+			if (request === undefined) {
+				return socket;
+			}
+
+			const granted = now - since;
+			if (granted < minGrantedTime) {
+				continue;
+			}
+
+			if (request.complete) {
+				unread ??= socket.writableNeedDrain ? socket : undefined;
+			} else {
+				const rate = (socket.bytesRead - bytes) / granted;
+				slowest = slowest === undefined || rate < slowest.rate ? {socket, rate} : slowest;
+			}
+		}
+
+		return slowest?.socket ?? unread;
+	}
+
+	/** Closes connections with incomplete heads, the oldest first, while these take too much memory. */
+	private checkHeads(): void {
+		const {limits: {heads, maxHead}, clock} = this.parts;
+		this.checkedAt = clock.monotonic();
+		if (this.connections.size * maxHead <= heads) {
+			return;
+		}
+
+		let excess = this.headBytes - heads;
+		for (const {socket, bytes} of this.incompleteHeads) {
+			if (excess <= 0) {
+				return;
+			}
+
+			excess -= bytes;
+			this.close(socket, 'heads');
+		}
+	}
+
+	private get incompleteHeads(): ReadonlyArray<{readonly socket: Socket; readonly bytes: number}> {
+		return [...this.connections]
+			.filter(([, {request}]) => request === undefined)
+			.map(([socket, {bytes}]) => ({socket, bytes: socket.bytesRead - bytes}))
+			.filter(({bytes}) => bytes > 0);
+	}
+
+	/** A reset frees what the connection holds at once. */
+	private close(socket: Socket, reason: ClosingReason): void {
+		this.parts.onClosed?.(reason);
+		this.connections.delete(socket);
+		socket.resetAndDestroy();
+	}
+}
--- /dev/null
+++ b/src/resources/test/server-connections.test.ts
@@ -0,0 +1,172 @@
+/*
+ * Connections of a server: which one is closed at a limit, and the order of requests that arrive at once.
+ */
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {until} from '../../../development/relay/relay-installation.js';
+import {SystemClock} from '../../base/clock.js';
+import {ServerConnections, type ClosingReason} from '../server-connections.js';
+
+const maxHead = 16_384;
+
+/** A server whose requests are answered by the test. */
+class TestServer {
+	static async start(context: TestContext, connections: number, heads = 1_000_000): Promise<TestServer> {
+		const server = new TestServer(connections, heads);
+		server.server.listen(0, '127.0.0.1');
+		await once(server.server, 'listening');
+		context.after(() => {
+			server.server.close();
+			server.server.closeAllConnections();
+		});
+		return server;
+	}
+
+	readonly started: Array<{readonly path: string; readonly response: ServerResponse}> = [];
+	received = 0;
+	released = 0;
+	readonly closed: ClosingReason[] = [];
+	readonly connections: ServerConnections;
+	private readonly server = createServer({maxHeaderSize: maxHead}, (incoming, response) => {
+		const path = incoming.url ?? '';
+		this.received++;
+		this.connections.enqueue({
+			incoming,
+			response,
+			start: () => {
+				this.started.push({path, response});
+			},
+			body: {
+				missingBytes: 0, release: () => {
+					this.released++;
+				},
+			},
+		});
+	});
+
+	private constructor(connections: number, heads: number) {
+		this.connections = ServerConnections.limit({
+			server: this.server,
+			clock: SystemClock.create(),
+			limits: {connections, heads, maxHead},
+			onClosed: reason => {
+				this.closed.push(reason);
+			},
+		});
+	}
+
+	async connect(): Promise<Client> {
+		const before = this.connections.count;
+		const client = new Client((this.server.address() as AddressInfo).port);
+		await client.connected;
+		await until(() => this.connections.count > before || this.closed.length > 0);
+		return client;
+	}
+}
+
+class Client {
+	received = '';
+	isClosed = false;
+	readonly connected: Promise<unknown>;
+	private readonly socket: Socket;
+
+	constructor(port: number) {
+		this.socket = connect(port, '127.0.0.1');
+		this.connected = once(this.socket, 'connect').catch(() => undefined);
+		this.socket.on('error', () => undefined).on('data', data => {
+			this.received += data.toString();
+		}).once('close', () => {
+			this.isClosed = true;
+		});
+	}
+
+	send(...paths: readonly string[]): void {
+		this.socket.write(paths.map(path => `GET ${path} HTTP/1.1\r\nHost: box\r\n\r\n`).join(''));
+	}
+
+	write(text: string): void {
+		this.socket.write(text);
+	}
+}
+
+test('requests of one connection are handled one at a time and in order', async context => {
+	const server = await TestServer.start(context, 10);
+	const client = await server.connect();
+	client.send('/1', '/2', '/3');
+	for (const count of [1, 2, 3]) {
+		await until(() => server.started.length === count);
+		assert.deepEqual(server.started.map(({path}) => path), ['/1', '/2', '/3'].slice(0, count));
+		server.started.at(-1)!.response.end(`answer ${count};`);
+	}
+
+	await until(() => client.received.includes('answer 3;'));
+	assert.match(client.received, /answer 1;.*answer 2;.*answer 3;/sv);
+	assert.deepEqual([client.isClosed, server.closed], [false, []]);
+});
+
+test('of very many requests that arrive at once few are parsed before the first is answered, and all are answered', async context => {
+	const count = 500;
+	const server = await TestServer.start(context, 10);
+	const client = await server.connect();
+	client.send(...Array.from({length: count}, (_, index) => `/${index}`));
+	await until(() => server.started.length === 1);
+	assert.ok(server.received < 30, `${server.received} requests were parsed`);
+	for (let answered = 0; answered < count; answered++) {
+		await until(() => server.started.length > answered);
+		server.started[answered]!.response.end('answer;');
+	}
+
+	await until(() => client.received.split('answer;').length - 1 === count);
+	assert.deepEqual(server.started.map(({path}) => path), Array.from({length: count}, (_, index) => `/${index}`));
+	await until(() => server.released === count);
+});
+
+test('at the limit the connection goes that has been without a request for longest', async context => {
+	const server = await TestServer.start(context, 2);
+	const [busy, idle] = [await server.connect(), await server.connect()];
+	busy.send('/busy');
+	await until(() => server.started.length === 1);
+	const next = await server.connect();
+	await until(() => idle.isClosed);
+	next.send('/next');
+	await until(() => server.started.length === 2);
+	assert.deepEqual([busy.isClosed, next.isClosed, server.closed], [false, false, ['connections']]);
+});
+
+test('a complete request in progress is not cut for a new connection', async context => {
+	const server = await TestServer.start(context, 1);
+	const busy = await server.connect();
+	busy.send('/busy');
+	await until(() => server.started.length === 1);
+	const next = await server.connect();
+	await until(() => next.isClosed);
+	server.started[0]!.response.end('answer;');
+	await until(() => busy.received.includes('answer;'));
+});
+
+test('incomplete heads beyond the limit close their connections, the oldest first', async context => {
+	const server = await TestServer.start(context, 10, 2 * maxHead);
+	const clients = [await server.connect(), await server.connect(), await server.connect(), await server.connect()];
+	const part = `GET / HTTP/1.1\r\nX-Field: ${'x'.repeat(maxHead * 0.8)}`;
+	for (const client of clients) {
+		client.write(part);
+	}
+
+	await until(() => clients[0]!.isClosed && clients[1]!.isClosed);
+	assert.deepEqual(clients.map(({isClosed}) => isClosed), [true, true, false, false]);
+	assert.deepEqual(server.closed, ['heads', 'heads']);
+});
+
+test('a connection that changed to another protocol keeps its place', async context => {
+	const server = await TestServer.start(context, 1);
+	const upgraded = await server.connect();
+	upgraded.send('/');
+	await until(() => server.started.length === 1);
+	server.connections.keepUpgraded(server.started[0]!.response.socket!);
+	const next = await server.connect();
+	await until(() => next.isClosed);
+	assert.equal(upgraded.isClosed, false);
+});
