Count answers until their clients have read them

What callers saw: a process grew over its memory (309 of 200 MB in the test) while clients asked for large answers and read nothing. Cause: the bound on the bodies of answers ended when a body was complete, although it then waits for its client; what streams and plain services of entry boxes had not got rid of did not count at all. Change: an answer counts from its first byte until the client has read it. A body of known length is read from the replica when there is memory for it; the replica is held back. Large bodies are written in parts, so that the progress of a client can be told.

--- a/src/base/http-client.ts
+++ b/src/base/http-client.ts
@@ -36,6 +36,22 @@
 	readonly body: Uint8Array;
 };
 
+/** An answer that is read whole and counts for the memory of the process. */
+export type CountedAnswer = {
+	/** Calls `start` when there is memory for a body of a known length in bytes; zero if it is not known. */
+	expect(bytes: number, start: () => void): void;
+	/** Counts bytes that were read; may call `giveUp` of any answer. */
+	add(bytes: number): void;
+	/** Frees the memory. */
+	end(): void;
+};
+
+/** The memory of the process for answers. */
+export type AnswerMemory = {
+	/** Begins to count an answer; `giveUp` is called with its size in bytes if there is no memory for it. */
+	begin(giveUp: (size: number) => void): CountedAnswer;
+};
+
 /** A call. */
 export type HttpCall = {
 	readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
@@ -46,6 +62,8 @@
 	readonly timeout: number;
 	/** Opens a new connection for this call, so that a failure to connect proves that nothing was sent. */
 	readonly freshConnection?: boolean;
+	/** Memory in which the answer counts while it is read; absent if its size is bounded otherwise. */
+	readonly memory?: AnswerMemory;
 };
 
 /** A client of one host and port that keeps connections alive between calls. */
@@ -75,7 +93,7 @@
 	 * @returns The answer with any status; fails with {@link HttpFailure} if there is no complete answer.
 	 */
 	exchange(call: HttpCall): Effect.Effect<HttpAnswer, HttpFailure> {
-		return Effect.flatMap(this.open(call), answer => readWhole(answer));
+		return Effect.flatMap(this.open(call), answer => readWhole(answer, call.memory));
 	}
 
 	/**
@@ -165,9 +183,11 @@
  * Reads the whole body of an answer.
  *
  * @param answer - An answer with an unread body.
+ * @param memory - Memory in which it counts while it is read.
  * @returns The complete answer; fails if it is truncated or too large.
  */
-export function readWhole({message, end}: OpenAnswer): Effect.Effect<HttpAnswer, HttpFailure> {
+export function readWhole({message, end}: OpenAnswer, memory?: AnswerMemory): Effect.Effect<HttpAnswer, HttpFailure> {
+	let counted: CountedAnswer | undefined;
 	return Effect.callback<HttpAnswer, HttpFailure>(resume => {
 		const collector = ByteCollector.create();
 		let size = 0;
@@ -175,7 +195,7 @@
 			resume(Effect.fail(new HttpFailure({mayHaveBeenSent: true, detail})));
 		};
 
-		message.on('data', containedListener(resume, (chunk: Uint8Array) => {
+		const collect = containedListener(resume, (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (size > maxBodyBytes) {
 				message.destroy(new Error(`answer over ${maxBodyBytes} bytes`));
@@ -183,7 +203,8 @@
 			}
 
 			collector.add(chunk);
-		}));
+			counted?.add(chunk.length);
+		});
 		message.once('end', containedListener(resume, () => {
 			if (end.isWhole) {
 				resume(Effect.succeed({status: message.statusCode ?? 0, headers: message.headers, body: collector.concatenate()}));
@@ -200,8 +221,24 @@
 				fail('answer cut short');
 			}
 		});
+		const start = () => {
+			message.on('data', collect);
+		};
+
+		if (memory) {
+			counted = memory.begin(bytes => {
+				message.destroy(new Error(`no memory for an answer of ${bytes} bytes`));
+				counted?.end();
+			});
+			counted.expect(Number(message.headers['content-length'] ?? 0), start);
+		} else {
+			start();
+		}
+
 		return Effect.sync(() => message.destroy());
-	});
+	}).pipe(Effect.ensuring(Effect.sync(() => {
+		counted?.end();
+	})));
 }
 
 const ignore = () => undefined;
--- a/src/dispatch/service-run.ts
+++ b/src/dispatch/service-run.ts
@@ -129,6 +129,7 @@
 				body: this.plan.body,
 				key: this.plan.key,
 				timeout: Math.max(1, this.plan.deadlineAt - startedAt),
+				memory: this.services.answers,
 			}).pipe(Effect.map(answer => {
 				const duration = clock.monotonic() - startedAt;
 				state.recordFirstToken(duration);
--- a/src/door/service-handler.ts
+++ b/src/door/service-handler.ts
@@ -7,6 +7,7 @@
 import {Refusal} from '../base/verdict.js';
 import type {DispatchServices} from '../dispatch/dispatch-services.js';
 import {ServiceRun, type ServiceAnswer, type ServicePlan} from '../dispatch/service-run.js';
+import {sendBody} from '../resources/send-body.js';
 import type {TableView} from '../table/table-view.js';
 import {
 	findServiceRow, readRequestKey, readRequestKind, readTimeout, type CallerExchange,
@@ -40,7 +41,33 @@
 			const run = this.services.runs.track(ServiceRun.create(this.services, plan).run());
 			const answer = plan.row.repeatable ? yield * run : yield * runDetached(run);
 			this.services.metrics.requests.inc({service: plan.service.name, outcome: 'answered'});
-			send(exchange, answer);
+			this.send(exchange, answer);
+		});
+	}
+
+	/** Counts the answer until the caller has read it. */
+	private send({response}: CallerExchange, {status, contentType, body, isReplayed}: ServiceAnswer): void {
+		if (response.closed) {
+			return;
+		}
+
+		const disconnect = () => {
+			response.destroy();
+		};
+
+		const memory = this.services.answers.begin(disconnect);
+		memory.beginSending(disconnect);
+		memory.add(body.length);
+		response.once('close', () => {
+			memory.end();
+		});
+		response.writeHead(status, {
+			'Content-Type': contentType,
+			'Content-Length': body.length,
+			...(isReplayed ? {'Idempotent-Replayed': 'true'} : {}),
+		});
+		sendBody(response, body, () => {
+			memory.recordProgress();
 		});
 	}
 
@@ -87,11 +114,3 @@
 		});
 	});
 }
-
-function send({response}: CallerExchange, answer: ServiceAnswer): void {
-	response.writeHead(answer.status, {
-		'Content-Type': answer.contentType,
-		'Content-Length': answer.body.length,
-		...(answer.isReplayed ? {'Idempotent-Replayed': 'true'} : {}),
-	}).end(answer.body);
-}
--- a/src/relay/answer-delivery.ts
+++ b/src/relay/answer-delivery.ts
@@ -2,12 +2,13 @@
  * Delivers the answer to one attempt to the client: events as they arrive, any other body once it is complete.
  */
 import * as Effect from 'effect/Effect';
+import type {AnswerBodies} from '../resources/answer-bodies.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import {withoutContentLength} from './answer-headers.js';
 import {AttemptFailure} from './attempt-failure.js';
 import type {ClientAnswer} from './client-answer.js';
 import type {RelayFormat} from './relay-format.js';
-import {readBody, type OpenAnswer} from './replica-exchange.js';
+import {readWholeBody, type OpenAnswer, type ReadBody} from './replica-exchange.js';
 import type {StreamForwarder} from './stream-forwarder.js';
 
 const firstRedirection = 300;
@@ -28,6 +29,8 @@
 /** Dependencies of a delivery. */
 export type DeliveryParts = {
 	readonly format: RelayFormat;
+	/** The answers of this process, which share its memory. */
+	readonly answers: AnswerBodies;
 	readonly client: ClientAnswer;
 	readonly streamForwarder: StreamForwarder;
 	readonly request: AdmittedRequest;
@@ -56,18 +59,21 @@
 	 * @returns An effect that completes when the answer was sent to the client; fails if it is incomplete or held back.
 	 */
 	deliver(answer: OpenAnswer, listener: DeliveryListener): Effect.Effect<void, AttemptFailure> {
-		const {request, streamForwarder} = this.parts;
+		const {request, streamForwarder, answers} = this.parts;
 		const isStream = request.route.kind === 'stream' && answer.status < firstRedirection;
 		return isStream
 			? streamForwarder.forward(answer, listener).pipe(Effect.tap(() => Effect.sync(listener.onStreamEnd)))
-			: readBody(answer).pipe(Effect.flatMap(body => this.deliverBody(answer, body, listener)));
+			: readWholeBody(answer, {answers}).pipe(Effect.flatMap(body => this.deliverBody(answer, body, listener)));
 	}
 
-	private deliverBody(answer: OpenAnswer, body: Uint8Array, {onBody}: DeliveryListener): Effect.Effect<void, AttemptFailure> {
+	private deliverBody(answer: OpenAnswer, body: ReadBody, {onBody}: DeliveryListener): Effect.Effect<void, AttemptFailure> {
 		const {client, mayRetryError} = this.parts;
 		const {status} = answer;
 		const isError = status >= firstServerError;
 		onBody(isError);
+		client.onceClosed(() => {
+			body.memory.end();
+		});
 		if (client.hasBegun) {
 			return Effect.fail(AttemptFailure.mayHaveRun('failed', `the replica that was to go on answered ${status}`));
 		}
@@ -85,10 +91,17 @@
 		return Effect.void;
 	}
 
-	private sendBody(answer: OpenAnswer, body: Uint8Array): void {
+	private sendBody(answer: OpenAnswer, {bytes, memory}: ReadBody): void {
 		const {format, client} = this.parts;
 		const headers = format.answerHeaders(answer.message);
 		const {status, isBodiless} = answer;
-		client.send(status, isBodiless ? headers : withoutContentLength(headers), body, isBodiless);
+		memory.beginSending(() => {
+			client.reset();
+		});
+		client.send(status, isBodiless ? headers : withoutContentLength(headers), bytes, {
+			isBodiless, onProgress() {
+				memory.recordProgress();
+			},
+		});
 	}
 }
--- a/src/relay/client-answer.ts
+++ b/src/relay/client-answer.ts
@@ -3,9 +3,11 @@
  */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {endLingering} from '../base/lingering-close.js';
 import {refusalReasons} from '../base/refusal-reason.js';
 import type {Refusal} from '../base/verdict.js';
 import {problemOf} from '../door/problem.js';
+import {sendBody} from '../resources/send-body.js';
 import {abandon} from './replica-exchange.js';
 
 /** Milliseconds that a client has to read buffered data before its connection is destroyed. */
@@ -19,6 +21,14 @@
 
 const noHeaders: ForwardedAnswerHeaders = {ofRefusal: () => [], ofAnswer: () => []};
 
+/** How a complete answer is sent. */
+export type Delivery = {
+	/** Whether the answer never has a body, as with HEAD, 204 and 304; its `Content-Length` is then passed on unchanged. */
+	readonly isBodiless: boolean;
+	/** Called when the system has taken a part of the body. */
+	readonly onProgress: () => void;
+};
+
 /** The answer to one request. */
 export class ClientAnswer {
 	/**
@@ -48,6 +58,11 @@
 		return this.response.writableNeedDrain;
 	}
 
+	/** Bytes that have been written and that the system has not taken yet. */
+	get unsentBytes(): number {
+		return this.response.writableLength;
+	}
+
 	/**
 	 * Sends the head.
 	 *
@@ -84,12 +99,29 @@
 	 * @param status - HTTP status.
 	 * @param headers - Alternating names and values, without `Content-Length` unless the answer is bodiless.
 	 * @param body - The body.
-	 * @param isBodiless - Whether the answer never has a body, as with HEAD, 204 and 304; its `Content-Length` is then passed on unchanged.
+	 * @param delivery - How it is sent.
 	 */
-	send(status: number, headers: readonly string[], body: Uint8Array, isBodiless: boolean): void {
+	send(status: number, headers: readonly string[], body: Uint8Array, {isBodiless, onProgress}: Delivery): void {
 		this.begin(status, isBodiless ? headers : [...headers, 'Content-Length', String(body.length)]);
 		this.bytes = body.length;
-		this.response.end(body);
+		sendBody(this.response, body, onProgress);
+	}
+
+	/** @param listener - Called once the answer has been sent or its connection is closed; at once if that has happened. */
+	onceClosed(listener: () => void): void {
+		if (this.response.closed) {
+			listener();
+		} else {
+			this.response.once('close', listener);
+		}
+	}
+
+	/** Resets the connection of a client that does not read its answer. */
+	reset(): void {
+		const {socket} = this.response;
+		if (socket) {
+			abandon(socket);
+		}
 	}
 
 	/**
@@ -106,7 +138,19 @@
 		const {status} = refusalReasons[refusal.reason];
 		const body = Buffer.from(JSON.stringify(problemOf(refusal)));
 		const retry = refusal.retryAfter === undefined ? [] : ['Retry-After', String(refusal.retryAfter)];
-		this.send(status, ['Content-Type', 'application/problem+json', ...retry, ...this.added.ofRefusal(refusal)], body, false);
+		const headers = ['Content-Type', 'application/problem+json', ...retry, ...this.added.ofRefusal(refusal)];
+		const {req: incoming} = this.response;
+		if (!incoming.complete) {
+			// The rest of the body is discarded, so the connection cannot be reused.
+			this.response.shouldKeepAlive = false;
+			this.begin(status, [...headers, 'Content-Length', String(body.length)]);
+			this.bytes = body.length;
+			this.response.write(body);
+			endLingering(incoming, this.response);
+			return;
+		}
+
+		this.send(status, headers, body, {isBodiless: false, onProgress() {/* Refusals are small. */}});
 	}
 
 	/**
--- a/src/relay/forwarded-attempt.ts
+++ b/src/relay/forwarded-attempt.ts
@@ -55,10 +55,10 @@
 	private sentAt = 0;
 
 	private constructor(private readonly parts: AttemptParts, private readonly plan: ForwardedAttemptPlan) {
-		const {services: {format}, client, streamForwarder} = parts;
+		const {services: {format, resources: {answers}}, client, streamForwarder} = parts;
 		const {request, mayRetryError} = plan;
 		this.delivery = AnswerDelivery.create({
-			format, client, streamForwarder, request, mayRetryError,
+			format, answers, client, streamForwarder, request, mayRetryError,
 		});
 	}
 
@@ -174,7 +174,7 @@
 		};
 
 		// The body is read so that the connection can be used again.
-		return readBody(answer, maxRefusalBytes).pipe(Effect.ignore, Effect.andThen(Effect.suspend(() => Effect.fail(failure()))));
+		return readBody(answer, {maxBytes: maxRefusalBytes}).pipe(Effect.ignore, Effect.andThen(Effect.suspend(() => Effect.fail(failure()))));
 	}
 
 	private deliver(answer: OpenAnswer): Effect.Effect<void, AttemptFailure> {
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -98,7 +98,7 @@
 			prompt: () => ({service: this.request.service, sharedParts: sharedParts.map(({id}) => id)}),
 		});
 		this.streamForwarder = StreamForwarder.create({
-			client, format: services.format, metrics: services.metrics, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
+			client, format: services.format, metrics: services.metrics, answers: services.resources.answers, lastEventId: request.route.isResumable ? head.lastEventId : undefined,
 		});
 		this.version = StreamVersion.create({
 			clock: services.clock, suspensions: services.suspensions, origins: services.origins, versions: services.versions, request: () => this.request,
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -91,10 +91,10 @@
 	private backlogObservation: BacklogObservation | undefined;
 
 	private constructor(private readonly parts: AttemptParts, private readonly plan: AttemptPlan) {
-		const {services: {format}, client, streamForwarder} = parts;
+		const {services: {format, resources: {answers}}, client, streamForwarder} = parts;
 		const {request, mayRetryError} = plan;
 		this.delivery = AnswerDelivery.create({
-			format, client, streamForwarder, request, mayRetryError,
+			format, answers, client, streamForwarder, request, mayRetryError,
 		});
 		this.promptTokens = parts.services.choice.unreadTokens(plan.replica, parts.choiceRequest);
 		this.unreadTokens = this.promptTokens;
--- a/src/relay/replica-exchange.ts
+++ b/src/relay/replica-exchange.ts
@@ -10,10 +10,11 @@
 import {AnswerEnd} from '../base/answer-end.js';
 import {answerFaultOf} from '../base/answer-head.js';
 import {ByteCollector} from '../base/byte-collector.js';
+import {SystemClock} from '../base/clock.js';
 import {containedListener} from '../base/contained-listener.js';
 import type {ReplicaConnections} from '../replicas/replica-connections.js';
+import {AnswerBodies, type AnswerBody} from '../resources/answer-bodies.js';
 import {AttemptFailure} from './attempt-failure.js';
-import {BufferedBodies} from './buffered-bodies.js';
 import type {AnswerHead, RelayFormat} from './relay-format.js';
 
 /** Statuses 204 and 304. */
@@ -164,55 +165,100 @@
 	return head.isPlain ? undefined : AttemptFailure.mayHaveRun('garbled', 'the body of the answer is encoded');
 }
 
-/** Bodies that are read whole, of all requests of this process, which share its memory. */
-const bufferedBodies = BufferedBodies.create();
+/** How a body is read. */
+export type BodyReading = {
+	/** Maximum size of the body in bytes. */
+	readonly maxBytes?: number;
+	/** The answers of this process, which share its memory. */
+	readonly answers?: AnswerBodies;
+};
+
+/** A body that was read; its memory counts until it is released. */
+export type ReadBody = {
+	readonly bytes: Uint8Array;
+	readonly memory: AnswerBody;
+};
 
 /**
  * Reads a body to its end. It is kept in memory until it is complete, so that a client never gets a part of a body.
  *
  * @param answer - The answer.
- * @param maxBytes - Maximum size of the body in bytes.
+ * @param reading - How it is read.
  * @returns The complete body; fails if it is truncated or too large, and then resets its connection if that is still open.
  */
-export function readBody(answer: OpenAnswer, maxBytes = maxBodyBytes): Effect.Effect<Uint8Array, AttemptFailure> {
-	return Effect.callback<Uint8Array, AttemptFailure>(resume => {
+export function readWholeBody(answer: OpenAnswer, {maxBytes = maxBodyBytes, answers = defaultAnswers}: BodyReading = {}): Effect.Effect<ReadBody, AttemptFailure> {
+	return Effect.callback<ReadBody, AttemptFailure>(resume => {
 		const collector = ByteCollector.create();
+		let size = 0;
 		const giveUp = (failure: AttemptFailure) => {
 			settle(Effect.fail(failure));
 			answer.abandon();
 		};
 
-		const body = bufferedBodies.begin(size => {
-			giveUp(AttemptFailure.mayHaveRun('failed', `the box had no memory for a body of ${size} bytes`));
+		const memory = answers.begin(bytes => {
+			giveUp(AttemptFailure.mayHaveRun('failed', `the box had no memory for a body of ${bytes} bytes`));
 		});
+		let isSettled = false;
 		const settle = (result: Effect.Effect<Uint8Array, AttemptFailure>) => {
+			isSettled = true;
 			collector.clear();
-			body.end();
-			resume(result);
+			resume(result.pipe(
+				Effect.map(bytes => ({bytes, memory})),
+				Effect.tapError(() => Effect.sync(() => {
+					memory.end();
+				})),
+			));
 		};
 
-		answer.message.on('data', containedListener(resume, (chunk: Uint8Array) => {
-			if (body.hasEnded) {
+		const collect = containedListener(resume, (chunk: Uint8Array) => {
+			if (isSettled) {
 				return;
 			}
 
+			size += chunk.length;
 			collector.add(chunk);
-			body.add(chunk.length);
-			if (body.size > maxBytes) {
+			memory.add(chunk.length);
+			if (size > maxBytes) {
 				giveUp(AttemptFailure.mayHaveRun('garbled', `the body is longer than ${maxBytes} bytes`));
 			}
-		}));
+		});
 		onceEnded(answer, containedListener(resume, isWhole => {
-			if (!body.hasEnded) {
+			if (!isSettled) {
 				settle(isWhole ? Effect.succeed(collector.concatenate()) : Effect.fail(incompleteFailure(answer, 'the answer was cut short')));
 			}
 		}));
+		memory.expect(Math.min(maxBytes, expectedLength(answer)), () => {
+			answer.message.on('data', collect);
+		});
 		return Effect.sync(() => {
-			body.end();
+			memory.end();
 		});
 	});
 }
 
+/**
+ * Reads a body that is not passed on.
+ *
+ * @param answer - The answer.
+ * @param reading - How it is read.
+ * @returns As {@link readWholeBody}; its memory no longer counts.
+ */
+export function readBody(answer: OpenAnswer, reading?: BodyReading): Effect.Effect<Uint8Array, AttemptFailure> {
+	return readWholeBody(answer, reading).pipe(Effect.map(({bytes, memory}) => {
+		memory.end();
+		return bytes;
+	}));
+}
+
+/** Zero if there is no body or its length is not known. */
+function expectedLength({message, isBodiless}: OpenAnswer): number {
+	const length = Number(message.headers['content-length'] ?? 0);
+	return isBodiless || !Number.isFinite(length) ? 0 : length;
+}
+
+/** Answers that are read by themselves, as in tests. */
+const defaultAnswers = AnswerBodies.create(SystemClock.create());
+
 /**
  * @param socket - The connection of an exchange.
  * @returns Adds to an exchange that its connection is reset if the exchange is interrupted or ends with a defect.
--- a/src/relay/stream-forwarder.ts
+++ b/src/relay/stream-forwarder.ts
@@ -5,6 +5,7 @@
 import {isDelimited} from '../base/answer-head.js';
 import {containedListener} from '../base/contained-listener.js';
 import type {EventFields} from '../base/event-log.js';
+import type {AnswerBodies, AnswerBody} from '../resources/answer-bodies.js';
 import {EventSplitter, isComment} from '../upstream/event-splitter.js';
 import {withoutContentLength} from './answer-headers.js';
 import {AttemptFailure} from './attempt-failure.js';
@@ -32,6 +33,8 @@
 	/** Parses event ids. */
 	readonly format: RelayFormat;
 	readonly metrics: RelayMetrics;
+	/** The answers of this process, which share its memory; absent if what clients have not read need not count. */
+	readonly answers?: AnswerBodies;
 	/** Id of the last event that the client received earlier; `undefined` if there is none. */
 	readonly lastEventId: string | undefined;
 };
@@ -53,6 +56,8 @@
 	/** Ids of the events after which later runs were asked to resume. */
 	private readonly resumedAfter: string[] = [];
 	private readonly sequence: EventSequence;
+	/** What the client has not read yet; `undefined` while that is little. */
+	private unread: AnswerBody | undefined;
 
 	private constructor(private readonly parts: StreamForwarderParts) {
 		this.sequence = EventSequence.create(parts.lastEventId);
@@ -211,9 +216,29 @@
 		const {client} = this.parts;
 		if (client.isCongested) {
 			message.pause();
+			this.countUnread();
 			client.onceDrained(() => {
+				this.unread?.end();
 				message.resume();
 			});
 		}
 	}
+
+	private countUnread(): void {
+		const {client, answers} = this.parts;
+		if (!this.unread) {
+			client.onceClosed(() => {
+				this.unread?.end();
+			});
+		}
+
+		const disconnect = () => {
+			client.reset();
+		};
+
+		this.unread?.end();
+		this.unread = answers?.begin(disconnect);
+		this.unread?.beginSending(disconnect);
+		this.unread?.add(client.unsentBytes);
+	}
 }
--- a/src/relay/test/forwarded-attempt.test.ts
+++ b/src/relay/test/forwarded-attempt.test.ts
@@ -10,6 +10,7 @@
 import {test, type TestContext} from 'node:test';
 import * as Effect from 'effect/Effect';
 import {PlatformRelayFormat} from '../../../platform/relay-format.js';
+import {ampleResources} from '../../../development/harness/ample-resources.js';
 import {ScriptedServer, type AnswerScript} from '../../../development/harness/scripted-server.js';
 import {createRandom} from '../../../development/harness/seeded-random.js';
 import {SystemClock} from '../../base/clock.js';
@@ -112,7 +113,7 @@
 			client, format, metrics: RelayMetrics.create(), lastEventId: undefined,
 		});
 		const services = {
-			clock, format, forwarding, guard: {allowsKeys: true}, box: 'box-1',
+			clock, format, forwarding, resources: ampleResources(), guard: {allowsKeys: true}, box: 'box-1',
 		};
 		const parts: unknown = {
 			services, client, streamForwarder, record: {executions: 0}, retry: {mayBeSent: true, recordSent: () => undefined}, version: {recordForwarded: () => undefined},
--- a/src/relay/test/stream-exchange.test.ts
+++ b/src/relay/test/stream-exchange.test.ts
@@ -238,7 +238,7 @@
 			if (client.hasBegun) {
 				client.cut();
 			} else {
-				client.send(502, [], Buffer.from('none'), false);
+				client.send(502, [], Buffer.from('none'), {isBodiless: false, onProgress: () => undefined});
 			}
 		});
 		const controller = new AbortController();
--- a/src/upstream/http-plain-service.ts
+++ b/src/upstream/http-plain-service.ts
@@ -36,6 +36,7 @@
 			body: call.body,
 			timeout: call.timeout,
 			freshConnection: true,
+			memory: call.memory,
 		}).pipe(
 			Effect.mapError(failure => failureOf(failure)),
 			Effect.flatMap(answer => answerOf(answer)),
--- a/src/upstream/plain-service.ts
+++ b/src/upstream/plain-service.ts
@@ -2,6 +2,7 @@
  * The interface of a plain service, independent of its protocol.
  */
 import type * as Effect from 'effect/Effect';
+import type {AnswerMemory} from '../base/http-client.js';
 import type {LoadReport} from './load-report.js';
 import type {UpstreamFailure} from './upstream-failure.js';
 
@@ -14,6 +15,8 @@
 	readonly key: string | undefined;
 	/** Milliseconds for the whole answer. */
 	readonly timeout: number;
+	/** Memory in which the answer counts while it is read. */
+	readonly memory?: AnswerMemory;
 };
 
 /** The complete answer of a plain service. */
