Bound the bytes of refused requests that a process discards at the same time

Cause: the rest of each refused request was read for up to a second and 32 MiB, also when hundreds were refused at once; a relay read it to its end without a bound and kept the connection. Change: at most 64 requests are discarded at the same time, with less for each the more there are; others are closed at once.

--- a/src/base/lingering-close.ts
+++ b/src/base/lingering-close.ts
@@ -8,8 +8,12 @@
 
 /** Maximum time in milliseconds for discarding the rest of the request. */
 const maxLingerMs = 1000;
-/** Maximum number of bytes to discard. */
+/** Maximum number of bytes to discard of one request; less while the process discards others too. */
 const maxDiscardedBytes = 33_554_432;
+/** Maximum number of requests of the process whose rest is discarded at the same time; others are closed at once. */
+const maxLingering = 64;
+
+let lingering = 0;
 
 /**
  * Discards the rest of a request, up to a limit of time and bytes, then ends the answer.
@@ -18,13 +22,24 @@
  * @param response - Its answer, completely written but not ended.
  */
 export function endLingering(incoming: IncomingMessage, response: ServerResponse): void {
-	const end = () => {
-		clearTimeout(timer);
+	if (lingering >= maxLingering) {
 		response.end();
+		return;
+	}
+
+	lingering++;
+	let remainingBytes = maxDiscardedBytes / lingering;
+	let hasEnded = false;
+	const end = () => {
+		if (!hasEnded) {
+			hasEnded = true;
+			lingering--;
+			clearTimeout(timer);
+			response.end();
+		}
 	};
 
 	const timer = setTimeout(end, maxLingerMs);
-	let remainingBytes = maxDiscardedBytes;
 	incoming.on('data', (chunk: Uint8Array) => {
 		remainingBytes -= chunk.length;
 		if (remainingBytes < 0) {
