Give a whole request to an entry box 30 s to arrive, as at a relay

Cause: Node's parser takes 7 to 10 s of a core for a body of 4 MiB in chunks of one byte on this machine, and requests were closed after 10 s. Such a request is inside the limits and has to be served, also by a slower box. Change: the default of callers.receiveTimeout.

--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -37,7 +37,7 @@
 		...Listener.fields,
 		maximumBody: positiveInteger('Maximum size of a request body, in bytes.', 4_194_304),
 		maximumHeaders: positiveInteger('Maximum size of a request head, in bytes.', 16_384),
-		receiveTimeout: positiveInteger('Milliseconds within which a whole request must be received.', 10_000),
+		receiveTimeout: positiveInteger('Milliseconds within which a whole request must be received.', 30_000),
 		maximumRequestsPerAccount: positiveInteger('Maximum number of requests in progress of one client account on this box.', 2000),
 	}),
 	peers: Listener,
