Send crowds of clients that do not behave in soak tests

The kinds, relays and listeners are drawn from the seed with a generator of their own, so that the faults of earlier seeds stay as they were.

--- a/development/soak/main.ts
+++ b/development/soak/main.ts
@@ -28,6 +28,7 @@
 	})
 	.option('parts', {type: 'boolean', default: false, describe: 'Whether the requests that crash replicas differ and share a part of their prompts'})
 	.option('rollout', {type: 'boolean', default: false, describe: 'Whether a bad version is rolled out meanwhile'})
+	.option('crowds', {type: 'boolean', default: true, describe: 'Whether clients that do not behave connect to the relays'})
 	.option('logs', {type: 'string', default: 'target/soak', describe: 'Folder for the logs of runs that violate an invariant'})
 	.check(({processes}) => {
 		const most = Math.min(maxRelays, Math.floor(totalmem() * memoryShare / bytesPerRelay));
@@ -51,14 +52,14 @@
 
 for (const seed of Array.from({length: options.seeds}, (_, index) => options.seed + index)) {
 	const report = await soak({
-		seed, length: options.seconds * millisecondsPerSecond, relays: options.processes, hasParts: options.parts, hasRollout: options.rollout,
+		seed, length: options.seconds * millisecondsPerSecond, relays: options.processes, hasParts: options.parts, hasRollout: options.rollout, hasCrowds: options.crowds,
 	});
-	const {plan, attempts, served, violations} = report;
-	process.stdout.write(`seed ${seed}: ${plan.length} faults, ${attempts} attempts, ${served} served, ${violations.length} violations\n`);
+	const {plan, crowdConnections, attempts, served, violations} = report;
+	process.stdout.write(`seed ${seed}: ${plan.length} faults, ${crowdConnections} connections of crowds, ${attempts} attempts, ${served} served, ${violations.length} violations\n`);
 	if (violations.length > 0) {
 		process.exitCode = 1;
 		process.stdout.write(violations.slice(0, violationsShown).map(line => `  ${line}\n`).join(''));
-		process.stdout.write(`  log: ${writeLog(seed, report)}; to repeat: npm run soak -- --seed ${seed} --seconds ${options.seconds} --processes ${options.processes}${options.parts ? ' --parts' : ''}${options.rollout ? ' --rollout' : ''}\n`);
+		process.stdout.write(`  log: ${writeLog(seed, report)}; to repeat: npm run soak -- --seed ${seed} --seconds ${options.seconds} --processes ${options.processes}${options.parts ? ' --parts' : ''}${options.rollout ? ' --rollout' : ''}${options.crowds ? '' : ' --no-crowds'}\n`);
 	}
 }
 
--- a/development/soak/soak-relay.ts
+++ b/development/soak/soak-relay.ts
@@ -66,7 +66,7 @@
 
 	private constructor(
 		private readonly plan: SoakRelayOptions,
-		private readonly ports: RelayPorts,
+		readonly ports: RelayPorts,
 		/** UDP port that the process binds, and from which it sends its datagrams. */
 		readonly ownPort: number,
 		private readonly proxies: {readonly store: FaultProxy; readonly datagrams: DatagramProxy},
--- a/development/soak/soak.ts
+++ b/development/soak/soak.ts
@@ -13,6 +13,7 @@
 import {
 	SoakClients, isolationKey, revocableKey, type SoakRequestKind,
 } from './soak-clients.js';
+import {SoakCrowd} from './soak-crowd.js';
 import {SoakFaults} from './soak-faults.js';
 import {SoakChecker, fingerprintOfRequest, wrongQuarantines} from './soak-checker.js';
 import {planSoak, type SoakFault} from './soak-plan.js';
@@ -31,11 +32,15 @@
 	readonly hasParts?: boolean;
 	/** Whether a bad version is rolled out meanwhile. */
 	readonly hasRollout?: boolean;
+	/** Whether crowds of clients that do not behave connect to the relays meanwhile. */
+	readonly hasCrowds?: boolean;
 };
 
 /** Result of a soak test. */
 export type SoakReport = {
 	readonly plan: readonly SoakFault[];
+	/** Connections of clients that do not behave. */
+	readonly crowdConnections: number;
 	readonly attempts: number;
 	readonly served: number;
 	/** Violated invariants, one description each; empty if all held. */
@@ -70,7 +75,7 @@
  * @param options - Seed, length and number of relays.
  * @returns The result, with all violated invariants.
  */
-export async function soak({seed, length, relays: count, hasParts = false, hasRollout = false}: SoakOptions): Promise<SoakReport> {
+export async function soak({seed, length, relays: count, hasParts = false, hasRollout = false, hasCrowds = false}: SoakOptions): Promise<SoakReport> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'waydrift-soak-'));
 	const installation = await RelayInstallation.start({
 		relays: 0, replicas: replicaIds, tenant: {api_keys: [testKey, revocableKey, isolationKey]}, versionOf: softwareOf,
@@ -96,10 +101,12 @@
 		const clients = SoakClients.create(installation, relays, createRandom(seed + 1), hasParts);
 		const faults = SoakFaults.create(installation, relays, clients, streams, hasParts);
 		const rollout = SoakRollout.create(installation);
-		const rolling = hasRollout ? rollout.run() : undefined;
+		const crowd = SoakCrowd.create(seed, relays);
+		const companions = [...(hasRollout ? [rollout.run()] : []), ...(hasCrowds ? [crowd.run()] : [])];
 		await clients.run(Math.max(clientCount, count * clientsPerRelay), async () => faults.run(plan));
 		rollout.end();
-		await rolling;
+		crowd.end();
+		await Promise.all(companions);
 		const unserved = await findUnserved(clients, relays);
 		const lines = relays.flatMap(relay => relay.lines);
 		const {
@@ -109,7 +116,7 @@
 			attempts: clients.attempts, replicas: installation.allReplicas, relays, drains, cutOffs, limitPeriods, poisonCrashes, revokedAt, streamEvents, lines,
 		});
 		return {
-			plan, attempts: clients.attempts.length, served: clients.attempts.filter(({status}) => status === 200).length, violations: [...judge.violations, ...rollout.violations, ...unserved], lines,
+			plan, crowdConnections: crowd.opened, attempts: clients.attempts.length, served: clients.attempts.filter(({status}) => status === 200).length, violations: [...judge.violations, ...rollout.violations, ...unserved], lines,
 		};
 	} finally {
 		await Promise.all(relays.map(async relay => relay.close()));
--- a/development/soak/test/soak.test.ts
+++ b/development/soak/test/soak.test.ts
@@ -43,6 +43,15 @@
 	assert.ok(lines.some(({eventName, target}) => eventName === 'rolloutStepped' && target !== ''), 'the version was tried');
 });
 
+test('a soak test with clients that do not behave violates no invariant', async () => {
+	const {violations, attempts, served, crowdConnections} = await soak({
+		seed: 951, length: 8000, relays: 4, hasCrowds: true,
+	});
+	assert.deepEqual(violations, []);
+	assert.ok(crowdConnections > 0, 'crowds were sent');
+	assert.ok(served > attempts / 3, `only ${served} of ${attempts} attempts were served`);
+});
+
 test('a plan is determined by its seed, and every kind of fault occurs', () => {
 	assert.deepEqual(planSoak(5, length), planSoak(5, length));
 	const kinds = new Set(Array.from({length: 20}, (_, seed) => planSoak(seed, length)).flat().map(({kind}) => kind));
