Count what is read and not parsed, and free what complete bodies do not need

Cause: a connection that is not read any further still holds up to two reads, 128 KiB, which no limit counted: a thousand of them exceed the memory. Bytes that arrive after the end of a response were kept. A body in chunks kept its reservation for the largest size when it was complete. Change: a body that waits counts its read-ahead; requests in advance count with the incomplete heads, and beyond the limit their bytes are discarded and the connection closes after the answer; what follows a response that closes its connection is discarded; a complete body counts its size. Idle connections are closed in order, not reset. Found by reading.

--- a/src/resources/request-bodies.ts
+++ b/src/resources/request-bodies.ts
@@ -102,6 +102,17 @@
 		this.watch();
 	}
 
+	override recordCompletion(body: RequestBody): void {
+		const surplus = Math.max(0, body.charged - body.size);
+		body.charged -= surplus;
+		this.bytes -= surplus;
+		if (this.large.has(body)) {
+			this.largeBytes -= surplus;
+		}
+
+		this.assign();
+	}
+
 	override recordEnd(body: RequestBody): void {
 		this.samples.delete(body);
 		this.bytes -= body.charged;
--- a/src/resources/request-body.ts
+++ b/src/resources/request-body.ts
@@ -11,12 +11,17 @@
 /** Maximum bytes of a body that is collected without waiting for memory. */
 export const smallBodyBytes = 65_536;
 
+/** Bytes that have been read, but not collected, from a connection that is not read any further: what is left of one read, and another. */
+const readAheadBytes = 131_072;
+
 /** The memory that bodies are collected in. */
 export abstract class BodyMemory {
 	/** Called when a body has grown; may call {@link RequestBody.giveUp} of any body. */
 	abstract recordGrowth(body: RequestBody, bytes: number): void;
 	/** Called when a body needs memory for `bytes` more; calls {@link RequestBody.proceed} when it is available. */
 	abstract requestMemory(body: RequestBody, bytes: number): void;
+	/** Called when a body is complete, which needs no more memory than its size. */
+	abstract recordCompletion(body: RequestBody): void;
 	/** Called when the memory of a body is free again. */
 	abstract recordEnd(body: RequestBody): void;
 }
@@ -172,6 +177,10 @@
 	private receive(piece: Uint8Array | undefined): void {
 		if (piece === undefined) {
 			this.isComplete ||= this.incoming.complete;
+			if (this.isComplete && !this.isReleased) {
+				this.memory.recordCompletion(this);
+			}
+
 			this.settle?.();
 		} else if (this.fault === undefined && !this.isReleased) {
 			this.add(piece);
@@ -200,11 +209,12 @@
 		if (!this.isPaused) {
 			this.isPaused = true;
 			holdReading(this.incoming.socket, 'body-without-memory');
+			this.memory.recordGrowth(this, Math.max(0, readAheadBytes - this.charged));
 		}
 
-		if (this.limit !== undefined && !this.isWaiting) {
+		if (this.limit !== undefined && !this.isWaiting && this.isIncomplete) {
 			this.isWaiting = true;
-			this.memory.requestMemory(this, this.maxSize - this.charged);
+			this.memory.requestMemory(this, Math.max(0, this.maxSize - this.charged));
 		}
 	}
 
--- a/src/resources/request-feed.ts
+++ b/src/resources/request-feed.ts
@@ -39,9 +39,9 @@
 
 	private readonly holds = new Set<HoldReason>();
 	private readonly parse: ((part: Uint8Array) => void) | undefined;
-	/** Bytes that have been read and not parsed. */
 	private pending: Uint8Array = noBytes;
 	private isParsing = false;
+	private isDiscarding = false;
 
 	private constructor(private readonly socket: Socket, private readonly progress: RequestProgress) {
 		const [parse] = socket.listeners('data') as unknown as ReadonlyArray<(part: Uint8Array) => void>;
@@ -61,6 +61,19 @@
 		}
 	}
 
+	/** Bytes that have been read and not parsed. */
+	get unparsedBytes(): number {
+		return this.pending.length + this.socket.readableLength;
+	}
+
+	/** Discards what has not been parsed, and everything that follows. */
+	discardRest(): void {
+		this.isDiscarding = true;
+		this.pending = noBytes;
+		this.holds.clear();
+		this.socket.resume();
+	}
+
 	/** @param reason - Why the connection is not read until {@link release}. */
 	hold(reason: HoldReason): void {
 		this.holds.add(reason);
@@ -77,6 +90,10 @@
 	}
 
 	private readonly receive = (bytes: Uint8Array): void => {
+		if (this.isDiscarding || this.socket.writableEnded) {
+			return;
+		}
+
 		this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
 		this.continue();
 	};
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -11,6 +11,8 @@
 
 /** Milliseconds between two checks of incomplete heads. */
 const checkInterval = 100;
+/** Maximum bytes of a connection that have been read and not parsed: what is left of one read, and another. */
+const maxUnparsedBytes = 131_072;
 /** Milliseconds for which a connection with a request keeps its place, whatever its progress. */
 const minGrantedTime = 500;
 
@@ -50,6 +52,8 @@
 type Connection = {
 	/** The request in progress; `undefined` while there is none. */
 	request: Pick<IncomingMessage, 'complete'> | undefined;
+	/** Its response. */
+	response: ServerResponse | undefined;
 	/** Its body. */
 	body: QueuedRequest['body'] | undefined;
 	/** Monotonic milliseconds since when it has had a request or been without one. */
@@ -96,7 +100,7 @@
 		return this.connections.size;
 	}
 
-	/** Bytes of all incomplete heads. */
+	/** Bytes of all incomplete heads, and of requests that were sent before the answer to an earlier one. */
 	get headBytes(): number {
 		return sumOf(this.incompleteHeads.map(({bytes}) => bytes));
 	}
@@ -134,7 +138,7 @@
 	private add(socket: Socket): void {
 		const {limits, clock} = this.parts;
 		const connection: Connection = {
-			request: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined,
+			request: undefined, response: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined,
 		};
 		if (this.connections.size >= limits.connections) {
 			const victim = this.leastUseful;
@@ -162,10 +166,12 @@
 
 	private begin(socket: Socket, connection: Connection, {incoming, response, body, start}: QueuedRequest): void {
 		this.setRequest(socket, connection, incoming);
+		connection.response = response;
 		connection.body = body;
 		response.once('close', () => {
 			body.release();
 			this.setRequest(socket, connection, undefined);
+			connection.response = undefined;
 			connection.body = undefined;
 			const next = connection.waiting.shift();
 			if (next) {
@@ -216,36 +222,58 @@
 		return slowest?.socket ?? unread;
 	}
 
-	/** Closes connections with incomplete heads, the oldest first, while these take too much memory. */
+	/** Closes connections with incomplete heads, the oldest first, while these take too much memory. Of requests in advance only the bytes are discarded. */
 	private checkHeads(): void {
 		const {limits: {heads, maxHead}, clock} = this.parts;
 		this.checkedAt = clock.monotonic();
-		if (this.connections.size * maxHead <= heads) {
+		if (this.connections.size * Math.max(maxHead, maxUnparsedBytes) <= heads) {
 			return;
 		}
 
 		let excess = this.headBytes - heads;
-		for (const {socket, bytes} of this.incompleteHeads) {
+		for (const {socket, connection, bytes} of this.incompleteHeads) {
 			if (excess <= 0) {
 				return;
 			}
 
 			excess -= bytes;
-			this.close(socket, 'heads');
+			if (connection.response) {
+				this.endAfterAnswer(socket, connection.response);
+				connection.feed?.discardRest();
+			} else {
+				this.close(socket, 'heads');
+			}
 		}
 	}
 
-	private get incompleteHeads(): ReadonlyArray<{readonly socket: Socket; readonly bytes: number}> {
+	/** By RFC 9112, section 9.6, a client takes requests after an answer that closes the connection for not processed. */
+	private endAfterAnswer(socket: Socket, response: ServerResponse): void {
+		this.parts.onClosed?.('heads');
+		response.shouldKeepAlive = false;
+		response.once('finish', () => {
+			socket.destroySoon();
+		});
+	}
+
+	/** Connections without a request, and those whose request is complete, with the bytes that belong to the next one. */
+	private get incompleteHeads(): ReadonlyArray<{readonly socket: Socket; readonly connection: Connection; readonly bytes: number}> {
 		return [...this.connections]
-			.filter(([, {request}]) => request === undefined)
-			.map(([socket, {bytes}]) => ({socket, bytes: socket.bytesRead - bytes}))
+			.filter(([, {request, response}]) => request === undefined || (response !== undefined && request.complete))
+			.map(([socket, connection]) => ({
+				socket, connection, bytes: connection.request === undefined ? socket.bytesRead - connection.bytes : connection.feed?.unparsedBytes ?? 0,
+			}))
 			.filter(({bytes}) => bytes > 0);
 	}
 
-	/** A reset frees what the connection holds at once. */
+	/** A reset frees what the connection holds at once; an idle one is closed in order. */
 	private close(socket: Socket, reason: ClosingReason): void {
+		const isIdle = this.connections.get(socket)?.bytes === socket.bytesRead;
 		this.parts.onClosed?.(reason);
 		this.connections.delete(socket);
-		socket.resetAndDestroy();
+		if (isIdle) {
+			socket.destroy();
+		} else {
+			socket.resetAndDestroy();
+		}
 	}
 }
--- a/src/resources/test/server-connections.test.ts
+++ b/src/resources/test/server-connections.test.ts
@@ -170,3 +170,20 @@
 	await until(() => next.isClosed);
 	assert.equal(upgraded.isClosed, false);
 });
+
+test('requests in advance beyond the limit are discarded, and the connection closes after the answer', async context => {
+	const server = await TestServer.start(context, 10, 10_000);
+	const client = await server.connect();
+	client.send(...Array.from({length: 1000}, (_, index) => `/${index}`));
+	await until(() => server.closed.includes('heads'));
+	const parsed = server.received;
+	server.started[0]!.response.end('answer;');
+	for (let answered = 1; answered < parsed; answered++) {
+		await until(() => server.started.length > answered || client.isClosed);
+		server.started[answered]?.response.end('answer;');
+	}
+
+	await until(() => client.isClosed);
+	assert.match(client.received, /answer;/v);
+	assert.equal(server.received, parsed);
+});
