Give each request of a crowd in the soak an id of its own

Change: unique ids; requests of crowds count as requests from their first arrival at a replica, as those of other clients do when they are sent.

--- a/development/soak/soak-checker.ts
+++ b/development/soak/soak-checker.ts
@@ -13,6 +13,7 @@
 import {
 	drainTime, revokeTime, type CutOff, type Drain, type LimitPeriod,
 } from './soak-faults.js';
+import {isCrowdRequest} from './soak-crowd.js';
 import {poisonBodies, poisonPart} from './soak-poison.js';
 import type {SoakRelay} from './soak-relay.js';
 import {softwareOf} from './soak-streams.js';
@@ -156,8 +157,12 @@
 	private get retryViolations(): readonly string[] {
 		const arrivals = this.record.replicas.flatMap(({seen}) => seen).sort((left, right) => left.at - right.at);
 		const known = new Set<string>();
-		const retriedAt = arrivals.filter(({id}) => known.size === known.add(id).size).map(({at}) => at);
-		const requestedAt = this.record.attempts.map(({sentAt}) => sentAt).sort((left, right) => left - right);
+		const retried = arrivals.filter(({id}) => known.size === known.add(id).size);
+		const retriedAt = retried.map(({at}) => at);
+		// A request of a crowd has no attempt; it counts from its first arrival.
+		const repeated = new Set(retried);
+		const ofCrowds = arrivals.filter(arrival => isCrowdRequest(arrival.id) && !repeated.has(arrival));
+		const requestedAt = [...this.record.attempts.map(({sentAt}) => sentAt), ...ofCrowds.map(({at}) => at)].sort((left, right) => left - right);
 		const most = greatestRetryExcess({requestedAt, retriedAt}, retryBound);
 		return most !== undefined && most.excess > 0 ? [`${most.retries} retries in ${retryBound.window} ms, ${Math.floor(most.allowed)} allowed`] : [];
 	}
--- a/development/soak/soak-crowd.ts
+++ b/development/soak/soak-crowd.ts
@@ -17,6 +17,13 @@
 /** Connections of a crowd. */
 const connections = {least: 2, spread: 20} as const;
 const pipelinedRequests = 300;
+const idPrefix = 'crowd-';
+
+/**
+ * @param id - Id of a request that a replica received.
+ * @returns Whether a client of a crowd sent it.
+ */
+export const isCrowdRequest = (id: string): boolean => id.startsWith(idPrefix);
 
 const kinds: ReadonlyArray<(head: HeadWriter) => Conduct> = [
 	excessiveChunks,
@@ -45,6 +52,7 @@
 	/** Connections that were opened. */
 	opened = 0;
 	private readonly random: () => number;
+	private requests = 0;
 	private isOver = false;
 
 	private constructor(seed: number, private readonly relays: readonly SoakRelay[]) {
@@ -70,16 +78,17 @@
 		const port = this.draw([ports.front, ports.front, ports.front, ports.control, ports.ready, ports.metrics]);
 		const count = Math.round(this.drawNumber(connections));
 		this.opened += count;
-		const clients = Array.from({length: count}, (_, index) => CrowdClient.start(port, conduct(this.headOf(index))));
+		const clients = Array.from({length: count}, () => CrowdClient.start(port, conduct(lines => this.headOf(lines))));
 		await pause(this.drawNumber(holdTime));
 		for (const client of clients) {
 			client.close();
 		}
 	}
 
-	private headOf(index: number): HeadWriter {
-		return lines => [
-			'POST /calls/crowd HTTP/1.1', `Host: ${testHost}`, `Authorization: Bearer ${testKey}`, `Attempt-Id: crowd-${this.opened}-${index}`, ...lines, '', '',
+	private headOf(lines: readonly string[]): string {
+		this.requests++;
+		return [
+			'POST /calls/crowd HTTP/1.1', `Host: ${testHost}`, `Authorization: Bearer ${testKey}`, `Attempt-Id: ${idPrefix}${this.requests}`, ...lines, '', '',
 		].join('\r\n');
 	}
 
