Grant more connections to other boxes, and more memory to connections

Cause: at 250 MB the listener for other boxes allowed 106 connections. When a configuration changes, more boxes of a large fleet than that may connect in the same turn, and those whose requests have not been read yet would be closed for the next ones. Change: the part of other boxes is 0.14 of the connections (248 at 250 MB, 439 at 350 MB) and that of connections 0.16 of the divided memory; bodies and answers get a fiftieth less each.

--- a/src/resources/process-resources.ts
+++ b/src/resources/process-resources.ts
@@ -14,6 +14,9 @@
 import {ResourceMetrics} from './resource-metrics.js';
 import {ServerConnections} from './server-connections.js';
 
+/** Listeners that share the memory for heads. */
+const listenerCount = 4;
+
 /** The resources of one process. */
 export class ProcessResources {
 	/**
@@ -80,6 +83,3 @@
 		return connections;
 	}
 }
-
-/** Listeners that share the memory for heads. */
-const listenerCount = 4;
--- a/src/resources/resource-limits.ts
+++ b/src/resources/resource-limits.ts
@@ -11,18 +11,18 @@
 /** Bytes of the program itself, and of buffers that are not collected yet: V8 lets those outside its heap grow by 64 MB between two collections. */
 const programBytes = 120 * bytesPerMegabyte;
 /** Minimum bytes to divide, so that the largest bodies can be served whatever the settings say. */
-const minDividedBytes = 64 * bytesPerMegabyte;
+const minDividedBytes = 72 * bytesPerMegabyte;
 /** Parts of the remaining memory; the rest of it is for objects that the garbage collector has not freed yet. */
 const memoryParts = {
-	requestBodies: 0.3, answers: 0.25, heads: 0.08, connections: 0.12,
+	requestBodies: 0.28, answers: 0.23, heads: 0.08, connections: 0.16,
 } as const;
-/** Bytes that a connection takes with its objects, apart from the bytes that are accounted for separately. */
+/** Bytes that a connection takes with a request in progress, apart from the bytes that are accounted for separately. */
 const connectionBytes = 12 * 1024;
 /** Part of the descriptors, and minimum number, for files, the store, other boxes and probes. */
 const ownDescriptors = {part: 0.08, min: 100} as const;
 /** Parts of the remaining descriptors; those of `replicas` are connections that the process opens for requests. */
 const descriptorParts = {
-	clients: 0.42, peers: 0.08, ready: 0.02, operators: 0.02, replicas: 0.46,
+	clients: 0.36, peers: 0.14, ready: 0.02, operators: 0.02, replicas: 0.46,
 } as const;
 /** Minimum connections of a listener. */
 const minConnections = 16;
