--- a/src/node/test/malformed-entries.test.ts
+++ b/src/node/test/malformed-entries.test.ts
@@ -136,6 +136,7 @@
 	await starting.kill();
 	installation.unlist(name);
 	installation.unlist(late);
+	await until(() => hasLogged(running!, 'replicaGone', late));
 }
 
 for (const [index, name] of oddNames.entries()) {
