--- a/src/relay/forwarded-attempt.ts
+++ b/src/relay/forwarded-attempt.ts
@@ -157,7 +157,7 @@
 	}
 
 	private applyRefusal(answer: OpenAnswer, refusal: Refusal): Effect.Effect<never, AttemptFailure | Refusal> {
-		const {parts: {services: {forwarding, clock}, record}, plan: {box, request: {receivedAt, route}}} = this;
+		const {parts: {services: {forwarding, clock, resources: {answers}}, record}, plan: {box, request: {receivedAt, route}}} = this;
 		const {reason, verdict, detail} = refusal;
 		if (verdict === 'not-run') {
 			record.executions--;
@@ -174,7 +174,7 @@
 		};
 
 		// The body is read so that the connection can be used again.
-		return readBody(answer, {maxBytes: maxRefusalBytes}).pipe(Effect.ignore, Effect.andThen(Effect.suspend(() => Effect.fail(failure()))));
+		return readBody(answer, {maxBytes: maxRefusalBytes, answers}).pipe(Effect.ignore, Effect.andThen(Effect.suspend(() => Effect.fail(failure()))));
 	}
 
 	private deliver(answer: OpenAnswer): Effect.Effect<void, AttemptFailure> {
--- a/src/resources/request-body.ts
+++ b/src/resources/request-body.ts
@@ -9,8 +9,7 @@
 import {holdReading, releaseReading} from './request-feed.js';
 
 /** Maximum bytes of a body that is collected without waiting for memory. */
-export const smallBodyBytes = 65_536;
-
+const smallBodyBytes = 65_536;
 /** Bytes that have been read, but not collected, from a connection that is not read any further: what is left of one read, and another. */
 const readAheadBytes = 131_072;
 
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -230,8 +230,9 @@
 			return;
 		}
 
-		let excess = this.headBytes - heads;
-		for (const {socket, connection, bytes} of this.incompleteHeads) {
+		const {incompleteHeads} = this;
+		let excess = sumOf(incompleteHeads.map(({bytes}) => bytes)) - heads;
+		for (const {socket, connection, bytes} of incompleteHeads) {
 			if (excess <= 0) {
 				return;
 			}
