--- a/review/support/replica-process.mjs
+++ b/review/support/replica-process.mjs
@@ -12,7 +12,7 @@
 
 const [id, unframedEvery] = process.argv.slice(2);
 /** Milliseconds between the two halves of a plain answer, and between two events. */
-const plainPause = 400;
+const plainPause = 1200;
 const eventPause = 60;
 let answers = 0;
 
