--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -12,12 +12,12 @@
 } from '../support/wire.mjs';
 
 const relayCount = 3;
-/** Each replica runs so many requests at a time and queues twice as many, as the engines of the sites do. */
+/** Each replica runs so many requests at a time and queues four times as many, as the `gauge-api` of the site does. */
 const replicaCount = 3;
 const slots = 4;
-const queueLength = 2 * slots;
-/** For each slot one that runs and, at most, two that wait; six fewer than there is room for, since the relay does not spread them evenly. */
-const requestCount = (replicaCount * (slots + queueLength)) - 6;
+const queueLength = 4 * slots;
+/** For each slot one that runs and one that waits, and a few more, which begin when the first two have ended. */
+const requestCount = (replicaCount * slots * 2) + 4;
 /** A stream of 49 events, as those of the site's `engineer-query`. */
 const events = 49;
 const eventPause = 78;
