--- a/review/support/store.mjs
+++ b/review/support/store.mjs
@@ -14,6 +14,7 @@
 	calls = [];
 	duties = [];
 	onDuty = undefined;
+	doors = [];
 
 	async start() {
 		this.server = createServer((request, response) => {
@@ -27,12 +28,37 @@
 	}
 
 	async stop() {
+		for (const door of this.doors) {
+			door.closeAllConnections();
+			door.close();
+		}
+
 		this.server.closeAllConnections();
 		await new Promise(resolve => {
 			this.server.close(resolve);
 		});
 	}
 
+	/** A listener of its own for one machine, which the store can turn away. */
+	async openDoor() {
+		const door = {isClosed: false, firstCallAt: undefined, port: 0};
+		const server = createServer((request, response) => {
+			door.firstCallAt ??= performance.now();
+			if (door.isClosed) {
+				request.resume();
+				response.writeHead(503).end();
+			} else {
+				this.receive(request, response);
+			}
+		});
+		this.doors.push(server);
+		await new Promise(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		door.port = server.address().port;
+		return door;
+	}
+
 	objects(kind) {
 		if (!this.kinds.has(kind)) {
 			this.kinds.set(kind, new Map());
