--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -16,8 +16,8 @@
 const replicaCount = 3;
 const slots = 4;
 const queueLength = 4 * slots;
-/** For each slot one that runs and one that waits, and a few more, which begin when the first two have ended. */
-const requestCount = (replicaCount * slots * 2) + 4;
+/** For each slot one that runs and one that waits; relays spread them unevenly, so some wait for two others. */
+const requestCount = replicaCount * slots * 2;
 /** A stream of 49 events, as those of the site's `engineer-query`. */
 const events = 49;
 const eventPause = 78;
