Answer each request before a stopped box exits

Calls, and streams that had not begun, ended the same way while their replica was at work, while their body was still arriving, and when one of two boxes on their way stopped.

Cause: the stop knew one limit only, at which the process exits and resets each open response. Nothing answered the requests before.

Evidence: the replicas log that they drop the waiting requests in the millisecond of the exit, 7.9 s before the clients' deadline.

Change: `StopSchedule` derives the times of a stop from the grace period. Shortly before the exit each request whose answer has not begun is interrupted, then refused: 503 and not-run if it was never passed on, otherwise 502 and may-have-run. The exit waits for these refusals if the process was held up. A refusal whose request is still being received is closed without a reset, which could discard it.

Why it works: the verdict is taken after the attempt has been interrupted, so nothing is passed on after it.

--- a/scripts/layers.js
+++ b/scripts/layers.js
@@ -5,6 +5,7 @@
 export const layers = [
 	'base',
 	'resources',
+	'stopping',
 	'external',
 	'upstream',
 	'settings',
--- a/src/base/lingering-close.ts
+++ b/src/base/lingering-close.ts
@@ -14,6 +14,13 @@
 const maxLingering = 64;
 
 let lingering = 0;
+const lingeringResponses = new WeakSet<ServerResponse>();
+
+/**
+ * @param response - A response that has not ended.
+ * @returns Whether its answer is completely written, and only the rest of the request is awaited.
+ */
+export const isLingering = (response: ServerResponse): boolean => lingeringResponses.has(response);
 
 /**
  * Discards the rest of a request, up to a limit of time and bytes, then ends the answer.
@@ -28,6 +35,7 @@
 	}
 
 	lingering++;
+	lingeringResponses.add(response);
 	let remainingBytes = maxDiscardedBytes / lingering;
 	let hasEnded = false;
 	const end = () => {
--- a/src/base/open-responses.ts
+++ b/src/base/open-responses.ts
@@ -2,6 +2,7 @@
  * Tracks the responses of a server that have not been sent completely, so that they can be reset before the server closes.
  */
 import type {Server, ServerResponse} from 'node:http';
+import {isLingering} from './lingering-close.js';
 
 /** The responses of one server that have not been sent completely. */
 export class OpenResponses {
@@ -25,12 +26,15 @@
 
 	/**
 	 * Resets the connection of each response. The end of a process closes connections in order, and a client of HTTP/1.0 takes that for the end of
-	 * a body without a length.
+	 * a body without a length. An answer that is complete but for the rest of its request is not reset, which could discard it.
 	 */
 	reset(): void {
-		for (const {socket} of this.open) {
-			// A reset of a connection that is already ending leaks its handle.
-			if (socket && !socket.destroyed && !socket.writableEnded) {
+		for (const response of this.open) {
+			const {socket} = response;
+			if (socket && isLingering(response) && socket.writableLength === 0) {
+				socket.destroy();
+			} else if (socket && !socket.destroyed && !socket.writableEnded) {
+				// A reset of a connection that is already ending leaks its handle.
 				socket.resetAndDestroy();
 				// The reset alone waits for unsent data, and an exiting process does not.
 				socket.destroy();
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -60,6 +60,7 @@
 import {ProcessResources} from '../resources/process-resources.js';
 import {RouteTableView} from '../routes/route-table-view.js';
 import type {RelaySettings} from '../settings/relay-settings.js';
+import {StopSchedule} from '../stopping/stop-schedule.js';
 import {BacklogExchange} from './backlog-exchange.js';
 import {ConfigurationRole, configurationPath} from './configuration-role.js';
 import {listen, openControlListener, type ControlResponse} from './control-listeners.js';
@@ -81,10 +82,6 @@
 const quarantinePath = '/quarantine';
 /** Path at which operators read which requests wait in this box. */
 const waitingPath = '/waiting';
-/** Milliseconds from the stop signal after which new requests are refused: they might not finish in time. */
-const closingDelay = 2800;
-/** Milliseconds before the end of the grace period at which the stop completes even with requests in progress, so that the process exits by itself. */
-const stopMargin = 900;
 /** Milliseconds between two checks for the end of all requests. */
 const stopCheckInterval = 50;
 /** Milliseconds between two samples of the metrics. */
@@ -160,7 +157,7 @@
 	private readonly originRecord: OriginRecord;
 	private readonly backlogExchange: BacklogExchange;
 	private readonly frontEnd: FrontEnd;
-	private stoppingSince: number | undefined;
+	private readonly stopSchedule: StopSchedule;
 	/** Monotonic milliseconds of the last additional round of the exchange for a rollout. */
 	private exchangeRequestedAt = Number.NEGATIVE_INFINITY;
 
@@ -177,6 +174,7 @@
 			memory: () => settings().bounds.retryWindow + loanLifetime,
 			isNewFleet: () => settings().isFirstStart && this.peers.all.every(({last}) => (last?.uptime ?? 0) < settings().bounds.retryWindow),
 		});
+		this.stopSchedule = StopSchedule.create(this.clock);
 		this.services = this.createServices();
 		const {brittle, demands, fleetRates} = this.services;
 		const weights = DemandWeights.create({
@@ -217,7 +215,7 @@
 			fleetEvidence: this.fleetEvidence,
 			slotRanges: this.slotRanges,
 			weights,
-			isStopping: () => this.stoppingSince !== undefined,
+			isStopping: () => this.stopSchedule.isStopping,
 		});
 		this.quarantineRecord = QuarantineRecord.create({
 			clock: this.clock, log, store: link.store, quarantine: this.services.quarantine, isOwner: () => this.topology.owns(recordName),
@@ -252,11 +250,7 @@
 		this.backlogExchange = BacklogExchange.create({
 			process: this.processName, peers, topology, send, replicas, loads: this.services.loads, backlogs: () => this.services.scheduling.backlogs,
 		});
-		this.frontEnd = FrontEnd.create(this.services, {
-			isStarting: () => !this.isRestored,
-			isStopping: () => this.stoppingSince !== undefined,
-			isClosing: () => this.stoppingFor > closingDelay,
-		});
+		this.frontEnd = FrontEnd.create(this.services, () => !this.isRestored);
 		ConnectionShedding.create({
 			clock: this.clock, suspensions: this.services.suspensions, log, metrics: parts.metrics, server: this.frontEnd.server,
 		});
@@ -275,7 +269,7 @@
 	/** Whether the load balancer should send clients to this box. */
 	get isReady(): boolean {
 		const {table, replicas, guard} = this.services;
-		return this.stoppingSince === undefined && table.inForce !== undefined && replicas.isKnown && this.isRestored && guard.allowsKeys;
+		return !this.stopSchedule.isStopping && table.inForce !== undefined && replicas.isKnown && this.isRestored && guard.allowsKeys;
 	}
 
 	/** Whether this process has read from the store what boxes that ran before it knew. */
@@ -299,32 +293,27 @@
 		this.frontEnd.responses.reset();
 	}
 
-	/** Milliseconds since the stop signal; zero before. */
-	private get stoppingFor(): number {
-		return this.stoppingSince === undefined ? 0 : this.clock.monotonic() - this.stoppingSince;
-	}
-
 	/**
 	 * Stops the relay: clients move to other boxes, as the load balancer sees that this box is not ready and as responses close their connections, and requests
-	 * in progress are completed.
+	 * in progress are completed. Those that are not complete shortly before the end of the grace period get a refusal.
 	 *
 	 * @returns An effect that completes within the grace period.
 	 */
 	stop(): Effect.Effect<void> {
 		return Effect.gen({self: this}, function * () {
-			this.stoppingSince = this.clock.monotonic();
+			const {stopSchedule} = this;
+			stopSchedule.begin(this.parts.settings().bounds.grace);
 			this.parts.log.write('relayStopping', {inProgress: this.frontEnd.inProgress});
-			const maxStoppingTime = this.parts.settings().bounds.grace - stopMargin;
 			for (;;) {
 				yield * Effect.sleep(stopCheckInterval);
-				if (this.stoppingFor > closingDelay) {
-					this.services.scheduling.queue.stop(maxStoppingTime - this.stoppingFor);
+				if (stopSchedule.isClosing) {
+					this.services.scheduling.queue.stop(stopSchedule.timeLeft);
 				}
 
 				const connections = yield * this.openConnections();
-				const isDone = this.stoppingFor > balancerDelay && this.frontEnd.inProgress === 0 && connections === 0;
-				if (isDone || this.stoppingFor > maxStoppingTime) {
-					this.parts.log.write('relayStopped', {inProgress: this.frontEnd.inProgress, connections});
+				const isDone = stopSchedule.elapsed > balancerDelay && this.frontEnd.inProgress === 0 && connections === 0;
+				if (isDone || stopSchedule.isOver(this.frontEnd.unanswered)) {
+					this.parts.log.write('relayStopped', {inProgress: this.frontEnd.inProgress, unanswered: this.frontEnd.unanswered, connections});
 					return;
 				}
 			}
@@ -433,6 +422,7 @@
 					this.logSuspension(suspension);
 				},
 			}),
+			stop: this.stopSchedule,
 			box: settings().node,
 			boxes: () => peers.boxes,
 			log,
@@ -661,7 +651,7 @@
 				link, log, settings, clock: this.clock, peers, topology, services: this.services, self: self.name, metrics,
 				incarnation: this.incarnation,
 				availability: this.availability,
-				isStopping: () => this.stoppingSince !== undefined,
+				isStopping: () => this.stopSchedule.isStopping,
 			}),
 		];
 	}
--- /dev/null
+++ b/src/node/test/planned-stop.test.ts
@@ -0,0 +1,147 @@
+/*
+ * Guards against requests that a stopping box has read and that end without an answer: those that waited for a slot of their replica got a reset
+ * connection when the process exited.
+ */
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {describe, test, type TestContext} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import * as Effect from 'effect/Effect';
+import {
+	RelayInstallation, routeTo, testHost, testKey, until, type ClientView, type InstallationPlan, type RelayMember,
+} from '../../../development/relay/relay-installation.js';
+import type {SeenRequest} from '../../../development/relay/replica-standin.js';
+
+/** Milliseconds for which replicas work on a request; longer than each grace period. */
+const work = 4000;
+const kinds = ['non_idempotent', 'idempotent', 'streaming'] as const;
+const graces = [2000, 3000] as const;
+const routes = kinds.map(kind => routeTo(`/${kind}/`, {
+	kind, timeout_ms: 20_000, goal_ms: 15_000, max_attempts: 1,
+}));
+
+async function start(context: TestContext, plan: Partial<InstallationPlan> & {readonly grace: number}): Promise<RelayInstallation> {
+	const installation = await RelayInstallation.start({
+		relays: 1, replicas: ['i-1'], routes, bounds: {grace: plan.grace}, ...plan,
+	});
+	context.after(async () => installation.close());
+	return installation;
+}
+
+/** Stops a relay as its process does after SIGTERM. */
+async function stop({node, kill}: RelayMember): Promise<void> {
+	await Effect.runPromise(node.stop());
+	await kill();
+}
+
+const seenAt = ({allReplicas}: RelayInstallation): readonly SeenRequest[] => allReplicas.flatMap(({seen}) => seen);
+const callAll = (installation: RelayInstallation, relay: RelayMember, paths: readonly string[]): ReadonlyArray<Promise<ClientView>> =>
+	paths.map(async path => installation.call({
+		path, method: 'POST', body: 'x', headers: {'Deadline-Ms': '20000'},
+	}, relay));
+
+function assertRefused(view: ClientView, status: number, verdict: string): void {
+	assert.equal(view.status, status);
+	assert.ok(view.isWhole);
+	assert.equal((JSON.parse(view.body) as {readonly verdict: unknown}).verdict, verdict);
+}
+
+/** Everything that a connection brings until it ends, and whether it was reset. */
+type RawExchange = {readonly send: (text: string) => void; readonly ended: Promise<{readonly text: string; readonly isReset: boolean}>};
+
+function openRaw({port}: RelayMember): RawExchange {
+	const socket = connect(port, '127.0.0.1');
+	let text = '';
+	let isReset = false;
+	const ended = new Promise<{readonly text: string; readonly isReset: boolean}>(resolve => {
+		socket.on('error', () => {
+			isReset = true;
+		}).on('data', data => {
+			text += data.toString('latin1');
+		}).once('close', () => {
+			resolve({text, isReset});
+		});
+	});
+	return {
+		send(part) {
+			socket.write(part, 'latin1');
+		}, ended,
+	};
+}
+
+const headOf = (path: string, length: number): string =>
+	[`POST ${path} HTTP/1.1`, `Host: ${testHost}`, `Authorization: Bearer ${testKey}`, `Attempt-Id: ${path}`, 'Deadline-Ms: 20000', `Content-Length: ${length}`, '', ''].join('\r\n');
+
+const statusesOf = (text: string): readonly number[] => [...text.matchAll(/HTTP\/1\.1 (\d+)/gv)].map(([, status]) => Number(status));
+
+describe('a planned stop', {concurrency: true}, () => {
+	for (const grace of graces) {
+		for (const kind of kinds) {
+			test(`answers ${kind} requests that run or wait for a slot at their replica when the grace period of ${grace} ms ends`, async context => {
+				const installation = await start(context, {grace});
+				const [relay] = installation.relays;
+				const replica = installation.replicas.get('i-1')!;
+				replica.behave({delay: work});
+				replica.room = {slots: 1, waiting: 10, rejections: Number.POSITIVE_INFINITY};
+				const calls = callAll(installation, relay!, Array.from({length: 4}, (_, index) => `/${kind}/${index}`));
+				await until(() => replica.seen.length === calls.length);
+				const stoppedAt = performance.now();
+				const stopped = stop(relay!);
+				const views = await Promise.all(calls);
+				await stopped;
+				assert.ok(performance.now() - stoppedAt < grace);
+				for (const view of views) {
+					assertRefused(view, 502, 'may-have-run');
+				}
+			});
+		}
+	}
+
+	test('answers requests that were forwarded to the stopping box or from it', async context => {
+		const installation = await start(context, {grace: 2000, relays: 3});
+		await installation.untilAllHeard();
+		const [cut, ...others] = installation.relays;
+		cut!.network.state = 'refuse';
+		await installation.call({path: '/idempotent/first'}, cut);
+		await until(() => cut!.log.lines.some(({eventName}) => eventName === 'replicasUnreachable'));
+		installation.replicas.get('i-1')!.behave({delay: work});
+		const calls = callAll(installation, cut!, Array.from({length: 6}, (_, index) => `/non_idempotent/${index}`));
+		await until(() => seenAt(installation).filter(({target}) => target.startsWith('/non_idempotent/')).length === calls.length);
+		await Promise.all([stop(others[0]!), pause(300).then(async () => stop(cut!))]);
+		for (const view of await Promise.all(calls)) {
+			assertRefused(view, 502, 'may-have-run');
+		}
+	});
+
+	test('refuses a request that waits in the box as not run', async context => {
+		const installation = await start(context, {grace: 2000});
+		const [relay] = installation.relays;
+		const replica = installation.replicas.get('i-1')!;
+		replica.limit = '0.2';
+		await installation.call({path: '/non_idempotent/first', method: 'POST', body: 'x'});
+		const calls = callAll(installation, relay!, Array.from({length: 3}, (_, index) => `/non_idempotent/${index}`));
+		await pause(100);
+		const before = replica.seen.length;
+		await stop(relay!);
+		const views = await Promise.all(calls);
+		const refused = views.filter(({status}) => status !== 200);
+		assert.ok(refused.length > 0);
+		assert.equal(replica.seen.length - before <= views.length - refused.length, true);
+		for (const view of refused) {
+			assertRefused(view, 503, 'not-run');
+		}
+	});
+
+	test('refuses a request whose body is not complete when the grace period ends, and passes nothing on', async context => {
+		const installation = await start(context, {grace: 2000});
+		const [relay] = installation.relays;
+		const raw = openRaw(relay!);
+		raw.send(`${headOf('/non_idempotent/slow', 10)}first`);
+		await pause(100);
+		await stop(relay!);
+		const {text} = await raw.ended;
+		assert.deepEqual(statusesOf(text), [503]);
+		assert.match(text, /"verdict":"not-run"/v);
+		assert.equal(seenAt(installation).length, 0);
+	});
+});
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -43,35 +43,34 @@
 	readonly receivedAt: number;
 };
 
-/** State of the process that the front end depends on. */
-export type FrontState = {
-	/** @returns Whether this process has not restored what it needs to serve requests. */
-	readonly isStarting: () => boolean;
-	/** @returns Whether this process has been asked to stop. */
-	readonly isStopping: () => boolean;
-	/** @returns Whether new requests are refused because the process is about to exit. */
-	readonly isClosing: () => boolean;
+/** A request and its response. */
+type Exchange = {
+	readonly incoming: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly body: RequestBody;
 };
 
 /** The HTTP front end of one box. */
 export class FrontEnd {
 	/**
 	 * @param services - The services that handle requests.
-	 * @param state - State of the process.
+	 * @param isStarting - Returns whether this process has not restored what it needs to serve requests.
 	 * @returns A front end that is not listening yet.
 	 */
-	static create(services: RelayServices, state: FrontState): FrontEnd {
-		return new FrontEnd(services, state);
+	static create(services: RelayServices, isStarting: () => boolean): FrontEnd {
+		return new FrontEnd(services, isStarting);
 	}
 
 	/** Node's server. The caller that makes it listen also closes it. */
 	readonly server: Server;
 	/** Responses to clients that are not complete. */
 	readonly responses: OpenResponses;
+	/** Responses to all requests that have been received, whether they are in progress or wait for an earlier one of their connection. */
+	private readonly received = new Set<ServerResponse>();
 	private active = 0;
 	private readonly idleListeners: Array<() => void> = [];
 
-	private constructor(private readonly services: RelayServices, private readonly state: FrontState) {
+	private constructor(private readonly services: RelayServices, private readonly isStarting: () => boolean) {
 		this.server = createServer({maxHeaderSize: maxHeadBytes, requestTimeout: receiveTimeout, noDelay: true}, (incoming, response) => {
 			this.handle(incoming, response, connections);
 		});
@@ -89,6 +88,11 @@
 		return this.active;
 	}
 
+	/** Requests, from clients and other boxes, whose answer has not begun. */
+	get unanswered(): number {
+		return [...this.received].filter(({headersSent}) => !headersSent).length;
+	}
+
 	/** @returns An effect that completes when no request is in progress. */
 	whenIdle(): Effect.Effect<void> {
 		return Effect.callback<void>(resume => {
@@ -123,21 +127,26 @@
 	/** Collects the body from now on, and handles the request when the earlier ones of its connection have been answered. */
 	private handle(incoming: IncomingMessage, response: ServerResponse, connections: ServerConnections, forward?: ForwardHead): void {
 		const body = this.services.resources.requestBodies.receive(incoming);
+		this.received.add(response);
+		response.once('close', () => {
+			this.received.delete(response);
+		});
 		connections.enqueue({
 			incoming,
 			response,
 			body,
 			start: () => {
-				this.serve(incoming, response, body, forward);
+				this.serve({incoming, response, body}, forward);
 			},
 		});
 	}
 
 	/** Runs one fiber for each request, which is interrupted when the client disconnects. */
-	private serve(incoming: IncomingMessage, response: ServerResponse, body: RequestBody, forward?: ForwardHead): void {
+	private serve(exchange: Exchange, forward?: ForwardHead): void {
+		const {response} = exchange;
 		this.active++;
 		this.services.metrics.inProgress.set(this.active);
-		const fiber = Effect.runFork(Effect.suspend(() => this.answer(incoming, response, body, forward)));
+		const fiber = Effect.runFork(Effect.suspend(() => this.answer(exchange, forward)));
 		response.once('close', () => {
 			Effect.runFork(Fiber.interrupt(fiber));
 			this.active--;
@@ -150,11 +159,11 @@
 		});
 	}
 
-	private answer(incoming: IncomingMessage, response: ServerResponse, body: RequestBody, forward: ForwardHead | undefined): Effect.Effect<void> {
-		const {clock, format, log} = this.services;
+	private answer({incoming, response, body}: Exchange, forward: ForwardHead | undefined): Effect.Effect<void> {
+		const {clock, format, log, stop} = this.services;
 		const receivedAt = clock.monotonic();
 		const head = format.readRequest(incoming);
-		const client = ClientAnswer.create(response, this.state.isStopping, forward && {
+		const client = ClientAnswer.create(response, () => stop.isStopping, forward && {
 			ofRefusal: refusal => refusalHeaders(refusal, summary.run?.record.arrivals ?? 0),
 			ofAnswer: () => softwareHeader(summary.run?.software),
 		});
@@ -200,7 +209,7 @@
 	private tableInForce(minVersion = 0): Effect.Effect<RouteTable, Refusal> {
 		return Effect.suspend(() => {
 			const table = this.services.table.inForce;
-			if (!table || !this.services.replicas.isKnown || this.state.isStarting()) {
+			if (!table || !this.services.replicas.isKnown || this.isStarting()) {
 				return Effect.fail(Refusal.create('not-ready', 'This box knows no configuration yet.', {retryAfter: configurationRetryAfter}));
 			}
 
@@ -208,9 +217,7 @@
 				return Effect.fail(Refusal.create('configuration-stale', 'The configuration is older than that of the box that received the request.', {retryAfter: configurationRetryAfter}));
 			}
 
-			return this.state.isClosing()
-				? Effect.fail(Refusal.create('box-stopping', 'This box is stopping.', {retryAfter: 0}))
-				: Effect.succeed(table);
+			return this.services.stop.isClosing ? Effect.fail(stoppingRefusal()) : Effect.succeed(table);
 		});
 	}
 
@@ -221,7 +228,7 @@
 		{table, forward, receivedAt, route, clientAccount}: Admission,
 	): Effect.Effect<AdmittedRequest, Refusal> {
 		return Effect.gen({self: this}, function * () {
-			const body = yield * requestBody.read(table.content.limits.body);
+			const body = yield * this.readBody(requestBody, table.content.limits.body);
 			const units = unitsOf(clientAccount, head);
 			// The box that received the request from the client has charged it.
 			if (clientAccount && !forward) {
@@ -242,6 +249,14 @@
 		});
 	}
 
+	/** Fails when the box is stopping and answers are due. */
+	private readBody(body: RequestBody, limit: number): Effect.Effect<Uint8Array, Refusal> {
+		const {stop} = this.services;
+		return body.isIncomplete
+			? Effect.raceFirst(body.read(limit), stop.untilLeft(0).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(stoppingRefusal())))))
+			: body.read(limit);
+	}
+
 	private authorise(incoming: IncomingMessage, head: RequestHead, table: RouteTable): Effect.Effect<RequestAccess, Refusal> {
 		const {guard} = this.services;
 		const stale = () => Effect.fail(Refusal.create('configuration-stale', 'The configuration may be out of date here.', {retryAfter: configurationRetryAfter}));
@@ -279,6 +294,9 @@
 	}
 }
 
+/** Other boxes can serve the request at once. */
+const stoppingRefusal = (): Refusal => Refusal.create('box-stopping', 'This box is stopping.', {retryAfter: 0});
+
 function unitsOf(clientAccount: ClientAccount | undefined, {promptTokens, outputTokens}: RequestHead): number {
 	if (clientAccount?.unit !== 'tokens') {
 		return 1;
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -156,9 +156,10 @@
 
 	/** @returns An effect that completes when the answer was sent; a refusal states whether the request may have run. */
 	serve(): Effect.Effect<void, Refusal> {
-		const timeLeft = Math.max(0, this.request.deadlineAt - this.services.clock.monotonic());
-		const timeout = Effect.sleep(timeLeft).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(this.timeoutRefusal()))));
-		return Effect.raceFirst(this.tryReplicas(), timeout).pipe(
+		const served = this.tryReplicas().pipe(Effect.as(undefined));
+		return Effect.raceFirst(served, this.untilRefused()).pipe(
+			// Its attempt has been interrupted by now, so the verdict is final.
+			Effect.flatMap(limit => limit === undefined ? Effect.void : Effect.fail(limit === 'deadline' ? this.timeoutRefusal() : this.stopRefusal())),
 			Effect.catchTag('Refusal', refusal => this.sendFailedAnswer(refusal)),
 			Effect.tapError(refusal => Effect.sync(() => {
 				if (!this.wasForwarded) {
@@ -177,6 +178,25 @@
 		);
 	}
 
+	/** @returns Completes at the deadline, or when the process stops and the request must have an answer; a stream that has begun goes on until it exits. */
+	private untilRefused(): Effect.Effect<'deadline' | 'stop'> {
+		return Effect.callback<'deadline' | 'stop'>(resume => {
+			const {clock, stop} = this.services;
+			const timer = setTimeout(() => {
+				resume(Effect.succeed('deadline'));
+			}, Math.max(0, this.request.deadlineAt - clock.monotonic()));
+			const cancel = stop.onceLeft(0, () => {
+				if (!this.client.hasBegun) {
+					resume(Effect.succeed('stop'));
+				}
+			});
+			return Effect.sync(() => {
+				clearTimeout(timer);
+				cancel();
+			});
+		});
+	}
+
 	/** A request that was forwarded is part of the demand at the box that sent it to a replica. */
 	private get wasForwarded(): boolean {
 		return this.record.forwards > 0;
@@ -477,6 +497,12 @@
 			: Refusal.create('upstream-cut', detail, {verdict: 'may-have-run'});
 	}
 
+	private stopRefusal(): Refusal {
+		return this.verdict === 'not-run'
+			? Refusal.create('box-stopping', 'This box is stopping; the request was not run.', {retryAfter: 0})
+			: Refusal.create('upstream-cut', 'This box is stopping, and no whole answer came before.', {verdict: 'may-have-run'});
+	}
+
 	private timeoutRefusal(): Refusal {
 		return this.verdict === 'not-run'
 			? Refusal.create('capacity-short', 'No replica took the request in time; it was not run.', {retryAfter: minRetryAfter})
--- a/src/relay/relay-services.ts
+++ b/src/relay/relay-services.ts
@@ -20,6 +20,7 @@
 import type {VersionEvidence} from '../rollout/version-evidence.js';
 import type {ProcessResources} from '../resources/process-resources.js';
 import type {RouteTableView} from '../routes/route-table-view.js';
+import type {StopSchedule} from '../stopping/stop-schedule.js';
 import type {UsageCounts} from '../duties/usage-counts.js';
 import type {ConnectionRegistry} from './connection-registry.js';
 import type {CrashDetector} from './crash-detector.js';
@@ -37,6 +38,8 @@
 export type RelayServices = {
 	readonly clock: Clock;
 	readonly suspensions: SuspensionMeter;
+	/** The stop of this process. */
+	readonly stop: StopSchedule;
 	/** Name of this box. */
 	readonly box: string;
 	/** @returns Number of boxes, including this one. */
--- /dev/null
+++ b/src/stopping/stop-schedule.ts
@@ -0,0 +1,125 @@
+/**
+ * The schedule of a planned stop: until when a process takes requests, when it answers those that are not answered yet, and when it exits. All times
+ * are fractions of the grace period, after which the platform kills the process.
+ *
+ * @remarks Source: docs/DESIGN.md, "Planned stops".
+ */
+import * as Effect from 'effect/Effect';
+import type {Clock} from '../base/clock.js';
+
+/** Fraction of the grace period after which new requests are refused: they might not finish in time. */
+const closingFraction = 0.35;
+/** Fraction after which each request without an answer gets a refusal, which its client has to receive before the process exits. */
+const answersDueFraction = 0.865;
+/** Fraction after which the process exits with streams in progress. The rest is for closing connections on a busy machine. */
+const exitFraction = 0.8875;
+/** Fraction after which it exits even if a process that was held up has not sent all refusals. */
+const lastExitFraction = 0.95;
+
+/** Runs when less than some time is left for answers. */
+type Deadline = {
+	/** Milliseconds before answers are due. */
+	readonly lead: number;
+	readonly listener: () => void;
+	timer: NodeJS.Timeout | undefined;
+};
+
+/** The schedule of the stop of one process, which may never come. */
+export class StopSchedule {
+	/**
+	 * @param clock - Measures the grace period.
+	 * @returns A schedule that has not begun.
+	 */
+	static create(clock: Clock): StopSchedule {
+		return new StopSchedule(clock);
+	}
+
+	private readonly deadlines = new Set<Deadline>();
+	private begun: {readonly at: number; readonly grace: number} | undefined;
+
+	private constructor(private readonly clock: Clock) {}
+
+	/** Whether the process has been asked to stop. */
+	get isStopping(): boolean {
+		return this.begun !== undefined;
+	}
+
+	/** Whether new requests are refused. */
+	get isClosing(): boolean {
+		return this.timeUntil(closingFraction) < 0;
+	}
+
+	/**
+	 * @param unanswered - Number of requests without an answer.
+	 * @returns Whether the process exits now, with answers in progress.
+	 */
+	isOver(unanswered: number): boolean {
+		return this.timeUntil(unanswered === 0 ? exitFraction : lastExitFraction) < 0;
+	}
+
+	/** Milliseconds since the stop began; zero before. */
+	get elapsed(): number {
+		return this.begun === undefined ? 0 : this.clock.monotonic() - this.begun.at;
+	}
+
+	/** Milliseconds until each request must have its answer; infinite before the stop begins. */
+	get timeLeft(): number {
+		return this.timeUntil(answersDueFraction);
+	}
+
+	/**
+	 * Begins the stop. A second call changes nothing, since the platform counts from its first signal.
+	 *
+	 * @param grace - Milliseconds until the platform kills the process.
+	 */
+	begin(grace: number): void {
+		if (this.begun === undefined) {
+			this.begun = {at: this.clock.monotonic(), grace};
+			for (const deadline of this.deadlines) {
+				this.schedule(deadline);
+			}
+		}
+	}
+
+	/**
+	 * @param lead - Milliseconds before answers are due.
+	 * @returns Completes when no more than this is left until then; never if the process does not stop.
+	 */
+	untilLeft(lead: number): Effect.Effect<void> {
+		return Effect.callback<void>(resume => {
+			const cancel = this.onceLeft(lead, () => {
+				resume(Effect.void);
+			});
+			return Effect.sync(cancel);
+		});
+	}
+
+	/**
+	 * @param lead - Milliseconds before answers are due.
+	 * @param listener - Called once, when no more than this is left until then.
+	 * @returns Cancels the call.
+	 */
+	onceLeft(lead: number, listener: () => void): () => void {
+		const deadline: Deadline = {lead, listener, timer: undefined};
+		this.deadlines.add(deadline);
+		if (this.isStopping) {
+			this.schedule(deadline);
+		}
+
+		return () => {
+			clearTimeout(deadline.timer);
+			this.deadlines.delete(deadline);
+		};
+	}
+
+	private schedule(deadline: Deadline): void {
+		deadline.timer = setTimeout(() => {
+			this.deadlines.delete(deadline);
+			deadline.listener();
+		}, Math.max(0, this.timeLeft - deadline.lead));
+	}
+
+	private timeUntil(fraction: number): number {
+		return this.begun === undefined ? Number.POSITIVE_INFINITY : (this.begun.grace * fraction) - this.elapsed;
+	}
+}
