Judge the time left in a stop when a request is passed on

Cause: the time left was judged once, when the head was read. Between that and the sending a request waits for its body, for room, for its turn, for a connection and for a retry.

Evidence: a body that is complete 0.3 s before answers are due, at a service that takes 0.6 s: the replica got the request.

Change: `StopSchedule.mayServe` compares the expected wait and duration with what is left, at each choice of a replica or box and again right before the sending. A request whose body is still arriving is refused as soon as less is left than its service takes.

Why it works: the check stands next to the act that it allows, on every path that sends.

--- a/src/node/test/planned-stop.test.ts
+++ b/src/node/test/planned-stop.test.ts
@@ -1,6 +1,6 @@
 /*
- * Guards against requests that a stopping box has read and that end without an answer: those that waited for a slot of their replica got a reset
- * connection when the process exited.
+ * Guards against requests that a stopping box has read and that end without an answer: those that waited for a slot of their replica, or whose body was
+ * complete only late in the grace period, got a reset connection when the process exited.
  */
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
@@ -16,6 +16,9 @@
 const work = 4000;
 const kinds = ['non_idempotent', 'idempotent', 'streaming'] as const;
 const graces = [2000, 3000] as const;
+/** Milliseconds that a request is known to take, and the time after the stop signal at which less than that is left. */
+const usualWork = 600;
+const lateBodyDelay = 1400;
 const routes = kinds.map(kind => routeTo(`/${kind}/`, {
 	kind, timeout_ms: 20_000, goal_ms: 15_000, max_attempts: 1,
 }));
@@ -144,4 +147,39 @@
 		assert.match(text, /"verdict":"not-run"/v);
 		assert.equal(seenAt(installation).length, 0);
 	});
+
+	test('does not pass on a request whose body is complete when too little of the grace period is left to serve it', async context => {
+		const installation = await start(context, {grace: 2000});
+		const [relay] = installation.relays;
+		const replica = installation.replicas.get('i-1')!;
+		replica.behave({delay: usualWork});
+		await Promise.all(callAll(installation, relay!, Array.from({length: 4}, (_, index) => `/non_idempotent/${index}`)));
+		const before = replica.seen.length;
+		const raw = openRaw(relay!);
+		raw.send(`${headOf('/non_idempotent/late', 10)}first`);
+		await pause(100);
+		const stopped = stop(relay!);
+		await pause(lateBodyDelay);
+		raw.send('later');
+		await stopped;
+		const {text} = await raw.ended;
+		assert.deepEqual(statusesOf(text), [503]);
+		assert.match(text, /"verdict":"not-run"/v);
+		assert.equal(replica.seen.length, before);
+	});
+
+	test('serves a request whose body is complete while enough of the grace period is left', async context => {
+		const installation = await start(context, {grace: 3000});
+		const [relay] = installation.relays;
+		const raw = openRaw(relay!);
+		installation.replicas.get('i-1')!.behave({delay: 100});
+		await Promise.all(callAll(installation, relay!, ['/non_idempotent/first']));
+		raw.send(`${headOf('/non_idempotent/late', 10)}first`);
+		await pause(100);
+		const stopped = stop(relay!);
+		await pause(lateBodyDelay);
+		raw.send('later');
+		await stopped;
+		assert.deepEqual(statusesOf((await raw.ended).text), [200]);
+	});
 });
--- a/src/relay/forwarded-attempt.ts
+++ b/src/relay/forwarded-attempt.ts
@@ -94,8 +94,14 @@
 
 	private send(socket: Socket): Effect.Effect<void, AttemptFailure | Refusal> {
 		return Effect.suspend(() => {
-			const {services: {clock, guard}, record} = this.parts;
+			const {services: {clock, guard, stop, demands}, client, record} = this.parts;
 			const {box, request} = this.plan;
+			const {service, route, deadlineAt} = request;
+			if (!client.hasBegun && !stop.mayServe(demands.of(service).expectedDuration(route.goal), deadlineAt)) {
+				box.connections.release(socket, undefined);
+				return Effect.fail(AttemptFailure.notRun('withheld', 'the box stops before the request is expected to be answered'));
+			}
+
 			if (request.clientAccount && !guard.allowsKeys) {
 				box.connections.release(socket, undefined);
 				return Effect.fail(AttemptFailure.notRun('withheld', 'the configuration may be out of date'));
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -228,7 +228,9 @@
 		{table, forward, receivedAt, route, clientAccount}: Admission,
 	): Effect.Effect<AdmittedRequest, Refusal> {
 		return Effect.gen({self: this}, function * () {
-			const body = yield * this.readBody(requestBody, table.content.limits.body);
+			const isTarget = route.targets.some(({service}) => service === forward?.service);
+			const service = forward && isTarget ? forward.service : pickTarget(route, Math.random());
+			const body = yield * this.readBody(requestBody, table.content.limits.body, this.services.demands.of(service).expectedDuration(route.goal));
 			const units = unitsOf(clientAccount, head);
 			// The box that received the request from the client has charged it.
 			if (clientAccount && !forward) {
@@ -236,24 +238,23 @@
 			}
 
 			const deadline = Math.min(head.deadline ?? route.timeout, route.timeout);
-			const isTarget = route.targets.some(({service}) => service === forward?.service);
 			return {
 				incoming, head, body, route, clientAccount, units, receivedAt,
 				origin: forward?.origin,
 				requiredSoftware: forward?.software,
 				version: table.version,
-				service: forward && isTarget ? forward.service : pickTarget(route, Math.random()),
+				service,
 				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, clientAccount))),
 				deadlineAt: receivedAt + deadline,
 			};
 		});
 	}
 
-	/** Fails when the box is stopping and answers are due. */
-	private readBody(body: RequestBody, limit: number): Effect.Effect<Uint8Array, Refusal> {
+	/** Fails as soon as the box, which is stopping, can no longer serve the request once its body is complete. */
+	private readBody(body: RequestBody, limit: number, duration: number): Effect.Effect<Uint8Array, Refusal> {
 		const {stop} = this.services;
 		return body.isIncomplete
-			? Effect.raceFirst(body.read(limit), stop.untilLeft(0).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(stoppingRefusal())))))
+			? Effect.raceFirst(body.read(limit), stop.untilLeft(duration).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(stoppingRefusal())))))
 			: body.read(limit);
 	}
 
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -339,6 +339,10 @@
 				return Effect.sleep(decision.wait).pipe(Effect.as(undefined));
 			}
 
+			case 'stop': {
+				return Effect.fail(this.stopRefusal());
+			}
+
 			case 'refuse': {
 				return Effect.fail(this.refuse(decision.reason, decision.detail, Math.max(minRetryAfter, decision.retryDelay / millisecondsPerSecond)));
 			}
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -212,8 +212,12 @@
 	}
 
 	private withholdReason(): string | undefined {
-		const {replicas, guard, limits, brittle, statements} = this.parts.services;
-		const {replica, slot} = this.plan;
+		const {replicas, guard, limits, brittle, statements, stop, demands} = this.parts.services;
+		const {replica, slot, request: {service, route, deadlineAt}} = this.plan;
+		if (!this.parts.client.hasBegun && !stop.mayServe(demands.of(service).expectedDuration(route.goal), deadlineAt)) {
+			return 'the box stops before the request is expected to be answered';
+		}
+
 		if (!replicas.maySendTo(replica)) {
 			return 'the replica began to leave';
 		}
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -29,6 +29,8 @@
 	| {readonly kind: 'turn'}
 	/** Decide again after `wait` milliseconds, when a replica may have capacity. */
 	| {readonly kind: 'wait'; readonly wait: number}
+	/** Refuse it: this box stops before an answer is expected. */
+	| {readonly kind: 'stop'}
 	/** Refuse it; the client may retry after `retryDelay` milliseconds. */
 	| {readonly kind: 'refuse'; readonly reason: 'no-upstream' | 'capacity-short' | 'replica-limit' | 'stream-version-gone' | 'box-stopping'; readonly detail: string; readonly retryDelay: number};
 
@@ -90,6 +92,10 @@
 	choose(): RunDecision {
 		const {services: {replicas, reach, brittle, boxes}, suspicion, version, request} = this.parts;
 		const {service} = request();
+		if (!this.mayFinish(0)) {
+			return this.stop();
+		}
+
 		const ready = this.readyReplicas(service);
 		if (ready.length === 0 && version.software !== undefined && replicas.ready(service).length > 0) {
 			return this.withoutVersion();
@@ -230,7 +236,27 @@
 		return this.goTo(verdict.place.replica);
 	}
 
+	/**
+	 * @param wait - Expected milliseconds until a replica starts the request.
+	 * @returns Whether the request is expected to be answered before this box, if it is stopping, exits. Of a stream that has begun only the rest is left.
+	 */
+	private mayFinish(wait: number): boolean {
+		const {services: {clock, demands, stop}, record: {firstByteAt}, request} = this.parts;
+		const {service, route, deadlineAt} = request();
+		const elapsed = firstByteAt === undefined ? 0 : clock.monotonic() - firstByteAt;
+		return stop.mayServe(wait + Math.max(0, demands.of(service).expectedDuration(route.goal) - elapsed), deadlineAt);
+	}
+
+	private stop(): RunDecision {
+		this.close();
+		return {kind: 'stop'};
+	}
+
 	private goTo(replica: Replica): RunDecision {
+		if (!this.mayFinish(this.parts.record.expectedWait ?? 0)) {
+			return this.stop();
+		}
+
 		this.close();
 		this.tried.add(replica);
 		return {kind: 'go', replica, slot: this.parts.services.limits.acquireSlot(replica)};
--- a/src/relay/test/forwarded-attempt.test.ts
+++ b/src/relay/test/forwarded-attempt.test.ts
@@ -16,7 +16,9 @@
 import {SystemClock} from '../../base/clock.js';
 import {Refusal, type Verdict} from '../../base/verdict.js';
 import {ReplicaConnections} from '../../replicas/replica-connections.js';
+import {ServiceDemands} from '../../replicas/service-demand.js';
 import type {Route} from '../../routes/route-table.js';
+import {StopSchedule} from '../../stopping/stop-schedule.js';
 import {ClientAnswer} from '../client-answer.js';
 import {ForwardedAttempt} from '../forwarded-attempt.js';
 import {ForwardingBoxes, type ForwardingBox} from '../forwarding-boxes.js';
@@ -113,7 +115,7 @@
 			client, format, metrics: RelayMetrics.create(), lastEventId: undefined,
 		});
 		const services = {
-			clock, format, forwarding, resources: ampleResources(), guard: {allowsKeys: true}, box: 'box-1',
+			clock, format, forwarding, stop: StopSchedule.create(clock), demands: ServiceDemands.create(clock), resources: ampleResources(), guard: {allowsKeys: true}, box: 'box-1',
 		};
 		const parts: unknown = {
 			services, client, streamForwarder, record: {executions: 0}, retry: {mayBeSent: true, recordSent: () => undefined}, version: {recordForwarded: () => undefined},
--- a/src/relay/test/run-choice.test.ts
+++ b/src/relay/test/run-choice.test.ts
@@ -2,6 +2,8 @@
 import {test} from 'node:test';
 import {ManualClock} from '../../../development/harness/manual-clock.js';
 import {Replica} from '../../replicas/replica.js';
+import {ServiceDemands} from '../../replicas/service-demand.js';
+import {StopSchedule} from '../../stopping/stop-schedule.js';
 import {LimitQueue} from '../limit-queue.js';
 import {RunChoice, type RunChoiceServices} from '../run-choice.js';
 
@@ -15,6 +17,8 @@
 function refusalWith(ready: readonly Replica[], bootTime: number) {
 	const services = {
 		clock,
+		stop: StopSchedule.create(clock),
+		demands: ServiceDemands.create(clock),
 		limitQueue: LimitQueue.create(clock, () => 0.5),
 		replicas: {ready: () => ready, timeSinceReady: () => 0},
 		statements: {
--- a/src/replicas/service-demand.ts
+++ b/src/replicas/service-demand.ts
@@ -117,6 +117,14 @@
 		return this.meanDuration;
 	}
 
+	/**
+	 * @param goal - Milliseconds within which the response has to begin.
+	 * @returns Expected milliseconds that a request spends at a replica without queueing; the goal before the first.
+	 */
+	expectedDuration(goal: number): number {
+		return this.durationSamples === 0 ? goal : this.meanDuration;
+	}
+
 	/** Mean of the milliseconds within which responses have to begin. */
 	get goal(): number {
 		return this.meanGoal;
--- a/src/stopping/stop-schedule.ts
+++ b/src/stopping/stop-schedule.ts
@@ -81,6 +81,15 @@
 		}
 	}
 
+	/**
+	 * @param duration - Expected milliseconds until a request is answered.
+	 * @param deadlineAt - Monotonic milliseconds at which it is answered at the latest.
+	 * @returns Whether it is expected to be answered before answers are due.
+	 */
+	mayServe(duration: number, deadlineAt: number): boolean {
+		return !this.isStopping || Math.min(duration, deadlineAt - this.clock.monotonic()) <= this.timeLeft;
+	}
+
 	/**
 	 * @param lead - Milliseconds before answers are due.
 	 * @returns Completes when no more than this is left until then; never if the process does not stop.
