Keep the stop signals of an entry box handled until it exits

What callers saw: an entry box of `waydrift serve` that gets a second SIGTERM while it finishes its requests ends at once; calls in progress, also those that must not be repeated, get no answer.

Cause: the listeners were registered with `process.once`, so that Node's default action applied to the second signal.

Evidence and test: a call of 1 s with SIGTERM after 0.25 s and again after 0.5 s gets nothing on the code before (the new test of daemon/test/planned-stop.test.ts fails there), and 200 with the fix; the process then exits with code 0.

Change: the listeners stay until the exit, through `onSignal`, as those of a relay did already.

--- a/src/command/serve-command.ts
+++ b/src/command/serve-command.ts
@@ -4,6 +4,7 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import * as Effect from 'effect/Effect';
+import * as Latch from 'effect/Latch';
 import * as Result from 'effect/Result';
 import {BunyanEventLog} from '../base/event-log.js';
 import {describeFault} from '../base/faults.js';
@@ -14,20 +15,7 @@
 import {HttpObjectStore} from '../external/http-object-store.js';
 import {decodeSettings, type Settings} from '../settings/settings.js';
 import {exitCode, type ExitCode} from './exit-code.js';
-
-/** Ends when the process gets SIGTERM or SIGINT. */
-const stopRequested: Effect.Effect<void> = Effect.callback<void>(resume => {
-	const listener = () => {
-		resume(Effect.void);
-	};
-
-	process.once('SIGTERM', listener);
-	process.once('SIGINT', listener);
-	return Effect.sync(() => {
-		process.off('SIGTERM', listener);
-		process.off('SIGINT', listener);
-	});
-});
+import {onSignal} from './signals.js';
 
 function createPlatform(settings: Settings): EntryBoxPlatform {
 	const {host, port} = settings.platform;
@@ -54,8 +42,16 @@
 	const settings = decoded.success;
 	const log = BunyanEventLog.create(settings.box);
 	const serving = Effect.gen(function * () {
+		const stop = Latch.makeUnsafe(false);
+		// Registered until the end: a second signal must not end the process while requests are in progress.
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			yield * onSignal(signal, () => {
+				stop.openUnsafe();
+			});
+		}
+
 		const box = yield * EntryBox.start(settings, createPlatform(settings), log);
-		const stopped = stopRequested.pipe(Effect.andThen(Effect.suspend(() => box.stop())));
+		const stopped = stop.await.pipe(Effect.andThen(Effect.suspend(() => box.stop())));
 		yield * Effect.raceFirst(stopped, box.untilReclaimed());
 	});
 	await Effect.runPromise(Effect.scoped(serving));
--- a/src/daemon/test/planned-stop.test.ts
+++ b/src/daemon/test/planned-stop.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {randomUUID} from 'node:crypto';
+import {connect} from 'node:net';
 import {after, before, test} from 'node:test';
-import {callerAt, startInstallation} from '../../../development/harness/small-installation.js';
+import {setTimeout as pause} from 'node:timers/promises';
+import {callerAt, startInstallation, testKeys} from '../../../development/harness/small-installation.js';
 import {
 	control, until, type Installation, type Member,
 } from '../../../development/harness/installation.js';
@@ -70,3 +72,39 @@
 	await caller.chat(chat(true));
 	assert.equal(await started(), before);
 });
+
+/** Milliseconds for which the plain service works on a call. */
+const work = 1000;
+
+async function readUntilClosed(port: number, text: string): Promise<string> {
+	return new Promise(resolve => {
+		let received = '';
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write(text);
+		});
+		socket.on('data', (chunk: Uint8Array) => {
+			received += String(chunk);
+		}).on('error', () => undefined).on('close', () => {
+			resolve(received);
+		});
+	});
+}
+
+const callOf = (key: string): string => [
+	'POST /v1/services/orders/release HTTP/1.1', 'Host: x', `Authorization: Bearer ${testKeys.alpha}`, 'Waydrift-Kind: release', `Idempotency-Key: ${key}`, 'Content-Length: 2', '', '{}',
+].join('\r\n');
+
+// A second signal ended the process at once, and with it the requests in progress.
+test('a second stop signal does not cut the requests in progress', async () => {
+	const box = await installation.addEntry('entry-twice', {dataCentre: 'dc-1'});
+	await until(async () => isReady(box));
+	await control(installation.members.get('service-1')!.box.port, 'faults', {before: work});
+	const answered = readUntilClosed(box.box.port, callOf(randomUUID()));
+	await pause(work / 4);
+	box.child.signal('SIGTERM');
+	await pause(work / 4);
+	box.child.signal('SIGTERM');
+	box.child.signal('SIGINT');
+	assert.match(await answered, /^HTTP\/1\.1 200 /v);
+	assert.equal(await box.child.exited, 0);
+});
