Answer pipelined requests before a stopping box closes their connection

What callers saw: a client that had sent several requests on one connection got one answer from a stopping box; the others, which the box had received, ended with the connection. The same at both front doors.

Cause: each answer of a stopping box carries `Connection: close`, whatever has been received behind its request.

Evidence: three requests in one write, and a stop while the first runs: 1 of 3 answered, 0.3 s after the signal and long before the exit.

Change: the connection is closed by the answer behind whose request nothing has been received, decided when its head is sent.

Before: the new tests of node/test/planned-stop.test.ts and daemon/test/planned-stop.test.ts fail (1 of 3 answers). After: 3 of 3, and one `Connection: close`.

--- a/src/daemon/test/planned-stop.test.ts
+++ b/src/daemon/test/planned-stop.test.ts
@@ -108,3 +108,16 @@
 	assert.match(await answered, /^HTTP\/1\.1 200 /v);
 	assert.equal(await box.child.exited, 0);
 });
+
+// The answer to the first request closed the connection, so that the others, already received, were discarded.
+test('a stopping box answers the requests that arrived behind another one on its connection', async () => {
+	const box = await installation.addEntry('entry-behind', {dataCentre: 'dc-1', balancerDelay: 1500});
+	await until(async () => isReady(box));
+	await control(installation.members.get('service-1')!.box.port, 'faults', {before: work / 4});
+	box.child.signal('SIGTERM');
+	await until(async () => !await isReady(box));
+	const text = await readUntilClosed(box.box.port, [1, 2, 3].map(() => callOf(randomUUID())).join(''));
+	assert.equal(text.match(/HTTP\/1\.1 200 /gv)?.length, 3, text);
+	assert.equal(text.match(/Connection: close/gv)?.length, 1);
+	assert.equal(await box.child.exited, 0);
+});
--- a/src/door/caller-listener.ts
+++ b/src/door/caller-listener.ts
@@ -17,6 +17,7 @@
 import {Refusal} from '../base/verdict.js';
 import type {ProcessResources} from '../resources/process-resources.js';
 import type {RequestBody} from '../resources/request-body.js';
+import type {ServerConnections} from '../resources/server-connections.js';
 import type {Settings} from '../settings/settings.js';
 import type {TableView} from '../table/table-view.js';
 import {authenticate} from './authentication.js';
@@ -80,6 +81,7 @@
 	}
 
 	private readonly server: Server;
+	private readonly connections: ServerConnections;
 	private readonly responses: OpenResponses;
 	private readonly routes: readonly Route[];
 	private readonly requestsByAccount = new Map<ClientAccountName, number>();
@@ -110,6 +112,7 @@
 			});
 		});
 		const connections = resources.limitServer('clients', this.server, settings.maximumHeaders);
+		this.connections = connections;
 		this.responses = OpenResponses.watch(this.server);
 		this.server.maxHeadersCount = maxHeaderFields;
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -149,10 +152,7 @@
 	private serve(incoming: IncomingMessage, response: ServerResponse, body: RequestBody): void {
 		const {socket} = incoming;
 		this.requestsBySocket.set(socket, (this.requestsBySocket.get(socket) ?? 0) + 1);
-		if (this.isStopping) {
-			response.shouldKeepAlive = false;
-		}
-
+		this.connections.closeAfter(response, () => this.isStopping);
 		const fiber = Effect.runFork(this.answer(incoming, response, body));
 		response.once('close', () => {
 			this.requestsBySocket.set(socket, (this.requestsBySocket.get(socket) ?? 1) - 1);
--- a/src/node/test/planned-stop.test.ts
+++ b/src/node/test/planned-stop.test.ts
@@ -1,6 +1,6 @@
 /*
  * Guards against requests that a stopping box has read and that end without an answer: those that waited for a slot of their replica, or whose body was
- * complete only late in the grace period, got a reset connection when the process exited.
+ * complete only late in the grace period, got a reset connection when the process exited; those behind another one on its connection were discarded.
  */
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
@@ -182,4 +182,20 @@
 		await stopped;
 		assert.deepEqual(statusesOf((await raw.ended).text), [200]);
 	});
+
+	test('answers the requests that arrived behind another one on its connection', async context => {
+		const installation = await start(context, {grace: 2000});
+		const [relay] = installation.relays;
+		const replica = installation.replicas.get('i-1')!;
+		replica.behave({delay: 300});
+		const raw = openRaw(relay!);
+		raw.send([1, 2, 3].map(number => `${headOf(`/non_idempotent/${number}`, 1)}x`).join(''));
+		await until(() => replica.seen.length === 1);
+		await stop(relay!);
+		const {text} = await raw.ended;
+		const statuses = statusesOf(text);
+		assert.equal(statuses.length, 3, text);
+		assert.equal(statuses.filter(status => status === 200).length, replica.runs.length);
+		assert.equal(text.match(/Connection: close/gv)?.length, 1);
+	});
 });
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -43,11 +43,12 @@
 	readonly receivedAt: number;
 };
 
-/** A request and its response. */
+/** A request, its response, and the connections of its listener. */
 type Exchange = {
 	readonly incoming: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly body: RequestBody;
+	readonly connections: ServerConnections;
 };
 
 /** The HTTP front end of one box. */
@@ -136,7 +137,9 @@
 			response,
 			body,
 			start: () => {
-				this.serve({incoming, response, body}, forward);
+				this.serve({
+					incoming, response, body, connections,
+				}, forward);
 			},
 		});
 	}
@@ -159,11 +162,11 @@
 		});
 	}
 
-	private answer({incoming, response, body}: Exchange, forward: ForwardHead | undefined): Effect.Effect<void> {
+	private answer({incoming, response, body, connections}: Exchange, forward: ForwardHead | undefined): Effect.Effect<void> {
 		const {clock, format, log, stop} = this.services;
 		const receivedAt = clock.monotonic();
 		const head = format.readRequest(incoming);
-		const client = ClientAnswer.create(response, () => stop.isStopping, forward && {
+		const client = ClientAnswer.create(response, () => stop.isStopping && !connections.hasReceivedMore(incoming.socket), forward && {
 			ofRefusal: refusal => refusalHeaders(refusal, summary.run?.record.arrivals ?? 0),
 			ofAnswer: () => softwareHeader(summary.run?.software),
 		});
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -126,6 +126,32 @@
 		connection.waiting.push(request);
 	}
 
+	/**
+	 * @param socket - A connection with a request in progress.
+	 * @returns Whether more has been received after that request, which an answer that closes the connection would discard.
+	 */
+	hasReceivedMore(socket: Socket): boolean {
+		const connection = this.connections.get(socket);
+		return connection !== undefined && (connection.waiting.length > 0 || (connection.request?.complete === true && (connection.feed?.unparsedBytes ?? 0) > 0));
+	}
+
+	/**
+	 * Closes the connection of a response after it, if nothing has been received behind its request when the head is sent.
+	 *
+	 * @param response - A response whose head has not been sent.
+	 * @param isClosing - Called when the head is sent; returns whether connections are to be closed.
+	 */
+	closeAfter(response: ServerResponse, isClosing: () => boolean): void {
+		const writeHead = response.writeHead.bind(response) as (...parameters: readonly unknown[]) => ServerResponse;
+		response.writeHead = (...parameters: readonly unknown[]) => {
+			if (isClosing() && !this.hasReceivedMore(response.req.socket)) {
+				response.shouldKeepAlive = false;
+			}
+
+			return writeHead(...parameters);
+		};
+	}
+
 	/** @param socket - A connection that is used for another protocol from now on: it keeps its place until it closes. */
 	keepUpgraded(socket: Socket): void {
 		const connection = this.connections.get(socket);
