Close responses that are discarded with their connection

What was seen: a client that pipelines requests and disconnects leaves the responses to those that had not been started in memory, for the life of the process.

Cause: Node reports the end of a connection only to the response that is assigned to its socket, and `ServerConnections` dropped the others without a word.

Change: `ServerConnections` closes what it discards, so that all that tracks open responses forgets them.

--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -114,7 +114,7 @@
 		const {socket} = request.incoming;
 		const connection = this.connections.get(socket);
 		if (!connection) {
-			request.body.release();
+			this.discard(request);
 			return;
 		}
 
@@ -181,8 +181,8 @@
 		});
 		socket.once('close', () => {
 			this.connections.delete(socket);
-			for (const {body} of connection.waiting.splice(0)) {
-				body.release();
+			for (const request of connection.waiting.splice(0)) {
+				this.discard(request);
 			}
 		});
 		if (clock.monotonic() - this.checkedAt > checkInterval) {
@@ -209,6 +209,12 @@
 		start();
 	}
 
+	/** Node reports the end of a connection only to the response in progress. */
+	private discard({body, response}: QueuedRequest): void {
+		body.release();
+		response.emit('close');
+	}
+
 	/** Also moves the connection to the end of the order. */
 	private setRequest(socket: Socket, connection: Connection, request: Connection['request']): void {
 		if (this.connections.delete(socket)) {
--- a/src/resources/test/server-connections.test.ts
+++ b/src/resources/test/server-connections.test.ts
@@ -25,6 +25,8 @@
 		return server;
 	}
 
+	/** Responses that are not closed. */
+	open = 0;
 	readonly started: Array<{readonly path: string; readonly response: ServerResponse}> = [];
 	received = 0;
 	released = 0;
@@ -33,6 +35,10 @@
 	private readonly server = createServer({maxHeaderSize: maxHead}, (incoming, response) => {
 		const path = incoming.url ?? '';
 		this.received++;
+		this.open++;
+		response.once('close', () => {
+			this.open--;
+		});
 		this.connections.enqueue({
 			incoming,
 			response,
@@ -87,6 +93,10 @@
 		this.socket.write(paths.map(path => `GET ${path} HTTP/1.1\r\nHost: box\r\n\r\n`).join(''));
 	}
 
+	destroy(): void {
+		this.socket.destroy();
+	}
+
 	write(text: string): void {
 		this.socket.write(text);
 	}
@@ -187,3 +197,15 @@
 	assert.match(client.received, /answer;/v);
 	assert.equal(server.received, parsed);
 });
+
+// Such responses were never reported as closed, so that what tracks open responses kept them for the life of the process.
+test('a response that waits behind another one closes with its connection', async context => {
+	const server = await TestServer.start(context, 10);
+	const client = await server.connect();
+	client.send('/1', '/2', '/3');
+	await until(() => server.started.length === 1);
+	client.destroy();
+	await until(() => server.connections.count === 0);
+	assert.equal(server.open, 0);
+	assert.equal(server.released, server.received);
+});
