Answer calls of a reclaimed entry box before it exits

What callers saw: calls to plain services that were running when the notice of their entry box ended got no answer; calls whose body was complete late in the notice were still sent to the service and then reset, also those that must not be repeated.

Cause: as for relays, the end of the notice ended the process, and nothing answered what could not be handed over; new calls were accepted until then.

Change: the box follows a `StopSchedule` from its notice on. New requests are refused once the hand-over has begun, the others shortly before the exit. The margins of the schedule are bounded, for notices of minutes.

--- a/src/daemon/entry-box.ts
+++ b/src/daemon/entry-box.ts
@@ -32,6 +32,7 @@
 import {ProcessResources} from '../resources/process-resources.js';
 import {ExpectedCostPolicy} from '../routing/routing-policy.js';
 import type {Settings} from '../settings/settings.js';
+import {StopSchedule} from '../stopping/stop-schedule.js';
 import {SummaryDuty} from '../status/summary-duty.js';
 import {TableView} from '../table/table-view.js';
 import {TableWatch} from '../table/table-watch.js';
@@ -91,6 +92,7 @@
 	private readonly components: Components;
 	private door: CallerListener | undefined;
 	private isStopping = false;
+	private readonly stopSchedule: StopSchedule;
 
 	private constructor(
 		private readonly settings: Settings,
@@ -98,6 +100,7 @@
 		private readonly log: EventLog,
 	) {
 		this.components = this.createComponents();
+		this.stopSchedule = StopSchedule.create(this.components.clock);
 	}
 
 	/** Whether the load balancer should send callers to this box. */
@@ -147,17 +150,19 @@
 		return reclaimed.pipe(Effect.flatMap(({endsAt}) => this.leaveBy(endsAt)));
 	}
 
-	/** Waits for short requests to end, then hands the remaining ones over to peers before the box is reclaimed. */
+	/** Waits for short requests to end, then hands the remaining ones over to peers, and refuses those that cannot be moved, before the box is reclaimed. */
 	private leaveBy(endsAt: number): Effect.Effect<void> {
 		return Effect.gen({self: this}, function * () {
 			const {clock, dispatch, handOver} = this.components;
 			const remaining = endsAt - clock.monotonic();
 			this.log.write('boxReclaimed', {remaining: Math.round(remaining)});
 			this.beginStopping();
+			this.stopSchedule.begin(Math.max(0, remaining));
 			const idleTimeout = Math.max(0, remaining - Math.max(minHandOver, remaining * handOverShare));
 			yield * Effect.raceFirst(dispatch.runs.whenIdle(), Effect.sleep(idleTimeout));
+			this.door?.beginClosing();
 			yield * handOver.moveActive();
-			yield * Effect.raceFirst(this.drain(), Effect.sleep(Math.max(0, endsAt - clock.monotonic())));
+			yield * Effect.raceFirst(this.drain(), Effect.sleep(Math.max(0, this.stopSchedule.untilExit)));
 		});
 	}
 
@@ -253,6 +258,7 @@
 				chat: ChatHandler.create(dispatch, table, finder),
 				plainServices: ServiceHandler.create(dispatch, table),
 				requests: RequestStatusHandler.create(dispatch, finder),
+				stop: this.stopSchedule,
 			});
 			this.ports.callers = this.door.port;
 			log.write('boxStarted', {...this.ports});
--- a/src/daemon/test/reclaim.test.ts
+++ b/src/daemon/test/reclaim.test.ts
@@ -1,9 +1,13 @@
 import assert from 'node:assert/strict';
 import {randomUUID} from 'node:crypto';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Chat, Result} from '../../../development/harness/caller.js';
-import {readMetric, until, type Installation} from '../../../development/harness/installation.js';
-import {callerOf, startInstallation} from '../../../development/harness/small-installation.js';
+import {
+	control, readMetric, until, type Installation,
+} from '../../../development/harness/installation.js';
+import {callerOf, startInstallation, testKeys} from '../../../development/harness/small-installation.js';
 import {sumOf} from '../../base/sum.js';
 
 let installation: Installation;
@@ -128,3 +132,42 @@
 	await installation.reclaim('service-1', notice);
 	await assertAllAnswered(answers);
 });
+
+/** Sends the parts of a call that must not be repeated, each `delay` milliseconds after the one before; returns what its connection brings. */
+async function callRaw(port: number, parts: readonly string[], delay: number): Promise<string> {
+	const socket = connect(port, '127.0.0.1');
+	let text = '';
+	const closed = new Promise<void>(resolve => {
+		socket.on('error', () => undefined).on('data', (data: Uint8Array) => {
+			text += String(data);
+		}).once('close', () => {
+			resolve();
+		});
+	});
+	socket.write([
+		'POST /v1/services/orders/release HTTP/1.1', 'Host: x', `Authorization: Bearer ${testKeys.alpha}`, 'Waydrift-Kind: release', `Idempotency-Key: ${randomUUID()}`,
+		`Content-Length: ${parts.join('').length}`, '', '',
+	].join('\r\n'));
+	for (const part of parts) {
+		socket.write(part);
+		await pause(delay);
+	}
+
+	await closed;
+	return text;
+}
+
+// What could not be moved to another box ended with a reset connection.
+test('calls that cannot end before their entry box is reclaimed get a refusal that says truly whether they may have run', async () => {
+	const services = [...installation.members.values()].filter(({box}) => box.role === 'plain-service');
+	await Promise.all(services.map(async ({box}) => control(box.port, 'faults', {before: 2 * notice})));
+	const {port} = installation.members.get('entry-1')!.box;
+	const running = callRaw(port, ['{}'], 0);
+	const late = callRaw(port, ['{', '}'], 0.75 * notice);
+	const unfinished = callRaw(port, ['{', ' '.repeat(8), '}'], notice);
+	await pause(100);
+	await installation.reclaim('entry-1', notice);
+	assert.match(await running, /^HTTP\/1\.1 502 .*"may-have-run"/sv);
+	assert.match(await late, /^HTTP\/1\.1 503 .*"not-run"/sv);
+	assert.match(await unfinished, /^HTTP\/1\.1 503 .*"not-run"/sv);
+});
--- a/src/door/caller-listener.ts
+++ b/src/door/caller-listener.ts
@@ -19,6 +19,7 @@
 import type {RequestBody} from '../resources/request-body.js';
 import type {ServerConnections} from '../resources/server-connections.js';
 import type {Settings} from '../settings/settings.js';
+import type {StopSchedule} from '../stopping/stop-schedule.js';
 import type {TableView} from '../table/table-view.js';
 import {authenticate} from './authentication.js';
 import type {CallerExchange} from './caller-exchange.js';
@@ -49,6 +50,8 @@
 	readonly chat: ChatHandler;
 	readonly plainServices: ServiceHandler;
 	readonly requests: RequestStatusHandler;
+	/** The stop of this process, if it has to exit by some time. */
+	readonly stop: StopSchedule;
 };
 
 /** A method, the paths it applies to, and their handler. */
@@ -89,6 +92,7 @@
 	private readonly requestsBySocket = new WeakMap<Socket, number>();
 	private readonly refusalLog: RefusalLog;
 	private isStopping = false;
+	private isClosing = false;
 
 	private constructor(private readonly services: CallerListenerServices) {
 		const {settings, chat, plainServices, requests, log, resources} = services;
@@ -135,6 +139,11 @@
 		this.isStopping = true;
 	}
 
+	/** Refuses new requests, and those whose body is not complete: what they start could neither end here nor move to another box. */
+	beginClosing(): void {
+		this.isClosing = true;
+	}
+
 	/** @returns Accepts no new connections; completes when the open ones have received their responses and closed. */
 	stopListening(): Effect.Effect<void> {
 		return Effect.callback<void>(resume => {
@@ -191,13 +200,27 @@
 				return yield * Effect.fail(Refusal.create('method-not-allowed', `Use ${route.method} here.`));
 			}
 
-			const body = yield * requestBody.read(this.services.settings.maximumBody);
-			yield * this.limitConcurrency(account.name, route.answer({
+			const body = yield * this.unlessClosing(requestBody.read(this.services.settings.maximumBody));
+			yield * this.limitConcurrency(account.name, this.untilAnswersDue(response, route.answer({
 				incoming, response, account, path, body,
-			}));
+			})));
 		});
 	}
 
+	private unlessClosing(body: Effect.Effect<Uint8Array, Refusal>): Effect.Effect<Uint8Array, Refusal> {
+		const refusal = Effect.suspend(() => Effect.fail(Refusal.create('box-stopping', 'This box is stopping; the request was not run.', {retryAfter: 0})));
+		return Effect.raceFirst(body, this.services.stop.untilLeft(0).pipe(Effect.andThen(refusal)))
+			.pipe(Effect.flatMap(bytes => this.isClosing ? refusal : Effect.succeed(bytes)));
+	}
+
+	/** A handler that is interrupted may have sent the request. A stream that has begun goes on until the process exits. */
+	private untilAnswersDue(response: ServerResponse, answer: Effect.Effect<void, Refusal>): Effect.Effect<void, Refusal> {
+		const refusal = Effect.suspend(() => response.headersSent
+			? Effect.never
+			: Effect.fail(Refusal.create('upstream-cut', 'This box is stopping, and no whole answer came before.', {verdict: 'may-have-run'})));
+		return Effect.raceFirst(answer, this.services.stop.untilLeft(0).pipe(Effect.andThen(refusal)));
+	}
+
 	/** Limits the concurrent requests of a client account, so that one account cannot use all connections of a box. */
 	private limitConcurrency(account: ClientAccountName, answer: Effect.Effect<void, Refusal>): Effect.Effect<void, Refusal> {
 		return Effect.suspend(() => {
--- a/src/stopping/stop-schedule.ts
+++ b/src/stopping/stop-schedule.ts
@@ -1,6 +1,6 @@
 /**
  * The schedule of a planned stop: until when a process takes requests, when it answers those that are not answered yet, and when it exits. All times
- * are fractions of the grace period, after which the platform kills the process.
+ * follow from the grace period, after which the platform kills the process.
  *
  * @remarks Source: docs/DESIGN.md, "Planned stops".
  */
@@ -9,12 +9,15 @@
 
 /** Fraction of the grace period after which new requests are refused: they might not finish in time. */
 const closingFraction = 0.35;
-/** Fraction after which each request without an answer gets a refusal, which its client has to receive before the process exits. */
-const answersDueFraction = 0.865;
-/** Fraction after which the process exits with streams in progress. The rest is for closing connections on a busy machine. */
-const exitFraction = 0.8875;
-/** Fraction after which it exits even if a process that was held up has not sent all refusals. */
-const lastExitFraction = 0.95;
+/** Time before the end of the grace period: a fraction of it, and at most so many milliseconds. */
+type Margin = {readonly fraction: number; readonly most: number};
+
+/** When each request without an answer gets a refusal, which its client has to receive before the process exits. */
+const answersDueMargin: Margin = {fraction: 0.135, most: 3000};
+/** When the process exits with streams in progress. The rest is for closing connections on a busy machine. */
+const exitMargin: Margin = {fraction: 0.1125, most: 2500};
+/** When it exits even if it was held up and has not sent all refusals. */
+const lastExitMargin: Margin = {fraction: 0.05, most: 1000};
 
 /** Runs when less than some time is left for answers. */
 type Deadline = {
@@ -46,7 +49,7 @@
 
 	/** Whether new requests are refused. */
 	get isClosing(): boolean {
-		return this.timeUntil(closingFraction) < 0;
+		return this.begun !== undefined && this.elapsed > this.begun.grace * closingFraction;
 	}
 
 	/**
@@ -54,7 +57,12 @@
 	 * @returns Whether the process exits now, with answers in progress.
 	 */
 	isOver(unanswered: number): boolean {
-		return this.timeUntil(unanswered === 0 ? exitFraction : lastExitFraction) < 0;
+		return this.timeUntil(unanswered === 0 ? exitMargin : lastExitMargin) < 0;
+	}
+
+	/** Milliseconds until the process exits with streams in progress; infinite before the stop begins. */
+	get untilExit(): number {
+		return this.timeUntil(exitMargin);
 	}
 
 	/** Milliseconds since the stop began; zero before. */
@@ -64,7 +72,7 @@
 
 	/** Milliseconds until each request must have its answer; infinite before the stop begins. */
 	get timeLeft(): number {
-		return this.timeUntil(answersDueFraction);
+		return this.timeUntil(answersDueMargin);
 	}
 
 	/**
@@ -128,7 +136,12 @@
 		}, Math.max(0, this.timeLeft - deadline.lead));
 	}
 
-	private timeUntil(fraction: number): number {
-		return this.begun === undefined ? Number.POSITIVE_INFINITY : (this.begun.grace * fraction) - this.elapsed;
+	private timeUntil({fraction, most}: Margin): number {
+		if (this.begun === undefined) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const {grace} = this.begun;
+		return grace - Math.min(grace * fraction, most) - this.elapsed;
 	}
 }
