--- a/development/harness/endless-server.ts
+++ b/development/harness/endless-server.ts
@@ -23,6 +23,8 @@
 	readonly piece: string;
 	/** Milliseconds between two pieces; `undefined` to send as fast as the caller reads. */
 	readonly interval?: number;
+	/** @returns The whole response to a request with this head, such as a health check; `undefined` if it gets the endless one. */
+	readonly wholeAnswer?: (head: string) => string | undefined;
 };
 
 /** A server that sends without end. */
@@ -45,7 +47,8 @@
 	private readonly server: Server;
 	private readonly sockets = new Set<Socket>();
 
-	private constructor(private readonly script: EndlessScript) {
+	/** @param script - Its response to the following requests. */
+	private constructor(public script: EndlessScript) {
 		this.server = createServer(socket => {
 			this.accept(socket);
 		});
@@ -80,6 +83,13 @@
 		socket.on('data', chunk => {
 			head += chunk.toString('latin1');
 			if (head.includes(headEnd)) {
+				const whole = this.script.wholeAnswer?.(head);
+				if (whole !== undefined) {
+					head = '';
+					socket.write(whole);
+					return;
+				}
+
 				this.requests++;
 				const id = idPattern.exec(head)?.groups?.id ?? '';
 				head = '';
--- /dev/null
+++ b/src/stopping/test/stop-schedule.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import * as Effect from 'effect/Effect';
+import {ManualClock} from '../../../development/harness/manual-clock.js';
+import {StopSchedule} from '../stop-schedule.js';
+
+const graces = [1000, 2000, 5400, 8000, 30_000, 120_000] as const;
+const step = 10;
+
+const begin = (grace: number) => {
+	const clock = new ManualClock(1000);
+	const schedule = StopSchedule.create(clock);
+	schedule.begin(grace);
+	return {clock, schedule};
+};
+
+/** @returns Milliseconds after the beginning at which a state is first seen. */
+const firstAt = (grace: number, hasCome: (schedule: StopSchedule) => boolean): number => {
+	const {clock, schedule} = begin(grace);
+	while (!hasCome(schedule)) {
+		clock.now += step;
+	}
+
+	return schedule.elapsed;
+};
+
+for (const grace of graces) {
+	test(`requests are refused, answered, and the process exits in this order and before the grace period of ${grace} ms ends`, () => {
+		const times = [
+			firstAt(grace, ({isClosing}) => isClosing),
+			firstAt(grace, ({timeLeft}) => timeLeft <= 0),
+			firstAt(grace, schedule => schedule.isOver(0)),
+			firstAt(grace, schedule => schedule.isOver(1)),
+			grace,
+		];
+		assert.deepEqual(times, [...times].sort((left, right) => left - right));
+		assert.equal(new Set(times).size, times.length, times.join(', '));
+	});
+
+	test(`a request is served while it is expected to be answered within the grace period of ${grace} ms`, () => {
+		const {clock, schedule} = begin(grace);
+		const duration = grace / 4;
+		const never = Number.POSITIVE_INFINITY;
+		assert.equal(schedule.mayServe(duration, never), true);
+		assert.equal(schedule.mayServe(grace, never), false);
+		assert.equal(schedule.mayServe(grace, clock.now + duration), true, 'its own deadline comes first');
+		clock.now += schedule.timeLeft - duration + 1;
+		assert.equal(schedule.mayServe(duration, never), false);
+	});
+}
+
+test('nothing is refused or due while the process is not asked to stop', () => {
+	const schedule = StopSchedule.create(new ManualClock(1000));
+	assert.deepEqual([schedule.isStopping, schedule.isClosing, schedule.isOver(0), schedule.elapsed], [false, false, false, 0]);
+	assert.equal(schedule.mayServe(1_000_000, 0), true);
+});
+
+test('a second signal does not move the end', () => {
+	const {clock, schedule} = begin(8000);
+	clock.now += 4000;
+	const {timeLeft} = schedule;
+	schedule.begin(8000);
+	assert.equal(schedule.timeLeft, timeLeft);
+});
+
+test('what waits for the end is called once, whether it began to wait before the stop or during it, and not after it was cancelled', async () => {
+	const clock = new ManualClock(1000);
+	const schedule = StopSchedule.create(clock);
+	let calls = 0;
+	const count = () => {
+		calls++;
+	};
+
+	schedule.onceLeft(0, count);
+	schedule.onceLeft(0, count)();
+	schedule.begin(20);
+	schedule.onceLeft(0, count);
+	await Effect.runPromise(schedule.untilLeft(0));
+	assert.equal(calls, 2);
+});
