Watch the end of a stop without another fiber, and bound the delays of its timers

The body of each request was raced against the stop in a fiber of its own, although almost every body is incomplete when its head is read. The stop gives the body up instead.

--- a/src/door/caller-listener.ts
+++ b/src/door/caller-listener.ts
@@ -200,17 +200,24 @@
 				return yield * Effect.fail(Refusal.create('method-not-allowed', `Use ${route.method} here.`));
 			}
 
-			const body = yield * this.unlessClosing(requestBody.read(this.services.settings.maximumBody));
+			const body = yield * this.readBody(requestBody);
 			yield * this.limitConcurrency(account.name, this.untilAnswersDue(response, route.answer({
 				incoming, response, account, path, body,
 			})));
 		});
 	}
 
-	private unlessClosing(body: Effect.Effect<Uint8Array, Refusal>): Effect.Effect<Uint8Array, Refusal> {
-		const refusal = Effect.suspend(() => Effect.fail(Refusal.create('box-stopping', 'This box is stopping; the request was not run.', {retryAfter: 0})));
-		return Effect.raceFirst(body, this.services.stop.untilLeft(0).pipe(Effect.andThen(refusal)))
-			.pipe(Effect.flatMap(bytes => this.isClosing ? refusal : Effect.succeed(bytes)));
+	/** Fails if the box closes before the body is complete, and if it has not come when answers are due. */
+	private readBody(body: RequestBody): Effect.Effect<Uint8Array, Refusal> {
+		return Effect.suspend(() => {
+			const cancel = this.services.stop.onceLeft(0, () => {
+				body.giveUp(stoppingRefusal());
+			});
+			return body.read(this.services.settings.maximumBody).pipe(
+				Effect.flatMap(bytes => this.isClosing ? Effect.fail(stoppingRefusal()) : Effect.succeed(bytes)),
+				Effect.ensuring(Effect.sync(cancel)),
+			);
+		});
 	}
 
 	/** A handler that is interrupted may have sent the request. A stream that has begun goes on until the process exits. */
@@ -276,6 +283,8 @@
 	}
 }
 
+const stoppingRefusal = (): Refusal => Refusal.create('box-stopping', 'This box is stopping; the request was not run.', {retryAfter: 0});
+
 function refusalOfClientError(code: string | undefined): Refusal {
 	if (code === 'HPE_HEADER_OVERFLOW') {
 		return Refusal.create('headers-too-large', 'The request head is too large.');
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -289,10 +289,12 @@
 
 	/** Fails as soon as the box, which is stopping, can no longer serve the request once its body is complete. */
 	private readBody(body: RequestBody, limit: number, duration: number): Effect.Effect<Uint8Array, Refusal> {
-		const {stop} = this.services;
-		return body.isIncomplete
-			? Effect.raceFirst(body.read(limit), stop.untilLeft(duration).pipe(Effect.andThen(Effect.suspend(() => Effect.fail(stoppingRefusal())))))
-			: body.read(limit);
+		return Effect.suspend(() => {
+			const cancel = this.services.stop.onceLeft(duration, () => {
+				body.giveUp(stoppingRefusal());
+			});
+			return body.read(limit).pipe(Effect.ensuring(Effect.sync(cancel)));
+		});
 	}
 
 	private authorise(incoming: IncomingMessage, head: RequestHead, table: RouteTable): Effect.Effect<RequestAccess, Refusal> {
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -5,6 +5,7 @@
 import * as Effect from 'effect/Effect';
 import type {EventFields} from '../base/event-log.js';
 import type {RefusalReason} from '../base/refusal-reason.js';
+import {timerDelay} from '../base/timer-delay.js';
 import {Refusal, type Verdict} from '../base/verdict.js';
 import type {Replica} from '../replicas/replica.js';
 import {pickTarget} from '../routes/route-table.js';
@@ -184,7 +185,7 @@
 			const {clock, stop} = this.services;
 			const timer = setTimeout(() => {
 				resume(Effect.succeed('deadline'));
-			}, Math.max(0, this.request.deadlineAt - clock.monotonic()));
+			}, timerDelay(this.request.deadlineAt - clock.monotonic()));
 			const cancel = stop.onceLeft(0, () => {
 				if (!this.client.hasBegun) {
 					resume(Effect.succeed('stop'));
--- a/src/stopping/stop-schedule.ts
+++ b/src/stopping/stop-schedule.ts
@@ -6,6 +6,7 @@
  */
 import * as Effect from 'effect/Effect';
 import type {Clock} from '../base/clock.js';
+import {timerDelay} from '../base/timer-delay.js';
 
 /** Fraction of the grace period after which new requests are refused: they might not finish in time. */
 const closingFraction = 0.35;
@@ -133,7 +134,7 @@
 		deadline.timer = setTimeout(() => {
 			this.deadlines.delete(deadline);
 			deadline.listener();
-		}, Math.max(0, this.timeLeft - deadline.lead));
+		}, timerDelay(this.timeLeft - deadline.lead));
 	}
 
 	private timeUntil({fraction, most}: Margin): number {
--- a/src/stopping/test/stop-schedule.test.ts
+++ b/src/stopping/test/stop-schedule.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import {ManualClock} from '../../../development/harness/manual-clock.js';
 import {StopSchedule} from '../stop-schedule.js';
@@ -78,3 +79,15 @@
 	await Effect.runPromise(schedule.untilLeft(0));
 	assert.equal(calls, 2);
 });
+
+test('a grace period that is longer than a timer counts is not over at once', async () => {
+	const schedule = StopSchedule.create(new ManualClock(1000));
+	let isDue = false;
+	const cancel = schedule.onceLeft(0, () => {
+		isDue = true;
+	});
+	schedule.begin(1e10);
+	await pause(20);
+	cancel();
+	assert.equal(isDue, false);
+});
