--- a/src/node/test/forwarded-garbled-answers.test.ts
+++ b/src/node/test/forwarded-garbled-answers.test.ts
@@ -3,13 +3,13 @@
  * and bytes without end.
  */
 import assert from 'node:assert/strict';
-import process from 'node:process';
 import {test, type TestContext} from 'node:test';
 import {
 	bodyScripts, framingScripts, headScripts,
 } from '../../../development/harness/endless-scripts.js';
 import {EndlessServer} from '../../../development/harness/endless-server.js';
 import {ScriptedServer} from '../../../development/harness/scripted-server.js';
+import {watchExceptions} from '../../../development/harness/uncaught-exceptions.js';
 import {
 	RelayInstallation, routeTo, until, type RelayMember,
 } from '../../../development/relay/relay-installation.js';
@@ -59,26 +59,13 @@
 	return {installation, cut: cut!};
 }
 
-function watchUncaught(context: TestContext): readonly unknown[] {
-	const uncaught: unknown[] = [];
-	const record = (error: unknown) => {
-		uncaught.push(error);
-	};
-
-	process.on('uncaughtExceptionMonitor', record);
-	context.after(() => {
-		process.off('uncaughtExceptionMonitor', record);
-	});
-	return uncaught;
-}
-
 for (const [name, interim] of Object.entries(interimAnswers)) {
 	test(`statuses that no final answer has do not reach a client through another box; interim answer before them: ${name}`, {timeout}, async context => {
 		const server = await ScriptedServer.create();
 		context.after(() => {
 			server.close();
 		});
-		const uncaught = watchUncaught(context);
+		const uncaught = watchExceptions(context);
 		const {installation, cut} = await startForwarding(context, server.port);
 		let requests = 0;
 		let statusLine = '';
--- a/src/node/test/planned-stop.test.ts
+++ b/src/node/test/planned-stop.test.ts
@@ -75,6 +75,19 @@
 const headOf = (path: string, length: number): string =>
 	[`POST ${path} HTTP/1.1`, `Host: ${testHost}`, `Authorization: Bearer ${testKey}`, `Attempt-Id: ${path}`, 'Deadline-Ms: 20000', `Content-Length: ${length}`, '', ''].join('\r\n');
 
+/** Sends half of a body, stops the relay, and sends the rest late; returns what the connection brings. */
+async function sendLateBody(relay: RelayMember): Promise<string> {
+	const raw = openRaw(relay);
+	raw.send(`${headOf('/non_idempotent/late', 10)}first`);
+	await pause(100);
+	const stopped = stop(relay);
+	await pause(lateBodyDelay);
+	raw.send('later');
+	await stopped;
+	const {text} = await raw.ended;
+	return text;
+}
+
 const statusesOf = (text: string): readonly number[] => [...text.matchAll(/HTTP\/1\.1 (\d+)/gv)].map(([, status]) => Number(status));
 
 describe('a planned stop', {concurrency: true}, () => {
@@ -155,14 +168,7 @@
 		replica.behave({delay: usualWork});
 		await Promise.all(callAll(installation, relay!, Array.from({length: 4}, (_, index) => `/non_idempotent/${index}`)));
 		const before = replica.seen.length;
-		const raw = openRaw(relay!);
-		raw.send(`${headOf('/non_idempotent/late', 10)}first`);
-		await pause(100);
-		const stopped = stop(relay!);
-		await pause(lateBodyDelay);
-		raw.send('later');
-		await stopped;
-		const {text} = await raw.ended;
+		const text = await sendLateBody(relay!);
 		assert.deepEqual(statusesOf(text), [503]);
 		assert.match(text, /"verdict":"not-run"/v);
 		assert.equal(replica.seen.length, before);
@@ -171,16 +177,9 @@
 	test('serves a request whose body is complete while enough of the grace period is left', async context => {
 		const installation = await start(context, {grace: 3000});
 		const [relay] = installation.relays;
-		const raw = openRaw(relay!);
 		installation.replicas.get('i-1')!.behave({delay: 100});
 		await Promise.all(callAll(installation, relay!, ['/non_idempotent/first']));
-		raw.send(`${headOf('/non_idempotent/late', 10)}first`);
-		await pause(100);
-		const stopped = stop(relay!);
-		await pause(lateBodyDelay);
-		raw.send('later');
-		await stopped;
-		assert.deepEqual(statusesOf((await raw.ended).text), [200]);
+		assert.deepEqual(statusesOf(await sendLateBody(relay!)), [200]);
 	});
 
 	// Connections that waited to be accepted, and requests that had not been read, were reset as the process exited.
