Keep the signal listeners until the process has exited

What was seen: a process that had stopped in order ended by a signal instead of with code 0 if SIGTERM, SIGINT or SIGHUP arrived during its exit. All requests had their answer by then; a supervisor takes such an end for a kill.

Cause: the listeners were removed when the scope of the command closed, some milliseconds before the exit, which left the signal to its default action.

Change: the listeners stay.

--- a/src/command/relay-command.ts
+++ b/src/command/relay-command.ts
@@ -33,13 +33,13 @@
 		settings.poll();
 	});
 	const serving = Effect.gen(function * () {
-		yield * onSignal('SIGHUP', () => {
+		onSignal('SIGHUP', () => {
 			settings.reload();
 		});
 		const stop = Latch.makeUnsafe(false);
-		// Registered until the end: a signal during the start counts, and a second one must not end the process while requests are in progress.
+		// A signal during the start counts, and a second one must not end the process while requests are in progress.
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			yield * onSignal(signal, () => {
+			onSignal(signal, () => {
 				stop.openUnsafe();
 			});
 		}
--- a/src/command/serve-command.ts
+++ b/src/command/serve-command.ts
@@ -43,9 +43,9 @@
 	const log = BunyanEventLog.create(settings.box);
 	const serving = Effect.gen(function * () {
 		const stop = Latch.makeUnsafe(false);
-		// Registered until the end: a second signal must not end the process while requests are in progress.
+		// A second signal must not end the process while requests are in progress.
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			yield * onSignal(signal, () => {
+			onSignal(signal, () => {
 				stop.openUnsafe();
 			});
 		}
--- a/src/command/test/relay-process.test.ts
+++ b/src/command/test/relay-process.test.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {Child} from '../../../development/harness/child.js';
 import {RelayInstallation, freePort, until} from '../../../development/relay/relay-installation.js';
 import {freeRelayPorts, relaySettingsText, type RelayPorts} from '../../../development/relay/relay-settings-text.js';
@@ -115,6 +116,25 @@
 	assert.equal(linesOf('relayStopped').length, 1, 'the process stops in an orderly way despite the second SIGTERM');
 });
 
+// The listeners were removed some milliseconds before the exit, so that a signal then ended the process by its default action.
+test('stop signals that arrive while the process exits change nothing', async () => {
+	const ports = await freeRelayPorts();
+	write(settingsText(ports, await freePort()));
+	start();
+	await child!.line(({eventName}) => eventName === 'relayStarted');
+	child!.signal('SIGTERM');
+	await child!.line(({eventName}) => eventName === 'relayStopped');
+	while (!child!.isEnded) {
+		for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+			child!.signal(signal);
+		}
+
+		await pause(1);
+	}
+
+	assert.equal(await child!.exited, 0);
+});
+
 /** Returns a module loader hook that delays the relay's modules until a file exists, to simulate slow loading on a busy machine. */
 const delayedLoading = (releaseFile: string): string => `import {existsSync} from 'node:fs';
 export async function resolve(specifier, context, next) {
