Leave short grace periods more time for the exit

Cause: the margin before the exit was a fraction of the grace period alone (338 ms of 3 s). What the exit takes does not shrink with the period: a median of 47 ms after the planned time, but 254 and 516 ms twice.

Change: one exit margin, from which the other times follow: 11.25% of the grace period, at least 500 ms, at most 2.5 s and a sixth. A grace period under 3 s still has less than 500 ms.

relay-stopping.test.ts sent its late request to a relay whose stop was complete, which only a relay in the process of the test survives.

--- a/src/node/test/relay-stopping.test.ts
+++ b/src/node/test/relay-stopping.test.ts
@@ -33,8 +33,11 @@
 	assert.equal(kept.status, 200);
 	assert.equal(kept.headers.connection, 'close');
 	assert.equal((await installation.call({path: '/calls/x'})).status, 200, 'new connections are accepted while the load balancer still sends them');
-	installation.replicas.get('i-1')!.behave({events: 60, gap: 20});
-	const stream = installation.call({path: '/whole/x', method: 'POST', body: 'p'});
+	// Lasts longer than the pause, so that the relay is still stopping then.
+	installation.replicas.get('i-1')!.behave({events: 200, gap: 20});
+	const stream = installation.call({
+		path: '/long/x', method: 'POST', body: 'p', headers: {'Deadline-Ms': '20000'},
+	});
 	await new Promise(resolve => {
 		setTimeout(resolve, 3200);
 	});
--- a/src/stopping/stop-schedule.ts
+++ b/src/stopping/stop-schedule.ts
@@ -10,15 +10,16 @@
 
 /** Fraction of the grace period after which new requests are refused: they might not finish in time. */
 const closingFraction = 0.35;
-/** Time before the end of the grace period: a fraction of it, and at most so many milliseconds. */
-type Margin = {readonly fraction: number; readonly most: number};
-
-/** When each request without an answer gets a refusal, which its client has to receive before the process exits. */
-const answersDueMargin: Margin = {fraction: 0.135, most: 3000};
-/** When the process exits with streams in progress. The rest is for closing connections on a busy machine. */
-const exitMargin: Margin = {fraction: 0.1125, most: 2500};
-/** When it exits even if it was held up and has not sent all refusals. */
-const lastExitMargin: Margin = {fraction: 0.05, most: 1000};
+/** Fraction of the grace period before its end at which the process exits with streams in progress. */
+const exitMarginFraction = 0.1125;
+/** Bounds of that margin in milliseconds: an exit takes some time on a busy machine, and more than some seconds are of no use. */
+const exitMarginBounds = {least: 500, most: 2500} as const;
+/** Maximum fraction of the grace period: a request that a replica works on at the end is not given up earlier than that. */
+const maxExitMarginFraction = 1 / 6;
+/** Multiple of the margin at which each request without an answer gets a refusal, which its client has to receive before the process exits. */
+const answersDueFactor = 1.2;
+/** Multiple at which the process exits even if it was held up and has not sent all refusals. */
+const lastExitFactor = 0.4;
 
 /** Runs when less than some time is left for answers. */
 type Deadline = {
@@ -58,12 +59,12 @@
 	 * @returns Whether the process exits now, with answers in progress.
 	 */
 	isOver(unanswered: number): boolean {
-		return this.timeUntil(unanswered === 0 ? exitMargin : lastExitMargin) < 0;
+		return this.timeUntil(unanswered === 0 ? 1 : lastExitFactor) < 0;
 	}
 
 	/** Milliseconds until the process exits with streams in progress; infinite before the stop begins. */
 	get untilExit(): number {
-		return this.timeUntil(exitMargin);
+		return this.timeUntil(1);
 	}
 
 	/** Milliseconds since the stop began; zero before. */
@@ -73,7 +74,7 @@
 
 	/** Milliseconds until each request must have its answer; infinite before the stop begins. */
 	get timeLeft(): number {
-		return this.timeUntil(answersDueMargin);
+		return this.timeUntil(answersDueFactor);
 	}
 
 	/**
@@ -137,12 +138,18 @@
 		}, timerDelay(this.timeLeft - deadline.lead));
 	}
 
-	private timeUntil({fraction, most}: Margin): number {
+	/** @param factor - Multiple of the exit margin. */
+	private timeUntil(factor: number): number {
 		if (this.begun === undefined) {
 			return Number.POSITIVE_INFINITY;
 		}
 
 		const {grace} = this.begun;
-		return grace - Math.min(grace * fraction, most) - this.elapsed;
+		return grace - (exitMarginOf(grace) * factor) - this.elapsed;
 	}
 }
+
+function exitMarginOf(grace: number): number {
+	const {least, most} = exitMarginBounds;
+	return Math.min(most, Math.max(least, grace * exitMarginFraction), grace * maxExitMarginFraction);
+}
