Report client connections that end before their answer is complete

Cause: an answer that was written and not received, or that the exit of the process cut, left no line of its own; the line of an answered request says only that the answer was written.

Change: the event answerIncomplete (7106) and the counter waydrift_relay_incomplete_answers_total, by cause and whether the request had been sent to a replica, with the time since the stop signal and since the request was sent. Whoever closes a connection records why. Clients that leave while their request is in progress keep their line, and are counted. No decision changes.

--- a/src/base/event-catalogue.ts
+++ b/src/base/event-catalogue.ts
@@ -111,6 +111,7 @@
 	requestRefused: event(7102, 'warn', 'A request was refused; the fields give the reason.'),
 	requestQuarantined: event(7104, 'error', 'Replicas crashed repeatedly while they ran a request; the request is quarantined.'),
 	clientLeft: event(7103, 'info', 'A client disconnected before its answer.'),
+	answerIncomplete: event(7106, 'warn', 'The connection of a client ended before its answer was complete; the fields give the cause.'),
 } as const satisfies Record<string, EventTraits>;
 
 /** Name of an event. */
--- a/src/base/open-responses.ts
+++ b/src/base/open-responses.ts
@@ -19,11 +19,17 @@
 	}
 
 	private readonly open = new Set<ServerResponse>();
+	private readonly resetListeners: Array<(response: ServerResponse) => void> = [];
 
 	private constructor() {
 		// Use watch().
 	}
 
+	/** @param listener - Called with each response that is not complete, right before its connection is reset. */
+	onWillReset(listener: (response: ServerResponse) => void): void {
+		this.resetListeners.push(listener);
+	}
+
 	/**
 	 * Resets the connection of each response. The end of a process closes connections in order, and a client of HTTP/1.0 takes that for the end of
 	 * a body without a length. An answer that is complete but for the rest of its request is not reset, which could discard it.
@@ -34,6 +40,10 @@
 			if (socket && isLingering(response) && socket.writableLength === 0) {
 				socket.destroy();
 			} else if (socket && !socket.destroyed && !socket.writableEnded) {
+				for (const listener of this.resetListeners) {
+					listener(response);
+				}
+
 				// A reset of a connection that is already ending leaks its handle.
 				socket.resetAndDestroy();
 				// The reset alone waits for unsent data, and an exiting process does not.
--- a/src/relay/client-answer.ts
+++ b/src/relay/client-answer.ts
@@ -3,6 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {recordClosing, type ClosingCause} from '../base/closing-cause.js';
 import {endLingering} from '../base/lingering-close.js';
 import {refusalReasons} from '../base/refusal-reason.js';
 import type {Refusal} from '../base/verdict.js';
@@ -120,6 +121,7 @@
 	reset(): void {
 		const {socket} = this.response;
 		if (socket) {
+			recordClosing(socket, 'unread');
 			abandon(socket);
 		}
 	}
@@ -131,7 +133,7 @@
 	 */
 	refuse(refusal: Refusal): void {
 		if (this.hasBegun) {
-			this.cut();
+			this.cut(refusal.reason);
 			return;
 		}
 
@@ -156,13 +158,17 @@
 	/**
 	 * Closes the connection after the data already sent, without ending the body, so that the client sees an incomplete answer. A client
 	 * that does not read this data in time has its connection destroyed.
+	 *
+	 * @param cause - Why the answer is not completed.
 	 */
-	cut(): void {
+	cut(cause: ClosingCause): void {
 		const {socket} = this.response;
 		if (!socket) {
 			return;
 		}
 
+		recordClosing(socket, cause);
+
 		// `destroy` would discard data that was just written: Node holds the head back until the first bytes of the body.
 		if (this.endsWithConnection) {
 			socket.write('', () => {
--- a/src/relay/forwarded-attempt.ts
+++ b/src/relay/forwarded-attempt.ts
@@ -113,6 +113,7 @@
 			}
 
 			this.sentAt = clock.monotonic();
+			record.sentAt = this.sentAt;
 			record.executions++;
 			const path = {connections: box.connections, socket, format: {readAnswer: (answer: IncomingMessage) => this.readAnswer(answer)}};
 			return openAnswer(path, this.outgoing).pipe(
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -7,6 +7,7 @@
 import {Server as ConnectionServer} from 'node:net';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
+import {closingCauseOf, type ClosingCause} from '../base/closing-cause.js';
 import {headerFaultOf} from '../base/header-fault.js';
 import {OpenResponses} from '../base/open-responses.js';
 import {Refusal} from '../base/verdict.js';
@@ -56,6 +57,9 @@
 	readonly connections: ServerConnections;
 };
 
+/** A request whose answer is not complete; its summary is `undefined` while it waits for an earlier one of its connection. */
+type OpenRequest = {readonly incoming: IncomingMessage; summary: RequestSummary | undefined};
+
 /** The HTTP front end of one box. */
 export class FrontEnd {
 	/**
@@ -71,8 +75,8 @@
 	readonly server: Server;
 	/** Responses to clients that are not complete. */
 	readonly responses: OpenResponses;
-	/** Responses to all requests that have been received, whether they are in progress or wait for an earlier one of their connection. */
-	private readonly received = new Set<ServerResponse>();
+	/** All requests that have been received, whether they are in progress or wait for an earlier one of their connection. */
+	private readonly received = new Map<ServerResponse, OpenRequest>();
 	private active = 0;
 	private readonly idleListeners: Array<() => void> = [];
 
@@ -82,6 +86,9 @@
 		});
 		const connections = services.resources.limitServer('clients', this.server, maxHeadBytes);
 		this.responses = OpenResponses.watch(this.server);
+		this.responses.onWillReset(response => {
+			this.reportIncomplete(response, 'exit');
+		});
 		this.server.keepAliveTimeout = 0;
 		services.table.onDidApply(({content: {limits}}) => {
 			this.server.keepAliveTimeout = limits.idleTimeout;
@@ -96,7 +103,7 @@
 
 	/** Requests, from clients and other boxes, whose answer has not begun. */
 	get unanswered(): number {
-		return [...this.received].filter(({headersSent}) => !headersSent).length;
+		return [...this.received.keys()].filter(({headersSent}) => !headersSent).length;
 	}
 
 	/**
@@ -163,10 +170,13 @@
 	/** Collects the body from now on, and handles the request when the earlier ones of its connection have been answered. */
 	private handle(incoming: IncomingMessage, response: ServerResponse, connections: ServerConnections, forward?: ForwardHead): void {
 		const body = this.services.resources.requestBodies.receive(incoming);
-		this.received.add(response);
-		response.once('close', () => {
+		this.received.set(response, {incoming, summary: undefined});
+		response.once('finish', () => {
 			this.received.delete(response);
 		});
+		response.once('close', () => {
+			this.reportIncomplete(response, closingCauseOf(incoming.socket));
+		});
 		connections.enqueue({
 			incoming,
 			response,
@@ -197,6 +207,32 @@
 		});
 	}
 
+	/** Reports a response that ended before it was sent completely; once, and not for a client that left while its request was in progress. */
+	private reportIncomplete(response: ServerResponse, cause: ClosingCause | 'client'): void {
+		const open = this.received.get(response);
+		if (!open) {
+			return;
+		}
+
+		this.received.delete(response);
+		const {incoming, summary} = open;
+		const {format, log, metrics, stop} = this.services;
+		const progress = summary?.progressFields ?? {request: format.readRequest(incoming).id, isSent: false};
+		metrics.incompleteAnswers.inc({cause, sent: String(progress.isSent)});
+		if (cause === 'client' && summary?.isReported === false) {
+			return;
+		}
+
+		log.write('answerIncomplete', {
+			...progress,
+			cause,
+			isHeadSent: response.headersSent,
+			isRequestComplete: incoming.complete,
+			unsent: response.writableLength,
+			sinceStop: stop.isStopping ? Math.round(stop.elapsed) : undefined,
+		});
+	}
+
 	private answer({incoming, response, body, connections}: Exchange, forward: ForwardHead | undefined): Effect.Effect<void> {
 		const {clock, format, log, stop} = this.services;
 		const receivedAt = clock.monotonic();
@@ -208,6 +244,11 @@
 		const summary: RequestSummary = RequestSummary.create({
 			services: this.services, head, client, origin: forward?.origin, receivedAt,
 		});
+		const open = this.received.get(response);
+		if (open) {
+			open.summary = summary;
+		}
+
 		const serving = Effect.gen({self: this}, function * () {
 			const fault = headerFaultOf(incoming.rawHeaders);
 			if (fault !== undefined) {
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -28,6 +28,13 @@
 		name: 'waydrift_relay_refusals_total', help: 'Refusals by reason and verdict.', labelNames: ['reason', 'verdict'], registers: [this.registry],
 	});
 
+	readonly incompleteAnswers = new Counter({
+		name: 'waydrift_relay_incomplete_answers_total',
+		help: 'Connections of clients that ended before their answer was complete, by cause and by whether the request had been sent to a replica.',
+		labelNames: ['cause', 'sent'],
+		registers: [this.registry],
+	});
+
 	readonly attemptFailures = new Counter({
 		name: 'waydrift_relay_attempt_failures_total', help: 'Tries at replicas that failed, by reason.', labelNames: ['reason'], registers: [this.registry],
 	});
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -166,6 +166,7 @@
 			});
 			record.executions++;
 			record.arrivals++;
+			record.sentAt = this.sentAt;
 			this.software = replica.entry.software;
 			record.software = record.software.at(-1) === this.software ? record.software : [...record.software, this.software];
 			record.missingFor = replica.isMissing ? Math.round(replica.missingFor) : undefined;
--- a/src/relay/request-summary.ts
+++ b/src/relay/request-summary.ts
@@ -45,8 +45,15 @@
 	admitted: AdmittedRequest | undefined;
 	run: RelayRun | undefined;
 
+	private hasOutcome = false;
+
 	private constructor(private readonly arrival: RequestArrival) {}
 
+	/** Whether the outcome has been reported; the client may not have received it yet. */
+	get isReported(): boolean {
+		return this.hasOutcome;
+	}
+
 	private get kind(): string {
 		return this.access?.route.kind ?? 'none';
 	}
@@ -90,7 +97,25 @@
 		});
 	}
 
+	/** Fields that tell how far the request had come when its connection ended. */
+	get progressFields(): EventFields {
+		const {head, origin} = this.arrival;
+		const record = this.run?.record;
+		return {
+			request: head.id,
+			origin,
+			route: this.access?.route.name,
+			took: Math.round(this.duration),
+			isSent: record?.sentAt !== undefined,
+			replica: record?.replica,
+			via: record?.via,
+			sinceSent: record?.sentAt === undefined ? undefined : Math.round(this.arrival.services.clock.monotonic() - record.sentAt),
+			sinceFirstByte: this.firstByte === undefined ? undefined : Math.round(this.duration - this.firstByte),
+		};
+	}
+
 	private count(outcome: string): void {
+		this.hasOutcome = true;
 		const {metrics} = this.arrival.services;
 		const {kind, firstByte} = this;
 		if (this.arrival.origin !== undefined) {
--- a/src/relay/run-record.ts
+++ b/src/relay/run-record.ts
@@ -11,6 +11,8 @@
 	executions: number;
 	/** Attempts of this box that sent the request to a replica. */
 	arrivals: number;
+	/** Monotonic milliseconds at which the last attempt was sent to a replica or another box; `undefined` before. */
+	sentAt: number | undefined;
 	/** Attempts at replicas whose addresses refused the connection. */
 	refusedConnections: number;
 	/** Attempts to forward the request through another box. */
--- a/src/relay/test/client-answer.test.ts
+++ b/src/relay/test/client-answer.test.ts
@@ -61,7 +61,7 @@
 test('a stream of HTTP/1.0 that is cut ends with a reset', {timeout}, async context => {
 	const {text, isReset} = await receive(context, {version: '1.0'}, client => {
 		beginStream(client, event);
-		client.cut();
+		client.cut('upstream-cut');
 	});
 	assert.ok(text.endsWith(`\r\n\r\n${event}`), text);
 	assert.ok(isReset);
@@ -70,7 +70,7 @@
 test('a stream of HTTP/1.0 that is cut ends with a reset although its client does not read', {timeout}, async context => {
 	const {text, isReset} = await receive(context, {version: '1.0', isSlow: true}, client => {
 		beginStream(client, 'x'.repeat(largeBody));
-		client.cut();
+		client.cut('upstream-cut');
 	});
 	assert.ok(text.length < largeBody);
 	assert.ok(isReset);
@@ -88,7 +88,7 @@
 test('a stream of HTTP/1.1 that is cut ends in order without its last chunk', {timeout}, async context => {
 	const {text, isReset} = await receive(context, {version: '1.1'}, client => {
 		beginStream(client, event);
-		client.cut();
+		client.cut('upstream-cut');
 	});
 	assert.ok(text.endsWith(`${event}\r\n`), text);
 	assert.ok(!isReset);
--- a/src/relay/test/endless-answers.test.ts
+++ b/src/relay/test/endless-answers.test.ts
@@ -172,7 +172,7 @@
 		let outcome: Outcome | undefined;
 		const view = await withClient(async (forwarder, client) => {
 			outcome = await exchangeEndless(script, maxBytes, answer => forwarder.forward(answer, {onFirstEvent: () => undefined, onBytes: () => undefined}));
-			client.cut();
+			client.cut('upstream-cut');
 		});
 		assert.equal(outcome!.result, 'garbled, may-have-run');
 		assertBounded(outcome!, maxBytes);
@@ -187,7 +187,7 @@
 	let result: unknown;
 	const view = await withClient(async (forwarder, client) => {
 		result = await exchange(poolOf(server.port), answer => forwarder.forward(answer, {onFirstEvent: () => undefined, onBytes: () => undefined}));
-		client.cut();
+		client.cut('upstream-cut');
 	});
 	server.close();
 	assert.equal(result, 'garbled, may-have-run');
--- a/src/relay/test/stream-exchange.test.ts
+++ b/src/relay/test/stream-exchange.test.ts
@@ -236,7 +236,7 @@
 			}
 
 			if (client.hasBegun) {
-				client.cut();
+				client.cut('upstream-cut');
 			} else {
 				client.send(502, [], Buffer.from('none'), {isBodiless: false, onProgress: () => undefined});
 			}
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '../base/clock.js';
+import {recordClosing} from '../base/closing-cause.js';
 import {sumOf} from '../base/sum.js';
 import type {RequestBody} from './request-body.js';
 import {RequestFeed} from './request-feed.js';
@@ -179,6 +180,9 @@
 			isComplete: () => connection.request?.complete === true,
 			missingBytes: () => connection.body ? connection.body.missingBytes : 0,
 		});
+		socket.once('timeout', () => {
+			recordClosing(socket, 'idle');
+		});
 		socket.once('close', () => {
 			this.connections.delete(socket);
 			for (const request of connection.waiting.splice(0)) {
@@ -302,6 +306,7 @@
 	private close(socket: Socket, reason: ClosingReason): void {
 		const isIdle = this.connections.get(socket)?.bytes === socket.bytesRead;
 		this.parts.onClosed?.(reason);
+		recordClosing(socket, 'limit');
 		this.connections.delete(socket);
 		if (isIdle) {
 			socket.destroy();
