Report what ends connections in the test of stops under load; a read refusal is no incomplete answer

Change: the test prints the lines of the relay that name such ends. A refusal that is completely written, of which only the rest of the request is awaited, isn't reported.

--- a/src/command/test/stopped-under-load.test.ts
+++ b/src/command/test/stopped-under-load.test.ts
@@ -37,6 +37,8 @@
  * seconds of which enough is left after it to accept the connections that wait.
  */
 const stall = {duration: 380, begin: 0.84, grace: 6} as const;
+/** Events of the box that tell why connections ended without an answer. */
+const reportedEvents: ReadonlySet<string> = new Set(['connectionSheddingStarted', 'connectionSheddingEnded', 'answerIncomplete', 'boxStoodStill', 'relayStopping', 'relayStopped']);
 const kinds = ['idempotent', 'non_idempotent', 'streaming'] as const;
 
 /** A request as its client sent it. */
@@ -182,6 +184,8 @@
 		].join(', ');
 		const statuses = [...new Set(sent.map(({status}) => status))].join(', ');
 		context.diagnostic(`${sent.length} requests, statuses ${statuses}; unanswered: ${unanswered.map(one => describe(one)).join('; ') || 'none'}`);
+		const logged = child.lines.filter(({eventName}) => reportedEvents.has(String(eventName)));
+		context.diagnostic(`log: ${logged.map(line => JSON.stringify(line)).join(' ') || 'nothing'}`);
 		const lost = unanswered.filter(({id, sentAt, endedAt: failedAt}) => runs.has(id) || (sentAt !== undefined && failedAt - sentAt > crossingTime));
 		assert.deepEqual(lost.map(one => describe(one)), []);
 		const promised = sent.filter(({status, id}) => status === 503 && runs.has(id));
--- a/src/node/test/incomplete-answers.test.ts
+++ b/src/node/test/incomplete-answers.test.ts
@@ -83,3 +83,14 @@
 	assert.equal((await installation.call({path: '/long/two', method: 'POST', body: 'x'})).status, 200);
 	assert.deepEqual(incompleteAt(relay), []);
 });
+
+test('a refusal that its client reads before it has sent the whole request is no incomplete answer', async context => {
+	const {relay} = await start(context);
+	const client = connect(relay.port, '127.0.0.1');
+	client.write(`POST /unknown HTTP/1.1\r\nHost: ${testHost}\r\nAuthorization: Bearer ${testKey}\r\nAttempt-Id: early\r\nContent-Length: 10\r\n\r\nhalf`);
+	await once(client, 'data');
+	client.destroy();
+	await pause(100);
+	assert.equal(await countOf(relay, 'client'), 0);
+	assert.deepEqual(incompleteAt(relay), []);
+});
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -9,6 +9,7 @@
 import * as Fiber from 'effect/Fiber';
 import {closingCauseOf, type ClosingCause} from '../base/closing-cause.js';
 import {headerFaultOf} from '../base/header-fault.js';
+import {isLingering} from '../base/lingering-close.js';
 import {OpenResponses} from '../base/open-responses.js';
 import {Refusal} from '../base/verdict.js';
 import type {RequestBody} from '../resources/request-body.js';
@@ -215,6 +216,11 @@
 		}
 
 		this.received.delete(response);
+		// Only the rest of the request was awaited.
+		if (isLingering(response) && response.writableLength === 0) {
+			return;
+		}
+
 		const {incoming, summary} = open;
 		const {format, log, metrics, stop} = this.services;
 		const progress = summary?.progressFields ?? {request: format.readRequest(incoming).id, isSent: false};
