Don't take the silence of killed aggregators for isolation

Callers saw: after several boxes of a large fleet had been killed, streams that they took up at the others were refused after some 70 ms (503, stream-origin-unknown), although the store answered later.

Cause: a box that no other box answers is taken for cut off, and waits 70 ms for the store. In a small fleet it has asked all others; in a large one only its three aggregators, which may have been killed together.

Evidence: slow-store-take-up.test.ts, all aggregators of 14 boxes killed, store of 150 ms: failed before, 30 of 30 streams went on with the change.

Change: only a box that has asked all others without an answer counts as isolated.

--- a/development/harness/restart-fleet.ts
+++ b/development/harness/restart-fleet.ts
@@ -472,7 +472,7 @@
 			},
 			lookUp: question => Effect.sync(() => {
 				const reached = others().filter(() => Array.from({length: rounds}, () => arrives() && arrives()).includes(true));
-				return {answers: reached.map(other => other.origins.answerTo(question)), haveAllAnswered: reached.length + 1 === this.size};
+				return {answers: reached.map(other => other.origins.answerTo(question)), haveAllAnswered: reached.length + 1 === this.size, isIsolated: this.size > 1 && reached.length === 0};
 			}),
 			readRecord: undefined,
 			onSize: () => undefined,
--- a/src/node/origin-exchange.ts
+++ b/src/node/origin-exchange.ts
@@ -101,7 +101,8 @@
 			const answers: OriginAnswer[] = [];
 			const finish = () => {
 				this.questions.delete(id);
-				resume(Effect.succeed({answers, haveAllAnswered: this.haveAllAnswered(answers.length)}));
+				const haveAllAnswered = this.haveAllAnswered(answers.length);
+				resume(Effect.succeed({answers, haveAllAnswered, isIsolated: this.areAllAsked && answers.length === 0 && !haveAllAnswered}));
 			};
 
 			const heard = new Set(this.keepers.map(address => keyOf(address)));
@@ -157,7 +158,12 @@
 
 	/** Boxes that are no longer heard count for as long as their streams may be taken up. In a large fleet the aggregators do not speak for boxes that they do not reach. */
 	private haveAllAnswered(answers: number): boolean {
-		return !isLargeFleet(this.largest.boxes) && answers + 1 >= this.largest.boxes;
+		return this.areAllAsked && answers + 1 >= this.largest.boxes;
+	}
+
+	/** Whether a question goes to all boxes, and not to a few aggregators, which may have ended together. */
+	private get areAllAsked(): boolean {
+		return !isLargeFleet(this.largest.boxes);
 	}
 
 	private recordSize(): void {
--- a/src/node/test/slow-store-take-up.test.ts
+++ b/src/node/test/slow-store-take-up.test.ts
@@ -9,6 +9,7 @@
 	RelayInstallation, routeTo, until, type RelayMember,
 } from '../../../development/relay/relay-installation.js';
 import {ResumedStream} from '../../../development/relay/resumed-stream.js';
+import {aggregatorCount} from '../../gossip/exchange-topology.js';
 
 const streamCount = 30;
 /** Boxes that are killed. */
@@ -23,6 +24,8 @@
 const runTime = 300;
 /** Milliseconds until the store answers, by number of boxes; the streams have to begin within 800 ms. */
 const cases = [[4, 250], [4, 400], [4, 600], [14, 250], [14, 400]] as const;
+/** The same where the aggregators are killed: longer than a box without an answer of another one used to wait for the store. */
+const isolationDelay = 150;
 
 async function start(context: TestContext, relays: number): Promise<RelayInstallation> {
 	const installation = await RelayInstallation.start({
@@ -42,6 +45,8 @@
 	return installation;
 }
 
+const isAggregator = ({log}: RelayMember): boolean => log.lines.findLast(({eventName}) => eventName === 'aggregatorChanged')?.isAggregator === true;
+
 /** Begins streams at some boxes, kills these, and checks that the streams go on at the others. */
 async function killAndTakeUp(context: TestContext, {relays}: RelayInstallation, lost: readonly RelayMember[]): Promise<void> {
 	const left = relays.filter(relay => !lost.includes(relay));
@@ -69,3 +74,11 @@
 		await killAndTakeUp(context, installation, installation.relays.slice(0, Math.min(killed, relays - 2)));
 	});
 }
+
+// The boxes that are left ask the aggregators alone, and took their silence for a sign that they were cut off themselves.
+test('streams of the only version go on at other boxes when all aggregators are killed: 14 boxes', {timeout}, async context => {
+	const installation = await start(context, 14);
+	await until(() => installation.relays.filter(relay => isAggregator(relay)).length === aggregatorCount);
+	installation.store.faultOf = () => ({kind: 'slow', milliseconds: isolationDelay});
+	await killAndTakeUp(context, installation, installation.relays.filter(relay => isAggregator(relay)));
+});
--- a/src/relay/stream-origins.ts
+++ b/src/relay/stream-origins.ts
@@ -48,6 +48,8 @@
 	readonly answers: readonly OriginAnswer[];
 	/** Whether all boxes of the fleet have answered. */
 	readonly haveAllAnswered: boolean;
+	/** Whether all other boxes were asked and none has answered, so that this box is probably cut off. */
+	readonly isIsolated: boolean;
 };
 
 /** Where a stream may go on. */
@@ -268,7 +270,7 @@
 			const {clock, versions, lookUp, readRecord} = this.services;
 			const startedAt = clock.monotonic();
 			const found = yield * Deferred.make<OriginFindings>();
-			let findings: OriginFindings = {answers: [], haveAllAnswered: false};
+			let findings: OriginFindings = {answers: [], haveAllAnswered: false, isIsolated: false};
 			let isConfirmed = false;
 			const byStore = versions.confirm(service, timeToGoal).pipe(Effect.flatMap(isAnswered => {
 				isConfirmed = isAnswered;
@@ -281,9 +283,9 @@
 				}),
 				Effect.flatMap(answers => this.continuationOf(name, service, answers)),
 			);
-			const isolated = Deferred.await(found).pipe(Effect.flatMap(({answers, haveAllAnswered}) => answers.length > 0 || haveAllAnswered
-				? Effect.never
-				: Effect.sleep(Math.max(0, startedAt + maxIsolatedTime - clock.monotonic())).pipe(Effect.andThen(inconclusive))));
+			const isolated = Deferred.await(found).pipe(Effect.flatMap(({isIsolated}) => isIsolated
+				? Effect.sleep(Math.max(0, startedAt + maxIsolatedTime - clock.monotonic())).pipe(Effect.andThen(inconclusive))
+				: Effect.never));
 			const byRecord = name && readRecord ? this.recordedContinuation(name, readRecord, () => findings.haveAllAnswered) : inconclusive;
 			const agreed = Effect.sync(() => this.agreedContinuation(service, findings, isConfirmed));
 			return yield * Effect.raceAll([Effect.raceFirst(byStore, isolated), byBoxes, byRecord]).pipe(Effect.catch(() => agreed));
--- a/src/relay/test/stream-origins.test.ts
+++ b/src/relay/test/stream-origins.test.ts
@@ -110,7 +110,7 @@
 			},
 			lookUp: question => Effect.sync(() => {
 				const reached = others().filter(() => Array.from({length: rounds}, () => arrives() && arrives()).includes(true));
-				return {answers: reached.map(other => other.origins.answerTo(question)), haveAllAnswered: reached.length + 1 === this.boxes.length};
+				return {answers: reached.map(other => other.origins.answerTo(question)), haveAllAnswered: reached.length + 1 === this.boxes.length, isIsolated: this.boxes.length > 1 && reached.length === 0};
 			}),
 			readRecord: () => Effect.void,
 			onSize: () => undefined,
