Count the grace period from the stop signal

Callers saw: a box that got SIGTERM while it was still starting took requests for the usual part of the grace period after its start, and the platform killed it with them in progress: no answer, or a stream cut (LOST, "a request was taken long after SIGTERM").

Cause: the signal was remembered, but the schedule of the stop began when the start was complete. A start takes long where the previous process still holds the ports, or the machine is busy; boxes that are stopped in series get such signals.

Change: the time of the first signal is passed to the schedule. Looked at for the same cause: the reclaim of an entry box counts from the platform's notice already.

--- a/src/command/relay-command.ts
+++ b/src/command/relay-command.ts
@@ -37,11 +37,15 @@
 			settings.reload();
 		});
 		const stop = Latch.makeUnsafe(false);
+		let signalledAt: number | undefined;
+		const requestStop = () => {
+			signalledAt ??= performance.now();
+			stop.openUnsafe();
+		};
+
 		// A signal during the start counts, and a second one must not end the process while requests are in progress.
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			onSignal(signal, () => {
-				stop.openUnsafe();
-			});
+			onSignal(signal, requestStop);
 		}
 
 		yield * Effect.forkScoped(Effect.repeat(polling, Schedule.spaced(settingsPollInterval)));
@@ -60,7 +64,7 @@
 			node.abort();
 		});
 		yield * stop.await;
-		yield * node.stop();
+		yield * node.stop(performance.now() - (signalledAt ?? performance.now()));
 	});
 	await Effect.runPromise(Effect.scoped(serving));
 	return exitCode.done;
--- a/src/command/test/relay-process.test.ts
+++ b/src/command/test/relay-process.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {request} from 'node:http';
+import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {afterEach, beforeEach, test} from 'node:test';
@@ -190,3 +191,27 @@
 	assert.equal(child!.isEnded, false);
 	assert.equal(await statusOf(ports.ready, '/api/readyz'), 200);
 });
+
+// A box that was still starting when it got the signal counted its grace period from the end of its start, and was killed with requests in progress.
+test('the grace period counts from the stop signal, also if the box is waiting for its port then', async () => {
+	const grace = 4;
+	const waitTime = 2500;
+	installation = await RelayInstallation.start({relays: 0, replicas: ['i-1']});
+	installation.replicas.get('i-1')!.behave({events: 1000, gap: 20});
+	const ports = await freeRelayPorts();
+	const previous = createServer().listen(ports.front, '127.0.0.1');
+	write(settingsText(ports, installation.store.port, grace));
+	start();
+	await child!.line(({eventName}) => eventName === 'settingsApplied');
+	await pause(500);
+	const signalledAt = performance.now();
+	child!.signal('SIGTERM');
+	await pause(waitTime);
+	previous.close();
+	await child!.line(({eventName}) => eventName === 'relayStopping');
+	// A stream that the box takes now would last beyond the grace period.
+	const status = await statusOf(ports.front, '/stream/late');
+	assert.equal(await child!.exited, 0);
+	assert.ok(performance.now() - signalledAt < grace * 1000, `exit after ${Math.round(performance.now() - signalledAt)} ms`);
+	assert.notEqual(status, 200);
+});
--- a/src/node/relay-node.ts
+++ b/src/node/relay-node.ts
@@ -297,12 +297,13 @@
 	 * Stops the relay: clients move to other boxes, as the load balancer sees that this box is not ready and as responses close their connections, and requests
 	 * in progress are completed. Those that are not complete shortly before the end of the grace period get a refusal.
 	 *
+	 * @param elapsed - Milliseconds since the stop signal: the box may still have been starting when it came.
 	 * @returns An effect that completes within the grace period.
 	 */
-	stop(): Effect.Effect<void> {
+	stop(elapsed = 0): Effect.Effect<void> {
 		return Effect.gen({self: this}, function * () {
 			const {stopSchedule} = this;
-			stopSchedule.begin(this.parts.settings().bounds.grace);
+			stopSchedule.begin(this.parts.settings().bounds.grace, elapsed);
 			this.parts.log.write('relayStopping', {inProgress: this.frontEnd.inProgress});
 			let isListening = true;
 			for (;;) {
--- a/src/stopping/stop-schedule.ts
+++ b/src/stopping/stop-schedule.ts
@@ -85,11 +85,12 @@
 	/**
 	 * Begins the stop. A second call changes nothing, since the platform counts from its first signal.
 	 *
-	 * @param grace - Milliseconds until the platform kills the process.
+	 * @param grace - Milliseconds from the stop signal until the platform kills the process.
+	 * @param elapsed - Milliseconds since the stop signal.
 	 */
-	begin(grace: number): void {
+	begin(grace: number, elapsed = 0): void {
 		if (this.begun === undefined) {
-			this.begun = {at: this.clock.monotonic(), grace};
+			this.begun = {at: this.clock.monotonic() - elapsed, grace};
 			for (const deadline of this.deadlines) {
 				this.schedule(deadline);
 			}
