Begin no stream that may outlast the process while a stopping box refuses new requests

What callers saw: in a planned stop a stream was begun after the box had begun to refuse new requests, and cut at the exit, although its client could have gone to another box at once. Of 30 events it got 10 to 14.

Cause: what is left of the grace period was compared with the mean duration of the service, or with the goal of the route, which is the time to the first event, before the first request. Of a service with short and long streams the mean says nothing about a single one. Another answer begins when it is complete, and gets a 502 in its place until the exit; a stream that has begun is cut.

Change: while new requests are refused, a stream is begun only if its own deadline ends before answers are due. It is refused as not run otherwise, and a body that is being received is given up then. One function gives the stop what it decides by, at all four places. A stream that has begun and goes on at another replica is judged as before.

Why it works: nothing is expected of a stream any more that may not hold.

--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -1,7 +1,7 @@
 /**
  * A stand-in for a replica of a service on the platform, with fault injection. Development only.
  */
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {header} from '../../platform/names.js';
@@ -19,6 +19,8 @@
 	readonly gap: number;
 	/** How a stream is written. */
 	readonly stream: StreamConduct;
+	/** Milliseconds before the response to a request that it does not run. */
+	readonly refusalDelay: number;
 	/** Fault of the response. */
 	readonly fault:
 		'none' | 'reset' | 'refuse' | 'error' | 'cut' | 'mute' | 'wrong-id' | 'extra' | 'unframed' | 'unframed-reset' | 'unframed-crash' | 'encoded' | 'cut-stream' | 'mute-stream' | 'elsewhere';
@@ -83,7 +85,7 @@
 /** Events of a stream during which the replica crashes: more than it writes before the crash. */
 const crashingEvents = 1000;
 const defaultConduct: ReplicaConduct = {
-	delay: 5, events: 0, gap: 5, stream: wholeStream, fault: 'none',
+	delay: 5, events: 0, gap: 5, stream: wholeStream, refusalDelay: 0, fault: 'none',
 };
 
 /**
@@ -240,7 +242,7 @@
 		}
 
 		if (!hasRun) {
-			response.writeHead(isElsewhere ? 421 : 503, {...commonHeaders, 'Not-Executed': '1', 'Content-Length': '0'}).end();
+			await this.refuse(response, isElsewhere ? 421 : 503, commonHeaders, conduct.refusalDelay);
 			return;
 		}
 
@@ -263,6 +265,14 @@
 		this.answerPlain(request, conduct, commonHeaders);
 	}
 
+	private async refuse(response: ServerResponse, status: number, commonHeaders: Readonly<Record<string, string>>, delay: number): Promise<void> {
+		if (delay > 0) {
+			await pause(delay);
+		}
+
+		response.writeHead(status, {...commonHeaders, 'Not-Executed': '1', 'Content-Length': '0'}).end();
+	}
+
 	private async crash(request: StandinRequest, {isAnswering, delay, onCrash}: CrashMark, commonHeaders: Readonly<Record<string, string>>): Promise<void> {
 		if (isAnswering) {
 			void this.stream(request, {...this.conduct, events: crashingEvents}, commonHeaders);
--- a/src/node/test/planned-stop.test.ts
+++ b/src/node/test/planned-stop.test.ts
@@ -3,12 +3,12 @@
  * complete only late in the grace period, got a reset connection when the process exited; those behind another one on its connection were discarded.
  */
 import assert from 'node:assert/strict';
-import {connect} from 'node:net';
 import {describe, test, type TestContext} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
+import {headOf, openRaw, statusesOf} from '../../../development/relay/raw-exchange.js';
 import {
-	RelayInstallation, routeTo, testHost, testKey, until, type ClientView, type InstallationPlan, type RelayMember,
+	RelayInstallation, routeTo, until, type ClientView, type InstallationPlan, type RelayMember,
 } from '../../../development/relay/relay-installation.js';
 import type {SeenRequest} from '../../../development/relay/replica-standin.js';
 
@@ -49,32 +49,6 @@
 	assert.equal((JSON.parse(view.body) as {readonly verdict: unknown}).verdict, verdict);
 }
 
-/** Everything that a connection brings until it ends, and whether it was reset. */
-type RawExchange = {readonly send: (text: string) => void; readonly received: () => string; readonly ended: Promise<{readonly text: string; readonly isReset: boolean}>};
-
-function openRaw({port}: RelayMember): RawExchange {
-	const socket = connect(port, '127.0.0.1');
-	let text = '';
-	let isReset = false;
-	const ended = new Promise<{readonly text: string; readonly isReset: boolean}>(resolve => {
-		socket.on('error', () => {
-			isReset = true;
-		}).on('data', data => {
-			text += data.toString('latin1');
-		}).once('close', () => {
-			resolve({text, isReset});
-		});
-	});
-	return {
-		send(part) {
-			socket.write(part, 'latin1');
-		}, received: () => text, ended,
-	};
-}
-
-const headOf = (path: string, length: number): string =>
-	[`POST ${path} HTTP/1.1`, `Host: ${testHost}`, `Authorization: Bearer ${testKey}`, `Attempt-Id: ${path}`, 'Deadline-Ms: 20000', `Content-Length: ${length}`, '', ''].join('\r\n');
-
 /** Sends half of a body, stops the relay, and sends the rest late; returns what the connection brings. */
 async function sendLateBody(relay: RelayMember): Promise<string> {
 	const raw = openRaw(relay);
@@ -88,8 +62,6 @@
 	return text;
 }
 
-const statusesOf = (text: string): readonly number[] => [...text.matchAll(/HTTP\/1\.1 (\d+)/gv)].map(([, status]) => Number(status));
-
 describe('a planned stop', {concurrency: true}, () => {
 	for (const grace of graces) {
 		for (const kind of kinds) {
--- a/src/relay/admitted-request.ts
+++ b/src/relay/admitted-request.ts
@@ -2,7 +2,9 @@
  * A client's request that passed admission.
  */
 import type {IncomingMessage} from 'node:http';
+import type {ServiceDemand} from '../replicas/service-demand.js';
 import type {Route, ClientAccount} from '../routes/route-table.js';
+import type {PendingRequest} from '../stopping/stop-schedule.js';
 import type {RequestHead} from './relay-format.js';
 
 /** A complete request, with its route, client account and limits. */
@@ -28,3 +30,12 @@
 	/** Monotonic milliseconds. */
 	readonly deadlineAt: number;
 };
+
+/**
+ * @param request - A request of which no answer has begun.
+ * @param demand - The demand for its service.
+ * @returns What a stop of this box decides by whether to pass it on.
+ */
+export const pendingRequest = ({route, deadlineAt}: Pick<AdmittedRequest, 'route' | 'deadlineAt'>, demand: ServiceDemand): PendingRequest => ({
+	duration: demand.expectedDuration(route.goal), deadlineAt, isCutAtExit: route.kind === 'stream',
+});
--- a/src/relay/forwarded-attempt.ts
+++ b/src/relay/forwarded-attempt.ts
@@ -8,7 +8,7 @@
 import * as Effect from 'effect/Effect';
 import type {RefusalReason} from '../base/refusal-reason.js';
 import type {Refusal} from '../base/verdict.js';
-import type {AdmittedRequest} from './admitted-request.js';
+import {pendingRequest, type AdmittedRequest} from './admitted-request.js';
 import {AnswerDelivery} from './answer-delivery.js';
 import {AttemptFailure} from './attempt-failure.js';
 import {
@@ -96,8 +96,7 @@
 		return Effect.suspend(() => {
 			const {services: {clock, guard, stop, demands}, client, record} = this.parts;
 			const {box, request} = this.plan;
-			const {service, route, deadlineAt} = request;
-			if (!client.hasBegun && !stop.mayServe(demands.of(service).expectedDuration(route.goal), deadlineAt)) {
+			if (!client.hasBegun && !stop.mayServe(pendingRequest(request, demands.of(request.service)))) {
 				box.connections.release(socket, undefined);
 				return Effect.fail(AttemptFailure.notRun('withheld', 'the box stops before the request is expected to be answered'));
 			}
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -17,7 +17,8 @@
 import {
 	type Route, type RouteTable, type ClientAccount, pickTarget,
 } from '../routes/route-table.js';
-import type {AdmittedRequest} from './admitted-request.js';
+import type {PendingRequest} from '../stopping/stop-schedule.js';
+import {pendingRequest, type AdmittedRequest} from './admitted-request.js';
 import {ClientAnswer} from './client-answer.js';
 import {
 	readForwardHead, refusalHeaders, softwareHeader, type ForwardHead,
@@ -315,30 +316,29 @@
 		return Effect.gen({self: this}, function * () {
 			const isTarget = route.targets.some(({service}) => service === forward?.service);
 			const service = forward && isTarget ? forward.service : pickTarget(route, Math.random());
-			const body = yield * this.readBody(requestBody, table.content.limits.body, this.services.demands.of(service).expectedDuration(route.goal));
+			const deadlineAt = receivedAt + Math.min(head.deadline ?? route.timeout, route.timeout);
+			const body = yield * this.readBody(requestBody, table.content.limits.body, pendingRequest({route, deadlineAt}, this.services.demands.of(service)));
 			const units = unitsOf(clientAccount, head);
 			// The box that received the request from the client has charged it.
 			if (clientAccount && !forward) {
 				yield * this.chargeQuota(clientAccount, units);
 			}
 
-			const deadline = Math.min(head.deadline ?? route.timeout, route.timeout);
 			return {
-				incoming, head, body, route, clientAccount, units, receivedAt,
+				incoming, head, body, route, clientAccount, units, receivedAt, deadlineAt,
 				origin: forward?.origin,
 				requiredSoftware: forward?.software,
 				version: table.version,
 				service,
 				urgency: Math.min(leastUrgent, Math.max(mostUrgent, table.priority(route, clientAccount))),
-				deadlineAt: receivedAt + deadline,
 			};
 		});
 	}
 
 	/** Fails as soon as the box, which is stopping, can no longer serve the request once its body is complete. */
-	private readBody(body: RequestBody, limit: number, duration: number): Effect.Effect<Uint8Array, Refusal> {
+	private readBody(body: RequestBody, limit: number, pending: PendingRequest): Effect.Effect<Uint8Array, Refusal> {
 		return Effect.suspend(() => {
-			const cancel = this.services.stop.onceLeft(duration, () => {
+			const cancel = this.services.stop.onceUnservable(pending, () => {
 				body.giveUp(stoppingRefusal());
 			});
 			return body.read(limit).pipe(Effect.ensuring(Effect.sync(cancel)));
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -117,6 +117,7 @@
 			choiceRequest,
 			record: this.record,
 			request: () => this.request,
+			hasBegun: () => client.hasBegun,
 			waitsForReplica: () => this.verdict === 'may-have-run' && !this.failedAnswer,
 		});
 		this.retry = RetryReservation.create({
--- a/src/relay/replica-attempt.ts
+++ b/src/relay/replica-attempt.ts
@@ -8,7 +8,7 @@
 import type {Replica} from '../replicas/replica.js';
 import type {ChoiceRequest} from '../replicas/replica-choice.js';
 import type {Connection} from '../replicas/replica-connections.js';
-import type {AdmittedRequest} from './admitted-request.js';
+import {pendingRequest, type AdmittedRequest} from './admitted-request.js';
 import {AnswerDelivery} from './answer-delivery.js';
 import {AttemptFailure} from './attempt-failure.js';
 import {BacklogObservation} from './backlog-observation.js';
@@ -214,8 +214,8 @@
 
 	private withholdReason(): string | undefined {
 		const {replicas, guard, limits, brittle, statements, stop, demands} = this.parts.services;
-		const {replica, slot, request: {service, route, deadlineAt}} = this.plan;
-		if (!this.parts.client.hasBegun && !stop.mayServe(demands.of(service).expectedDuration(route.goal), deadlineAt)) {
+		const {replica, slot, request} = this.plan;
+		if (!this.parts.client.hasBegun && !stop.mayServe(pendingRequest(request, demands.of(request.service)))) {
 			return 'the box stops before the request is expected to be answered';
 		}
 
@@ -235,7 +235,7 @@
 			return 'the replica has asked for a time without requests';
 		}
 
-		if (this.plan.request.clientAccount && !guard.allowsKeys) {
+		if (request.clientAccount && !guard.allowsKeys) {
 			return 'the configuration may be out of date';
 		}
 
--- a/src/relay/run-choice.ts
+++ b/src/relay/run-choice.ts
@@ -9,7 +9,7 @@
 import {
 	admit, expectedWait, type AdmissionVerdict, type Place,
 } from './admission.js';
-import type {AdmittedRequest} from './admitted-request.js';
+import {pendingRequest, type AdmittedRequest} from './admitted-request.js';
 import type {ForwardingBox} from './forwarding-boxes.js';
 import type {QueuedRequest} from './limit-queue.js';
 import {QueuePlacement} from './queue-placement.js';
@@ -44,6 +44,8 @@
 	readonly record: RunRecord;
 	/** @returns The request, with the route of the configuration that is now in force. */
 	readonly request: () => AdmittedRequest;
+	/** @returns Whether the answer has begun. */
+	readonly hasBegun: () => boolean;
 	/** @returns Whether to wait when no replica is available: a replica may have run the request, and there is no error answer to send instead. */
 	readonly waitsForReplica: () => boolean;
 };
@@ -238,13 +240,16 @@
 
 	/**
 	 * @param wait - Expected milliseconds until a replica starts the request.
-	 * @returns Whether the request is expected to be answered before this box, if it is stopping, exits. Of a stream that has begun only the rest is left.
+	 * @returns Whether the request is expected to be answered before this box, if it is stopping, exits. Of a stream that has begun only the rest is left, and
+	 * it would be cut without another attempt too.
 	 */
 	private mayFinish(wait: number): boolean {
-		const {services: {clock, demands, stop}, record: {firstByteAt}, request} = this.parts;
-		const {service, route, deadlineAt} = request();
+		const {services: {clock, demands, stop}, record: {firstByteAt}, request, hasBegun} = this.parts;
+		const pending = pendingRequest(request(), demands.of(request().service));
 		const elapsed = firstByteAt === undefined ? 0 : clock.monotonic() - firstByteAt;
-		return stop.mayServe(wait + Math.max(0, demands.of(service).expectedDuration(route.goal) - elapsed), deadlineAt);
+		return stop.mayServe({
+			...pending, duration: wait + Math.max(0, pending.duration - elapsed), isCutAtExit: pending.isCutAtExit && !hasBegun(),
+		});
 	}
 
 	private stop(): RunDecision {
--- a/src/relay/test/run-choice.test.ts
+++ b/src/relay/test/run-choice.test.ts
@@ -31,7 +31,13 @@
 		boxes: () => 1,
 	};
 	const parts = {
-		services, suspicion: {mustWait: false}, version: {software: undefined}, assignment: {prepare: () => undefined, prefers: () => true, mayUse: () => true}, record: {attempts: 0, excludedReplicas: 0}, waitsForReplica: () => false,
+		services,
+		suspicion: {mustWait: false},
+		version: {software: undefined},
+		assignment: {prepare: () => undefined, prefers: () => true, mayUse: () => true},
+		record: {attempts: 0, excludedReplicas: 0},
+		hasBegun: () => false,
+		waitsForReplica: () => false,
 		request: () => ({
 			service, urgency: 0, receivedAt: clock.now, deadlineAt: clock.now + 2000, route: {goal: 500},
 		}),
--- a/src/stopping/stop-schedule.ts
+++ b/src/stopping/stop-schedule.ts
@@ -21,10 +21,20 @@
 /** Multiple at which the process exits even if it was held up and has not sent all refusals. */
 const lastExitFactor = 0.4;
 
+/** A request that is to be passed on. */
+export type PendingRequest = {
+	/** Expected milliseconds until it is answered. */
+	readonly duration: number;
+	/** Monotonic milliseconds at which it is answered at the latest. */
+	readonly deadlineAt: number;
+	/** Whether that begins an answer which is cut when the process exits. Other answers begin when they are complete, and until then a refusal can be sent. */
+	readonly isCutAtExit: boolean;
+};
+
 /** Runs when less than some time is left for answers. */
 type Deadline = {
-	/** Milliseconds before answers are due. */
-	readonly lead: number;
+	/** @returns Milliseconds before answers are due; called once the stop has begun. */
+	readonly lead: () => number;
 	readonly listener: () => void;
 	timer: NodeJS.Timeout | undefined;
 };
@@ -51,7 +61,7 @@
 
 	/** Whether new requests are refused. */
 	get isClosing(): boolean {
-		return this.begun !== undefined && this.elapsed > this.begun.grace * closingFraction;
+		return this.elapsed > this.closingTime;
 	}
 
 	/**
@@ -98,12 +108,21 @@
 	}
 
 	/**
-	 * @param duration - Expected milliseconds until a request is answered.
-	 * @param deadlineAt - Monotonic milliseconds at which it is answered at the latest.
-	 * @returns Whether it is expected to be answered before answers are due.
+	 * @param request - A request.
+	 * @returns Whether it may be passed on: it is expected to be answered before answers are due. While new requests are refused, the answer of one that would
+	 * be cut must be certain to end by then, since its client can go to another box at once.
+	 */
+	mayServe(request: PendingRequest): boolean {
+		return !this.isStopping || this.leadOf(request) <= this.timeLeft || this.endsInTime(request);
+	}
+
+	/**
+	 * @param request - A request that can't be passed on yet.
+	 * @param listener - Called once, as soon as it may no longer be passed on.
+	 * @returns Cancels the call.
 	 */
-	mayServe(duration: number, deadlineAt: number): boolean {
-		return !this.isStopping || Math.min(duration, deadlineAt - this.clock.monotonic()) <= this.timeLeft;
+	onceUnservable(request: PendingRequest, listener: () => void): () => void {
+		return this.addDeadline(() => this.endsInTime(request) ? request.duration : this.leadOf(request), listener);
 	}
 
 	/**
@@ -125,6 +144,10 @@
 	 * @returns Cancels the call.
 	 */
 	onceLeft(lead: number, listener: () => void): () => void {
+		return this.addDeadline(() => lead, listener);
+	}
+
+	private addDeadline(lead: () => number, listener: () => void): () => void {
 		const deadline: Deadline = {lead, listener, timer: undefined};
 		this.deadlines.add(deadline);
 		if (this.isStopping) {
@@ -141,7 +164,21 @@
 		deadline.timer = setTimeout(() => {
 			this.deadlines.delete(deadline);
 			deadline.listener();
-		}, timerDelay(this.timeLeft - deadline.lead));
+		}, timerDelay(this.timeLeft - deadline.lead()));
+	}
+
+	/** Milliseconds before answers are due until which the request may be passed on. */
+	private leadOf({duration, isCutAtExit}: PendingRequest): number {
+		return isCutAtExit ? Math.max(duration, this.timeLeft + this.elapsed - this.closingTime) : duration;
+	}
+
+	private endsInTime({deadlineAt}: PendingRequest): boolean {
+		return deadlineAt - this.clock.monotonic() <= this.timeLeft;
+	}
+
+	/** Milliseconds after the beginning of the stop from which new requests are refused; infinite before. */
+	private get closingTime(): number {
+		return this.begun === undefined ? Number.POSITIVE_INFINITY : this.begun.grace * closingFraction;
 	}
 
 	/** @param factor - Multiple of the exit margin. */
--- a/src/stopping/test/stop-schedule.test.ts
+++ b/src/stopping/test/stop-schedule.test.ts
@@ -3,11 +3,14 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
 import {ManualClock} from '../../../development/harness/manual-clock.js';
-import {StopSchedule} from '../stop-schedule.js';
+import {SystemClock} from '../../base/clock.js';
+import {StopSchedule, type PendingRequest} from '../stop-schedule.js';
 
 const graces = [1000, 2000, 5400, 8000, 30_000, 120_000] as const;
 const step = 10;
 
+const pendingFor = (duration: number): PendingRequest => ({duration, deadlineAt: Number.POSITIVE_INFINITY, isCutAtExit: false});
+
 const begin = (grace: number) => {
 	const clock = new ManualClock(1000);
 	const schedule = StopSchedule.create(clock);
@@ -41,19 +44,58 @@
 	test(`a request is served while it is expected to be answered within the grace period of ${grace} ms`, () => {
 		const {clock, schedule} = begin(grace);
 		const duration = grace / 4;
-		const never = Number.POSITIVE_INFINITY;
-		assert.equal(schedule.mayServe(duration, never), true);
-		assert.equal(schedule.mayServe(grace, never), false);
-		assert.equal(schedule.mayServe(grace, clock.now + duration), true, 'its own deadline comes first');
+		assert.equal(schedule.mayServe(pendingFor(duration)), true);
+		assert.equal(schedule.mayServe(pendingFor(grace)), false);
+		assert.equal(schedule.mayServe({...pendingFor(grace), deadlineAt: clock.now + duration}), true, 'its own deadline comes first');
 		clock.now += schedule.timeLeft - duration + 1;
-		assert.equal(schedule.mayServe(duration, never), false);
+		assert.equal(schedule.mayServe(pendingFor(duration)), false);
+	});
+
+	test(`an answer that would be cut is begun late in the grace period of ${grace} ms only if it is certain to end in time`, () => {
+		const {clock, schedule} = begin(grace);
+		const stream = {...pendingFor(0), isCutAtExit: true};
+		assert.equal(schedule.mayServe(stream), true);
+		assert.equal(schedule.mayServe({...stream, duration: grace}), false);
+		while (schedule.mayServe(stream)) {
+			clock.now += step;
+		}
+
+		assert.equal(schedule.isClosing, true);
+		assert.equal(schedule.mayServe({...stream, deadlineAt: clock.now + schedule.timeLeft}), true);
+		assert.equal(schedule.mayServe({...stream, deadlineAt: clock.now + schedule.timeLeft + 1}), false);
+		assert.equal(schedule.mayServe(pendingFor(0)), true);
 	});
 }
 
+test('it is told when a request may no longer be passed on: a long one as the stop begins, a stream that may outlast it as new requests are refused', async () => {
+	const schedule = StopSchedule.create(SystemClock.create());
+	const told: string[] = [];
+	const listen = (name: string, request: PendingRequest) => schedule.onceUnservable(request, () => {
+		told.push(name);
+	});
+
+	const cancels = [
+		listen('stream', {...pendingFor(0), isCutAtExit: true}),
+		listen('short stream', {...pendingFor(0), isCutAtExit: true, deadlineAt: 0}),
+		listen('whole', pendingFor(0)),
+		listen('long', pendingFor(1000)),
+	];
+	schedule.begin(1000);
+	while (!schedule.isClosing) {
+		await pause(step);
+	}
+
+	await pause(step);
+	assert.deepEqual(told, ['long', 'stream']);
+	for (const cancel of cancels) {
+		cancel();
+	}
+});
+
 test('nothing is refused or due while the process is not asked to stop', () => {
 	const schedule = StopSchedule.create(new ManualClock(1000));
 	assert.deepEqual([schedule.isStopping, schedule.isClosing, schedule.isOver(0), schedule.elapsed], [false, false, false, 0]);
-	assert.equal(schedule.mayServe(1_000_000, 0), true);
+	assert.equal(schedule.mayServe(pendingFor(1_000_000)), true);
 });
 
 test('a second signal does not move the end', () => {
