Begin no stream in a stop that another box forwarded and that may outlast the process

What callers saw: a box without a path to the replicas forwarded six streams of 3 s to two others, one of which had just been asked to stop, with a grace of 3 s. That one began its three and cut them at its exit; the client got 200 and no whole answer.

Cause: a stopping box judged a forwarded stream as one of its own clients, by the mean duration, although the box that forwards it can choose a third one without the client.

Change: such a stream is begun only if its own deadline ends before answers are due. With no third box the client gets a refusal as not run.

--- a/src/relay/admitted-request.ts
+++ b/src/relay/admitted-request.ts
@@ -36,6 +36,6 @@
  * @param demand - The demand for its service.
  * @returns What a stop of this box decides by whether to pass it on.
  */
-export const pendingRequest = ({route, deadlineAt}: Pick<AdmittedRequest, 'route' | 'deadlineAt'>, demand: ServiceDemand): PendingRequest => ({
-	duration: demand.expectedDuration(route.goal), deadlineAt, isCutAtExit: route.kind === 'stream',
+export const pendingRequest = ({route, deadlineAt, origin}: Pick<AdmittedRequest, 'route' | 'deadlineAt' | 'origin'>, demand: ServiceDemand): PendingRequest => ({
+	duration: demand.expectedDuration(route.goal), deadlineAt, isCutAtExit: route.kind === 'stream', wasForwarded: origin !== undefined,
 });
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -317,7 +317,9 @@
 			const isTarget = route.targets.some(({service}) => service === forward?.service);
 			const service = forward && isTarget ? forward.service : pickTarget(route, Math.random());
 			const deadlineAt = receivedAt + Math.min(head.deadline ?? route.timeout, route.timeout);
-			const body = yield * this.readBody(requestBody, table.content.limits.body, pendingRequest({route, deadlineAt}, this.services.demands.of(service)));
+			const origin = forward?.origin;
+			const pending = pendingRequest({route, deadlineAt, origin}, this.services.demands.of(service));
+			const body = yield * this.readBody(requestBody, table.content.limits.body, pending);
 			const units = unitsOf(clientAccount, head);
 			// The box that received the request from the client has charged it.
 			if (clientAccount && !forward) {
@@ -325,8 +327,7 @@
 			}
 
 			return {
-				incoming, head, body, route, clientAccount, units, receivedAt, deadlineAt,
-				origin: forward?.origin,
+				incoming, head, body, route, clientAccount, units, receivedAt, deadlineAt, origin,
 				requiredSoftware: forward?.software,
 				version: table.version,
 				service,
--- a/src/stopping/stop-schedule.ts
+++ b/src/stopping/stop-schedule.ts
@@ -34,6 +34,8 @@
 	readonly deadlineAt: number;
 	/** Whether that begins an answer which is cut when the process exits. Other answers begin when they are complete, and until then a refusal can be sent. */
 	readonly isCutAtExit: boolean;
+	/** Whether another box forwarded it, which can choose a third one at once. */
+	readonly wasForwarded: boolean;
 };
 
 /** Runs when less than some time is left for answers. */
@@ -114,15 +116,15 @@
 
 	/**
 	 * @param request - A request.
-	 * @returns Whether it may be passed on: it is expected to be answered before answers are due. Once other boxes get the new requests, the answer of one that
-	 * would be cut must be certain to end by then, since its client can go to another box at once.
+	 * @returns Whether it may be passed on: it is expected to be answered before answers are due. The answer of one that would be cut must be certain to end by
+	 * then if another box forwarded it, and once other boxes get the new requests: it can go to another box at once.
 	 */
 	mayServe(request: PendingRequest): boolean {
 		if (!this.isStopping || this.endsInTime(request)) {
 			return true;
 		}
 
-		return request.duration <= this.timeLeft && !(request.isCutAtExit && this.elapsed > this.uncertainUntil);
+		return request.duration <= this.timeLeft && !(request.isCutAtExit && this.elapsed >= this.uncertainUntil(request));
 	}
 
 	/**
@@ -133,7 +135,7 @@
 	onceUnservable(request: PendingRequest, listener: () => void): () => void {
 		const {duration, isCutAtExit} = request;
 		return this.addDeadline(() => isCutAtExit && !this.endsInTime(request)
-			? Math.max(duration, this.timeLeft + this.elapsed - this.uncertainUntil)
+			? Math.max(duration, this.timeLeft + this.elapsed - this.uncertainUntil(request))
 			: duration, listener);
 	}
 
@@ -189,8 +191,8 @@
 	}
 
 	/** Milliseconds after the beginning of the stop until which a stream is begun that may outlast the process. */
-	private get uncertainUntil(): number {
-		return Math.min(this.closingTime, maxUncertainTime);
+	private uncertainUntil({wasForwarded}: PendingRequest): number {
+		return wasForwarded ? 0 : Math.min(this.closingTime, maxUncertainTime);
 	}
 
 	/** @param factor - Multiple of the exit margin. */
