Answer the requests before an error of their connection

What callers saw: a client that sends requests in advance gets 408, or 400, while its first request runs at a sound replica; the connection closes and the replica's answer is discarded. The request may not be repeatable, and 408 promises that it was not run.

Cause: a part that RequestFeed parses may hold the beginning of the next request, whose rest is held back until the earlier one is answered. Node's time for that head goes on meanwhile, and Node writes the status of a late or malformed request in place of the answer in progress.

Ruled out: the client; idle time-outs (Node sets them only when no response waits).

The front end answers such errors itself, after the complete requests that were received before; a request that was late because the box did not read it gets the time once more.

--- a/src/node/test/client-bodies.test.ts
+++ b/src/node/test/client-bodies.test.ts
@@ -125,3 +125,13 @@
 		assert.deepEqual(seen().map(({body, headers}) => [body, headers['content-length'], headers['transfer-encoding']]), [['first', '5', undefined]]);
 	});
 }
+
+// Node answered 400 in place of the replica, and closed the connection.
+test('a request that runs keeps its answer when bytes that are no request follow it', async () => {
+	seen().length = 0;
+	installation.replicas.get('i-1')!.behave({delay: 200});
+	const answer = await send([`${headerSection(['Content-Length: 5'])}firstno request\r\n\r\n`], 'open');
+	installation.replicas.get('i-1')!.behave({});
+	assert.equal(seen().length, 1);
+	assert.match(answer, /^HTTP\/1\.1 200 .*answer of i-1HTTP\/1\.1 400 /sv);
+});
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -4,7 +4,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {Server as ConnectionServer} from 'node:net';
+import {Server as ConnectionServer, type Socket} from 'node:net';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import {closingCauseOf, type ClosingCause} from '../base/closing-cause.js';
@@ -87,6 +87,9 @@
 			this.handle(incoming, response, connections);
 		});
 		const connections = services.resources.limitServer('clients', this.server, maxHeadBytes);
+		this.server.on('clientError', (error, socket) => {
+			connections.recordError(error, socket as Socket);
+		});
 		this.responses = OpenResponses.watch(this.server);
 		this.responses.onWillReset(response => {
 			this.reportIncomplete(response, 'exit');
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -2,7 +2,9 @@
  * Limits the connections of one HTTP server, the incomplete heads that it holds, and the requests in progress on each connection to one. At a limit the
  * connection goes that has made no progress for longest and whose request is not complete; a complete request is not cut while there is another connection.
  */
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {
+	STATUS_CODES, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '../base/clock.js';
 import {recordClosing} from '../base/closing-cause.js';
@@ -17,6 +19,14 @@
 /** Milliseconds for which a connection with a request keeps its place, whatever its progress. */
 const minGrantedTime = 500;
 
+/** Node's code of a request that did not arrive in time. */
+const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Node's code of a connection that its client ended inside a request. */
+const endCode = 'HPE_INVALID_EOF_STATE';
+const malformedStatus = 400;
+/** HTTP statuses of the errors of requests; all others are malformed. */
+const errorStatuses: ReadonlyMap<string | undefined, number> = new Map([[timeoutCode, 408], ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413], ['HPE_HEADER_OVERFLOW', 431]]);
+
 /** Why a connection was closed. */
 export type ClosingReason = 'connections' | 'heads';
 
@@ -65,6 +75,10 @@
 	readonly waiting: QueuedRequest[];
 	/** Passes its bytes to the parser. */
 	feed: RequestFeed | undefined;
+	/** Error of the bytes after the requests that have been received; `undefined` if there is none. */
+	fault: NodeJS.ErrnoException | undefined;
+	/** Whether Node's time limit passed for a request that waits for an earlier one; Node then checks it no further. */
+	isOverdue: boolean;
 };
 
 /** The connections of one server. */
@@ -153,6 +167,26 @@
 		};
 	}
 
+	/**
+	 * Answers an error of a connection as Node does, but after the answers to the complete requests that were received before: Node would send it in place of
+	 * the answer in progress. Time limits do not apply to a request that is not read because it waits for an earlier one.
+	 *
+	 * @param error - An error that Node reported with the event `clientError`.
+	 * @param socket - The connection.
+	 */
+	recordError(error: NodeJS.ErrnoException, socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (connection?.request?.complete !== true || connection.fault !== undefined || !isOfRequest(error)) {
+			this.answerError(error, socket);
+			socket.destroy(error);
+		} else if (error.code === timeoutCode) {
+			connection.isOverdue = true;
+		} else {
+			connection.fault = error;
+			connection.feed?.discardRest();
+		}
+	}
+
 	/** @param socket - A connection that is used for another protocol from now on: it keeps its place until it closes. */
 	keepUpgraded(socket: Socket): void {
 		const connection = this.connections.get(socket);
@@ -165,7 +199,7 @@
 	private add(socket: Socket): void {
 		const {limits, clock} = this.parts;
 		const connection: Connection = {
-			request: undefined, response: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined,
+			request: undefined, response: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined, fault: undefined, isOverdue: false,
 		};
 		if (this.connections.size >= limits.connections) {
 			const victim = this.leastUseful;
@@ -203,16 +237,51 @@
 			this.setRequest(socket, connection, undefined);
 			connection.response = undefined;
 			connection.body = undefined;
-			const next = connection.waiting.shift();
-			if (next) {
-				this.begin(socket, connection, next);
-			} else {
-				connection.feed?.release('earlier-request');
-			}
+			this.beginNext(socket, connection);
 		});
 		start();
 	}
 
+	private beginNext(socket: Socket, connection: Connection): void {
+		const {waiting: [next], fault} = connection;
+		if (fault && next?.incoming.complete !== true) {
+			this.answerError(fault, socket);
+			socket.destroySoon();
+			return;
+		}
+
+		if (next) {
+			connection.waiting.shift();
+			this.begin(socket, connection, next);
+		} else {
+			connection.feed?.release('earlier-request');
+		}
+
+		if (connection.isOverdue && next?.incoming.complete !== true) {
+			connection.isOverdue = false;
+			this.limitTime(socket, connection);
+		}
+	}
+
+	/** Grants a request that was overdue while it waited Node's time limit once more. */
+	private limitTime(socket: Socket, connection: Connection): void {
+		const {since} = connection;
+		setTimeout(() => {
+			if (connection.since === since && connection.request?.complete !== true) {
+				this.answerError({code: timeoutCode}, socket);
+				socket.destroy();
+			}
+		}, this.parts.server.requestTimeout).unref();
+	}
+
+	/** Sends the status of an error, unless an answer has begun; the caller closes the connection. */
+	private answerError({code}: Pick<NodeJS.ErrnoException, 'code'>, socket: Socket): void {
+		if (socket.writable && this.connections.get(socket)?.response?.headersSent !== true) {
+			const status = errorStatuses.get(code) ?? malformedStatus;
+			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+		}
+	}
+
 	/** Node reports the end of a connection only to the response in progress. */
 	private discard({body, response}: QueuedRequest): void {
 		body.release();
@@ -315,3 +384,6 @@
 		}
 	}
 }
+
+/** Whether an error is one of the bytes of a request, and not the end of its connection. */
+const isOfRequest = ({code}: NodeJS.ErrnoException): boolean => code === timeoutCode || (code !== endCode && code?.startsWith('HPE_') === true);
--- a/src/resources/test/server-connections.test.ts
+++ b/src/resources/test/server-connections.test.ts
@@ -3,19 +3,23 @@
  */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
+} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {until} from '../../../development/relay/relay-installation.js';
 import {SystemClock} from '../../base/clock.js';
 import {ServerConnections, type ClosingReason} from '../server-connections.js';
 
 const maxHead = 16_384;
+const requestTo = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: box\r\n\r\n`;
 
 /** A server whose requests are answered by the test. */
 class TestServer {
-	static async start(context: TestContext, connections: number, heads = 1_000_000): Promise<TestServer> {
-		const server = new TestServer(connections, heads);
+	static async start(context: TestContext, connections: number, heads = 1_000_000, options: ServerOptions = {}): Promise<TestServer> {
+		const server = new TestServer(connections, heads, options);
 		server.server.listen(0, '127.0.0.1');
 		await once(server.server, 'listening');
 		context.after(() => {
@@ -32,28 +36,12 @@
 	released = 0;
 	readonly closed: ClosingReason[] = [];
 	readonly connections: ServerConnections;
-	private readonly server = createServer({maxHeaderSize: maxHead}, (incoming, response) => {
-		const path = incoming.url ?? '';
-		this.received++;
-		this.open++;
-		response.once('close', () => {
-			this.open--;
-		});
-		this.connections.enqueue({
-			incoming,
-			response,
-			start: () => {
-				this.started.push({path, response});
-			},
-			body: {
-				missingBytes: 0, release: () => {
-					this.released++;
-				},
-			},
-		});
-	});
+	private readonly server: Server;
 
-	private constructor(connections: number, heads: number) {
+	private constructor(connections: number, heads: number, options: ServerOptions) {
+		this.server = createServer({maxHeaderSize: maxHead, ...options}, (incoming, response) => {
+			this.handle(incoming, response);
+		});
 		this.connections = ServerConnections.limit({
 			server: this.server,
 			clock: SystemClock.create(),
@@ -62,6 +50,9 @@
 				this.closed.push(reason);
 			},
 		});
+		this.server.on('clientError', (error, socket) => {
+			this.connections.recordError(error, socket as Socket);
+		});
 	}
 
 	async connect(): Promise<Client> {
@@ -71,6 +62,26 @@
 		await until(() => this.connections.count > before || this.closed.length > 0);
 		return client;
 	}
+
+	private handle(incoming: IncomingMessage, response: ServerResponse): void {
+		this.received++;
+		this.open++;
+		response.once('close', () => {
+			this.open--;
+		});
+		this.connections.enqueue({
+			incoming,
+			response,
+			start: () => {
+				this.started.push({path: incoming.url ?? '', response});
+			},
+			body: {
+				missingBytes: 0, release: () => {
+					this.released++;
+				},
+			},
+		});
+	}
 }
 
 class Client {
@@ -90,7 +101,7 @@
 	}
 
 	send(...paths: readonly string[]): void {
-		this.socket.write(paths.map(path => `GET ${path} HTTP/1.1\r\nHost: box\r\n\r\n`).join(''));
+		this.socket.write(paths.map(path => requestTo(path)).join(''));
 	}
 
 	destroy(): void {
@@ -209,3 +220,61 @@
 	assert.equal(server.open, 0);
 	assert.equal(server.released, server.received);
 });
+
+// Node answered 408 in place of the request in progress, which may have run, and closed the connection.
+test('the time limits of a request do not go on while it waits behind another one', async context => {
+	const server = await TestServer.start(context, 10, undefined, {headersTimeout: 50, requestTimeout: 100, connectionsCheckingInterval: 20});
+	const client = await server.connect();
+	const paths = Array.from({length: 30}, (_, index) => `/${index}`);
+	client.send(...paths);
+	await until(() => server.started.length === 1);
+	await pause(300);
+	assert.deepEqual([client.received, client.isClosed], ['', false]);
+	for (const index of paths.keys()) {
+		await until(() => server.started.length > index);
+		server.started[index]!.response.end(`answer ${index};`);
+	}
+
+	await until(() => client.received.includes('answer 29;'));
+	assert.deepEqual(server.started.map(({path}) => path), paths);
+});
+
+test('a request that is overdue while it waits behind another one gets the time once more, and is then answered', async context => {
+	const server = await TestServer.start(context, 10, undefined, {headersTimeout: 50, requestTimeout: 100, connectionsCheckingInterval: 20});
+	const client = await server.connect();
+	client.write(`${requestTo('/1')}GET /2 HTTP/1.1\r\nHost`);
+	await until(() => server.started.length === 1);
+	await pause(300);
+	server.started[0]!.response.end('answer 1;');
+	await until(() => client.isClosed);
+	assert.match(client.received, /answer 1;.*HTTP\/1\.1 408 /sv);
+});
+
+// Node answered 400 in place of the request in progress, which may have run, and closed the connection.
+test('the requests before bytes that are no request are answered before the connection closes', async context => {
+	const server = await TestServer.start(context, 10);
+	const client = await server.connect();
+	client.write(`${requestTo('/1')}${requestTo('/2')}no request\r\n\r\n`);
+	await until(() => server.started.length === 1);
+	await pause(100);
+	assert.deepEqual([client.received, client.isClosed], ['', false]);
+	server.started[0]!.response.end('answer 1;');
+	await until(() => server.started.length === 2);
+	server.started[1]!.response.end('answer 2;');
+	await until(() => client.isClosed);
+	assert.match(client.received, /answer 1;.*answer 2;.*HTTP\/1\.1 400 /sv);
+});
+
+test('bytes that are no request, and a head that is too slow or too large, are answered where no request is in progress', async context => {
+	const server = await TestServer.start(context, 10, undefined, {headersTimeout: 50, requestTimeout: 100, connectionsCheckingInterval: 20});
+	const received = async (text: string): Promise<string> => {
+		const client = await server.connect();
+		client.write(text);
+		await until(() => client.isClosed);
+		return client.received;
+	};
+
+	assert.match(await received('no request\r\n\r\n'), /^HTTP\/1\.1 400 .*Connection: close/sv);
+	assert.match(await received('GET / HTTP/1.1\r\nHost'), /^HTTP\/1\.1 408 .*Connection: close/sv);
+	assert.match(await received(`GET / HTTP/1.1\r\nX-Field: ${'x'.repeat(maxHead)}`), /^HTTP\/1\.1 431 .*Connection: close/sv);
+});
