Start no request on a connection that closes

What callers saw: a request sent in advance behind one that is refused before its body is complete runs at a replica, and its client gets nothing: the connection closes after the refusal. The same after requests in advance were discarded for want of memory.

Cause: the next request of a connection is started when the response before it closes, also if that response ended the connection.

Such a request is discarded with its connection before anything is done with it, which RFC 9112, section 9.6, lets its client expect.

--- a/src/node/test/client-bodies.test.ts
+++ b/src/node/test/client-bodies.test.ts
@@ -135,3 +135,13 @@
 	assert.equal(seen().length, 1);
 	assert.match(answer, /^HTTP\/1\.1 200 .*answer of i-1HTTP\/1\.1 400 /sv);
 });
+
+// The replica ran it, and its client got nothing: the connection closes after the refusal.
+test('a request that arrives with the rest of a refused one is not passed on', async () => {
+	seen().length = 0;
+	const refused = headerSection(['Transfer-Encoding: chunked']).replace('/calls/', '/none/');
+	const answer = await send([refused, `0\r\n\r\n${headerSection(['Content-Length: 5'])}first`], 'open');
+	assert.equal(statusOf(answer), 404, answer);
+	assert.equal(answer.match(/HTTP\/1\.1/gv)?.length, 1, answer);
+	assert.equal(seen().length, 0);
+});
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -243,6 +243,11 @@
 	}
 
 	private beginNext(socket: Socket, connection: Connection): void {
+		// The answer that has been sent closes the connection: those that wait are discarded when it is closed.
+		if (socket.writableEnded) {
+			return;
+		}
+
 		const {waiting: [next], fault} = connection;
 		if (fault && next?.incoming.complete !== true) {
 			this.answerError(fault, socket);
--- a/src/resources/test/server-connections.test.ts
+++ b/src/resources/test/server-connections.test.ts
@@ -207,6 +207,7 @@
 	await until(() => client.isClosed);
 	assert.match(client.received, /answer;/v);
 	assert.equal(server.received, parsed);
+	assert.equal(server.started.length, 1, 'a request was started whose answer cannot be sent');
 });
 
 // Such responses were never reported as closed, so that what tracks open responses kept them for the life of the process.
