Cut no answer that its client reads for a new connection

What callers saw: at the limit of connections, with a complete request on each, a new connection ends one whose answer is being read: the client gets a part of it.

Cause: the connection was chosen by the time since its request began and a write buffer that is full now, which is how each answer larger than the buffers looks while it is sent.

Before: 'an answer that is being read is not cut for a new connection, and one that is not read is' failed in 3 of 3 runs (closed at the first new connection).

A connection loses its place only if the system has taken nothing of its answer between two searches half a second or more apart; meanwhile the new connection is closed unread.

--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -79,6 +79,8 @@
 	fault: NodeJS.ErrnoException | undefined;
 	/** Whether Node's time limit passed for a request that waits for an earlier one; Node then checks it no further. */
 	isOverdue: boolean;
+	/** Bytes that the system had taken while more of the answer waited, and when this was first seen, in monotonic milliseconds; `undefined` if nothing waited. */
+	taken: {readonly bytes: number; readonly at: number} | undefined;
 };
 
 /** The connections of one server. */
@@ -199,7 +201,7 @@
 	private add(socket: Socket): void {
 		const {limits, clock} = this.parts;
 		const connection: Connection = {
-			request: undefined, response: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined, fault: undefined, isOverdue: false,
+			request: undefined, response: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined, fault: undefined, isOverdue: false, taken: undefined,
 		};
 		if (this.connections.size >= limits.connections) {
 			const victim = this.leastUseful;
@@ -304,14 +306,15 @@
 	}
 
 	/**
-	 * The connection that has been without a request for longest; otherwise the one whose request arrives slowest; otherwise the one whose answer has been
-	 * ready for longest without being read. `undefined` if all have complete requests in progress.
+	 * The connection that has been without a request for longest; otherwise the one whose request arrives slowest; otherwise one whose answer is ready and
+	 * has not been read any further for some time. `undefined` if all others have complete requests in progress.
 	 */
 	private get leastUseful(): Socket | undefined {
 		const now = this.parts.clock.monotonic();
 		let slowest: {readonly socket: Socket; readonly rate: number} | undefined;
 		let unread: Socket | undefined;
-		for (const [socket, {request, since, bytes}] of this.connections) {
+		for (const [socket, connection] of this.connections) {
+			const {request, since, bytes} = connection;
 			if (request === undefined) {
 				return socket;
 			}
@@ -322,7 +325,8 @@
 			}
 
 			if (request.complete) {
-				unread ??= socket.writableNeedDrain ? socket : undefined;
+				const isUnread = hasStalled(socket, connection, now);
+				unread ??= isUnread ? socket : undefined;
 			} else {
 				const rate = (socket.bytesRead - bytes) / granted;
 				slowest = slowest === undefined || rate < slowest.rate ? {socket, rate} : slowest;
@@ -392,3 +396,18 @@
 
 /** Whether an error is one of the bytes of a request, and not the end of its connection. */
 const isOfRequest = ({code}: NodeJS.ErrnoException): boolean => code === timeoutCode || (code !== endCode && code?.startsWith('HPE_') === true);
+
+/** Whether the system has taken nothing of an answer for {@link minGrantedTime}, as far as calls at different times tell. */
+function hasStalled(socket: Socket, connection: Connection, now: number): boolean {
+	if (!socket.writableNeedDrain) {
+		connection.taken = undefined;
+		return false;
+	}
+
+	const bytes = socket.bytesWritten - socket.writableLength;
+	if (connection.taken?.bytes !== bytes) {
+		connection.taken = {bytes, at: now};
+	}
+
+	return now - connection.taken.at >= minGrantedTime;
+}
--- a/src/resources/test/server-connections.test.ts
+++ b/src/resources/test/server-connections.test.ts
@@ -11,9 +11,15 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {until} from '../../../development/relay/relay-installation.js';
 import {SystemClock} from '../../base/clock.js';
+import {sendBody} from '../send-body.js';
 import {ServerConnections, type ClosingReason} from '../server-connections.js';
 
 const maxHead = 16_384;
+/** Milliseconds between two reads of a client that is slow, and more than those for which a connection with a request keeps its place in any case. */
+const readInterval = 10;
+const grantedTime = 600;
+/** Bytes of an answer that takes such a client some seconds. */
+const largeAnswer = 48 * 1024 * 1024;
 const requestTo = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: box\r\n\r\n`;
 
 /** A server whose requests are answered by the test. */
@@ -85,6 +91,10 @@
 }
 
 class Client {
+	/** Milliseconds between two reads. */
+	pauseTime = 0;
+	/** Bytes that it has read. */
+	size = 0;
 	received = '';
 	isClosed = false;
 	readonly connected: Promise<unknown>;
@@ -94,7 +104,12 @@
 		this.socket = connect(port, '127.0.0.1');
 		this.connected = once(this.socket, 'connect').catch(() => undefined);
 		this.socket.on('error', () => undefined).on('data', data => {
+			this.size += data.length;
 			this.received += data.toString();
+			if (this.pauseTime > 0) {
+				this.socket.pause();
+				this.resumeLater();
+			}
 		}).once('close', () => {
 			this.isClosed = true;
 		});
@@ -111,6 +126,12 @@
 	write(text: string): void {
 		this.socket.write(text);
 	}
+
+	private resumeLater(): void {
+		if (Number.isFinite(this.pauseTime)) {
+			setTimeout(() => this.socket.resume(), this.pauseTime);
+		}
+	}
 }
 
 test('requests of one connection are handled one at a time and in order', async context => {
@@ -168,6 +189,36 @@
 	await until(() => busy.received.includes('answer;'));
 });
 
+// The time for which the answer had been unread was counted from the beginning of its request.
+test('an answer that is being read is not cut for a new connection, and one that is not read is', async context => {
+	const server = await TestServer.start(context, 1);
+	const reader = await server.connect();
+	reader.pauseTime = readInterval;
+	reader.send('/large');
+	await until(() => server.started.length === 1);
+	await pause(grantedTime);
+	const {response} = server.started[0]!;
+	response.writeHead(200, {'Content-Length': largeAnswer});
+	sendBody(response, new Uint8Array(largeAnswer), () => undefined);
+	for (let attempt = 0; attempt < 4; attempt++) {
+		const next = await server.connect();
+		await until(() => next.isClosed || reader.isClosed);
+		assert.equal(reader.isClosed, false);
+		assert.ok(reader.size < largeAnswer, 'it is still being read');
+		await pause(grantedTime);
+	}
+
+	reader.pauseTime = Number.POSITIVE_INFINITY;
+	let next = await server.connect();
+	for (let attempt = 0; attempt < 4 && next.isClosed; attempt++) {
+		await pause(grantedTime);
+		next = await server.connect();
+		await pause(grantedTime);
+	}
+
+	assert.equal(next.isClosed, false);
+});
+
 test('incomplete heads beyond the limit close their connections, the oldest first', async context => {
 	const server = await TestServer.start(context, 10, 2 * maxHead);
 	const clients = [await server.connect(), await server.connect(), await server.connect(), await server.connect()];
