Answer the requests that were read in the last turn of a listener

What callers saw: as a stopped process exits, a request that arrives in its last turn of the event loop is read, and its connection reset without an answer.

Cause: the answer to a refused request is sent a turn after its request was read, and connections were closed after the turn in which all that had arrived was read.

After that turn the connections are not read any more, so that the further turn brings no request that would go unanswered in its place.

--- a/src/node/control-listeners.ts
+++ b/src/node/control-listeners.ts
@@ -5,6 +5,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import * as Effect from 'effect/Effect';
 import type * as Scope from 'effect/Scope';
 import type {EventLog} from '../base/event-log.js';
@@ -78,12 +79,25 @@
 		server.listen({host, port, backlog: 1024});
 	});
 	const retried: Effect.Effect<void> = once.pipe(Effect.catch(() => Effect.sleep(listenRetryDelay).pipe(Effect.andThen(Effect.suspend(() => retried)))));
-	// Connections are closed after a turn of the event loop in which all that had arrived was read.
-	return Effect.acquireRelease(retried, () => nextTurn.pipe(Effect.andThen(Effect.sync(() => {
+	const sockets = new Set<Socket>();
+	server.on('connection', (socket: Socket) => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+	});
+	// Connections are closed after a turn of the event loop in which all that had arrived was read, and another one in which what was read is refused.
+	return Effect.acquireRelease(retried, () => Effect.gen(function * () {
+		yield * nextTurn;
+		for (const socket of sockets) {
+			socket.pause();
+		}
+
+		yield * nextTurn;
 		responses.reset();
 		server.close();
 		server.closeAllConnections();
-	}))));
+	}));
 }
 
 /**
