Let a stopped box wait for clients that read a whole answer

Cause: the exit waited for requests without an answer, and took an answer whose head had been sent for one that has begun. A whole answer is sent in parts as its client reads them.

--- a/development/relay/replica-standin.ts
+++ b/development/relay/replica-standin.ts
@@ -15,6 +15,8 @@
 	readonly delay: number;
 	/** Number of events of a stream; 0 gives a plain response. */
 	readonly events: number;
+	/** Bytes of a plain response after its text. */
+	readonly padding: number;
 	/** Milliseconds between events. */
 	readonly gap: number;
 	/** How a stream is written. */
@@ -85,7 +87,7 @@
 /** Events of a stream during which the replica crashes: more than it writes before the crash. */
 const crashingEvents = 1000;
 const defaultConduct: ReplicaConduct = {
-	delay: 5, events: 0, gap: 5, stream: wholeStream, refusalDelay: 0, fault: 'none',
+	delay: 5, events: 0, gap: 5, stream: wholeStream, refusalDelay: 0, fault: 'none', padding: 0,
 };
 
 /**
@@ -310,8 +312,8 @@
 		}
 	}
 
-	private answerPlain({response, incoming}: StandinRequest, {fault}: ReplicaConduct, commonHeaders: Readonly<Record<string, string>>): void {
-		const body = plainResponseOf(this.producerFor(commonHeaders['Attempt-Id']!));
+	private answerPlain({response, incoming}: StandinRequest, {fault, padding}: ReplicaConduct, commonHeaders: Readonly<Record<string, string>>): void {
+		const body = `${plainResponseOf(this.producerFor(commonHeaders['Attempt-Id']!))}${' '.repeat(padding)}`;
 		const length = {'Content-Length': String(body.length)};
 		switch (fault) {
 			case 'mute': {
--- a/src/node/test/planned-stop.test.ts
+++ b/src/node/test/planned-stop.test.ts
@@ -3,6 +3,8 @@
  * complete only late in the grace period, got a reset connection when the process exited; those behind another one on its connection were discarded.
  */
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {describe, test, type TestContext} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
@@ -19,6 +21,9 @@
 /** Milliseconds that a request is known to take, and the time after the stop signal at which less than that is left. */
 const usualWork = 600;
 const lateBodyDelay = 1400;
+/** Bytes of an answer that exceeds the buffers of the system, and milliseconds after the stop signal at which its client begins to read, shortly after the planned exit. */
+const largeAnswer = 12_000_000;
+const slowReaderDelay = 3600;
 const routes = kinds.map(kind => routeTo(`/${kind}/`, {
 	kind, timeout_ms: 20_000, goal_ms: 15_000, max_attempts: 1,
 }));
@@ -167,6 +172,26 @@
 		assert.deepEqual(statusesOf((await kept.ended).text), [200, 503]);
 	});
 
+	// The exit reset answers of which the box had all, and the system not yet.
+	test('delivers a whole answer whose client reads slowly, as long as the process may wait', async context => {
+		const installation = await start(context, {grace: 4000});
+		const [relay] = installation.relays;
+		const replica = installation.replicas.get('i-1')!;
+		replica.behave({padding: largeAnswer});
+		const client = connect(relay!.port, '127.0.0.1');
+		client.write(`${headOf('/idempotent/large', 1)}x`);
+		await until(() => relay!.log.lines.some(({eventName}) => eventName === 'requestAnswered'));
+		const stopped = stop(relay!);
+		await pause(slowReaderDelay);
+		let bytes = 0;
+		client.on('data', data => {
+			bytes += data.length;
+		}).on('error', () => undefined);
+		await once(client, 'close');
+		await stopped;
+		assert.ok(bytes > largeAnswer, `${bytes} bytes of ${largeAnswer}`);
+	});
+
 	test('answers the requests that arrived behind another one on its connection', async context => {
 		const installation = await start(context, {grace: 2000});
 		const [relay] = installation.relays;
--- a/src/relay/front-end.ts
+++ b/src/relay/front-end.ts
@@ -13,6 +13,7 @@
 import {OpenResponses} from '../base/open-responses.js';
 import {Refusal} from '../base/verdict.js';
 import type {RequestBody} from '../resources/request-body.js';
+import {isWhole} from '../resources/send-body.js';
 import type {ServerConnections} from '../resources/server-connections.js';
 import {
 	type Route, type RouteTable, type ClientAccount, pickTarget,
@@ -106,9 +107,9 @@
 		return this.active;
 	}
 
-	/** Requests, from clients and other boxes, whose answer has not begun. */
+	/** Requests, from clients and other boxes, whose answer has not begun, or is only waiting to be read by its client. */
 	get unanswered(): number {
-		return [...this.received.keys()].filter(({headersSent}) => !headersSent).length;
+		return [...this.received.keys()].filter(response => !response.headersSent || isWhole(response)).length;
 	}
 
 	/**
--- a/src/resources/send-body.ts
+++ b/src/resources/send-body.ts
@@ -6,6 +6,14 @@
 /** Bytes of a part. */
 const partBytes = 65_536;
 
+const wholeResponses = new WeakSet<ServerResponse>();
+
+/**
+ * @param response - A response that has not been sent completely.
+ * @returns Whether this process has all of it, so that only its client is awaited.
+ */
+export const isWhole = (response: ServerResponse): boolean => response.writableEnded || wholeResponses.has(response);
+
 /**
  * Sends a whole body and ends the response.
  *
@@ -19,6 +27,7 @@
 		return;
 	}
 
+	wholeResponses.add(response);
 	response.write(body.subarray(0, partBytes), error => {
 		if (!error) {
 			onProgress();
