--- a/src/relay/request-summary.ts
+++ b/src/relay/request-summary.ts
@@ -44,16 +44,11 @@
 	access: RequestAccess | undefined;
 	admitted: AdmittedRequest | undefined;
 	run: RelayRun | undefined;
-
-	private hasOutcome = false;
+	/** Whether the outcome has been reported; the client may not have received the answer yet. */
+	isReported = false;
 
 	private constructor(private readonly arrival: RequestArrival) {}
 
-	/** Whether the outcome has been reported; the client may not have received it yet. */
-	get isReported(): boolean {
-		return this.hasOutcome;
-	}
-
 	private get kind(): string {
 		return this.access?.route.kind ?? 'none';
 	}
@@ -115,7 +110,7 @@
 	}
 
 	private count(outcome: string): void {
-		this.hasOutcome = true;
+		this.isReported = true;
 		const {metrics} = this.arrival.services;
 		const {kind, firstByte} = this;
 		if (this.arrival.origin !== undefined) {
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -285,6 +285,7 @@
 
 	/** Sends the status of an error, unless an answer has begun; the caller closes the connection. */
 	private answerError({code}: Pick<NodeJS.ErrnoException, 'code'>, socket: Socket): void {
+		recordClosing(socket, code === timeoutCode ? 'sender-too-slow' : 'malformed');
 		if (socket.writable && this.connections.get(socket)?.response?.headersSent !== true) {
 			const status = errorStatuses.get(code) ?? malformedStatus;
 			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
@@ -366,6 +367,7 @@
 	/** By RFC 9112, section 9.6, a client takes requests after an answer that closes the connection for not processed. */
 	private endAfterAnswer(socket: Socket, response: ServerResponse): void {
 		this.parts.onClosed?.('heads');
+		recordClosing(socket, 'limit');
 		response.shouldKeepAlive = false;
 		response.once('finish', () => {
 			socket.destroySoon();
