End the read of the history with the stream that waits for it

Found in review: the read that a resumed stream starts went on after the stream had been refused, up to 900 ms, so that after a loss of all boxes several times as many calls could be open to a store that is slow already.

A store that is slower than the goal of the route is told by the longer wait; nothing else needed the late answer.

--- a/src/stream-versions/version-history.ts
+++ b/src/stream-versions/version-history.ts
@@ -5,7 +5,6 @@
  * No stream begins at a version before the store has it, as long as another version can serve. Source: docs/design/streams-after-restart.md.
  */
 import * as Effect from 'effect/Effect';
-import * as Fiber from 'effect/Fiber';
 import * as Result from 'effect/Result';
 import type {Clock} from '../base/clock.js';
 import type {EventLog} from '../base/event-log.js';
@@ -201,12 +200,12 @@
 			const usefulTime = Math.max(usualConfirmationTime, timeToGoal);
 			const wasUnconfirmed = clock.monotonic() - this.unconfirmedAt < unconfirmedInterval;
 			const mayWait = !wasUnconfirmed && !isStoreSilent() && this.isCertain && this.only(service) !== undefined;
-			// An answer that comes too late for this stream shows that the store is slow and not silent, so the read goes on.
-			const reading = Effect.runFork(this.readWithin(usefulTime));
+			const answered = this.read().pipe(Effect.catchTag('StoreUnavailable', () => Effect.succeed(false)));
 			const timeout = Effect.sleep(mayWait ? usefulTime : minConfirmationTime).pipe(Effect.andThen(nextTurn), Effect.as(false));
-			return Effect.raceFirst(Fiber.join(reading), timeout).pipe(Effect.tap(isConfirmed => Effect.sync(() => {
-				if (!isConfirmed && mayWait) {
-					this.unconfirmedAt = clock.monotonic();
+			return Effect.raceFirst(answered, timeout).pipe(Effect.tap(isConfirmed => Effect.sync(() => {
+				// Only the longer time tells that the store is silent and not slow.
+				if (isConfirmed || mayWait) {
+					this.unconfirmedAt = isConfirmed ? Number.NEGATIVE_INFINITY : clock.monotonic();
 				}
 			})));
 		});
@@ -427,21 +426,6 @@
 		return services;
 	}
 
-	/** @returns An effect that reads the history; yields whether the store answered in this time, with content that is not older than what was known. */
-	private readWithin(time: number): Effect.Effect<boolean> {
-		return Effect.suspend(() => {
-			const {clock} = this.services;
-			const calledAt = clock.monotonic();
-			return this.read().pipe(
-				Effect.map(isCurrent => isCurrent && clock.monotonic() - calledAt <= time),
-				Effect.tap(isConfirmed => Effect.sync(() => {
-					this.unconfirmedAt = isConfirmed ? Number.NEGATIVE_INFINITY : this.unconfirmedAt;
-				})),
-				Effect.catchTag('StoreUnavailable', () => Effect.succeed(false)),
-			);
-		});
-	}
-
 	/** @returns An effect that yields whether the answer is not older than what is known. */
 	private read(): Effect.Effect<boolean, StoreUnavailable> {
 		const {store, log, commonTime, clock} = this.services;
