Keep the answer in progress when a malformed request behind it is also late

Found in review: a request that was running at a replica got 408, or its stream was cut, when the request behind it was malformed and Node's time limit for that passed too. And a body that stopped was never timed out if its head had been overdue behind another request.

Cause: a second error of the same connection went the way of an error without a request in progress. The time granted once more ended with the head.

Change: while a complete request is in progress, further errors of its connection are ignored once one is remembered. The time granted once more holds until the overdue request has arrived completely.

--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -77,6 +77,8 @@
 	readonly waiting: QueuedRequest[];
 	/** Passes its bytes to the parser. */
 	feed: RequestFeed | undefined;
+	/** Number of requests that have been started. */
+	begun: number;
 	/** Error of the bytes after the requests that have been received; `undefined` if there is none. */
 	fault: NodeJS.ErrnoException | undefined;
 	/** Whether Node's time limit passed for a request that waits for an earlier one; Node then checks it no further. */
@@ -180,9 +182,11 @@
 	 */
 	recordError(error: NodeJS.ErrnoException, socket: Socket): void {
 		const connection = this.connections.get(socket);
-		if (connection?.request?.complete !== true || connection.fault !== undefined || !isOfRequest(error)) {
+		if (connection?.request?.complete !== true || !isOfRequest(error)) {
 			this.answerError(error, socket);
 			socket.destroy(error);
+		} else if (connection.fault !== undefined) {
+			// Node's time limit goes on for the malformed request, whose answer is due already.
 		} else if (error.code === timeoutCode) {
 			connection.isOverdue = true;
 		} else {
@@ -203,7 +207,7 @@
 	private add(socket: Socket): void {
 		const {limits, clock} = this.parts;
 		const connection: Connection = {
-			request: undefined, response: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined, fault: undefined, isOverdue: false, taken: undefined,
+			request: undefined, response: undefined, body: undefined, since: clock.monotonic(), bytes: 0, waiting: [], feed: undefined, begun: 0, fault: undefined, isOverdue: false, taken: undefined,
 		};
 		if (this.connections.size >= limits.connections) {
 			const victim = this.leastUseful;
@@ -234,6 +238,7 @@
 
 	private begin(socket: Socket, connection: Connection, {incoming, response, body, start}: QueuedRequest): void {
 		this.setRequest(socket, connection, incoming);
+		connection.begun++;
 		connection.response = response;
 		connection.body = body;
 		response.once('close', () => {
@@ -268,15 +273,15 @@
 
 		if (connection.isOverdue && next?.incoming.complete !== true) {
 			connection.isOverdue = false;
-			this.limitTime(socket, connection);
+			this.limitTime(socket, connection, connection.begun + (next ? 0 : 1));
 		}
 	}
 
-	/** Grants a request that was overdue while it waited Node's time limit once more. */
-	private limitTime(socket: Socket, connection: Connection): void {
-		const {since} = connection;
+	/** Grants a request that was overdue while it waited Node's time limit once more; `number` counts the requests of the connection from one. */
+	private limitTime(socket: Socket, connection: Connection, number: number): void {
 		setTimeout(() => {
-			if (connection.since === since && connection.request?.complete !== true) {
+			const isArriving = connection.begun < number || (connection.begun === number && connection.request?.complete === false);
+			if (isArriving) {
 				this.answerError({code: timeoutCode}, socket);
 				socket.destroy();
 			}
--- a/src/resources/test/server-connections.test.ts
+++ b/src/resources/test/server-connections.test.ts
@@ -20,6 +20,7 @@
 const grantedTime = 600;
 /** Bytes of an answer that takes such a client some seconds. */
 const largeAnswer = 96 * 1024 * 1024;
+const timeLimits = {headersTimeout: 50, requestTimeout: 100, connectionsCheckingInterval: 20};
 const requestTo = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: box\r\n\r\n`;
 
 /** A server whose requests are answered by the test. */
@@ -275,7 +276,7 @@
 
 // Node answered 408 in place of the request in progress, which may have run, and closed the connection.
 test('the time limits of a request do not go on while it waits behind another one', async context => {
-	const server = await TestServer.start(context, 10, undefined, {headersTimeout: 50, requestTimeout: 100, connectionsCheckingInterval: 20});
+	const server = await TestServer.start(context, 10, undefined, timeLimits);
 	const client = await server.connect();
 	const paths = Array.from({length: 30}, (_, index) => `/${index}`);
 	client.send(...paths);
@@ -292,7 +293,7 @@
 });
 
 test('a request that is overdue while it waits behind another one gets the time once more, and is then answered', async context => {
-	const server = await TestServer.start(context, 10, undefined, {headersTimeout: 50, requestTimeout: 100, connectionsCheckingInterval: 20});
+	const server = await TestServer.start(context, 10, undefined, timeLimits);
 	const client = await server.connect();
 	client.write(`${requestTo('/1')}GET /2 HTTP/1.1\r\nHost`);
 	await until(() => server.started.length === 1);
@@ -318,7 +319,7 @@
 });
 
 test('bytes that are no request, and a head that is too slow or too large, are answered where no request is in progress', async context => {
-	const server = await TestServer.start(context, 10, undefined, {headersTimeout: 50, requestTimeout: 100, connectionsCheckingInterval: 20});
+	const server = await TestServer.start(context, 10, undefined, timeLimits);
 	const received = async (text: string): Promise<string> => {
 		const client = await server.connect();
 		client.write(text);
@@ -330,3 +331,31 @@
 	assert.match(await received('GET / HTTP/1.1\r\nHost'), /^HTTP\/1\.1 408 .*Connection: close/sv);
 	assert.match(await received(`GET / HTTP/1.1\r\nX-Field: ${'x'.repeat(maxHead)}`), /^HTTP\/1\.1 431 .*Connection: close/sv);
 });
+
+test('a body that stops is timed out if its head was overdue behind another request and then complete', async context => {
+	const server = await TestServer.start(context, 10, undefined, timeLimits);
+	const client = await server.connect();
+	client.write(`${requestTo('/1')}POST /2 HTTP/1.1\r\nHost`);
+	await until(() => server.started.length === 1);
+	await pause(300);
+	server.started[0]!.response.end('answer 1;');
+	client.write(': box\r\nContent-Length: 10\r\n\r\n');
+	await until(() => server.started.length === 2);
+	await until(() => client.isClosed);
+	assert.match(client.received, /answer 1;.*HTTP\/1\.1 408 /sv);
+});
+
+// Node's time limit goes on for a malformed request, and its second error took the place of the answer in progress.
+for (const [name, rest] of [['in its first line', 'no request\r\n\r\n'], ['in its head', 'GET /2 HTTP/1.1\r\nHost: box\r\nno field\r\n\r\n'], ['in its body', 'POST /2 HTTP/1.1\r\nHost: box\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n']] as const) {
+	test(`a request that runs keeps its answer if the one behind it is malformed ${name} and the time limits pass`, async context => {
+		const server = await TestServer.start(context, 10, undefined, timeLimits);
+		const client = await server.connect();
+		client.write(requestTo('/1') + rest);
+		await until(() => server.started.length === 1);
+		await pause(500);
+		assert.deepEqual([client.received, client.isClosed], ['', false]);
+		server.started[0]!.response.end('answer 1;');
+		await until(() => client.isClosed);
+		assert.match(client.received, /answer 1;.*HTTP\/1\.1 400 /sv);
+	});
+}
