Report a client that resets its connection as one that left

Operators saw: answerIncomplete with the cause malformed for a client that had reset its connection, and the same label in the counter.

Cause: since the causes of malformed and late requests are recorded, the place that answers an error of a connection took each error for one of a request, also the reset by the client.

Change: the cause is recorded for errors of requests alone. The tests of this file use headOf in place of heads written by hand; their assertions are the same.

--- a/src/node/test/incomplete-answers.test.ts
+++ b/src/node/test/incomplete-answers.test.ts
@@ -5,8 +5,9 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import * as Effect from 'effect/Effect';
+import {headOf} from '../../../development/relay/raw-exchange.js';
 import {
-	RelayInstallation, routeTo, testHost, testKey, until, type ClientView, type LoggedEvent, type RelayMember,
+	RelayInstallation, routeTo, until, type ClientView, type LoggedEvent, type RelayMember,
 } from '../../../development/relay/relay-installation.js';
 
 const grace = 2000;
@@ -73,7 +74,7 @@
 	const {installation, relay} = await start(context);
 	installation.replicas.get('i-1')!.behave({events: 100, gap: 50});
 	const leaving = connect(relay.port, '127.0.0.1');
-	leaving.write(`GET /long/one HTTP/1.1\r\nHost: ${testHost}\r\nAuthorization: Bearer ${testKey}\r\nAttempt-Id: leaving\r\n\r\n`);
+	leaving.write(headOf('/long/one', 0));
 	await once(leaving, 'data');
 	leaving.destroy();
 	await until(() => relay.log.lines.some(({eventName}) => eventName === 'clientLeft'));
@@ -87,10 +88,23 @@
 test('a refusal that its client reads before it has sent the whole request is no incomplete answer', async context => {
 	const {relay} = await start(context);
 	const client = connect(relay.port, '127.0.0.1');
-	client.write(`POST /unknown HTTP/1.1\r\nHost: ${testHost}\r\nAuthorization: Bearer ${testKey}\r\nAttempt-Id: early\r\nContent-Length: 10\r\n\r\nhalf`);
+	client.write(`${headOf('/unknown', 10)}half`);
 	await once(client, 'data');
 	client.destroy();
 	await pause(100);
 	assert.equal(await countOf(relay, 'client'), 0);
 	assert.deepEqual(incompleteAt(relay), []);
 });
+
+// The error of a connection that its client resets was recorded as that of a malformed request.
+test('a client that resets its connection is counted as one that leaves', async context => {
+	const {installation, relay} = await start(context);
+	installation.replicas.get('i-1')!.behave({events: 100, gap: 50});
+	const leaving = connect(relay.port, '127.0.0.1');
+	leaving.write(headOf('/long/one', 0));
+	await once(leaving, 'data');
+	leaving.resetAndDestroy();
+	await until(() => relay.log.lines.some(({eventName}) => eventName === 'clientLeft'));
+	assert.equal(await countOf(relay, 'client'), 1);
+	assert.deepEqual(incompleteAt(relay), []);
+});
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -63,8 +63,7 @@
 	/** Outcome of the attempts so far. */
 	readonly record: RunRecord = {
 		attempts: 0, executions: 0, arrivals: 0, sentAt: undefined, refusedConnections: 0, forwards: 0, via: undefined, replica: undefined, software: [], failures: '', firstByteAt: undefined,
-		excludedReplicas: 0,
-		missingFor: undefined, expectedWait: undefined, loadAge: undefined, expectedReading: undefined, queuedFor: undefined, retryBasis: undefined,
+		excludedReplicas: 0, missingFor: undefined, expectedWait: undefined, loadAge: undefined, expectedReading: undefined, queuedFor: undefined, retryBasis: undefined,
 	};
 
 	/** Whether the request is suspected of crashing replicas. */
--- a/src/resources/server-connections.ts
+++ b/src/resources/server-connections.ts
@@ -289,8 +289,12 @@
 	}
 
 	/** Sends the status of an error, unless an answer has begun; the caller closes the connection. */
-	private answerError({code}: Pick<NodeJS.ErrnoException, 'code'>, socket: Socket): void {
-		recordClosing(socket, code === timeoutCode ? 'sender-too-slow' : 'malformed');
+	private answerError(error: Pick<NodeJS.ErrnoException, 'code'>, socket: Socket): void {
+		const {code} = error;
+		if (isOfRequest(error)) {
+			recordClosing(socket, code === timeoutCode ? 'sender-too-slow' : 'malformed');
+		}
+
 		if (socket.writable && this.connections.get(socket)?.response?.headersSent !== true) {
 			const status = errorStatuses.get(code) ?? malformedStatus;
 			socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
@@ -404,7 +408,7 @@
 }
 
 /** Whether an error is one of the bytes of a request, and not the end of its connection. */
-const isOfRequest = ({code}: NodeJS.ErrnoException): boolean => code === timeoutCode || (code !== endCode && code?.startsWith('HPE_') === true);
+const isOfRequest = ({code}: Pick<NodeJS.ErrnoException, 'code'>): boolean => code === timeoutCode || (code !== endCode && code?.startsWith('HPE_') === true);
 
 /** Whether the system has taken nothing of an answer for {@link maxStall}, as far as calls at different times tell. */
 function hasStalled(socket: Socket, connection: Connection, now: number): boolean {
